--- /dev/null
+++ b/src/crowdeck/availability_zone.py
@@ -0,0 +1,47 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Availability zones and the time that links between them take."""
+
+import attrs
+
+SAME_ZONE_SECONDS = 0.0001
+OTHER_ZONE_SECONDS = 0.0005
+
+
+@attrs.frozen
+class ZoneLink:
+    """The link between two availability zones.
+
+    :ivar seconds: one-way delay.
+    :ivar bytes_per_second: what one transfer gets.
+    """
+
+    seconds: float
+    bytes_per_second: float = 1.25e9
+
+    def transfer_seconds(self, size: int) -> float:
+        """Return how long ``size`` bytes take from end to end."""
+        return self.seconds + size / self.bytes_per_second
+
+
+@attrs.frozen
+class ZoneLinks:
+    """All links between availability zones, with defaults.
+
+    >>> links = ZoneLinks()
+    >>> links.between("plateau", "plateau").seconds
+    0.0001
+    """
+
+    links: dict[frozenset[str], ZoneLink] = attrs.field(factory=dict)
+
+    def between(self, one: str, other: str) -> ZoneLink:
+        """Return the link between two availability zones."""
+        link = self.links.get(frozenset((one, other)))
+        if link is not None:
+            return link
+        is_same = one == other
+        return ZoneLink(SAME_ZONE_SECONDS if is_same else OTHER_ZONE_SECONDS)
--- /dev/null
+++ b/src/crowdeck/cmd/daemon.py
@@ -0,0 +1,105 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""``crowdeckd``: runs one entry or one sidecar."""
+
+import argparse
+import pathlib
+import signal
+import sys
+
+import anyio
+import anyio.abc
+import capnp
+
+from crowdeck.cmd import process as processes
+from crowdeck import errors
+from crowdeck.observe import logs
+from crowdeck.settings import config as configs
+
+EXIT_CONFIG = 2
+
+_EXAMPLES = """\
+examples:
+  crowdeckd --config entry.ini           run until told to stop
+  crowdeckd --config entry.ini --check   check the file and end
+
+signals:
+  SIGTERM, SIGINT   planned stop: no new work, running work finishes;
+                    a second one hurries it
+  SIGHUP            read the configuration again, change what may change
+"""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon; returns its exit code."""
+    options = _parser().parse_args(arguments)
+    try:
+        config = processes.check(options.config)
+    except errors.ConfigError as error:
+        print(f"{error.code}: {error.message}", file=sys.stderr)
+        return EXIT_CONFIG
+    if options.check:
+        print(f"{options.config}: in order")
+        return 0
+    logs.to_stdout()
+    anyio.run(_serve, config, options.config)
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="crowdeckd",
+        description="Run one entry or one sidecar of crowdeck.",
+        epilog=_EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--config", type=pathlib.Path, required=True, metavar="FILE"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check FILE and end"
+    )
+    return parser
+
+
+async def _serve(config: configs.Config, path: pathlib.Path) -> None:
+    async with capnp.kj_loop(), anyio.create_task_group() as tasks:
+        process = processes.Process(config)
+        await tasks.start(_handle_signals, process, path)
+        await process.run()
+        tasks.cancel_scope.cancel()
+
+
+async def _handle_signals(
+    process: processes.Process,
+    path: pathlib.Path,
+    *,
+    task_status: anyio.abc.TaskStatus[None],
+) -> None:
+    stop_signals = (signal.SIGTERM, signal.SIGINT)
+    with anyio.open_signal_receiver(*stop_signals, signal.SIGHUP) as received:
+        task_status.started()
+        async with anyio.create_task_group() as tasks:
+            has_begun = False
+            async for number in received:
+                if number == signal.SIGHUP:
+                    _reread(process, path)
+                    continue
+                tasks.start_soon(process.stop, has_begun)
+                has_begun = True
+
+
+def _reread(process: processes.Process, path: pathlib.Path) -> None:
+    try:
+        config = processes.check(path)
+    except errors.ConfigError as error:
+        logs.change("config_refused", reason=error.message)
+        return
+    process.reconfigure(config)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/crowdeck/cmd/process.py
@@ -0,0 +1,336 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Builds a daemon's process from its configuration, and runs it."""
+
+import contextlib
+import pathlib
+import ssl
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import statsd
+import uvicorn
+
+from crowdeck.entry import answers as answers_module
+from crowdeck.entry import entry as entries
+from crowdeck.entry import http as entry_http
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import directory as directories
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.observe import traces
+from crowdeck.platform import http as platform_http
+from crowdeck.settings import config as configs
+from crowdeck.sidecar import sidecar as sidecars
+from crowdeck import timers
+from crowdeck import upstream
+from crowdeck.wire import link
+from crowdeck.wire import messages
+from crowdeck.wire import rpc
+
+ENGINE_RETRY_SECONDS = 0.5
+# uvicorn's own wait for open answers; our planned stop has done it before.
+HTTP_STOP_SECONDS = 2
+
+
+@attrs.frozen
+class Running:
+    """A process that serves.
+
+    :ivar address: where its peers reach it.
+    :ivar http_port: where callers reach it, 0 for a sidecar.
+    """
+
+    address: instances.Address
+    http_port: int
+    part: entries.Entry | sidecars.Sidecar
+
+
+class Process:
+    """One daemon, from its configuration to its end.
+
+    Run it inside ``capnp.kj_loop()``. All that it opens is owned by one
+    exit stack and closed in reverse order when its task is cancelled.
+    """
+
+    def __init__(self, config: configs.Config) -> None:
+        self._config = config
+        self._incarnation = instances.new_incarnation()
+        self._timers = timers.TimerService()
+        self._stop = anyio.Event()
+        self._running: Running | None = None
+
+    @property
+    def running(self) -> Running:
+        """What serves; only once :meth:`run` has reported it."""
+        assert self._running is not None, "the process has not started"
+        return self._running
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[Running] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until :meth:`stop` has drained it, or until cancelled."""
+        async with contextlib.AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
+            tracer = self._open_tracer(stack)
+            platform = platform_http.HttpStore(
+                self._open_client(stack, self._config.platform_url)
+            )
+            if self._config.role is instances.Role.ENTRY:
+                running = await self._run_entry(stack, tasks, platform, tracer)
+            else:
+                running = await self._run_sidecar(
+                    stack, tasks, platform, tracer
+                )
+            self._open_statsd(stack)
+            tasks.start_soon(self._timers.run)
+            self._running = running
+            logs.change(
+                "started",
+                instance=self._config.name,
+                role=str(self._config.role),
+                address=str(running.address),
+            )
+            task_status.started(running)
+            await running.part.wait_drained()
+            logs.change("stopped", instance=self._config.name)
+
+    def reconfigure(self, config: configs.Config) -> None:
+        """Take what may change while running: time and request limits.
+
+        The rest needs a restart, which a planned stop makes harmless.
+        """
+        self._config = attrs.evolve(
+            self._config, stop_seconds=config.stop_seconds
+        )
+        part = self.running.part
+        if isinstance(part, entries.Entry):
+            part.admission.limit = int(config.entry["request_limit"])
+        logs.change("reconfigured", instance=self._config.name)
+
+    async def stop(self, hurry: bool = False) -> None:
+        """Begin a planned stop; ``hurry`` cuts its wait short."""
+        limit = 0.0 if hurry else self._config.stop_seconds
+        await self.running.part.drain(limit)
+
+    def _greeting(self) -> messages.Greeting:
+        return messages.Greeting(
+            cluster=self._config.cluster,
+            instance=self._config.name,
+            role=str(self._config.role),
+            availability_zone=self._config.availability_zone,
+            incarnation=self._incarnation,
+        )
+
+    def _open_tracer(self, stack: contextlib.AsyncExitStack) -> traces.Tracer:
+        endpoint = str(self._config.observe["otlp_endpoint"])
+        tracer = traces.Tracer(self._config.name, endpoint)
+        stack.callback(tracer.close)
+        return tracer
+
+    def _open_client(
+        self, stack: contextlib.AsyncExitStack, url: str
+    ) -> http.HttpClient:
+        client = http.HttpClient(url)
+        stack.push_async_callback(client.close)
+        return client
+
+    def _open_statsd(self, stack: contextlib.AsyncExitStack) -> None:
+        observe = self._config.observe
+        if not observe["statsd_host"]:
+            return
+        pipe = statsd.StatsClient(
+            str(observe["statsd_host"]),
+            int(observe["statsd_port"]),
+            prefix=f"crowdeck.{self._config.role}",
+        )
+        stack.callback(pipe.close)
+
+        async def flush() -> None:
+            counters.COUNTERS.flush(pipe)
+
+        self._timers.subscribe(
+            "statsd", float(observe["statsd_seconds"]), flush
+        )
+
+    async def _open_transport(
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        handler: link.Handler,
+    ) -> tuple[rpc.RpcTransport, instances.Address]:
+        transport = await stack.enter_async_context(
+            rpc.RpcTransport(
+                self._greeting(), handler, self._config.tls.load()
+            )
+        )
+        address = await tasks.start(transport.serve, self._config.address)
+        return transport, address
+
+    async def _run_sidecar(
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        platform: platform_http.HttpStore,
+        tracer: traces.Tracer,
+    ) -> Running:
+        directory = directories.Directory(platform)
+        sidecar = sidecars.Sidecar(
+            name=self._config.name,
+            engine=self._open_engine(stack),
+            services=self._open_services(stack),
+            book=directory,
+            timer_service=self._timers,
+            tracer=tracer,
+            tasks=tasks,
+            incarnation=self._incarnation,
+        )
+        transport, address = await self._open_transport(stack, tasks, sidecar)
+        await _until_ready(sidecar, transport)
+        await directory.refresh()
+        self._timers.subscribe(
+            "directory", directories.REFRESH_SECONDS, directory.refresh
+        )
+        return Running(address, 0, sidecar)
+
+    def _open_engine(
+        self, stack: contextlib.AsyncExitStack
+    ) -> upstream.Engine | None:
+        url = str(self._config.sidecar["engine_url"])
+        if not url:
+            return None
+        return http.HttpEngine(self._open_client(stack, url))
+
+    def _open_services(
+        self, stack: contextlib.AsyncExitStack
+    ) -> dict[str, upstream.PlainService]:
+        return {
+            name: http.HttpService(self._open_client(stack, url))
+            for name, url in self._config.services.items()
+        }
+
+    async def _run_entry(
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        platform: platform_http.HttpStore,
+        tracer: traces.Tracer,
+    ) -> Running:
+        answers = answers_module.Answers()
+        handler = entries.EntryHandler(answers)
+        transport, address = await self._open_transport(stack, tasks, handler)
+        section = self._config.entry
+        entry = entries.Entry(
+            options=entries.EntryOptions(
+                name=self._config.name,
+                availability_zone=self._config.availability_zone,
+                request_limit=int(section["request_limit"]),
+                limits=entry_http.Limits(int(section["body_bytes"])),
+            ),
+            handler=handler,
+            answers=answers,
+            transport=transport,
+            store=platform,
+            instance_list=platform,
+            timer_service=self._timers,
+            tracer=tracer,
+            tasks=tasks,
+        )
+        await entry.start()
+        port = await tasks.start(self._serve_http, entry)
+        return Running(address, port, entry)
+
+    async def _serve_http(
+        self, entry: entries.Entry, *, task_status: anyio.abc.TaskStatus[int]
+    ) -> None:
+        section = self._config.entry
+        await serve_http(
+            entry.build_app(),
+            str(section["http_host"]),
+            int(section["http_port"]),
+            certificate=str(section["tls_certificate"]),
+            key=str(section["tls_key"]),
+            task_status=task_status,
+        )
+
+
+async def _until_ready(
+    sidecar: sidecars.Sidecar, transport: link.Transport
+) -> None:
+    """Start a sidecar, waiting for an engine that is still loading."""
+    while True:
+        try:
+            await sidecar.start(transport)
+            return
+        except errors.CrowdeckError:
+            await anyio.sleep(ENGINE_RETRY_SECONDS)
+
+
+class _QuietServer(uvicorn.Server):
+    """uvicorn without its own signal handling: the process has its own."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        yield
+
+
+async def serve_http(
+    app: typing.Any,
+    host: str,
+    port: int,
+    *,
+    certificate: str = "",
+    key: str = "",
+    task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an ASGI application until cancelled; reports its port."""
+    server = _QuietServer(
+        uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            log_level="critical",
+            access_log=False,
+            lifespan="off",
+            timeout_graceful_shutdown=HTTP_STOP_SECONDS,
+            ssl_certfile=certificate or None,
+            ssl_keyfile=key or None,
+            server_header=False,
+        )
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        while not server.started:
+            await anyio.sleep(0.005)
+        task_status.started(server.servers[0].sockets[0].getsockname()[1])
+
+
+def check(path: pathlib.Path) -> configs.Config:
+    """Load a configuration and all files that it names.
+
+    :raises ConfigError: in one line.
+    """
+    config = configs.load(path)
+    config.tls.load()
+    certificate = str(config.entry["tls_certificate"])
+    if certificate:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        try:
+            context.load_cert_chain(
+                certificate, str(config.entry["tls_key"]) or None
+            )
+        except (OSError, ssl.SSLError) as error:
+            raise errors.ConfigError(
+                f"{path}: [entry] tls_certificate: {error}"
+            ) from None
+    return config
--- /dev/null
+++ b/src/crowdeck/entry/admission.py
@@ -0,0 +1,72 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Admission: who may begin a request at this entry now."""
+
+import collections
+import contextlib
+import typing
+
+from crowdeck import errors
+from crowdeck.observe import counters
+
+RETRY_SECONDS = 1.0
+
+
+class Admission:
+    """Counts requests in progress, per team and in all."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._by_team: collections.Counter[str] = collections.Counter()
+        self._is_leaving = False
+
+    @property
+    def running(self) -> int:
+        """Requests in progress."""
+        return self._by_team.total()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._is_leaving
+
+    def leave(self) -> None:
+        """Refuse new requests from now on."""
+        self._is_leaving = True
+
+    @contextlib.contextmanager
+    def enter(self, team: str, team_limit: int) -> typing.Iterator[None]:
+        """Count a request while it is in progress.
+
+        :raises CrowdeckError: with ``NOT_RUN`` and a time to retry.
+        """
+        self._require_room(team, team_limit)
+        self._by_team[team] += 1
+        counters.COUNTERS.add("admission.admitted")
+        try:
+            yield
+        finally:
+            self._by_team[team] -= 1
+            if not self._by_team[team]:
+                del self._by_team[team]
+
+    def _require_room(self, team: str, team_limit: int) -> None:
+        if self._is_leaving:
+            raise _refused(errors.Code.LEAVING, "this entry is leaving")
+        if self.running >= self.limit:
+            raise _refused(
+                errors.Code.OVERLOADED, "this entry has no room for more"
+            )
+        if self._by_team[team] >= team_limit:
+            raise _refused(
+                errors.Code.TEAM_LIMIT,
+                f"team {team} has {team_limit} requests in progress",
+            )
+
+
+def _refused(code: errors.Code, message: str) -> errors.CrowdeckError:
+    counters.COUNTERS.add(f"admission.{code.lower()}")
+    return errors.CrowdeckError(code, message, retry_after=RETRY_SECONDS)
--- /dev/null
+++ b/src/crowdeck/entry/answers.py
@@ -0,0 +1,124 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Hands each arriving record to the request that it belongs to."""
+
+import collections
+
+import anyio
+import attrs
+
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck import verdict as verdicts
+from crowdeck.wire import link
+from crowdeck.wire import messages
+
+
+@attrs.frozen
+class HeadLost:
+    """The link on which a request's answer came is gone."""
+
+    instance: str
+
+
+Arrival = messages.Answer | messages.AnswerEnd | messages.Failure | HeadLost
+
+
+class Inbox:
+    """What has arrived for one request and was not yet taken.
+
+    The head sends no more than its window, so the inbox is bounded; one
+    that overflows holds records of a head that breaks the protocol.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._arrivals: collections.deque[Arrival] = collections.deque()
+        self._wake = anyio.Event()
+        self.source: link.Peer | None = None
+
+    def put(self, arrival: Arrival) -> bool:
+        """Add an arrival; false when the inbox is full."""
+        if len(self._arrivals) >= self._limit:
+            return False
+        self._arrivals.append(arrival)
+        self._wake.set()
+        return True
+
+    async def get(self) -> Arrival:
+        """Return the next arrival, waiting for it."""
+        while not self._arrivals:
+            self._wake = anyio.Event()
+            await self._wake.wait()
+        return self._arrivals.popleft()
+
+    def clear(self) -> None:
+        """Forget what was not taken, before another attempt begins."""
+        self._arrivals.clear()
+
+
+class Answers:
+    """All inboxes of one entry; the entry's part of the link handler."""
+
+    def __init__(self) -> None:
+        self._inboxes: dict[str, Inbox] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Requests that wait for records."""
+        return len(self._inboxes)
+
+    def open(self, request: str, limit: int) -> Inbox:
+        """Return the inbox for a request that is about to be sent."""
+        assert request not in self._inboxes, "one inbox per request"
+        inbox = self._inboxes[request] = Inbox(limit)
+        return inbox
+
+    def is_open(self, request: str) -> bool:
+        """Whether a request has an inbox here already."""
+        return request in self._inboxes
+
+    def close(self, request: str) -> None:
+        """Drop a request's inbox; what still comes for it is refused."""
+        self._inboxes.pop(request, None)
+
+    def on_opened(self, peer: link.Peer) -> None:
+        """Take note of a new link; there is nothing to do."""
+
+    def on_record(self, peer: link.Peer, record: messages.Record) -> None:
+        """Put a record into its request's inbox."""
+        if not isinstance(
+            record, messages.Answer | messages.AnswerEnd | messages.Failure
+        ):
+            counters.COUNTERS.add("entry.record_not_for_us")
+            return
+        inbox = self._inboxes.get(record.request)
+        if inbox is None or inbox.source is not peer:
+            # Late, or from a head that no longer answers this request.
+            counters.COUNTERS.add("entry.record_late")
+            if not isinstance(record, messages.Failure):
+                peer.send(messages.Cancel(record.request, record.epoch))
+            return
+        if not inbox.put(record):
+            counters.COUNTERS.add("entry.inbox_full")
+            peer.close()
+
+    async def on_question(
+        self, peer: link.Peer, question: messages.Question
+    ) -> messages.Reply:
+        """Refuse: entries answer no sidecar's questions."""
+        raise errors.CrowdeckError(
+            errors.Code.MALFORMED,
+            "an entry does not answer this",
+            verdict=verdicts.Verdict.NOT_RUN,
+        )
+
+    def on_closed(self, peer: link.Peer) -> None:
+        """Tell every request whose answer came on a lost link."""
+        lost = HeadLost(peer.greeting.instance)
+        for inbox in tuple(self._inboxes.values()):
+            if inbox.source is peer:
+                inbox.put(lost)
--- /dev/null
+++ b/src/crowdeck/entry/openai.py
@@ -0,0 +1,234 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The OpenAI-compatible shapes of requests and answers."""
+
+import time
+import typing
+
+import attrs
+import orjson
+
+from crowdeck.entry import drive
+from crowdeck import errors
+
+EVENT_ID_SEPARATOR = "~"
+
+
+@attrs.frozen
+class CompletionBody:
+    """What of a request's body the router looks at."""
+
+    model: str
+    prompt: str
+    max_tokens: int | None
+    is_stream: bool
+    is_chat: bool
+
+
+def parse_body(raw: bytes, is_chat: bool) -> CompletionBody:
+    """Read a completion request.
+
+    :raises CrowdeckError: ``BAD_REQUEST`` saying which field is wrong.
+    """
+    try:
+        body = orjson.loads(raw)
+    except orjson.JSONDecodeError:
+        raise _bad("the body is not JSON") from None
+    if not isinstance(body, dict):
+        raise _bad("the body is not a JSON object")
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise _bad("'model' has to be a model's name")
+    prompt = _chat_prompt(body) if is_chat else _plain_prompt(body)
+    if not prompt.strip():
+        raise _bad("the prompt is empty")
+    return CompletionBody(
+        model=model,
+        prompt=prompt,
+        max_tokens=_max_tokens(body),
+        is_stream=body.get("stream") is True,
+        is_chat=is_chat,
+    )
+
+
+def _max_tokens(body: dict[str, typing.Any]) -> int | None:
+    value = body.get("max_completion_tokens", body.get("max_tokens"))
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+        raise _bad("'max_tokens' has to be a whole number above 0")
+    return value
+
+
+def _plain_prompt(body: dict[str, typing.Any]) -> str:
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        raise _bad("'prompt' has to be text")
+    return prompt
+
+
+def _chat_prompt(body: dict[str, typing.Any]) -> str:
+    turns = body.get("messages")
+    if not isinstance(turns, list) or not turns:
+        raise _bad("'messages' has to be a list that is not empty")
+    lines = []
+    for turn in turns:
+        if not isinstance(turn, dict):
+            raise _bad("each of 'messages' has to be an object")
+        role = turn.get("role")
+        if not isinstance(role, str):
+            raise _bad("each of 'messages' has to have a 'role'")
+        lines.append(f"{role}: {_content(turn.get('content'))}")
+    return "\n".join(lines)
+
+
+def _content(content: typing.Any) -> str:
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list):
+        raise _bad("'content' has to be text or a list of text parts")
+    texts = []
+    for part in content:
+        if not isinstance(part, dict) or part.get("type") != "text":
+            raise _bad("only 'content' parts of type 'text' are supported")
+        texts.append(str(part.get("text", "")))
+    return "".join(texts)
+
+
+def _bad(message: str) -> errors.CrowdeckError:
+    return errors.CrowdeckError(errors.Code.BAD_REQUEST, message)
+
+
+@attrs.frozen
+class EventId:
+    """Names a place in an answer, and who keeps it.
+
+    It goes out with every streamed event and comes back in a
+    ``Last-Event-ID`` header; it holds instance names, never addresses.
+    """
+
+    request: str
+    head: str
+    tail: str
+    position: int
+
+    def __str__(self) -> str:
+        return EVENT_ID_SEPARATOR.join(
+            (self.request, self.head, self.tail, str(self.position))
+        )
+
+    @classmethod
+    def parse(cls, text: str) -> "EventId":
+        """Read an event id.
+
+        :raises CrowdeckError: ``BAD_REQUEST`` when it is none of ours.
+        """
+        parts = text.split(EVENT_ID_SEPARATOR)
+        if len(parts) != 4 or not parts[3].isdecimal():
+            raise _bad("'Last-Event-ID' is not one that was given out")
+        return cls(parts[0], parts[1], parts[2], int(parts[3]))
+
+    def as_resume(self) -> drive.Resume:
+        """Return where to take the answer up: after this event."""
+        return drive.Resume(
+            position=self.position + 1, head=self.head, tail=self.tail
+        )
+
+
+class EventWriter:
+    """Writes one answer's server-sent events.
+
+    Everything but the text and the event id is the same in each event,
+    so it is encoded once; per token, that took half the time of encoding
+    the whole object.
+    """
+
+    def __init__(self, request: str, model: str, is_chat: bool) -> None:
+        self._is_chat = is_chat
+        self._head = {
+            "id": f"{'chatcmpl' if is_chat else 'cmpl'}-{request}",
+            "object": (
+                "chat.completion.chunk" if is_chat else "text_completion"
+            ),
+            "created": int(time.time()),
+            "model": model,
+        }
+        marker = "\0"
+        encoded = orjson.dumps(self._object(marker, None, False))
+        before, _, after = encoded.partition(orjson.dumps(marker))
+        self._before = b"\ndata: " + before
+        self._after = after + b"\n\n"
+
+    def first(self, event_id: EventId, text: str) -> bytes:
+        """Return the first event, which names the role."""
+        body = orjson.dumps(self._object(text, None, True))
+        return b"id: %b\ndata: %b\n\n" % (str(event_id).encode(), body)
+
+    def piece(self, event_id: EventId, text: str) -> bytes:
+        """Return a later event."""
+        return b"id: %b%b%b%b" % (
+            str(event_id).encode(),
+            self._before,
+            orjson.dumps(text),
+            self._after,
+        )
+
+    def last(self, finish: str) -> bytes:
+        """Return the closing events."""
+        body = orjson.dumps(self._object("", finish, False))
+        return b"data: %b\n\ndata: [DONE]\n\n" % body
+
+    def error(self, report: errors.ErrorReport) -> bytes:
+        """Return the event that ends an answer which cannot go on."""
+        return b"data: %b\n\n" % orjson.dumps({"error": error_body(report)})
+
+    def _object(
+        self, text: str, finish: str | None, is_first: bool
+    ) -> dict[str, typing.Any]:
+        choice: dict[str, typing.Any] = {
+            "index": 0,
+            "finish_reason": finish,
+            "logprobs": None,
+        }
+        if not self._is_chat:
+            choice["text"] = text
+        elif finish is not None:
+            choice["delta"] = {}
+        elif is_first:
+            choice["delta"] = {"role": "assistant", "content": text}
+        else:
+            choice["delta"] = {"content": text}
+        return {**self._head, "choices": [choice]}
+
+
+def whole_answer(
+    request: str, body: CompletionBody, text: str, count: int, finish: str
+) -> dict[str, typing.Any]:
+    """Return the answer to a request that is not streamed."""
+    choice: dict[str, typing.Any] = {
+        "index": 0,
+        "finish_reason": finish,
+        "logprobs": None,
+    }
+    if body.is_chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": f"{'chatcmpl' if body.is_chat else 'cmpl'}-{request}",
+        "object": "chat.completion" if body.is_chat else "text_completion",
+        "created": int(time.time()),
+        "model": body.model,
+        "choices": [choice],
+        "crowdeck": {"completion_tokens": count},
+    }
+
+
+def error_body(report: errors.ErrorReport) -> dict[str, typing.Any]:
+    """Return an error in the shape that OpenAI clients expect."""
+    body = attrs.asdict(report)
+    body["type"] = "crowdeck_error"
+    return body
--- /dev/null
+++ b/src/crowdeck/errors.py
@@ -0,0 +1,172 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Every error that crowdeck reports, each with a code.
+
+``docs/ERRORS.md`` explains each code to operators and callers; a test
+holds that page and this catalogue together.
+"""
+
+import enum
+
+import attrs
+
+from crowdeck import verdict as verdicts
+
+
+class Code(enum.StrEnum):
+    """A stable name for one kind of error."""
+
+    BAD_REQUEST = "BAD_REQUEST"
+    TOO_LARGE = "TOO_LARGE"
+    UNAUTHORIZED = "UNAUTHORIZED"
+    FORBIDDEN = "FORBIDDEN"
+    NOT_FOUND = "NOT_FOUND"
+    NO_PATH = "NO_PATH"
+    OVERLOADED = "OVERLOADED"
+    TEAM_LIMIT = "TEAM_LIMIT"
+    LEAVING = "LEAVING"
+    SEALED = "SEALED"
+    STALE_EPOCH = "STALE_EPOCH"
+    WRONG_INCARNATION = "WRONG_INCARNATION"
+    WRONG_LAYER = "WRONG_LAYER"
+    WRONG_POSITION = "WRONG_POSITION"
+    WRONG_ANSWER = "WRONG_ANSWER"
+    MALFORMED = "MALFORMED"
+    FOREIGN = "FOREIGN"
+    LINK_LOST = "LINK_LOST"
+    LINK_FULL = "LINK_FULL"
+    STALLED = "STALLED"
+    UPSTREAM_LOST = "UPSTREAM_LOST"
+    UPSTREAM_FAILED = "UPSTREAM_FAILED"
+    DEADLINE = "DEADLINE"
+    CANCELLED = "CANCELLED"
+    SUPERSEDED = "SUPERSEDED"
+    RETRIES_SPENT = "RETRIES_SPENT"
+    KEY_IN_USE = "KEY_IN_USE"
+    KEY_SPENT = "KEY_SPENT"
+    ANSWER_GONE = "ANSWER_GONE"
+    CACHE_GONE = "CACHE_GONE"
+    COMPANION_MISSING = "COMPANION_MISSING"
+    ORDER = "ORDER"
+    STORE_DOWN = "STORE_DOWN"
+    STORE_CONFLICT = "STORE_CONFLICT"
+    STORE_UNSURE = "STORE_UNSURE"
+    CONFIG = "CONFIG"
+    SETTINGS = "SETTINGS"
+    INTERNAL = "INTERNAL"
+
+
+HTTP_STATUS: dict[Code, int] = {
+    Code.BAD_REQUEST: 400,
+    Code.TOO_LARGE: 413,
+    Code.UNAUTHORIZED: 401,
+    Code.FORBIDDEN: 403,
+    Code.NOT_FOUND: 404,
+    Code.NO_PATH: 503,
+    Code.OVERLOADED: 503,
+    Code.TEAM_LIMIT: 429,
+    Code.LEAVING: 503,
+    Code.DEADLINE: 504,
+    Code.KEY_IN_USE: 409,
+    Code.KEY_SPENT: 409,
+    Code.ANSWER_GONE: 410,
+    Code.ORDER: 409,
+    Code.STORE_DOWN: 503,
+    Code.STORE_CONFLICT: 409,
+    Code.SETTINGS: 422,
+    Code.INTERNAL: 500,
+}
+
+DEFAULT_HTTP_STATUS = 502
+
+
+class CrowdeckError(Exception):
+    """An error with a code, a verdict and, where known, a time to retry.
+
+    :ivar code: the catalogue's name for this error.
+    :ivar verdict: whether the request may have run.
+    :ivar retry_after: seconds after which asking again is sensible, or
+        ``None`` where no time can be given.
+    :ivar culprit: name of the instance that failed, empty if none did.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        message: str,
+        *,
+        verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+        retry_after: float | None = None,
+        culprit: str = "",
+    ) -> None:
+        super().__init__(f"{code}: {message}")
+        self.code = code
+        self.message = message
+        self.verdict = verdict
+        self.retry_after = retry_after
+        self.culprit = culprit
+
+    @property
+    def http_status(self) -> int:
+        """Status with which an entry reports this error to its caller."""
+        return HTTP_STATUS.get(self.code, DEFAULT_HTTP_STATUS)
+
+
+class LinkLost(CrowdeckError):
+    """A link closed or fell silent before a reply came.
+
+    :ivar was_sent: whether the question may have reached the peer. Only
+        when it is false does the verdict say ``NOT_RUN``.
+    """
+
+    def __init__(self, message: str, *, was_sent: bool, culprit: str) -> None:
+        super().__init__(
+            Code.LINK_LOST,
+            message,
+            verdict=(
+                verdicts.Verdict.MAY_HAVE_RUN
+                if was_sent
+                else verdicts.Verdict.NOT_RUN
+            ),
+            culprit=culprit,
+        )
+        self.was_sent = was_sent
+
+
+class ConfigError(CrowdeckError):
+    """A configuration file is wrong; the message says where and how."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.CONFIG, message)
+
+
+class SettingsError(CrowdeckError):
+    """A settings tree is wrong; the message says where and how."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.SETTINGS, message)
+
+
+@attrs.frozen
+class ErrorReport:
+    """The body of an error answer, in the shape OpenAI clients expect."""
+
+    code: str
+    message: str
+    verdict: str
+    is_retry_safe: bool
+    retry_after: float | None
+
+    @classmethod
+    def of(cls, error: CrowdeckError) -> "ErrorReport":
+        """Describe ``error`` for a caller, leaving out inner detail."""
+        return cls(
+            code=str(error.code),
+            message=error.message,
+            verdict=str(error.verdict),
+            is_retry_safe=error.verdict.is_retry_safe,
+            retry_after=error.retry_after,
+        )
--- /dev/null
+++ b/src/crowdeck/membership/fleet.py
@@ -0,0 +1,219 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The sidecars that an entry works with, and how each of them is.
+
+The instance list only proposes; what decides is whether a sidecar answers
+heartbeats, and what it says of itself in them. Its own "leaving" outranks
+everything else.
+"""
+
+import enum
+import random
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from crowdeck import errors
+from crowdeck import instance as instances
+from crowdeck.membership import directory as directories
+from crowdeck.membership import links as links_module
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck import pipeline
+from crowdeck import timers
+from crowdeck.wire import link
+from crowdeck.wire import messages
+
+HEARTBEAT_SECONDS = 0.25
+# Four heartbeats: a pause of the interpreter's collector or a retransmit
+# (0.2 s) is no death. With the interval, detection takes 1.25 s at most.
+HEARTBEAT_TIMEOUT = 1.0
+BACKOFF_SECONDS = (0.1, 0.2, 0.4, 0.8, 1.6)
+
+
+class State(enum.StrEnum):
+    """How a sidecar is, as seen from here."""
+
+    UNKNOWN = "unknown"
+    UP = "up"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+class Observer(typing.Protocol):
+    """Someone to be told when a sidecar's state changes."""
+
+    def on_sidecar_changed(self, view: "SidecarView") -> None:
+        """Take note of ``view``'s new state; must not block."""
+        ...
+
+
+@attrs.define(eq=False)
+class SidecarView:
+    """One sidecar as seen from here.
+
+    :ivar changed_at: monotonic seconds of the last change of state.
+    :ivar changes: how many changes of state were seen.
+    :ivar unreported: attempts and calls sent since its last report.
+    """
+
+    instance: instances.Instance
+    changed_at: float
+    state: State = State.UNKNOWN
+    peer: link.Peer | None = None
+    load: messages.Load | None = None
+    changes: int = 0
+    unreported: int = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.instance.name
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new work may be sent to it."""
+        return self.state is State.UP and self.peer is not None
+
+    @property
+    def incarnation(self) -> int:
+        """The run of the sidecar that answers, 0 for none."""
+        return self.load.incarnation if self.load is not None else 0
+
+    @property
+    def inflight(self) -> int:
+        """Work it reported, and what was sent since that report."""
+        reported = self.load.running if self.load is not None else 0
+        return reported + self.unreported
+
+    @property
+    def offers(self) -> tuple[pipeline.Offer, ...]:
+        """What its engine serves."""
+        if self.load is None:
+            return ()
+        return tuple(note.as_offer() for note in self.load.offers)
+
+    def has_service(self, service: str) -> bool:
+        """Whether a plain service stands behind it."""
+        return self.load is not None and service in self.load.services
+
+
+class Fleet:
+    """Keeps one link and one heartbeat to each listed sidecar."""
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        links: links_module.Links,
+        clock: timers.Clock,
+        tasks: anyio.abc.TaskGroup,
+        randomness: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._links = links
+        self._clock = clock
+        self._tasks = tasks
+        self._random = randomness
+        self._views: dict[str, SidecarView] = {}
+        self._observers: list[Observer] = []
+
+    @property
+    def views(self) -> tuple[SidecarView, ...]:
+        """Every sidecar that is listed."""
+        return tuple(self._views.values())
+
+    @property
+    def usable(self) -> tuple[SidecarView, ...]:
+        """Every sidecar that new work may be sent to."""
+        return tuple(one for one in self._views.values() if one.is_usable)
+
+    def find(self, name: str) -> SidecarView | None:
+        """Return how a sidecar is, if it is listed."""
+        return self._views.get(name)
+
+    def subscribe(self, observer: Observer) -> None:
+        """Tell ``observer`` of each change from now on."""
+        self._observers.append(observer)
+
+    def unsubscribe(self, observer: Observer) -> None:
+        """Stop telling ``observer``."""
+        self._observers.remove(observer)
+
+    async def follow(self) -> None:
+        """Begin to watch newly listed sidecars, drop unlisted ones."""
+        listed = {one.name: one for one in self._directory.sidecars}
+        for name in tuple(self._views):
+            if name not in listed and self._is_gone(name):
+                del self._views[name]
+        for name, instance in listed.items():
+            view = self._views.get(name)
+            if view is None:
+                view = SidecarView(instance, self._clock.now())
+                self._views[name] = view
+                self._tasks.start_soon(self._watch, view)
+            view.instance = instance
+
+    def _is_gone(self, name: str) -> bool:
+        # The list lags both ways: a sidecar that answers heartbeats is
+        # there, whatever the list says.
+        return self._views[name].state in (State.DOWN, State.UNKNOWN)
+
+    async def _watch(self, view: SidecarView) -> None:
+        failures = 0
+        while self._views.get(view.name) is view:
+            try:
+                view.peer = await self._links.get(view.name)
+                failures = 0
+                await self._beat(view, view.peer)
+            except errors.CrowdeckError:
+                failures += 1
+            view.peer = None
+            self._change(view, State.DOWN)
+            await anyio.sleep(self._backoff(failures))
+
+    async def _beat(self, view: SidecarView, peer: link.Peer) -> None:
+        """Exchange heartbeats until one fails or the link closes."""
+        try:
+            while peer.is_open:
+                reply = await peer.ask(
+                    messages.Heartbeat(HEARTBEAT_TIMEOUT), HEARTBEAT_TIMEOUT
+                )
+                self._take_report(view, reply)
+                with anyio.move_on_after(HEARTBEAT_SECONDS):
+                    await peer.wait_closed()
+        finally:
+            # Closing tells both sides at once: nothing that was sent on
+            # this link is waited for any longer.
+            peer.close()
+
+    def _take_report(self, view: SidecarView, reply: messages.Reply) -> None:
+        if not isinstance(reply, messages.Load):
+            raise errors.CrowdeckError(
+                errors.Code.MALFORMED, "a heartbeat was not answered by one"
+            )
+        is_leaving = reply.is_leaving or view.instance.is_leaving
+        view.load = reply
+        view.unreported = 0
+        self._change(view, State.LEAVING if is_leaving else State.UP)
+
+    def _change(self, view: SidecarView, state: State) -> None:
+        if view.state is state:
+            return
+        former = view.state
+        view.state = state
+        view.changes += 1
+        view.changed_at = self._clock.now()
+        counters.COUNTERS.add(f"fleet.{state}")
+        if former is not State.UNKNOWN or state is not State.DOWN:
+            logs.change("sidecar", name=view.name, state=str(state))
+        for observer in tuple(self._observers):
+            observer.on_sidecar_changed(view)
+
+    def _backoff(self, failures: int) -> float:
+        index = min(failures, len(BACKOFF_SECONDS) - 1)
+        return BACKOFF_SECONDS[index] * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/src/crowdeck/pipeline.py
@@ -0,0 +1,106 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Pipelines: the stages that a request crosses, and their layers."""
+
+import attrs
+
+
+@attrs.frozen
+class LayerRange:
+    """Layers ``first`` to ``end - 1`` of a model."""
+
+    first: int
+    end: int
+
+    def __attrs_post_init__(self) -> None:
+        if not 0 <= self.first < self.end:
+            raise ValueError(f"no such layer range: {self.first}..{self.end}")
+
+
+@attrs.frozen
+class Offer:
+    """What one upstream engine serves.
+
+    :ivar layers: the layers it holds.
+    :ivar layer_count: how many layers the whole model has.
+    :ivar accelerator: kind of accelerator, for learned step times.
+    """
+
+    model: str
+    version: str
+    adapter: str
+    layers: LayerRange
+    layer_count: int
+    accelerator: str = ""
+
+    @property
+    def is_head(self) -> bool:
+        """Whether a pipeline may begin here."""
+        return self.layers.first == 0
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether a pipeline may end here."""
+        return self.layers.end == self.layer_count
+
+
+@attrs.frozen
+class StageRef:
+    """One stage of a chosen path, pinned to one run of its sidecar."""
+
+    instance: str
+    incarnation: int
+    first_layer: int
+    end_layer: int
+
+
+@attrs.frozen
+class Path:
+    """The stages that a request crosses, first layer to last.
+
+    :raises ValueError: when the stages do not cover every layer exactly
+        once, in order; no other path can be built.
+    """
+
+    model: str
+    version: str
+    adapter: str
+    layer_count: int
+    stages: tuple[StageRef, ...]
+
+    def __attrs_post_init__(self) -> None:
+        layer = 0
+        for stage in self.stages:
+            if stage.first_layer != layer or stage.end_layer <= layer:
+                raise ValueError(
+                    f"stage {stage.instance} begins at layer "
+                    f"{stage.first_layer}, but layer {layer} is next"
+                )
+            layer = stage.end_layer
+        if layer != self.layer_count:
+            raise ValueError(
+                f"the path ends at layer {layer} of {self.layer_count}"
+            )
+
+    @property
+    def head(self) -> StageRef:
+        """The stage that begins each position and keeps the answer."""
+        return self.stages[0]
+
+    @property
+    def tail(self) -> StageRef:
+        """The stage that turns the last layer's output into tokens."""
+        return self.stages[-1]
+
+    def index_of(self, instance: str, incarnation: int) -> int:
+        """Return the place of a stage in this path.
+
+        :raises LookupError: when that run of the instance is not in it.
+        """
+        for index, stage in enumerate(self.stages):
+            if (stage.instance, stage.incarnation) == (instance, incarnation):
+                return index
+        raise LookupError(f"{instance} is not a stage of this path")
--- /dev/null
+++ b/src/crowdeck/routing/retry.py
@@ -0,0 +1,91 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Retry budgets: how much of the load may be work done again."""
+
+import random
+
+from crowdeck import errors
+from crowdeck import timers
+from crowdeck import verdict as verdicts
+
+# A tenth: retries may add that much to the load, and no more, however
+# many requests fail, so a failure never grows into a storm.
+BUDGET_RATIO = 0.1
+# A quiet team has to be able to retry at all.
+BUDGET_FLOOR = 10.0
+BACKOFF_BASE_SECONDS = 0.02
+BACKOFF_LIMIT_SECONDS = 1.0
+
+
+class RetryBudget:
+    """One team's budget: each request earns a tenth of a retry."""
+
+    def __init__(
+        self, ratio: float = BUDGET_RATIO, floor: float = BUDGET_FLOOR
+    ) -> None:
+        self._ratio = ratio
+        self._limit = floor
+        self._tokens = floor
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be made now."""
+        return self._tokens
+
+    def earn(self) -> None:
+        """Count a request that is not a retry."""
+        self._tokens = min(self._limit, self._tokens + self._ratio)
+
+    def spend(self) -> bool:
+        """Take one retry; false when the budget is spent."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class RetryBudgets:
+    """Budgets by team and service."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+
+    def get(self, team: str, service: str) -> RetryBudget:
+        """Return the budget of a team's use of a service."""
+        return self._budgets.setdefault((team, service), RetryBudget())
+
+
+class Backoff:
+    """Growing, fully jittered pauses between tries."""
+
+    def __init__(self, randomness: random.Random) -> None:
+        self._random = randomness
+        self._tries = 0
+
+    def next(self) -> float:
+        """Return the next pause in seconds."""
+        ceiling = min(
+            BACKOFF_LIMIT_SECONDS, BACKOFF_BASE_SECONDS * 2**self._tries
+        )
+        self._tries += 1
+        return self._random.uniform(0.0, ceiling)
+
+
+def may_retry(
+    error: errors.CrowdeckError,
+    is_repeatable: bool,
+    budget: RetryBudget,
+    clock: timers.Clock,
+    deadline: float,
+) -> bool:
+    """Decide whether a failed request is tried again.
+
+    Only what did not run, or what its contract allows to run again, is.
+    """
+    is_allowed = is_repeatable or error.verdict is verdicts.Verdict.NOT_RUN
+    if not is_allowed or clock.now() >= deadline:
+        return False
+    return budget.spend()
--- /dev/null
+++ b/src/crowdeck/sidecar/attempt.py
@@ -0,0 +1,126 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""One attempt of one request, as one stage sees it."""
+
+import attrs
+
+from crowdeck import errors
+from crowdeck.observe import traces
+from crowdeck import verdict as verdicts
+from crowdeck.wire import link
+from crowdeck.wire import messages
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """What a stage keeps of an attempt.
+
+    :ivar sequence: name of its KV cache on the engine.
+    :ivar source: link on which it came: the entry's for the head, the
+        previous stage's for the others; ``None`` once that link is gone.
+    :ivar forward: link to the next stage, or from the tail to the head.
+    :ivar next_position: the only position this stage will run next.
+    :ivar context: tokens of context the engine holds for it.
+    :ivar pieces: the answer so far, at the head and at the tail.
+    :ivar upto: positions below this one may be generated.
+    :ivar is_held: whether the next step waits for the caller's credit.
+    :ivar is_moved: whether its KV cache was handed to another stage.
+    :ivar is_in_engine: whether the engine has a step of it.
+    :ivar finish: why the answer ended, empty while it runs.
+    """
+
+    opening: messages.Opening
+    index: int
+    sequence: str
+    source: link.Peer | None
+    deadline: float
+    span: traces.OpenSpan
+    touched: float
+    forward: link.Peer | None = None
+    next_position: int = 0
+    context: int = 0
+    pieces: list[messages.Piece] = attrs.field(factory=list)
+    upto: int = 0
+    is_held: bool = False
+    is_moved: bool = False
+    is_failed: bool = False
+    is_in_engine: bool = False
+    finish: str = ""
+
+    @property
+    def request(self) -> str:
+        """Id of the request."""
+        return self.opening.request
+
+    @property
+    def epoch(self) -> int:
+        """Number of the attempt."""
+        return self.opening.epoch
+
+    @property
+    def is_head(self) -> bool:
+        """Whether this stage begins each position."""
+        return self.index == 0
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether this stage turns outputs into tokens."""
+        return self.index == len(self.opening.path.stages) - 1
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the answer still grows."""
+        return not self.finish and not self.is_failed
+
+    @property
+    def first_layer(self) -> int:
+        """The first layer this stage runs."""
+        return self.opening.path.stages[self.index].first_layer
+
+    @property
+    def end_layer(self) -> int:
+        """The layer after the last that this stage runs."""
+        return self.opening.path.stages[self.index].end_layer
+
+    def check_layer(self, next_layer: int) -> None:
+        """Refuse a record that a wrong layer comes next for.
+
+        :raises CrowdeckError: ``WRONG_LAYER``.
+        """
+        if next_layer != self.first_layer:
+            raise errors.CrowdeckError(
+                errors.Code.WRONG_LAYER,
+                f"layer {next_layer} comes next, not {self.first_layer}",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
+
+    def check_position(self, position: int, context: int) -> bool:
+        """Return whether a record is the next one; false for a repeat.
+
+        :raises CrowdeckError: ``WRONG_POSITION`` when one is missing.
+        """
+        if position < self.next_position:
+            return False
+        if position > self.next_position or context != self.context:
+            raise errors.CrowdeckError(
+                errors.Code.WRONG_POSITION,
+                f"position {position} came, not {self.next_position}",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return True
+
+
+@attrs.frozen
+class HeldImport:
+    """An imported KV cache that waits for its warm opening.
+
+    :ivar time: monotonic seconds at which it came.
+    """
+
+    sequence: str
+    team: str
+    context: int
+    time: float
--- /dev/null
+++ b/src/crowdeck/sidecar/batcher.py
@@ -0,0 +1,143 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Feeds an engine: decode steps in shared batches, prefills beside them.
+
+Decode steps that arrive while a batch runs form the next one, so the
+batch grows with the load and never waits for company. A prefill goes in
+a call of its own: engines batch continuously, and a long prompt must not
+hold up everyone else's next token.
+"""
+
+import collections
+from collections import abc
+
+import anyio
+import anyio.abc
+
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck import timers
+from crowdeck import upstream
+from crowdeck import verdict as verdicts
+
+BATCH_LIMIT = 256
+# More prefills at once would only take turns inside the engine while
+# their KV caches crowd out running sequences.
+PREFILL_LIMIT = 8
+SMOOTHING = 0.2
+
+Result = upstream.EngineOutput | errors.CrowdeckError
+Callback = abc.Callable[[Result], None]
+
+
+class Batcher:
+    """Runs steps on one engine and hands each its result."""
+
+    def __init__(self, engine: upstream.Engine, clock: timers.Clock) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._decodes: collections.deque[
+            tuple[upstream.EngineStep, Callback]
+        ] = collections.deque()
+        self._prefills: collections.deque[
+            tuple[upstream.EngineStep, Callback]
+        ] = collections.deque()
+        self._has_decode = anyio.Event()
+        self._has_prefill = anyio.Event()
+        self._step_seconds = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Steps waiting for the engine."""
+        return len(self._decodes) + len(self._prefills)
+
+    @property
+    def step_seconds(self) -> float:
+        """Smoothed time of one decode batch, in seconds."""
+        return self._step_seconds
+
+    def decode(self, step: upstream.EngineStep, callback: Callback) -> None:
+        """Queue a decode step."""
+        self._decodes.append((step, callback))
+        self._has_decode.set()
+
+    def prefill(self, step: upstream.EngineStep, callback: Callback) -> None:
+        """Queue a prefill."""
+        self._prefills.append((step, callback))
+        self._has_prefill.set()
+
+    async def run(self) -> None:
+        """Serve both queues until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_decodes)
+            for _ in range(PREFILL_LIMIT):
+                tasks.start_soon(self._run_prefills)
+
+    async def _run_decodes(self) -> None:
+        while True:
+            if not self._decodes:
+                self._has_decode = anyio.Event()
+                await self._has_decode.wait()
+            size = min(len(self._decodes), BATCH_LIMIT)
+            batch = [self._decodes.popleft() for _ in range(size)]
+            started = self._clock.now()
+            await self._run_batch(batch)
+            self._note_time(self._clock.now() - started)
+
+    async def _run_prefills(self) -> None:
+        while True:
+            while not self._prefills:
+                self._has_prefill = anyio.Event()
+                await self._has_prefill.wait()
+            await self._run_batch([self._prefills.popleft()])
+
+    async def _run_batch(
+        self, batch: list[tuple[upstream.EngineStep, Callback]]
+    ) -> None:
+        steps = tuple(step for step, _ in batch)
+        results: abc.Sequence[Result]
+        try:
+            results = await self._engine.step(steps)
+            if len(results) != len(steps):
+                raise _wrong_count(len(steps), len(results))
+        except errors.CrowdeckError as error:
+            counters.COUNTERS.add("engine.batch_failed")
+            results = [error] * len(steps)
+        for (step, callback), result in zip(batch, results, strict=True):
+            callback(_checked(step, result))
+
+    def _note_time(self, seconds: float) -> None:
+        if self._step_seconds == 0.0:
+            self._step_seconds = seconds
+        self._step_seconds += SMOOTHING * (seconds - self._step_seconds)
+        counters.COUNTERS.time("engine.step", seconds)
+
+
+def _wrong_count(asked: int, got: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.UPSTREAM_FAILED,
+        f"the engine gave {got} outputs for {asked} steps",
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _checked(step: upstream.EngineStep, result: Result) -> Result:
+    """Turn an output for another sequence, or an error in it, to an error."""
+    if isinstance(result, errors.CrowdeckError):
+        return result
+    if result.sequence != step.sequence:
+        return errors.CrowdeckError(
+            errors.Code.UPSTREAM_FAILED,
+            "the engine answered for another sequence",
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        )
+    if result.error:
+        return errors.CrowdeckError(
+            errors.Code.UPSTREAM_FAILED,
+            f"the engine failed this sequence: {result.error}",
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        )
+    return result
--- /dev/null
+++ b/src/crowdeck/sidecar/kv_moves.py
@@ -0,0 +1,95 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Moves of KV caches from a leaving stage to the one that replaces it.
+
+The leaving stage stops between two positions, so what it exports is
+exactly the context of the positions it has run; the entry then opens the
+next attempt warm, and no layer runs again for any token.
+"""
+
+import anyio
+
+from crowdeck import errors
+from crowdeck.membership import links as links_module
+from crowdeck.observe import counters
+from crowdeck import pipeline
+from crowdeck.sidecar import attempt as attempts
+from crowdeck.sidecar import stage as stages
+from crowdeck import upstream
+from crowdeck.wire import messages
+
+IMPORT_TIMEOUT = 5.0
+BOUNDARY_TIMEOUT = 2.0
+BOUNDARY_POLL_SECONDS = 0.002
+
+
+class KvMoves:
+    """Exports from, and imports into, one stage's engine."""
+
+    def __init__(
+        self,
+        stage: stages.Stage,
+        engine: upstream.Engine,
+        links: links_module.Links,
+    ) -> None:
+        self._stage = stage
+        self._engine = engine
+        self._links = links
+
+    async def move_out(self, question: messages.MoveOut) -> messages.MovedOut:
+        """Hand a request's KV cache to the stage that will replace us.
+
+        :raises CrowdeckError: when it could not be; the attempt is then
+            to be opened anew, cold.
+        """
+        attempt = self._stage.find(question.request)
+        if attempt is None or attempt.epoch != question.epoch:
+            raise errors.CrowdeckError(
+                errors.Code.CACHE_GONE, "no such attempt runs here"
+            )
+        attempt.is_moved = True
+        await self._wait_boundary(attempt)
+        kv = await self._engine.export_kv(attempt.sequence)
+        moved = messages.MovedOut(
+            position=attempt.next_position, context=attempt.context
+        )
+        await self._hand_over(question.target, attempt, kv)
+        counters.COUNTERS.add("stage.moved_out")
+        return moved
+
+    async def _wait_boundary(self, attempt: attempts.Attempt) -> None:
+        """Wait until the engine has no step of this attempt."""
+        with anyio.move_on_after(BOUNDARY_TIMEOUT):
+            while attempt.is_in_engine:
+                await anyio.sleep(BOUNDARY_POLL_SECONDS)
+        if attempt.is_in_engine or not attempt.is_running:
+            raise errors.CrowdeckError(
+                errors.Code.STALLED, "the attempt did not pause to be moved"
+            )
+
+    async def _hand_over(
+        self, target: pipeline.StageRef, attempt: attempts.Attempt, kv: bytes
+    ) -> None:
+        peer = await self._links.get(target.instance)
+        reply = await peer.ask(
+            messages.ImportKv(
+                request=attempt.request,
+                team=attempt.opening.team,
+                context=attempt.context,
+                kv=kv,
+            ),
+            IMPORT_TIMEOUT,
+        )
+        if isinstance(reply, messages.Refused):
+            raise reply.as_error()
+
+    async def import_kv(self, question: messages.ImportKv) -> messages.Done:
+        """Take a KV cache, for a warm opening that will follow soon."""
+        sequence = f"{question.request}.import"
+        await self._engine.import_kv(sequence, question.kv)
+        self._stage.hold_import(question, sequence)
+        counters.COUNTERS.add("stage.moved_in")
+        return messages.Done()
--- /dev/null
+++ b/src/crowdeck/sidecar/sidecar.py
@@ -0,0 +1,263 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The sidecar: one small process beside each upstream."""
+
+import json
+
+import anyio
+import anyio.abc
+
+from crowdeck import errors
+from crowdeck import instance as instances
+from crowdeck.membership import links as links_module
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.observe import traces
+from crowdeck import pipeline
+from crowdeck.sidecar import batcher as batchers
+from crowdeck.sidecar import calls as calls_module
+from crowdeck.sidecar import gate as gates
+from crowdeck.sidecar import kv_moves
+from crowdeck.sidecar import stage as stages
+from crowdeck.sidecar import turns as turns_module
+from crowdeck import timers
+from crowdeck import upstream
+from crowdeck.wire import link
+from crowdeck.wire import messages
+
+IDLE_POLL_SECONDS = 0.05
+
+
+class Sidecar:
+    """Answers other processes' questions and takes their records.
+
+    It is the :class:`crowdeck.wire.link.Handler` of its process. An
+    engine, plain services, or both may stand behind it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        engine: upstream.Engine | None,
+        services: dict[str, upstream.PlainService],
+        book: links_module.AddressBook,
+        timer_service: timers.TimerService,
+        tracer: traces.Tracer,
+        tasks: anyio.abc.TaskGroup,
+        incarnation: int | None = None,
+    ) -> None:
+        self._name = name
+        self._timers = timer_service
+        self._tracer = tracer
+        self._tasks = tasks
+        self._engine = engine
+        self._book = book
+        self._offer: pipeline.Offer | None = None
+        self._gate = gates.Gate(
+            incarnation or instances.new_incarnation(), timer_service
+        )
+        self._calls = calls_module.Calls(
+            services, self._gate, timer_service, tracer, tasks
+        )
+        self._turns = turns_module.Turns(timer_service)
+        self._batcher: batchers.Batcher | None = None
+        self._stage: stages.Stage | None = None
+        self._moves: kv_moves.KvMoves | None = None
+        self._stopped = anyio.Event()
+
+    @property
+    def incarnation(self) -> int:
+        """The number of this run of the process."""
+        return self._gate.incarnation
+
+    @property
+    def running(self) -> int:
+        """Attempts and calls in progress."""
+        in_stage = self._stage.running if self._stage is not None else 0
+        return in_stage + self._calls.running
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._gate.is_leaving
+
+    async def start(self, transport: link.Transport) -> None:
+        """Learn what the engine serves and begin to serve it."""
+        self._timers.subscribe("calls", 1.0, self._calls.sweep)
+        self._timers.subscribe("turns", 0.25, self._turns.sweep)
+        if self._engine is None:
+            return
+        self._offer = await self._engine.describe()
+        self._batcher = batchers.Batcher(self._engine, self._timers)
+        self._tasks.start_soon(self._batcher.run)
+        links = links_module.Links(self._book, transport)
+        self._stage = stages.Stage(
+            instance=self._name,
+            gate=self._gate,
+            batcher=self._batcher,
+            engine=self._engine,
+            links=links,
+            clock=self._timers,
+            tracer=self._tracer,
+            tasks=self._tasks,
+        )
+        self._moves = kv_moves.KvMoves(self._stage, self._engine, links)
+        self._timers.subscribe(
+            "stage", stages.SWEEP_SECONDS, self._stage.sweep
+        )
+
+    # The link handler.
+
+    def on_opened(self, peer: link.Peer) -> None:
+        """Count a new link."""
+        counters.COUNTERS.add("link.opened")
+
+    def on_closed(self, peer: link.Peer) -> None:
+        """Tell the parts that a link is gone."""
+        counters.COUNTERS.add("link.closed")
+        self._turns.on_closed(peer)
+        if self._stage is not None:
+            self._stage.on_closed(peer)
+
+    def on_record(self, peer: link.Peer, record: messages.Record) -> None:
+        """Hand a record to the stage."""
+        stage = self._stage
+        if stage is None:
+            counters.COUNTERS.add("sidecar.record_without_engine")
+            return
+        match record:
+            case messages.Step():
+                stage.on_step(peer, record)
+            case messages.Token():
+                stage.on_token(peer, record)
+            case messages.Prefill():
+                stage.on_prefill(peer, record)
+            case messages.Credit():
+                stage.on_credit(peer, record)
+            case messages.Failure():
+                stage.on_failure(peer, record)
+            case messages.Cancel():
+                stage.on_cancel(peer, record)
+            case _:
+                counters.COUNTERS.add("sidecar.record_not_for_us")
+
+    async def on_question(
+        self, peer: link.Peer, question: messages.Question
+    ) -> messages.Reply:
+        """Answer a question; errors become ``Refused`` at the link."""
+        match question:
+            case messages.Heartbeat():
+                return self._load()
+            case messages.Open():
+                self._require_stage().open(peer, question.opening)
+                return messages.Done()
+            case messages.Attach():
+                return self._require_stage().attach(peer, question)
+            case messages.Call():
+                return await self._calls.call(question)
+            case messages.Collect():
+                return await self._calls.collect(question)
+            case messages.Seal():
+                return messages.Sealed(
+                    self._gate.seal(
+                        question.request, question.epoch, question.incarnation
+                    )
+                )
+            case messages.TakeTurn():
+                await self._turns.take(peer, question)
+                return messages.Done()
+            case messages.EndTurn():
+                self._turns.end(question)
+                return messages.Done()
+            case _:
+                return await self._on_rare_question(question)
+
+    async def _on_rare_question(
+        self, question: messages.Question
+    ) -> messages.Reply:
+        match question:
+            case messages.MoveOut():
+                return await self._require_moves().move_out(question)
+            case messages.ImportKv():
+                return await self._require_moves().import_kv(question)
+            case messages.Drain():
+                self.begin_drain(question.limit)
+                return messages.Done()
+            case messages.ReadStatus():
+                return messages.Status(json.dumps(self.status()))
+            case messages.ReadSpans():
+                return messages.Spans(self._tracer.find(question.trace))
+            case _:
+                raise errors.CrowdeckError(
+                    errors.Code.MALFORMED, "a sidecar does not answer this"
+                )
+
+    # Planned stop.
+
+    def begin_drain(self, limit: float) -> None:
+        """Begin a planned stop in the background."""
+        self._tasks.start_soon(self.drain, limit)
+
+    async def drain(self, limit: float) -> bool:
+        """Refuse new work and wait until running work has ended.
+
+        :param limit: seconds to wait at the most.
+        :return: whether nothing was left running.
+        """
+        if not self._gate.is_leaving:
+            self._gate.leave()
+            self._turns.leave()
+            logs.change("leaving", instance=self._name)
+        with anyio.move_on_after(limit):
+            while self.running:
+                await anyio.sleep(IDLE_POLL_SECONDS)
+        is_idle = self.running == 0
+        logs.change("drained", instance=self._name, is_idle=is_idle)
+        self._stopped.set()
+        return is_idle
+
+    async def wait_drained(self) -> None:
+        """Return once a planned stop has ended."""
+        await self._stopped.wait()
+
+    def status(self) -> dict[str, object]:
+        """Return what operators see of this process."""
+        return {
+            "instance": self._name,
+            "role": str(instances.Role.SIDECAR),
+            "incarnation": self.incarnation,
+            "is_leaving": self.is_leaving,
+            "running": self.running,
+            "sessions": self._turns.sessions,
+            "counters": counters.COUNTERS.as_dict(),
+        }
+
+    def _load(self) -> messages.Load:
+        batcher = self._batcher
+        offers: tuple[messages.OfferNote, ...] = ()
+        if self._offer is not None:
+            offers = (messages.OfferNote.of(self._offer),)
+        return messages.Load(
+            incarnation=self.incarnation,
+            is_leaving=self.is_leaving,
+            offers=offers,
+            services=self._calls.services,
+            queued=batcher.queued if batcher is not None else 0,
+            running=self.running,
+            step_seconds=batcher.step_seconds if batcher is not None else 0.0,
+        )
+
+    def _require_stage(self) -> stages.Stage:
+        if self._stage is None:
+            raise errors.CrowdeckError(
+                errors.Code.NOT_FOUND, "no engine stands behind this sidecar"
+            )
+        return self._stage
+
+    def _require_moves(self) -> kv_moves.KvMoves:
+        self._require_stage()
+        assert self._moves is not None
+        return self._moves
--- /dev/null
+++ b/src/crowdeck/standin/engine.py
@@ -0,0 +1,198 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A stand-in for a model engine that holds a range of layers."""
+
+import collections
+import typing
+
+import anyio
+import attrs
+import msgpack
+
+from crowdeck import errors
+from crowdeck import pipeline
+from crowdeck.standin import model as models
+from crowdeck import upstream
+from crowdeck import verdict as verdicts
+
+
+@attrs.frozen
+class EngineSpeed:
+    """How long the stand-in's device takes.
+
+    :ivar batch_seconds: for each batch, whatever is in it.
+    :ivar token_seconds: for each token of context that a batch adds.
+    """
+
+    batch_seconds: float = 0.001
+    token_seconds: float = 0.00001
+
+
+@attrs.define
+class Sequence:
+    """One sequence's KV cache: the layers' numbers for each token."""
+
+    states: list[models.LayerStates]
+
+    @property
+    def context(self) -> int:
+        """Tokens of context held."""
+        return len(self.states)
+
+
+class StandinEngine:
+    """Implements :class:`crowdeck.upstream.Engine` in memory.
+
+    Tests make it fail by setting ``failure``; every step then raises it.
+    ``runs`` counts, per sequence and context, how often each was run: it
+    is the tests' own record, kept outside the code under test.
+    """
+
+    def __init__(
+        self,
+        model: models.StandinModel,
+        offer: pipeline.Offer,
+        speed: EngineSpeed | None = None,
+        sequence_limit: int = 4096,
+    ) -> None:
+        self._model = model
+        self._offer = offer
+        self._speed = speed or EngineSpeed()
+        self._sequence_limit = sequence_limit
+        self._sequences: collections.OrderedDict[str, Sequence] = (
+            collections.OrderedDict()
+        )
+        self._device = anyio.Lock()
+        self.failure: errors.CrowdeckError | None = None
+        self.runs: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.slowness = 1.0
+
+    @property
+    def sequences(self) -> tuple[str, ...]:
+        """Names of the sequences held."""
+        return tuple(self._sequences)
+
+    async def describe(self) -> pipeline.Offer:
+        """Return what the engine serves."""
+        return self._offer
+
+    async def step(
+        self, steps: tuple[upstream.EngineStep, ...]
+    ) -> tuple[upstream.EngineOutput, ...]:
+        """Run one batch."""
+        self._raise_failure()
+        async with self._device:
+            tokens = sum(self._count(step) for step in steps)
+            seconds = (
+                self._speed.batch_seconds + tokens * self._speed.token_seconds
+            )
+            await anyio.sleep(seconds * self.slowness)
+        self._raise_failure()
+        return tuple(self._run(step) for step in steps)
+
+    async def cancel(self, sequence: str) -> None:
+        """Forget a sequence."""
+        self._sequences.pop(sequence, None)
+
+    async def export_kv(self, sequence: str) -> bytes:
+        """Return a sequence's KV cache."""
+        self._raise_failure()
+        held = self._sequences.get(sequence)
+        if held is None:
+            raise _failed(f"no sequence {sequence}")
+        return typing.cast(bytes, msgpack.packb(held.states))
+
+    async def import_kv(self, sequence: str, kv: bytes) -> None:
+        """Take a sequence's KV cache."""
+        self._raise_failure()
+        try:
+            states = [tuple(one) for one in msgpack.unpackb(kv)]
+        except (ValueError, TypeError) as error:
+            raise _failed("the KV cache could not be read") from error
+        self._keep(sequence, Sequence(states))
+
+    def _raise_failure(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+
+    def _count(self, step: upstream.EngineStep) -> int:
+        words = len(step.prompt.split())
+        return words + len(step.tokens) + step.count
+
+    def _run(self, step: upstream.EngineStep) -> upstream.EngineOutput:
+        sequence = self._sequences.get(step.sequence) or Sequence([])
+        if sequence.context < step.context:
+            return upstream.EngineOutput(
+                sequence=step.sequence,
+                error=f"{sequence.context} tokens held, not {step.context}",
+            )
+        del sequence.states[step.context :]
+        self._keep(step.sequence, sequence)
+        outputs = [
+            self._run_token(step.sequence, sequence, hidden)
+            for hidden in self._inputs(step)
+        ]
+        if not outputs:
+            return upstream.EngineOutput(
+                sequence=step.sequence, error="nothing to run"
+            )
+        return self._output(step, outputs)
+
+    def _inputs(self, step: upstream.EngineStep) -> list[int]:
+        if self._offer.is_head:
+            tokens = self._model.tokenize(step.prompt) + step.tokens
+            return [self._model.embed(token) for token in tokens]
+        size = models.HIDDEN_SIZE
+        return [
+            int.from_bytes(step.hidden[at : at + size], "little")
+            for at in range(0, len(step.hidden), size)
+        ]
+
+    def _run_token(self, name: str, sequence: Sequence, hidden: int) -> int:
+        layers = self._offer.layers
+        if sequence.states:
+            before = sequence.states[-1]
+        else:
+            before = (0,) * (layers.end - layers.first)
+        states, output = self._model.run_layers(
+            layers.first, layers.end, before, hidden
+        )
+        self.runs[name, sequence.context] += 1
+        sequence.states.append(states)
+        return output
+
+    def _output(
+        self, step: upstream.EngineStep, outputs: list[int]
+    ) -> upstream.EngineOutput:
+        if self._offer.is_tail:
+            choice = self._model.choose(outputs[-1])
+            return upstream.EngineOutput(
+                sequence=step.sequence,
+                count=len(outputs),
+                token=choice.token,
+                text=choice.text,
+                finish=choice.finish,
+            )
+        hidden = b"".join(
+            output.to_bytes(models.HIDDEN_SIZE, "little") for output in outputs
+        )
+        return upstream.EngineOutput(
+            sequence=step.sequence, hidden=hidden, count=len(outputs)
+        )
+
+    def _keep(self, name: str, sequence: Sequence) -> None:
+        self._sequences[name] = sequence
+        self._sequences.move_to_end(name)
+        while len(self._sequences) > self._sequence_limit:
+            self._sequences.popitem(last=False)
+
+
+def _failed(message: str) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.UPSTREAM_FAILED,
+        message,
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/src/crowdeck/standin/store.py
@@ -0,0 +1,117 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A stand-in for the platform's object API and instance list."""
+
+import collections
+
+import anyio
+
+from crowdeck import errors
+from crowdeck import instance as instances
+from crowdeck.platform import store as stores
+from crowdeck import verdict as verdicts
+
+DEFAULT_DELAY = 0.002
+
+
+class StandinStore:
+    """Implements ``ObjectStore`` and ``InstanceList`` in memory.
+
+    Tests set ``is_down``, ``lost_replies`` (how many of the next writes
+    take effect while their reply is lost) and ``delay``. ``calls`` counts
+    what the platform would charge for.
+    """
+
+    def __init__(self, delay: float = DEFAULT_DELAY) -> None:
+        self._objects: dict[tuple[str, str], stores.StoredObject] = {}
+        self._instances: dict[str, instances.Instance] = {}
+        self._version = 0
+        self._changed = anyio.Event()
+        self.delay = delay
+        self.is_down = False
+        self.lost_replies = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    async def get(self, kind: str, name: str) -> stores.StoredObject | None:
+        """Return an object."""
+        await self._travel("get")
+        return self._objects.get((kind, name))
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: int
+    ) -> int:
+        """Write an object if its version is the expected one."""
+        await self._travel("put")
+        held = self._objects.get((kind, name))
+        version = held.version if held is not None else stores.CREATE
+        if version != expected:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_CONFLICT,
+                f"{kind}/{name} is at version {version}, not {expected}",
+            )
+        self._version += 1
+        self._objects[kind, name] = stores.StoredObject(
+            kind, name, self._version, value
+        )
+        self._changed.set()
+        self._changed = anyio.Event()
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise errors.CrowdeckError(
+                errors.Code.STORE_UNSURE,
+                "the store's reply was lost",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return self._version
+
+    async def watch(
+        self, kind: str, after: int, wait: float
+    ) -> stores.Changes:
+        """Return what was written after a version."""
+        await self._travel("watch")
+        with anyio.move_on_after(wait):
+            while not self._written(kind, after):
+                await self._changed.wait()
+                self._raise_if_down()
+        found = self._written(kind, after)
+        return stores.Changes(self._version, found)
+
+    async def list_instances(self) -> tuple[instances.Instance, ...]:
+        """Return the listed instances."""
+        await self._travel("list")
+        return tuple(self._instances.values())
+
+    def add_instance(self, listed: instances.Instance) -> None:
+        """List an instance, or change how it is listed."""
+        self._instances[listed.name] = listed
+
+    def listed(self, name: str) -> instances.Instance | None:
+        """Return how an instance is listed now."""
+        return self._instances.get(name)
+
+    def remove_instance(self, name: str) -> None:
+        """Take an instance off the list."""
+        self._instances.pop(name, None)
+
+    def _written(
+        self, kind: str, after: int
+    ) -> tuple[stores.StoredObject, ...]:
+        return tuple(
+            one
+            for one in self._objects.values()
+            if one.kind == kind and one.version > after
+        )
+
+    async def _travel(self, call: str) -> None:
+        self.calls[call] += 1
+        await anyio.sleep(self.delay)
+        self._raise_if_down()
+
+    def _raise_if_down(self) -> None:
+        if self.is_down:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN, "the store does not answer"
+            )
--- /dev/null
+++ b/src/crowdeck/team.py
@@ -0,0 +1,55 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Teams: the customers of the system, known by their bearer keys."""
+
+import hashlib
+
+import attrs
+
+from crowdeck import errors
+from crowdeck.settings import tree as trees
+
+BEARER = "bearer "
+
+
+@attrs.frozen
+class Caller:
+    """An authenticated caller and its place in the settings."""
+
+    team: str
+    session: str = ""
+
+    def place(self, service: str = "") -> trees.Place:
+        """Return where this caller's values are looked up."""
+        session = self.session if service else ""
+        return trees.Place(self.team, service, session)
+
+
+def hash_key(key: str) -> str:
+    """Return the form in which a bearer key is stored.
+
+    Keys are long random strings, so a plain digest cannot be searched;
+    a slow password hash would cost each request milliseconds.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticate(
+    tree: trees.Tree, authorization: str, session: str = ""
+) -> Caller:
+    """Return who is calling.
+
+    :raises CrowdeckError: ``UNAUTHORIZED``, the same for every reason.
+    """
+    if authorization.lower().startswith(BEARER):
+        key = authorization[len(BEARER) :].strip()
+        team = tree.team_of(hash_key(key))
+        if team is not None:
+            return Caller(team, session)
+    raise errors.CrowdeckError(
+        errors.Code.UNAUTHORIZED,
+        "send a team's key as 'Authorization: Bearer KEY'",
+    )
--- /dev/null
+++ b/src/crowdeck/verdict.py
@@ -0,0 +1,35 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What is known about whether a request has run.
+
+Every error that crowdeck reports carries a verdict, so that a caller
+never has to guess whether asking again could do a thing twice.
+"""
+
+import enum
+
+
+class Verdict(enum.StrEnum):
+    """Whether a request may have had an effect.
+
+    ``NOT_RUN`` is a promise: the request did not run and never will.
+    Only a sidecar's gate may give it, or an entry that has sent nothing.
+    """
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+    @property
+    def is_retry_safe(self) -> bool:
+        """Whether repeating the request cannot make it run twice.
+
+        >>> Verdict.NOT_RUN.is_retry_safe
+        True
+        >>> Verdict.MAY_HAVE_RUN.is_retry_safe
+        False
+        """
+        return self is Verdict.NOT_RUN
--- /dev/null
+++ b/src/crowdeck/wire/codec.py
@@ -0,0 +1,125 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Turns messages into Cap'n Proto structs and back.
+
+cattrs does the work by the classes' own fields, so that a new message
+needs a struct in the schema and a class, and no code here.
+"""
+
+from collections import abc
+import importlib.resources
+import typing
+
+import attrs
+import capnp
+import cattrs
+from cattrs import gen
+
+from crowdeck import errors
+from crowdeck.wire import messages
+
+# The schema is loaded when the process starts: no generator is needed.
+SCHEMA: typing.Any = capnp.load(
+    str(importlib.resources.files("crowdeck.wire") / "crowdeck.capnp")
+)
+
+_Struct = dict[str, typing.Any]
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.capitalize() for part in rest)
+
+
+def _field_name(cls: type) -> str:
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+def _renames(cls: type) -> dict[str, typing.Any]:
+    return {
+        field.name: cattrs.override(rename=_camel(field.name))
+        for field in attrs.fields(cls)
+    }
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(
+        unstruct_collection_overrides={tuple: list, abc.Sequence: list},
+    )
+    converter.register_unstructure_hook_factory(
+        attrs.has,
+        lambda cls: gen.make_dict_unstructure_fn(
+            cls, converter, **_renames(cls)
+        ),
+    )
+    converter.register_structure_hook_factory(
+        attrs.has,
+        lambda cls: gen.make_dict_structure_fn(
+            cls, converter, **_renames(cls)
+        ),
+    )
+    # Cap'n Proto's types are exact already: bytes must not be read as
+    # base64 text, which is cattrs' habit for JSON.
+    converter.register_structure_hook(bytes, lambda value, _: bytes(value))
+    converter.register_unstructure_hook(bytes, lambda value: value)
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+class UnionCodec:
+    """Codes one union of message classes by its field names."""
+
+    def __init__(self, union: typing.Any) -> None:
+        classes: tuple[type, ...] = typing.get_args(union)
+        self._class_by_name = {_field_name(cls): cls for cls in classes}
+        self._name_by_class = {
+            cls: name for name, cls in self._class_by_name.items()
+        }
+
+    def encode(self, message: typing.Any) -> _Struct:
+        """Return the struct's dict form.
+
+        :raises KeyError: for a class that is not in the union.
+        """
+        name = self._name_by_class[type(message)]
+        return {name: _CONVERTER.unstructure(message)}
+
+    def decode(self, struct: typing.Any) -> typing.Any:
+        """Return the message in ``struct``.
+
+        :raises CrowdeckError: ``MALFORMED`` when it is no valid message.
+        """
+        try:
+            name = str(struct.which())
+            body = getattr(struct, name).to_dict(verbose=True)
+            return _CONVERTER.structure(body, self._class_by_name[name])
+        except Exception as error:
+            # cattrs and pycapnp raise many kinds; each means the same:
+            # what came is not a message of ours.
+            raise errors.CrowdeckError(
+                errors.Code.MALFORMED,
+                f"a message could not be read ({type(error).__name__})",
+            ) from error
+
+
+RECORDS = UnionCodec(messages.Record)
+QUESTIONS = UnionCodec(messages.Question)
+REPLIES = UnionCodec(messages.Reply)
+
+
+def encode_greeting(greeting: messages.Greeting) -> _Struct:
+    """Return the struct's dict form."""
+    struct: _Struct = _CONVERTER.unstructure(greeting)
+    return struct
+
+
+def decode_greeting(struct: typing.Any) -> messages.Greeting:
+    """Return the greeting in ``struct``."""
+    return _CONVERTER.structure(
+        struct.to_dict(verbose=True), messages.Greeting
+    )
--- /dev/null
+++ b/src/crowdeck/wire/messages.py
@@ -0,0 +1,491 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What crowdeck's own processes say to each other, as typed data.
+
+Each class stands for the struct of the same name in ``crowdeck.capnp``.
+A *record* is one-way and batched per link; a *question* gets one *reply*.
+Times are relative seconds, never wall-clock times: peers' clocks differ.
+"""
+
+import attrs
+
+from crowdeck import errors
+from crowdeck import pipeline
+from crowdeck import verdict as verdicts
+
+
+@attrs.frozen
+class Piece:
+    """One generated token and its text."""
+
+    token: int
+    text: str
+
+
+@attrs.frozen
+class Opening:
+    """All that the stages of one attempt have to know.
+
+    :ivar request: unique id of the caller's request.
+    :ivar epoch: number of the attempt; each stage lets only the highest
+        one that it has seen go on.
+    :ivar delivered: what earlier attempts gave; it is replayed as input
+        and never generated again.
+    :ivar seconds_left: time to the caller's deadline.
+    :ivar window: how many tokens the head may be ahead of the caller.
+    :ivar warm_position: position up to which the stages still hold the
+        request's KV cache, or -1 where everything is to be computed.
+    :ivar warm_context: tokens of context at ``warm_position``.
+    """
+
+    request: str
+    epoch: int
+    team: str
+    session: str
+    path: pipeline.Path
+    prompt: str
+    delivered: tuple[Piece, ...]
+    max_tokens: int
+    seconds_left: float
+    priority: int
+    traceparent: str
+    window: int
+    warm_position: int = -1
+    warm_context: int = 0
+
+
+@attrs.frozen
+class Prefill:
+    """The first record of an attempt on its way through the stages.
+
+    :ivar next_layer: the layer that has to run next.
+    :ivar context: tokens of context before this record's ``count``.
+    :ivar hidden: the previous layer's output, opaque to crowdeck.
+    """
+
+    opening: Opening
+    next_layer: int
+    context: int
+    count: int
+    hidden: bytes
+
+
+@attrs.frozen
+class Step:
+    """One position of one answer on its way through the stages."""
+
+    request: str
+    epoch: int
+    position: int
+    next_layer: int
+    context: int
+    hidden: bytes
+
+
+@attrs.frozen
+class Token:
+    """A token, from the last stage to the head.
+
+    :ivar next_layer: the model's layer count, or the token is refused.
+    :ivar context: tokens of context once this one is added.
+    :ivar finish: why the model ended, empty while it goes on.
+    """
+
+    request: str
+    epoch: int
+    position: int
+    next_layer: int
+    context: int
+    token: int
+    text: str
+    finish: str
+
+
+@attrs.frozen
+class Answer:
+    """A token, from the head to the entry."""
+
+    request: str
+    epoch: int
+    position: int
+    token: int
+    text: str
+
+
+@attrs.frozen
+class AnswerEnd:
+    """The end of an answer: how many tokens it had, and their digest."""
+
+    request: str
+    epoch: int
+    count: int
+    digest: int
+    finish: str
+
+
+@attrs.frozen
+class Failure:
+    """An attempt has failed; sent towards the entry."""
+
+    request: str
+    epoch: int
+    verdict: verdicts.Verdict
+    code: errors.Code
+    message: str
+    culprit: str
+
+
+@attrs.frozen
+class Credit:
+    """The caller has taken all positions below ``upto``."""
+
+    request: str
+    epoch: int
+    upto: int
+
+
+@attrs.frozen
+class Cancel:
+    """No more work for this attempt; sent from the entry to each stage."""
+
+    request: str
+    epoch: int
+
+
+Record = (
+    Prefill | Step | Token | Answer | AnswerEnd | Failure | Credit | Cancel
+)
+
+
+@attrs.frozen
+class Greeting:
+    """The first words of each side of a link."""
+
+    cluster: str
+    instance: str
+    role: str
+    availability_zone: str
+    incarnation: int
+
+
+@attrs.frozen
+class Header:
+    """One HTTP header, name in lower case."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Open:
+    """Asks a head to begin an attempt; ``Done`` or ``Refused``."""
+
+    opening: Opening
+
+
+@attrs.frozen
+class Seal:
+    """Asks that an attempt which has not run never will; ``Sealed``."""
+
+    request: str
+    epoch: int
+    incarnation: int
+
+
+@attrs.frozen
+class Attach:
+    """Asks for an answer from ``position`` on; ``Attached``."""
+
+    request: str
+    team: str
+    position: int
+    window: int
+
+
+@attrs.frozen
+class Call:
+    """Asks for one call of a plain service; ``Called`` or ``Refused``."""
+
+    request: str
+    epoch: int
+    incarnation: int
+    team: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    seconds_left: float
+    traceparent: str
+    has_companions: bool = False
+
+
+@attrs.frozen
+class Collect:
+    """Asks for the kept reply of an earlier ``Call``."""
+
+    request: str
+    team: str
+
+
+@attrs.frozen
+class TakeTurn:
+    """Asks the session's home for the next turn; replies when granted.
+
+    :ivar sequence: the caller's own number of the turn, or -1.
+    :ivar is_holding: whether an earlier home had granted it already.
+    :ivar is_moved: whether the session may have had another home of
+        late, whose holder has yet to come forward.
+    :ivar seconds_left: how long the asker will wait.
+    """
+
+    session: str
+    request: str
+    sequence: int
+    is_holding: bool
+    is_moved: bool
+    seconds_left: float
+
+
+@attrs.frozen
+class EndTurn:
+    """Gives a turn back."""
+
+    session: str
+    request: str
+
+
+@attrs.frozen
+class Heartbeat:
+    """Asks whether the peer lives; ``Load``."""
+
+    seconds_left: float
+
+
+@attrs.frozen
+class Drain:
+    """Asks for a planned stop within ``limit`` seconds."""
+
+    limit: float
+
+
+@attrs.frozen
+class MoveOut:
+    """Asks a stage to hand its KV cache of a request to ``target``."""
+
+    request: str
+    epoch: int
+    target: pipeline.StageRef
+
+
+@attrs.frozen
+class ImportKv:
+    """Hands over a KV cache that covers ``context`` tokens."""
+
+    request: str
+    team: str
+    context: int
+    kv: bytes
+
+
+@attrs.frozen
+class ReadStatus:
+    """Asks for the process's status, as JSON text."""
+
+    detail: str
+
+
+@attrs.frozen
+class ReadSpans:
+    """Asks for the kept spans of one trace, as JSON texts."""
+
+    trace: str
+
+
+Question = (
+    Open
+    | Seal
+    | Attach
+    | Call
+    | Collect
+    | TakeTurn
+    | EndTurn
+    | Heartbeat
+    | Drain
+    | MoveOut
+    | ImportKv
+    | ReadStatus
+    | ReadSpans
+)
+
+
+@attrs.frozen
+class Done:
+    """The question was carried out."""
+
+    detail: str = ""
+
+
+@attrs.frozen
+class Refused:
+    """The question was not carried out; ``retry_after`` -1 for unknown."""
+
+    code: errors.Code
+    verdict: verdicts.Verdict
+    message: str
+    retry_after: float
+    culprit: str
+
+    @classmethod
+    def of(cls, error: errors.CrowdeckError) -> "Refused":
+        """Put an error into words that cross a link."""
+        retry_after = error.retry_after
+        return cls(
+            code=error.code,
+            verdict=error.verdict,
+            message=error.message,
+            retry_after=-1.0 if retry_after is None else retry_after,
+            culprit=error.culprit,
+        )
+
+    def as_error(self) -> errors.CrowdeckError:
+        """Return the error that these words describe."""
+        return errors.CrowdeckError(
+            self.code,
+            self.message,
+            verdict=self.verdict,
+            retry_after=None if self.retry_after < 0 else self.retry_after,
+            culprit=self.culprit,
+        )
+
+
+@attrs.frozen
+class Sealed:
+    """What a gate knows of an attempt after sealing it."""
+
+    outcome: verdicts.Verdict
+
+
+@attrs.frozen
+class Attached:
+    """The kept part of an answer; the rest follows as records."""
+
+    epoch: int
+    pieces: tuple[Piece, ...]
+    is_running: bool
+    finish: str
+
+
+@attrs.frozen
+class Companion:
+    """A document that comes with a service's answer."""
+
+    path: str
+    content_type: str
+    body: bytes
+
+
+@attrs.frozen
+class Called:
+    """A plain service's answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    companions: tuple[Companion, ...] = ()
+
+
+@attrs.frozen
+class OfferNote:
+    """An :class:`crowdeck.pipeline.Offer` in flat form."""
+
+    model: str
+    version: str
+    adapter: str
+    first_layer: int
+    end_layer: int
+    layer_count: int
+    accelerator: str
+
+    @classmethod
+    def of(cls, offer: pipeline.Offer) -> "OfferNote":
+        """Flatten an offer."""
+        return cls(
+            model=offer.model,
+            version=offer.version,
+            adapter=offer.adapter,
+            first_layer=offer.layers.first,
+            end_layer=offer.layers.end,
+            layer_count=offer.layer_count,
+            accelerator=offer.accelerator,
+        )
+
+    def as_offer(self) -> pipeline.Offer:
+        """Return the offer.
+
+        :raises ValueError: when its layer range is impossible.
+        """
+        return pipeline.Offer(
+            model=self.model,
+            version=self.version,
+            adapter=self.adapter,
+            layers=pipeline.LayerRange(self.first_layer, self.end_layer),
+            layer_count=self.layer_count,
+            accelerator=self.accelerator,
+        )
+
+
+@attrs.frozen
+class Load:
+    """What a sidecar says of itself in each heartbeat.
+
+    :ivar queued: steps waiting for the engine.
+    :ivar running: attempts and calls in progress.
+    :ivar step_seconds: smoothed time of one engine step.
+    """
+
+    incarnation: int
+    is_leaving: bool
+    offers: tuple[OfferNote, ...]
+    services: tuple[str, ...]
+    queued: int
+    running: int
+    step_seconds: float
+
+
+@attrs.frozen
+class MovedOut:
+    """A KV cache was handed over, valid up to these counts."""
+
+    position: int
+    context: int
+
+
+@attrs.frozen
+class Status:
+    """A process's status, as JSON text."""
+
+    text: str
+
+
+@attrs.frozen
+class Spans:
+    """Kept spans, each as JSON text."""
+
+    spans: tuple[str, ...]
+
+
+Reply = (
+    Done
+    | Refused
+    | Sealed
+    | Attached
+    | Called
+    | Load
+    | MovedOut
+    | Status
+    | Spans
+)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,5 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,483 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Answers of models, whole and right, whatever fails on the way."""
+
+import typing
+
+import anyio
+import attrs
+import pytest
+
+from crowdeck.entry import drive as drives
+from crowdeck import errors
+from crowdeck.wire import messages
+from tests import system as systems
+from tests import virtual
+
+PROMPT = "why did the recharge fail"
+
+
+class TestUndisturbed:
+    """Nothing fails."""
+
+    def test_answer_is_what_the_whole_model_says(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+                finish = await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+                assert finish == "length"
+
+        virtual.run(check)
+
+    def test_many_answers_do_not_mix(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                callers = {
+                    f"question {n} of desk {n % 7}": systems.Caller()
+                    for n in range(40)
+                }
+                async with anyio.create_task_group() as tasks:
+                    for n, (prompt, caller) in enumerate(callers.items()):
+                        tasks.start_soon(
+                            system.answer, prompt, caller, 20, n % 2
+                        )
+                for prompt, caller in callers.items():
+                    assert caller.texts == system.expected(prompt, 20)
+
+        virtual.run(check)
+
+    def test_one_stage_alone_serves_whole_answers(self) -> None:
+        async def check() -> None:
+            async with systems.System(stages=1, replicas=1) as system:
+                caller = systems.Caller()
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_each_context_runs_once_on_each_stage(self) -> None:
+        async def check() -> None:
+            async with systems.System(replicas=1) as system:
+                await system.answer(PROMPT, systems.Caller())
+                for engine in system.engines.values():
+                    assert engine.runs
+                    assert set(engine.runs.values()) == {1}
+
+        virtual.run(check)
+
+
+class TestDeaths:
+    """Processes die in the middle of an answer."""
+
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    @pytest.mark.parametrize("position", [0, 1, 7, 18])
+    def test_stage_dies(self, stage: int, position: int) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+
+                def kill() -> None:
+                    system.kill(_busy(system, stage))
+
+                caller.at[position] = kill
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_two_stages_die_together(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+                doomed: list[str] = []
+
+                def kill() -> None:
+                    for name in (_busy(system, 0), _busy(system, 2)):
+                        doomed.append(name)
+                    for name in doomed:
+                        system.kill(name)
+
+                caller.at[5] = kill
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    def test_stage_freezes(self, stage: int) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+                frozen: list[str] = []
+
+                def freeze() -> None:
+                    frozen.append(_busy(system, stage))
+                    system.network.freeze(frozen[0])
+
+                caller.at[5] = freeze
+                started = anyio.current_time()
+                await system.answer(PROMPT, caller)
+                assert anyio.current_time() - started < 4.0
+                # What the frozen stage says when it wakes harms nobody.
+                system.network.thaw(frozen[0])
+                await anyio.sleep(10.0)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_link_between_stages_is_cut(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+
+                def cut() -> None:
+                    ends = (_busy(system, 0), _busy(system, 1))
+                    system.network.cut(*ends)
+
+                caller.at[5] = cut
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_engine_fails_but_its_sidecar_lives(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+
+                def fail() -> None:
+                    name = _busy(system, 1)
+                    system.engines[name].failure = systems.may_have_run(
+                        errors.Code.UPSTREAM_LOST
+                    )
+
+                caller.at[5] = fail
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_no_path_is_refused_as_not_run(self) -> None:
+        async def check() -> None:
+            async with systems.System(replicas=1) as system:
+                system.kill("s1-0")
+                await anyio.sleep(1.0)
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.answer(PROMPT, systems.Caller())
+                assert caught.value.code == errors.Code.NO_PATH
+                assert caught.value.verdict.is_retry_safe
+                assert caught.value.retry_after is not None
+
+        virtual.run(check)
+
+
+class TestEntryDeath:
+    """The entry dies; its caller comes back at another one."""
+
+    @pytest.mark.parametrize("position", [0, 6, 19])
+    def test_answer_is_taken_up_elsewhere(self, position: int) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                first, second = systems.Caller(), systems.Caller()
+                request = system.request(PROMPT)
+                await _break_at(system, request, first, position)
+                resume = drives.Resume(len(first.pieces), *first.location)
+                await system.drive(request, second, entry=1).run(resume)
+                together = first.texts + (
+                    second.texts if second.pieces else []
+                )
+                assert together == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_head_dies_as_well(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                first, second = systems.Caller(), systems.Caller()
+                request = system.request(PROMPT)
+                await _break_at(system, request, first, 6)
+                system.kill(first.location[0])
+                resume = drives.Resume(len(first.pieces), *first.location)
+                await system.drive(request, second, entry=1).run(resume)
+                assert first.texts + second.texts == system.expected(
+                    PROMPT, 20
+                )
+
+        virtual.run(check)
+
+    def test_answer_of_another_team_is_not_given(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                first, second = systems.Caller(), systems.Caller()
+                request = system.request(PROMPT)
+                await _break_at(system, request, first, 6)
+                foreign = system.request(
+                    PROMPT, request=request.request, team="others"
+                )
+                resume = drives.Resume(0, *first.location)
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.drive(foreign, second, entry=1).run(resume)
+                assert caught.value.code == errors.Code.ANSWER_GONE
+                assert not second.pieces
+
+        virtual.run(check)
+
+    def test_former_entry_is_told_when_it_lives(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                first, second = systems.Caller(0.05), systems.Caller()
+                request = system.request(PROMPT, 200, window=8)
+                outcome: list[errors.Code] = []
+
+                async def run_first() -> None:
+                    try:
+                        await system.drive(request, first).run()
+                    except errors.CrowdeckError as error:
+                        outcome.append(error.code)
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(run_first)
+                    await anyio.sleep(1.0)
+                    resume = drives.Resume(len(first.pieces), *first.location)
+                    await system.drive(request, second, entry=1).run(resume)
+                assert outcome == [errors.Code.SUPERSEDED]
+                assert second.texts[-1] == system.expected(PROMPT, 200)[-1]
+
+        virtual.run(check)
+
+
+class TestPlannedStop:
+    """A stage leaves while it serves."""
+
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    @pytest.mark.parametrize("position", [1, 9])
+    def test_answer_moves_with_its_cache(
+        self, stage: int, position: int
+    ) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+                left: list[str] = []
+
+                def leave() -> None:
+                    left.append(_busy(system, stage))
+                    system.sidecar(left[0]).begin_drain(30.0)
+
+                caller.at[position] = leave
+                await system.answer(PROMPT, caller, count=400)
+                assert caller.texts == system.expected(PROMPT, 400)
+                # Nothing was computed twice: the prompt ran through each
+                # stage's layers once, whichever engine held them.
+                sequences = [
+                    name
+                    for engine in system.engines.values()
+                    for name, _ in engine.runs
+                ]
+                assert not any(name.endswith(".1") for name in sequences)
+                assert system.sidecar(left[0]).running == 0
+
+        virtual.run(check)
+
+    def test_no_replacement_means_the_stage_finishes(self) -> None:
+        async def check() -> None:
+            async with systems.System(replicas=1) as system:
+                caller = systems.Caller()
+                caller.at[5] = lambda: system.sidecar("s1-0").begin_drain(30.0)
+                await system.answer(PROMPT, caller, count=400)
+                assert caller.texts == system.expected(PROMPT, 400)
+
+        virtual.run(check)
+
+    def test_leaving_stage_gets_no_new_work(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                system.sidecar("s1-0").begin_drain(30.0)
+                await anyio.sleep(1.0)
+                before = sum(system.engines["s1-0"].runs.values())
+                for _ in range(5):
+                    await system.answer(PROMPT, systems.Caller())
+                assert sum(system.engines["s1-0"].runs.values()) == before
+
+        virtual.run(check)
+
+
+class TestCallers:
+    """Callers that are slow, or leave."""
+
+    def test_slow_caller_holds_the_head_back(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller(seconds_per_piece=0.5)
+                request = system.request(PROMPT, 300, window=8)
+                with anyio.move_on_after(10.0):
+                    await system.drive(request, caller).run()
+                head = system.sidecar(caller.location[0])
+                assert head._stage is not None
+                made = max(len(one.pieces) for one in head._stage.kept)
+                assert len(caller.pieces) < made <= len(caller.pieces) + 16
+
+        virtual.run(check)
+
+    def test_leaving_caller_frees_every_engine(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller(seconds_per_piece=0.5)
+                request = system.request(PROMPT, 300, window=8)
+                with anyio.move_on_after(3.0):
+                    await system.drive(request, caller).run()
+                await anyio.sleep(1.0)
+                for engine in system.engines.values():
+                    assert not engine.sequences
+
+        virtual.run(check)
+
+    def test_deadline_ends_an_answer_with_a_code(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                request = system.request(PROMPT, 5000, seconds_left=0.5)
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.drive(request, systems.Caller()).run()
+                assert caught.value.code == errors.Code.DEADLINE
+                await anyio.sleep(1.0)
+                for engine in system.engines.values():
+                    assert not engine.sequences
+
+        virtual.run(check)
+
+
+class TestForeignRecords:
+    """Records that are late, doubled, crossed or torn."""
+
+    def test_doubled_records_change_nothing(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                system.network.fault = lambda source, target, message: (
+                    (0.0, 0.0)
+                    if isinstance(message, messages.Record)
+                    else (0.0,)
+                )
+                caller = systems.Caller()
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+                for engine in system.engines.values():
+                    assert set(engine.runs.values()) <= {1}
+
+        virtual.run(check)
+
+    def test_lost_token_is_noticed_by_silence(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                lost: list[messages.Token] = []
+
+                def lose(
+                    source: str, target: str, message: typing.Any
+                ) -> tuple[float, ...]:
+                    is_token = isinstance(message, messages.Token)
+                    if is_token and not lost and message.position == 4:
+                        lost.append(message)
+                        return ()
+                    return (0.0,)
+
+                system.network.fault = lose
+                caller = systems.Caller()
+                await system.answer(PROMPT, caller)
+                assert lost
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"next_layer": 5},
+            {"position": 9},
+            {"context": 3},
+            {"epoch": 7},
+        ],
+    )
+    def test_wrong_record_never_reaches_the_caller(
+        self, change: dict[str, int]
+    ) -> None:
+        """A record altered on its way is refused by whoever gets it."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                altered: list[object] = []
+
+                def tamper(record: messages.Record) -> messages.Record:
+                    is_step = isinstance(record, messages.Step)
+                    if is_step and record.position == 4 and not altered:
+                        altered.append(record)
+                        return attrs.evolve(record, **change)
+                    return record
+
+                _tamper_records(system, tamper)
+                caller = systems.Caller()
+                await system.answer(PROMPT, caller)
+                assert altered
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_answer_with_a_foreign_token_does_not_pass(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                altered: list[object] = []
+
+                def tamper(record: messages.Record) -> messages.Record:
+                    is_answer = isinstance(record, messages.Answer)
+                    if is_answer and record.position == 19 and not altered:
+                        altered.append(record)
+                        return attrs.evolve(record, text="foreign")
+                    return record
+
+                _tamper_records(system, tamper)
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.answer(PROMPT, systems.Caller())
+                assert caught.value.code == errors.Code.WRONG_ANSWER
+
+        virtual.run(check)
+
+
+def _busy(system: systems.System, stage: int) -> str:
+    for name in system.engines:
+        if name.startswith(f"s{stage}-") and system.sidecar(name).running:
+            return name
+    raise AssertionError(f"no stage {stage} runs anything")
+
+
+def _tamper_records(system: systems.System, tamper: typing.Any) -> None:
+    """Let ``tamper`` alter each record as it arrives."""
+    for node in system.network.nodes:
+        handler = node.handler
+        original = handler.on_record
+
+        def on_record(
+            peer: typing.Any,
+            record: messages.Record,
+            original: typing.Any = original,
+        ) -> None:
+            original(peer, tamper(record))
+
+        handler.on_record = on_record
+
+
+async def _break_at(
+    system: systems.System,
+    request: drives.ModelRequest,
+    caller: systems.Caller,
+    position: int,
+) -> None:
+    """Run a request at entry 0 and kill that entry at a position."""
+    async with anyio.create_task_group() as tasks:
+
+        def kill() -> None:
+            system.kill("e0")
+            tasks.cancel_scope.cancel()
+
+        caller.at[position] = kill
+        await system.drive(request, caller).run()
