Operators' command line, and the real programs over TCP

Cause: operators had no commands, and nothing tried the real transports, HTTP and a client of another maker.

An answer without its companions was tried again up to ten times although its call had run; what ran is never tried again.

--- /dev/null
+++ b/src/crowdeck/cmd/commands.py
@@ -0,0 +1,283 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The operators' commands: each returns data and text to show."""
+
+import json
+import pathlib
+import typing
+
+import anyio
+import attrs
+
+from crowdeck.cmd import operator as operators
+from crowdeck.cmd import process as processes
+from crowdeck import errors
+from crowdeck.settings import config as configs
+from crowdeck.settings import editor as editors
+from crowdeck.settings import tree as trees
+from crowdeck.wire import messages
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+
+DRAIN_POLL_SECONDS = 0.25
+
+Data = typing.Any
+
+
+@attrs.frozen
+class Result:
+    """What a command found: ``data`` for programs, ``text`` for people."""
+
+    data: Data
+    text: str
+    exit_code: int = EXIT_OK
+
+
+def exit_code_of(error: errors.CrowdeckError) -> int:
+    """Return the exit code that stands for an error."""
+    match error.code:
+        case errors.Code.STORE_CONFLICT:
+            return EXIT_CONFLICT
+        case errors.Code.CONFIG | errors.Code.SETTINGS:
+            return EXIT_USAGE
+        case errors.Code.STORE_DOWN | errors.Code.LINK_LOST:
+            return EXIT_UNREACHABLE
+        case _:
+            return EXIT_FAILED
+
+
+async def show_status(operator: operators.Operator) -> Result:
+    """Show every instance and how it is."""
+    answers = await operator.ask_all(messages.ReadStatus(""))
+    rows = [_status_row(answer) for answer in answers]
+    lost = any(answer.error is not None for answer in answers)
+    return Result(
+        rows,
+        _table(rows, ("instance", "role", "state", "running", "generation")),
+        EXIT_UNREACHABLE if lost else EXIT_OK,
+    )
+
+
+def _status_row(answer: operators.Answered) -> dict[str, Data]:
+    if not isinstance(answer.reply, messages.Status):
+        why = answer.error.message if answer.error else "no status"
+        return {"instance": answer.name, "state": "lost", "error": why}
+    status: dict[str, Data] = json.loads(answer.reply.text)
+    status["state"] = "leaving" if status["is_leaving"] else "up"
+    return status
+
+
+async def show_upstreams(operator: operators.Operator) -> Result:
+    """Show upstreams as the first entry that answers sees them."""
+    for answer in await operator.ask_all(messages.ReadStatus("")):
+        if isinstance(answer.reply, messages.Status):
+            status = json.loads(answer.reply.text)
+            if "sidecars" in status:
+                rows = status["sidecars"]
+                for row in rows:
+                    row["serves"] = ", ".join(row["offers"] + row["services"])
+                columns = (
+                    "name",
+                    "availability_zone",
+                    "state",
+                    "serves",
+                    "running",
+                    "step_ms",
+                )
+                return Result(rows, _table(rows, columns))
+    raise errors.CrowdeckError(
+        errors.Code.LINK_LOST, "no entry answers; see 'crowdeck status'"
+    )
+
+
+async def show_trace(operator: operators.Operator, trace: str) -> Result:
+    """Show the spans of one trace, from every instance."""
+    spans: list[dict[str, Data]] = []
+    for answer in await operator.ask_all(messages.ReadSpans(trace)):
+        if isinstance(answer.reply, messages.Spans):
+            spans.extend(json.loads(span) for span in answer.reply.spans)
+    spans.sort(key=lambda span: int(span["start_ns"]))
+    if not spans:
+        return Result([], f"no spans of trace {trace} are kept", EXIT_FAILED)
+    started = int(spans[0]["start_ns"])
+    lines = [
+        f"{(int(span['start_ns']) - started) / 1e6:10.3f} ms  "
+        f"{span['seconds'] * 1000:10.3f} ms  "
+        f"{span['instance']}  {span['name']}  "
+        + " ".join(f"{k}={v}" for k, v in span["attributes"].items())
+        for span in spans
+    ]
+    return Result(spans, "\n".join(lines))
+
+
+async def drain(
+    operator: operators.Operator,
+    name: str,
+    limit: float,
+    is_waiting: bool,
+) -> Result:
+    """Begin a planned stop of an instance, and wait until it is idle."""
+    await operator.ask(name, messages.Drain(limit))
+    if not is_waiting:
+        return Result({"instance": name}, f"{name} is leaving")
+    running = -1
+    with anyio.move_on_after(limit):
+        running = await _wait_idle(operator, name)
+    if running == 0:
+        return Result(
+            {"instance": name, "running": 0}, f"{name} has left; it is idle"
+        )
+    return Result(
+        {"instance": name, "running": running},
+        f"{name} still has work after {limit:g} s",
+        EXIT_FAILED,
+    )
+
+
+async def _wait_idle(operator: operators.Operator, name: str) -> int:
+    while True:
+        try:
+            reply = await operator.ask(name, messages.ReadStatus(""))
+        except errors.LinkLost:
+            # It ends by itself once it is idle.
+            return 0
+        assert isinstance(reply, messages.Status)
+        if json.loads(reply.text)["running"] == 0:
+            return 0
+        await anyio.sleep(DRAIN_POLL_SECONDS)
+
+
+def _editor(operator: operators.Operator) -> editors.SettingsEditor:
+    return editors.SettingsEditor(operator.store)
+
+
+async def get_setting(
+    operator: operators.Operator,
+    place: trees.Place,
+    option: str,
+    is_why: bool,
+) -> Result:
+    """Show a value in force, or the whole tree."""
+    edition = await _editor(operator).read()
+    if not option:
+        return Result(attrs.asdict(edition), edition.text.rstrip("\n"))
+    tree = trees.parse(edition.text, edition.generation)
+    found = tree.effective(place, option)
+    text = f"{found.value}"
+    if is_why:
+        text += f"    from [{found.section}], generation {tree.generation}"
+    return Result({"option": option, **attrs.asdict(found)}, text)
+
+
+async def set_setting(
+    operator: operators.Operator,
+    place: trees.Place,
+    option: str,
+    value: str | None,
+) -> Result:
+    """Override a value at a place, or unset it there."""
+    editor = _editor(operator)
+    base = await editor.read()
+    text = trees.edit(base.text, place.section, option, value)
+    return await _apply(editor, base, text)
+
+
+async def show_diff(
+    operator: operators.Operator, path: pathlib.Path
+) -> Result:
+    """Show what applying a file would change."""
+    base = await _editor(operator).read()
+    text = _read(path)
+    trees.parse(text, base.generation + 1)
+    change = editors.show_difference(base.text, text)
+    return Result({"difference": change}, change or "nothing would change")
+
+
+async def apply_file(
+    operator: operators.Operator, path: pathlib.Path, change: str
+) -> Result:
+    """Make a file the next generation of the settings."""
+    editor = _editor(operator)
+    return await _apply(editor, await editor.read(), _read(path), change)
+
+
+async def _apply(
+    editor: editors.SettingsEditor,
+    base: editors.Edition,
+    text: str,
+    change: str = "",
+) -> Result:
+    if change and base.change == change:
+        return _applied(base, "it was applied before")
+    if text == base.text:
+        return _applied(base, "nothing changes")
+    shown = editors.show_difference(base.text, text)
+    edition = await editor.apply(base, text, change)
+    return _applied(edition, shown)
+
+
+def _applied(edition: editors.Edition, shown: str) -> Result:
+    return Result(
+        {"generation": edition.generation, "change": edition.change},
+        f"{shown}\ngeneration {edition.generation} is in force",
+    )
+
+
+async def show_history(operator: operators.Operator, limit: int) -> Result:
+    """Show past generations, newest first."""
+    editions = await _editor(operator).history(limit)
+    older = [*editions[1:], editors.EMPTY]
+    lines = []
+    for edition, before in zip(editions, older, strict=False):
+        shown = editors.show_difference(before.text, edition.text)
+        lines.append(f"generation {edition.generation}  {edition.change}")
+        lines.extend(f"    {line}" for line in shown.splitlines()[2:])
+    return Result([attrs.asdict(one) for one in editions], "\n".join(lines))
+
+
+async def roll_back(operator: operators.Operator, generation: int) -> Result:
+    """Make an earlier generation's text the next generation."""
+    editor = _editor(operator)
+    text = await editor.text_of(generation)
+    return await _apply(editor, await editor.read(), text)
+
+
+def check_file(path: pathlib.Path) -> Result:
+    """Check a daemon's configuration, or a settings tree, by its looks."""
+    text = _read(path)
+    if f"[{configs.DAEMON}]" in text:
+        processes.check(path)
+        kind = "configuration"
+    else:
+        trees.parse(text, 1)
+        kind = "settings tree"
+    return Result({"kind": kind}, f"{path}: a {kind}, in order")
+
+
+def _read(path: pathlib.Path) -> str:
+    try:
+        return path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.ConfigError(f"{path}: {error}") from None
+
+
+def _table(rows: list[dict[str, Data]], columns: tuple[str, ...]) -> str:
+    cells = [[str(row.get(name, "-")) for name in columns] for row in rows]
+    widths = [
+        max(len(name), *(len(line[at]) for line in cells), 0)
+        for at, name in enumerate(columns)
+    ]
+    lines = [columns, *cells]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
--- a/src/crowdeck/cmd/demo.py
+++ b/src/crowdeck/cmd/demo.py
@@ -37,21 +37,21 @@
     """Something that the demo shows did not hold."""
 
 
-async def run(stay: bool) -> None:
-    """Run the demo; raises :class:`DemoFailed` when a promise breaks."""
+async def run(stay: bool) -> str:
+    """Run the demo and return what failed, or nothing."""
     async with clusters.Cluster() as cluster:
         _say(
             f"{len(cluster.entries)} entries and {len(cluster.sidecars)} "
             "sidecars run, over TCP on loopback."
         )
-        demo = Demo(cluster)
-        await demo.show_answer()
-        await demo.show_receipt()
-        await demo.show_stage_death()
-        await demo.show_drain()
+        try:
+            await Demo(cluster).show_all()
+        except DemoFailed as error:
+            return str(error)
         _show_counters()
         if stay:
             await _stay(cluster)
+    return ""
 
 
 class Demo:
@@ -60,6 +60,13 @@
     def __init__(self, cluster: clusters.Cluster) -> None:
         self._cluster = cluster
 
+    async def show_all(self) -> None:
+        """Show every step; raises :class:`DemoFailed` at the first fault."""
+        await self.show_answer()
+        await self.show_receipt()
+        await self.show_stage_death()
+        await self.show_drain()
+
     async def show_answer(self) -> None:
         """Stream an answer to the terminal."""
         _say("\n1. An answer, streamed through three stages:")
--- /dev/null
+++ b/src/crowdeck/cmd/operator.py
@@ -0,0 +1,128 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""An operator's own links to the processes of the system."""
+
+import contextlib
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import directory as directories
+from crowdeck.membership import links as links_module
+from crowdeck.platform import http as platform_http
+from crowdeck.wire import link
+from crowdeck.wire import messages
+from crowdeck.wire import rpc
+
+
+@attrs.frozen
+class Answered:
+    """What one instance said, or why it did not."""
+
+    name: str
+    reply: messages.Reply | None
+    error: errors.CrowdeckError | None
+
+
+class _SilentHandler:
+    """Operators take no records and answer nothing."""
+
+    def on_opened(self, peer: link.Peer) -> None:
+        """There is nothing to do."""
+
+    def on_closed(self, peer: link.Peer) -> None:
+        """There is nothing to do."""
+
+    def on_record(self, peer: link.Peer, record: messages.Record) -> None:
+        """There is nothing to do."""
+
+    async def on_question(
+        self, peer: link.Peer, question: messages.Question
+    ) -> messages.Reply:
+        """Refuse."""
+        raise errors.CrowdeckError(
+            errors.Code.MALFORMED, "an operator answers no questions"
+        )
+
+
+class Operator:
+    """Reads the platform and asks instances; a context manager.
+
+    Use it inside ``capnp.kj_loop()``.
+    """
+
+    def __init__(
+        self,
+        platform_url: str,
+        cluster: str,
+        timeout: float,
+        security: rpc.Security,
+    ) -> None:
+        self._timeout = timeout
+        self._stack = contextlib.AsyncExitStack()
+        self._client = http.HttpClient(platform_url)
+        self.store = platform_http.HttpStore(self._client)
+        self._directory = directories.Directory(self.store)
+        greeting = messages.Greeting(
+            cluster=cluster,
+            instance="operator",
+            role=str(instances.Role.OPERATOR),
+            availability_zone="",
+            incarnation=instances.new_incarnation(),
+        )
+        self._transport = rpc.RpcTransport(
+            greeting, _SilentHandler(), security
+        )
+        self._links = links_module.Links(self._directory, self._transport)
+
+    async def __aenter__(self) -> "Operator":
+        self._stack.push_async_callback(self._client.close)
+        await self._stack.enter_async_context(self._transport)
+        return self
+
+    async def __aexit__(self, *exc_info: typing.Any) -> None:
+        await self._stack.__aexit__(*exc_info)
+
+    async def instances(self) -> tuple[instances.Instance, ...]:
+        """Return the platform's instance list.
+
+        :raises CrowdeckError: ``STORE_DOWN`` when it cannot be read.
+        """
+        return await self.store.list_instances()
+
+    async def ask(
+        self, name: str, question: messages.Question
+    ) -> messages.Reply:
+        """Ask one instance.
+
+        :raises CrowdeckError: when it is lost, or refuses.
+        """
+        peer = await self._links.get(name)
+        reply = await peer.ask(question, self._timeout)
+        if isinstance(reply, messages.Refused):
+            raise reply.as_error()
+        return reply
+
+    async def ask_all(self, question: messages.Question) -> list[Answered]:
+        """Ask every listed instance at once; the lost ones are said so."""
+        answers: list[Answered] = []
+
+        async def ask_one(name: str) -> None:
+            try:
+                reply = await self.ask(name, question)
+                answers.append(Answered(name, reply, None))
+            except errors.CrowdeckError as error:
+                answers.append(Answered(name, None, error))
+
+        listed = await self.instances()
+        async with anyio.create_task_group() as tasks:
+            for one in listed:
+                tasks.start_soon(ask_one, one.name)
+        return sorted(answers, key=lambda answer: answer.name)
--- a/src/crowdeck/entry/openai.py
+++ b/src/crowdeck/entry/openai.py
@@ -75,14 +75,17 @@
     if not isinstance(turns, list) or not turns:
         raise _bad("'messages' has to be a list that is not empty")
     lines = []
+    has_text = False
     for turn in turns:
         if not isinstance(turn, dict):
             raise _bad("each of 'messages' has to be an object")
         role = turn.get("role")
         if not isinstance(role, str):
             raise _bad("each of 'messages' has to have a 'role'")
-        lines.append(f"{role}: {_content(turn.get('content'))}")
-    return "\n".join(lines)
+        content = _content(turn.get("content"))
+        has_text = has_text or bool(content.strip())
+        lines.append(f"{role}: {content}")
+    return "\n".join(lines) if has_text else ""
 
 
 def _content(content: typing.Any) -> str:
--- a/src/crowdeck/membership/directory.py
+++ b/src/crowdeck/membership/directory.py
@@ -50,10 +50,15 @@
 
         Calls that come while one reads share its result.
         """
+        asked_at = anyio.current_time()
         async with self._reading:
-            if anyio.current_time() - self._read_at >= SHORTEST_SECONDS:
-                await self._read()
-                self._read_at = anyio.current_time()
+            if self._read_at >= asked_at:
+                return
+            # The caller waits for news: giving it what was read a moment
+            # ago would fail it for a name that is listed by now.
+            await anyio.sleep_until(self._read_at + SHORTEST_SECONDS)
+            await self._read()
+            self._read_at = anyio.current_time()
 
     async def _read(self) -> None:
         try:
--- a/src/crowdeck/routing/retry.py
+++ b/src/crowdeck/routing/retry.py
@@ -83,9 +83,12 @@
 ) -> bool:
     """Decide whether a failed request is tried again.
 
-    Only what did not run, or what its contract allows to run again, is.
+    Only what did not run is, and what may have run where the contract
+    allows it to run again. What did run has had its answer.
     """
-    is_allowed = is_repeatable or error.verdict is verdicts.Verdict.NOT_RUN
+    is_allowed = error.verdict is verdicts.Verdict.NOT_RUN or (
+        is_repeatable and error.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    )
     if not is_allowed or clock.now() >= deadline:
         return False
     return budget.spend()
--- a/src/crowdeck/settings/editor.py
+++ b/src/crowdeck/settings/editor.py
@@ -92,6 +92,19 @@
                 )
         return found
 
+    async def text_of(self, generation: int) -> str:
+        """Return the text of a past generation.
+
+        :raises SettingsError: when it is not kept.
+        """
+        kept = await self._store.get(HISTORY_KIND, str(generation))
+        if kept is None:
+            raise errors.SettingsError(
+                f"generation {generation} is not kept; see "
+                "'crowdeck settings history'"
+            )
+        return str(orjson.loads(kept.value)["text"])
+
     async def _find_out(
         self, base: Edition, change: str, error: errors.CrowdeckError
     ) -> Edition:
--- a/src/crowdeck/settings/tree.py
+++ b/src/crowdeck/settings/tree.py
@@ -250,3 +250,47 @@
     """Return a hint at the nearest known name, or nothing."""
     near = difflib.get_close_matches(name, known, n=1)
     return f"; did you mean {near[0]}?" if near else ""
+
+
+def edit(text: str, section: str, option: str, value: str | None) -> str:
+    """Return ``text`` with one option changed, its comments kept.
+
+    :param value: the new value, or ``None`` to unset it at that section.
+    :raises SettingsError: when there is nothing to unset.
+    """
+    lines = text.splitlines()
+    header = f"[{section}]"
+    setting = None if value is None else f"{option} = {value}"
+    if header not in [line.strip() for line in lines]:
+        if setting is None:
+            raise _nothing_to_unset(section, option)
+        gap = [""] if lines else []
+        return "\n".join([*lines, *gap, header, setting]) + "\n"
+    start = next(at for at, line in enumerate(lines) if line.strip() == header)
+    end = next(
+        (
+            at
+            for at in range(start + 1, len(lines))
+            if lines[at].lstrip().startswith("[")
+        ),
+        len(lines),
+    )
+    found = [
+        at for at in range(start + 1, end) if _option_name(lines[at]) == option
+    ]
+    if setting is None and not found:
+        raise _nothing_to_unset(section, option)
+    kept = [line for at, line in enumerate(lines) if at not in found]
+    if setting is not None:
+        kept.insert(found[0] if found else start + 1, setting)
+    return "\n".join(kept) + "\n"
+
+
+def _option_name(line: str) -> str:
+    return re.split("[=:]", line, maxsplit=1)[0].strip().lower()
+
+
+def _nothing_to_unset(section: str, option: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        f"[{section}] {option}: it is not set there, so it is inherited"
+    )
--- a/src/crowdeck/sidecar/calls.py
+++ b/src/crowdeck/sidecar/calls.py
@@ -37,6 +37,7 @@
 @attrs.define(eq=False)
 class _Kept:
     team: str
+    epoch: int
     time: float
     done: anyio.Event = attrs.field(factory=anyio.Event)
     reply: messages.Called | errors.CrowdeckError | None = None
@@ -87,7 +88,7 @@
         :raises CrowdeckError: with the verdict of the gate or the call.
         """
         kept = self._kept.get(call.request)
-        if kept is None:
+        if kept is None or self._is_retry(call, kept):
             kept = self._begin(call)
         return await self._wait(kept, call.team, call.seconds_left)
 
@@ -109,6 +110,16 @@
             total -= kept.size
             del self._kept[request]
 
+    def _is_retry(self, call: messages.Call, kept: _Kept) -> bool:
+        """Whether a call is a further try of one that ended in an error.
+
+        An entry makes one only where the first did not run, or where the
+        service's contract allows it to run again.
+        """
+        has_failed = isinstance(kept.reply, errors.CrowdeckError)
+        is_own = kept.team == call.team
+        return has_failed and is_own and call.epoch > kept.epoch
+
     def _begin(self, call: messages.Call) -> _Kept:
         if call.incarnation != self._gate.incarnation:
             raise errors.CrowdeckError(
@@ -121,7 +132,9 @@
                 errors.Code.NOT_FOUND, f"no service {call.service} here"
             )
         self._gate.enter(call.request, call.epoch, is_new_work=True)
-        kept = self._kept[call.request] = _Kept(call.team, self._clock.now())
+        kept = self._kept[call.request] = _Kept(
+            call.team, call.epoch, self._clock.now()
+        )
         self._running += 1
         counters.COUNTERS.add("calls.begun")
         self._tasks.start_soon(self._run, call, service, kept)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,3 +1,8 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
 """Turns of sessions: one at a time, in order, across changes of home."""
 
 import anyio
