--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,81 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Checks all specifications, whole and with each protection removed."""
+
+from collections import abc
+
+import attrs
+
+from spec import attempts
+from spec import claims
+from spec import generations
+from spec import leases
+from spec import model
+from spec import seals
+from spec import turns
+
+ALL: tuple[model.Specification, ...] = (
+    attempts.Attempts(),
+    seals.Seals(),
+    claims.Claims(),
+    leases.Leases(),
+    generations.Generations(),
+    turns.Turns(),
+)
+
+
+@attrs.frozen
+class Report:
+    """One check: what was removed, and what was found."""
+
+    name: str
+    removed: str
+    verdict: model.Verdict
+
+    @property
+    def is_as_expected(self) -> bool:
+        """Whether promises hold whole, and break without a protection."""
+        if self.removed:
+            return bool(self.verdict.broken)
+        return self.verdict.is_exhaustive and not self.verdict.broken
+
+    @property
+    def line(self) -> str:
+        """The report in one line."""
+        verdict = self.verdict
+        if not self.removed:
+            outcome = "all promises hold"
+            if verdict.broken:
+                outcome = f"BROKEN: {verdict.broken[0]}"
+            elif not verdict.is_exhaustive:
+                outcome = "NOT EXHAUSTIVE"
+            return f"{self.name}: {verdict.states} states, {outcome}"
+        if not verdict.broken:
+            return f"  without '{self.removed}': NOTHING BREAKS"
+        steps = "; ".join(verdict.trace)
+        return (
+            f"  without '{self.removed}': breaks '{verdict.broken[0]}' "
+            f"in {len(verdict.trace)} steps: {steps}"
+        )
+
+
+def check_one(
+    specification: model.Specification, is_full: bool = False
+) -> abc.Iterator[Report]:
+    """Check one specification, whole and without each protection."""
+    every = frozenset(specification.protections)
+    yield Report(
+        specification.name, "", model.check(specification, every, is_full)
+    )
+    for removed in specification.protections:
+        verdict = model.check(specification, every - {removed}, is_full)
+        yield Report(specification.name, removed, verdict)
+
+
+def check_all(is_full: bool = False) -> abc.Iterator[Report]:
+    """Check every specification."""
+    for specification in ALL:
+        yield from check_one(specification, is_full)
--- /dev/null
+++ b/spec/leases.py
@@ -0,0 +1,93 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A lease, its fencing tokens, a paused holder and a replaced guard."""
+
+from collections import abc
+import typing
+
+from spec import model
+
+CHECKS_FENCE = "the guard refuses orders with a lower fencing token"
+READS_FENCE = "a new guard reads the highest token before its first order"
+
+HOLDERS = 2
+TOKEN_LIMIT = 3
+FULL_TOKEN_LIMIT = 5
+
+
+class State(typing.NamedTuple):
+    """The store's lease, each holder's token, and the guard's memory.
+
+    ``tokens`` are those that the holders believe to hold, 0 for none;
+    a paused holder keeps believing. ``applied`` is the highest token of
+    an order that took effect, ``reverted`` whether a lower one did later.
+    """
+
+    token: int = 0
+    tokens: tuple[int, ...] = (0,) * HOLDERS
+    guard: int = 0
+    guard_ready: bool = True
+    has_replaced: bool = False
+    applied: int = 0
+    reverted: bool = False
+
+
+class Leases:
+    """Holders take the lease when it lapses; any may act at any time."""
+
+    name = "leases"
+    protections = (CHECKS_FENCE, READS_FENCE)
+
+    def initial(self) -> State:
+        """Return the first state."""
+        return State()
+
+    def transitions(
+        self, state: State, protections: frozenset[str], is_full: bool
+    ) -> list[model.Transition]:
+        """Return what may happen next."""
+        limit = FULL_TOKEN_LIMIT if is_full else TOKEN_LIMIT
+        found: list[model.Transition] = []
+        for holder in range(HOLDERS):
+            if state.token < limit:
+                tokens = list(state.tokens)
+                tokens[holder] = state.token + 1
+                taken = state._replace(
+                    token=state.token + 1, tokens=tuple(tokens)
+                )
+                found.append((f"{holder} takes the lapsed lease", taken))
+            if state.tokens[holder] and state.guard_ready:
+                after = self._order(state, state.tokens[holder], protections)
+                found.append((f"{holder} orders", after))
+        if not state.has_replaced:
+            found.append(("replace the guard", self._replace(state)))
+        if not state.guard_ready:
+            guard = state.token if READS_FENCE in protections else 0
+            ready = state._replace(guard=guard, guard_ready=True)
+            found.append(("the guard starts", ready))
+        return found
+
+    def _replace(self, state: State) -> State:
+        return state._replace(has_replaced=True, guard=0, guard_ready=False)
+
+    def _order(
+        self, state: State, token: int, protections: frozenset[str]
+    ) -> State:
+        if token < state.guard and CHECKS_FENCE in protections:
+            return state
+        return state._replace(
+            guard=max(state.guard, token),
+            applied=max(state.applied, token),
+            reverted=state.reverted or token < state.applied,
+        )
+
+    def promises(self) -> dict[str, abc.Callable[[State], bool]]:
+        """Return the properties."""
+        return {
+            "an order of a lapsed lease never undoes a later one": (
+                lambda state: not state.reverted
+            )
+        }
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,3 +1,8 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
 """The real programs over TCP, as callers and operators meet them.
 
 Nothing here depends on how long a thing takes.
