Heartbeats at a constant rate, probes on suspicion, pushed reports

Cause: each entry asked each sidecar four times a second: 3,440 exchanges a second per entry at the size designed for, against a budget of 1.2 % of a core and 2 KB/s. Subsets alone would not do: nearly all links of an entry carry answers, so none may be called idle.

Change: four heartbeats a second in all, whatever the number of sidecars; an answer silent for 0.4 s, and a call or turn that takes over 0.5 s, has its sidecars probed at once; a leaving sidecar tells its entries itself.

--- a/src/crowdeck/entry/drive.py
+++ b/src/crowdeck/entry/drive.py
@@ -38,6 +38,9 @@
 # failure. A long prompt's prefill may take most of the first.
 FIRST_TOKEN_TIMEOUT = 30.0
 TOKEN_TIMEOUT = 2.0
+# Ten times the aim between two tokens: rare while all is well, so that
+# probing costs nothing then.
+SUSPECT_SECONDS = 0.4
 # Beyond the window: an end, a failure and a lost link may come as well.
 INBOX_SLACK = 16
 
@@ -371,8 +374,12 @@
 
     async def _next_arrival(self, timeout: float) -> answers_module.Arrival:
         assert self._inbox is not None
-        with anyio.move_on_after(timeout):
-            return await self._inbox.get()
+        waited = 0.0
+        while waited < timeout:
+            with anyio.move_on_after(SUSPECT_SECONDS):
+                return await self._inbox.get()
+            waited += SUSPECT_SECONDS
+            await self._probe_path()
         raise errors.CrowdeckError(
             errors.Code.STALLED,
             f"the path was silent for {timeout:g} s",
@@ -380,6 +387,16 @@
             culprit=self._suspect(),
         )
 
+    async def _probe_path(self) -> None:
+        """Find out whether a silence is a stage's death.
+
+        A lost stage comes back to us as an arrival.
+        """
+        if self._path is not None:
+            await self._parts.fleet.probe(
+                stage.instance for stage in self._path.stages
+            )
+
     def _suspect(self) -> str:
         """Return the stage that a silence is most likely due to."""
         if self._path is None:
--- a/src/crowdeck/entry/entry.py
+++ b/src/crowdeck/entry/entry.py
@@ -73,7 +73,11 @@
         self._answers.on_closed(peer)
 
     def on_record(self, peer: link.Peer, record: messages.Record) -> None:
-        """Hand a record to its request."""
+        """Hand a record to its request, and reports to the fleet."""
+        if isinstance(record, messages.Load):
+            if self.entry is not None:
+                self.entry.fleet.on_report(peer, record)
+            return
         self._answers.on_record(peer, record)
 
     async def on_question(
--- a/src/crowdeck/entry/service_calls.py
+++ b/src/crowdeck/entry/service_calls.py
@@ -165,7 +165,9 @@
         if view is not None:
             view.unreported += 1
         try:
-            reply = await peer.ask(call, max(0.0, call.seconds_left))
+            reply = await self._fleet.ask_watched(
+                peer, call, max(0.0, call.seconds_left)
+            )
         except errors.LinkLost as lost:
             if not lost.was_sent or order.contract.is_repeatable:
                 # Nothing is at stake: asking another is the quickest way.
@@ -243,7 +245,9 @@
         self._require_run(peer, target, _MAY_HAVE_RUN)
         seconds_left = order.deadline - self._clock.now()
         question = messages.Collect(order.request, order.team)
-        return await peer.ask(question, max(0.0, seconds_left))
+        return await self._fleet.ask_watched(
+            peer, question, max(0.0, seconds_left)
+        )
 
     # Keyed calls.
 
--- a/src/crowdeck/entry/turns.py
+++ b/src/crowdeck/entry/turns.py
@@ -121,7 +121,9 @@
             )
             held.home = home.name
             try:
-                reply = await home.peer.ask(question, seconds_left)
+                reply = await self._fleet.ask_watched(
+                    home.peer, question, seconds_left
+                )
             except errors.LinkLost:
                 await anyio.sleep(RETRY_SECONDS)
                 continue
--- a/src/crowdeck/membership/fleet.py
+++ b/src/crowdeck/membership/fleet.py
@@ -10,6 +10,7 @@
 everything else.
 """
 
+from collections import abc
 import enum
 import random
 import typing
@@ -29,10 +30,20 @@
 from crowdeck.wire import link
 from crowdeck.wire import messages
 
-HEARTBEAT_SECONDS = 0.25
-# Four heartbeats: a pause of the interpreter's collector or a retransmit
-# (0.2 s) is no death. With the interval, detection takes 1.25 s at most.
+# Heartbeats a second, to all sidecars together: what control costs must
+# not grow with the fleet. One exchange is about 330 bytes with TCP's part,
+# so these are 1.3 KB/s; docs/CAPACITY.md has the figures.
+HEARTBEATS_PER_SECOND = 4.0
+SHORTEST_HEARTBEAT_SECONDS = 0.25
 HEARTBEAT_TIMEOUT = 1.0
+# A sidecar that a silent answer depends on is asked at once instead of at
+# its next turn. The time-out outlasts a retransmission (0.2 s) and a pause
+# of the collector; with the silence before it, a frozen stage is found
+# within a second.
+PROBE_TIMEOUT = 0.6
+PROBE_SHORTEST_SECONDS = 0.2
+# A call or turn that takes longer has its sidecar probed this often.
+WATCH_SECONDS = 0.5
 BACKOFF_SECONDS = (0.1, 0.2, 0.4, 0.8, 1.6)
 
 
@@ -60,6 +71,8 @@
     :ivar changed_at: monotonic seconds of the last change of state.
     :ivar changes: how many changes of state were seen.
     :ivar unreported: attempts and calls sent since its last report.
+    :ivar reported_at: monotonic seconds of its last report.
+    :ivar is_probed: whether it is being asked out of its turn.
     """
 
     instance: instances.Instance
@@ -69,6 +82,8 @@
     load: messages.Load | None = None
     changes: int = 0
     unreported: int = 0
+    reported_at: float = 0.0
+    is_probed: bool = False
 
     @property
     def name(self) -> str:
@@ -184,13 +199,83 @@
                     messages.Heartbeat(HEARTBEAT_TIMEOUT), HEARTBEAT_TIMEOUT
                 )
                 self._take_report(view, reply)
-                with anyio.move_on_after(HEARTBEAT_SECONDS):
+                with anyio.move_on_after(self._pause()):
                     await peer.wait_closed()
         finally:
             # Closing tells both sides at once: nothing that was sent on
             # this link is waited for any longer.
             peer.close()
 
+    def _pause(self) -> float:
+        """Return the time to a sidecar's next heartbeat."""
+        fair = len(self._views) / HEARTBEATS_PER_SECOND
+        return max(SHORTEST_HEARTBEAT_SECONDS, fair) * self._random.uniform(
+            0.8, 1.2
+        )
+
+    async def ask_watched(
+        self, peer: link.Peer, question: messages.Question, timeout: float
+    ) -> messages.Reply:
+        """Ask what may rightly take long, noticing when the peer dies.
+
+        :raises LinkLost: as soon as the peer no longer answers probes.
+        """
+        outcome: messages.Reply | errors.LinkLost
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._probe_often, peer.greeting.instance)
+            try:
+                outcome = await peer.ask(question, timeout)
+            except errors.LinkLost as lost:
+                outcome = lost
+            tasks.cancel_scope.cancel()
+        if isinstance(outcome, errors.LinkLost):
+            raise outcome
+        return outcome
+
+    async def _probe_often(self, name: str) -> None:
+        while True:
+            await anyio.sleep(WATCH_SECONDS)
+            await self.probe((name,))
+
+    async def probe(self, names: abc.Iterable[str]) -> None:
+        """Ask sidecars at once whether they live, all at the same time.
+
+        Those that do not reply are lost when this returns, and whoever
+        subscribed has been told.
+        """
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                view = self._views.get(name)
+                if view is not None and self._is_probe_due(view):
+                    tasks.start_soon(self._probe, view)
+
+    def _is_probe_due(self, view: SidecarView) -> bool:
+        age = self._clock.now() - view.reported_at
+        return not view.is_probed and age > PROBE_SHORTEST_SECONDS
+
+    async def _probe(self, view: SidecarView) -> None:
+        peer = view.peer
+        if peer is None:
+            return
+        view.is_probed = True
+        counters.COUNTERS.add("fleet.probed")
+        try:
+            reply = await peer.ask(
+                messages.Heartbeat(PROBE_TIMEOUT), PROBE_TIMEOUT
+            )
+            self._take_report(view, reply)
+        except errors.CrowdeckError:
+            peer.close()
+            self._change(view, State.DOWN)
+        finally:
+            view.is_probed = False
+
+    def on_report(self, peer: link.Peer, load: messages.Load) -> None:
+        """Take what a sidecar says of itself without being asked."""
+        view = self._views.get(peer.greeting.instance)
+        if view is not None and view.peer is peer:
+            self._take_report(view, load)
+
     def _take_report(self, view: SidecarView, reply: messages.Reply) -> None:
         if not isinstance(reply, messages.Load):
             raise errors.CrowdeckError(
@@ -199,6 +284,7 @@
         is_leaving = reply.is_leaving or view.instance.is_leaving
         view.load = reply
         view.unreported = 0
+        view.reported_at = self._clock.now()
         self._change(view, State.LEAVING if is_leaving else State.UP)
 
     def _change(self, view: SidecarView, state: State) -> None:
--- a/src/crowdeck/sidecar/sidecar.py
+++ b/src/crowdeck/sidecar/sidecar.py
@@ -67,6 +67,7 @@
         self._stage: stages.Stage | None = None
         self._moves: kv_moves.KvMoves | None = None
         self._stopped = anyio.Event()
+        self._peers: set[link.Peer] = set()
 
     @property
     def incarnation(self) -> int:
@@ -112,12 +113,14 @@
     # The link handler.
 
     def on_opened(self, peer: link.Peer) -> None:
-        """Count a new link."""
+        """Take note of a new link."""
         counters.COUNTERS.add("link.opened")
+        self._peers.add(peer)
 
     def on_closed(self, peer: link.Peer) -> None:
         """Tell the parts that a link is gone."""
         counters.COUNTERS.add("link.closed")
+        self._peers.discard(peer)
         self._turns.on_closed(peer)
         if self._stage is not None:
             self._stage.on_closed(peer)
@@ -211,6 +214,10 @@
             self._gate.leave()
             self._turns.leave()
             logs.change("leaving", instance=self._name)
+            # Heartbeats may be far apart: say it to every entry at once.
+            for peer in self._peers:
+                if peer.greeting.role == instances.Role.ENTRY:
+                    peer.send(self._load())
         with anyio.move_on_after(limit):
             while self.running:
                 await anyio.sleep(IDLE_POLL_SECONDS)
--- a/src/crowdeck/wire/crowdeck.capnp
+++ b/src/crowdeck/wire/crowdeck.capnp
@@ -113,6 +113,7 @@
     failure @5 :Failure;
     credit @6 :Credit;
     cancel @7 :Cancel;
+    load @8 :Load;
   }
 }
 
--- a/src/crowdeck/wire/messages.py
+++ b/src/crowdeck/wire/messages.py
@@ -155,8 +155,77 @@
     epoch: int
 
 
+@attrs.frozen
+class OfferNote:
+    """An :class:`crowdeck.pipeline.Offer` in flat form."""
+
+    model: str
+    version: str
+    adapter: str
+    first_layer: int
+    end_layer: int
+    layer_count: int
+    accelerator: str
+
+    @classmethod
+    def of(cls, offer: pipeline.Offer) -> "OfferNote":
+        """Flatten an offer."""
+        return cls(
+            model=offer.model,
+            version=offer.version,
+            adapter=offer.adapter,
+            first_layer=offer.layers.first,
+            end_layer=offer.layers.end,
+            layer_count=offer.layer_count,
+            accelerator=offer.accelerator,
+        )
+
+    def as_offer(self) -> pipeline.Offer:
+        """Return the offer.
+
+        :raises ValueError: when its layer range is impossible.
+        """
+        return pipeline.Offer(
+            model=self.model,
+            version=self.version,
+            adapter=self.adapter,
+            layers=pipeline.LayerRange(self.first_layer, self.end_layer),
+            layer_count=self.layer_count,
+            accelerator=self.accelerator,
+        )
+
+
+@attrs.frozen
+class Load:
+    """What a sidecar says of itself.
+
+    It answers heartbeats, and goes out as a record when a change cannot
+    wait for the next one.
+
+    :ivar queued: steps waiting for the engine.
+    :ivar running: attempts and calls in progress.
+    :ivar step_seconds: smoothed time of one engine step.
+    """
+
+    incarnation: int
+    is_leaving: bool
+    offers: tuple[OfferNote, ...]
+    services: tuple[str, ...]
+    queued: int
+    running: int
+    step_seconds: float
+
+
 Record = (
-    Prefill | Step | Token | Answer | AnswerEnd | Failure | Credit | Cancel
+    Prefill
+    | Step
+    | Token
+    | Answer
+    | AnswerEnd
+    | Failure
+    | Credit
+    | Cancel
+    | Load
 )
 
 
@@ -398,64 +467,6 @@
     companions: tuple[Companion, ...] = ()
 
 
-@attrs.frozen
-class OfferNote:
-    """An :class:`crowdeck.pipeline.Offer` in flat form."""
-
-    model: str
-    version: str
-    adapter: str
-    first_layer: int
-    end_layer: int
-    layer_count: int
-    accelerator: str
-
-    @classmethod
-    def of(cls, offer: pipeline.Offer) -> "OfferNote":
-        """Flatten an offer."""
-        return cls(
-            model=offer.model,
-            version=offer.version,
-            adapter=offer.adapter,
-            first_layer=offer.layers.first,
-            end_layer=offer.layers.end,
-            layer_count=offer.layer_count,
-            accelerator=offer.accelerator,
-        )
-
-    def as_offer(self) -> pipeline.Offer:
-        """Return the offer.
-
-        :raises ValueError: when its layer range is impossible.
-        """
-        return pipeline.Offer(
-            model=self.model,
-            version=self.version,
-            adapter=self.adapter,
-            layers=pipeline.LayerRange(self.first_layer, self.end_layer),
-            layer_count=self.layer_count,
-            accelerator=self.accelerator,
-        )
-
-
-@attrs.frozen
-class Load:
-    """What a sidecar says of itself in each heartbeat.
-
-    :ivar queued: steps waiting for the engine.
-    :ivar running: attempts and calls in progress.
-    :ivar step_seconds: smoothed time of one engine step.
-    """
-
-    incarnation: int
-    is_leaving: bool
-    offers: tuple[OfferNote, ...]
-    services: tuple[str, ...]
-    queued: int
-    running: int
-    step_seconds: float
-
-
 @attrs.frozen
 class MovedOut:
     """A KV cache was handed over, valid up to these counts."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -115,6 +115,28 @@
         virtual.run(check)
 
 
+class TestFrozenSidecar:
+    """A sidecar stops answering while its links stay open."""
+
+    def test_frozen_sidecar_is_noticed_long_before_the_deadline(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                system.service.seconds = 0.3
+                order = system.order("a", is_repeatable=True, seconds=60.0)
+                started = anyio.current_time()
+
+                async def freeze() -> None:
+                    await anyio.sleep(0.1)
+                    system.network.freeze(_serving(system))
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(freeze)
+                    await system.entry().calls.call(order)
+                assert anyio.current_time() - started < 4.0
+
+        virtual.run(check)
+
+
 class TestLostReplies:
     """Messages of a call are lost, and its sidecar lives."""
 
