Paths by learned times, admission by predicted gaps, room for small teams

Cause: a stage's cost came from one smoothed step time, which reads a loaded engine as a slow one; nothing refused what could not be served in time; a large team could take all there is.

Change: a sidecar learns batch time as a line over batch size and reports it with its load, one report a tick whatever the number of entries; an entry corrects reports by its own count, predicts the gap between tokens from congestion, refuses new answers above the team's token_gap_seconds with a time to come back, and keeps a tenth of the room for teams below their weighted share. Answers that have begun are never refused.

Found: the learned line divided by zero before its first batch and ended every sidecar with an engine; an error of that kind while the test system started was hidden, and is shown now.

--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -232,6 +232,7 @@
                 name=self._config.name,
                 availability_zone=self._config.availability_zone,
                 request_limit=int(section["request_limit"]),
+                policy=str(section["policy"]),
                 limits=entry_http.Limits(int(section["body_bytes"])),
             ),
             handler=handler,
--- a/src/crowdeck/entry/admission.py
+++ b/src/crowdeck/entry/admission.py
@@ -13,6 +13,9 @@
 from crowdeck.observe import counters
 
 RETRY_SECONDS = 1.0
+# A tenth of the room is kept for teams below their share. Their arrivals
+# within a report's age have to fit in; a small team's do at our sizes.
+OVER_SHARE_FACTOR = 0.9
 
 
 class Admission:
@@ -21,6 +24,7 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self._by_team: collections.Counter[str] = collections.Counter()
+        self._weights: dict[str, float] = {}
         self._is_leaving = False
 
     @property
@@ -38,13 +42,18 @@
         self._is_leaving = True
 
     @contextlib.contextmanager
-    def enter(self, team: str, team_limit: int) -> typing.Iterator[None]:
+    def enter(
+        self, team: str, team_limit: int, weight: float = 1.0
+    ) -> typing.Iterator[None]:
         """Count a request while it is in progress.
 
+        :param weight: the team's share relative to other teams.
+
         :raises CrowdeckError: with ``NOT_RUN`` and a time to retry.
         """
         self._require_room(team, team_limit)
         self._by_team[team] += 1
+        self._weights[team] = weight
         counters.COUNTERS.add("admission.admitted")
         try:
             yield
@@ -52,6 +61,20 @@
             self._by_team[team] -= 1
             if not self._by_team[team]:
                 del self._by_team[team]
+                del self._weights[team]
+
+    def share_factor(self, team: str) -> float:
+        """Return which part of the upstreams' room a team may fill.
+
+        A team that has more in progress than its weighted share of all
+        that is in progress stops a little before the room is full, and
+        what is left stays for those that have less. No team is held to
+        its share while there is room.
+        """
+        total = self.running
+        weights = sum(self._weights.values())
+        share = total * self._weights[team] / weights
+        return OVER_SHARE_FACTOR if self._by_team[team] > share else 1.0
 
     def _require_room(self, team: str, team_limit: int) -> None:
         if self._is_leaving:
--- a/src/crowdeck/entry/drive.py
+++ b/src/crowdeck/entry/drive.py
@@ -38,6 +38,9 @@
 # failure. A long prompt's prefill may take most of the first.
 FIRST_TOKEN_TIMEOUT = 30.0
 TOKEN_TIMEOUT = 2.0
+# What is taken up is running, or broken; its path is not known here, so
+# that probes cannot tell.
+RESUME_TIMEOUT = 4.0
 # Ten times the aim between two tokens: rare while all is well, so that
 # probing costs nothing then.
 SUSPECT_SECONDS = 0.4
@@ -65,6 +68,8 @@
     """One request for a model's answer.
 
     :ivar seconds_left: time to its deadline, when it was received.
+    :ivar gap_limit: seconds between tokens above which a new answer is
+        refused rather than begun; 0 for never.
     """
 
     request: str
@@ -77,6 +82,7 @@
     seconds_left: float
     priority: int
     window: int
+    gap_limit: float = 0.0
 
 
 @attrs.frozen
@@ -161,6 +167,7 @@
             self._open_inbox(stack)
             self._parts.fleet.subscribe(self)
             stack.callback(self._parts.fleet.unsubscribe, self)
+            stack.callback(self._hold_path, None)
             stack.callback(self._cancel)
             with anyio.move_on_at(self._deadline):
                 return await self._run_attempts(resume, path)
@@ -208,8 +215,14 @@
                 await self._recover(error)
 
     def _plan(self) -> messages.Opening:
+        # Only a new answer may be refused for being slow; one that has
+        # begun is served to its end.
+        limit = self._request.gap_limit if self._epoch < 0 else 0.0
         path = self._parts.planner.choose(
-            self._request.model, frozenset(self._avoid), self._request.adapter
+            self._request.model,
+            frozenset(self._avoid),
+            self._request.adapter,
+            limit,
         )
         return self._opening(path)
 
@@ -261,7 +274,7 @@
         assert self._inbox is not None
         self._inbox.clear()
         self._epoch = opening.epoch
-        self._path = opening.path
+        self._hold_path(opening.path)
         head = self._require_head(opening.path)
         self._head = head
         self._inbox.source = head
@@ -276,6 +289,14 @@
         counters.COUNTERS.add("drive.attempts")
         return await self._consume(FIRST_TOKEN_TIMEOUT)
 
+    def _hold_path(self, path: pipeline.Path | None) -> None:
+        """Count our work on a path, and no longer on the one before."""
+        if self._path is not None:
+            self._parts.planner.release(self._path)
+        if path is not None:
+            self._parts.planner.acquire(path)
+        self._path = path
+
     def _release_former(self) -> None:
         """Let go of a head whose part has moved to another instance."""
         if self._former is not None:
@@ -321,7 +342,7 @@
         if attached.finish:
             return attached.finish
         if attached.is_running:
-            return await self._consume(FIRST_TOKEN_TIMEOUT)
+            return await self._consume(RESUME_TIMEOUT)
         raise errors.CrowdeckError(
             errors.Code.LINK_LOST,
             "the answer's path broke before it was taken up",
--- a/src/crowdeck/entry/entry.py
+++ b/src/crowdeck/entry/entry.py
@@ -33,6 +33,7 @@
 from crowdeck.platform import claims as claims_module
 from crowdeck.platform import store as stores
 from crowdeck.routing import planner as planners
+from crowdeck.routing import policies
 from crowdeck.routing import retry
 from crowdeck.settings import holder as settings_holder
 from crowdeck import timers
@@ -48,11 +49,13 @@
     """What an entry is told at its start.
 
     :ivar request_limit: requests in progress, all teams together.
+    :ivar policy: how paths are chosen; others are for comparison.
     """
 
     name: str
     availability_zone: str
     request_limit: int = 2_000
+    policy: str = policies.CROWDECK
     limits: http.Limits = attrs.field(factory=http.Limits)
     zone_links: zones.ZoneLinks = attrs.field(factory=zones.ZoneLinks)
 
@@ -130,7 +133,11 @@
         )
         self._settings = settings_holder.SettingsHolder(store)
         planner = planners.Planner(
-            self._fleet, options.zone_links, options.availability_zone, chance
+            self._fleet,
+            options.zone_links,
+            options.availability_zone,
+            chance,
+            policies.make_policy(options.policy),
         )
         budgets = retry.RetryBudgets()
         claims = claims_module.ClaimsLedger(store, timer_service, wall_clock)
@@ -246,5 +253,5 @@
         ],
         "services": list(load.services) if load is not None else [],
         "running": load.running if load is not None else 0,
-        "step_ms": round(load.step_seconds * 1000, 3) if load else 0.0,
+        "step_ms": round(load.batch_seconds * 1000, 3) if load else 0.0,
     }
--- a/src/crowdeck/entry/http.py
+++ b/src/crowdeck/entry/http.py
@@ -393,8 +393,14 @@
 
     async def _run(self, sink: "_Collector | _Streamer") -> str:
         place = self._context.caller.place(self._body.model)
-        limit = self._context.tree.integer(place, "concurrency")
-        with self._admission.enter(self._context.caller.team, limit):
+        tree = self._context.tree
+        team = self._context.caller.team
+        limit = tree.integer(place, "concurrency")
+        weight = tree.number(place, "weight")
+        with self._admission.enter(team, limit, weight):
+            gap = tree.number(place, "token_gap_seconds")
+            factor = self._admission.share_factor(team)
+            self._wanted = attrs.evolve(self._wanted, gap_limit=gap * factor)
             if self._resume is not None:
                 # The turn is the first connection's; it is still held.
                 return await self._drive(sink).run(self._resume.as_resume())
--- a/src/crowdeck/entry/keys.py
+++ b/src/crowdeck/entry/keys.py
@@ -53,7 +53,9 @@
         :param replaces: nonce of a claim whose answer is gone.
         :raises CrowdeckError: when the store is down or no path exists.
         """
-        path = self._planner.choose(wanted.model, adapter=wanted.adapter)
+        path = self._planner.choose(
+            wanted.model, adapter=wanted.adapter, gap_limit=wanted.gap_limit
+        )
         keepers = (path.head, path.tail)
         own = claims_module.Claim(
             key=claims_module.digest_key(wanted.team, wanted.model, key),
--- a/src/crowdeck/entry/service_calls.py
+++ b/src/crowdeck/entry/service_calls.py
@@ -163,7 +163,7 @@
         self._require_run(peer, target, _NOT_RUN)
         view = self._fleet.find(target.name)
         if view is not None:
-            view.unreported += 1
+            view.own += 1
         try:
             reply = await self._fleet.ask_watched(
                 peer, call, max(0.0, call.seconds_left)
@@ -173,6 +173,9 @@
                 # Nothing is at stake: asking another is the quickest way.
                 raise
             reply = await self._find_out(order, target, epoch)
+        finally:
+            if view is not None:
+                view.own -= 1
         return _called(reply)
 
     def _message(
--- a/src/crowdeck/membership/fleet.py
+++ b/src/crowdeck/membership/fleet.py
@@ -70,7 +70,9 @@
 
     :ivar changed_at: monotonic seconds of the last change of state.
     :ivar changes: how many changes of state were seen.
-    :ivar unreported: attempts and calls sent since its last report.
+    :ivar own: our attempts and calls in progress there.
+    :ivar own_reported: the same, when it last reported.
+    :ivar chosen: how often it was chosen as a stage.
     :ivar reported_at: monotonic seconds of its last report.
     :ivar is_probed: whether it is being asked out of its turn.
     """
@@ -81,7 +83,9 @@
     peer: link.Peer | None = None
     load: messages.Load | None = None
     changes: int = 0
-    unreported: int = 0
+    own: int = 0
+    own_reported: int = 0
+    chosen: int = 0
     reported_at: float = 0.0
     is_probed: bool = False
 
@@ -102,9 +106,9 @@
 
     @property
     def inflight(self) -> int:
-        """Work it reported, and what was sent since that report."""
+        """Work in progress there: its report, corrected by our own since."""
         reported = self.load.running if self.load is not None else 0
-        return reported + self.unreported
+        return max(self.own, reported + self.own - self.own_reported)
 
     @property
     def offers(self) -> tuple[pipeline.Offer, ...]:
@@ -283,7 +287,7 @@
             )
         is_leaving = reply.is_leaving or view.instance.is_leaving
         view.load = reply
-        view.unreported = 0
+        view.own_reported = view.own
         view.reported_at = self._clock.now()
         self._change(view, State.LEAVING if is_leaving else State.UP)
 
--- a/src/crowdeck/pipeline.py
+++ b/src/crowdeck/pipeline.py
@@ -26,7 +26,8 @@
 
     :ivar layers: the layers it holds.
     :ivar layer_count: how many layers the whole model has.
-    :ivar accelerator: kind of accelerator, for learned step times.
+    :ivar accelerator: kind of accelerator, for people to read.
+    :ivar batch_limit: sequences that fit into one batch.
     """
 
     model: str
@@ -35,6 +36,7 @@
     layers: LayerRange
     layer_count: int
     accelerator: str = ""
+    batch_limit: int = 64
 
     @property
     def is_head(self) -> bool:
--- a/src/crowdeck/routing/planner.py
+++ b/src/crowdeck/routing/planner.py
@@ -21,15 +21,11 @@
 from crowdeck.membership import fleet as fleets
 from crowdeck.observe import counters
 from crowdeck import pipeline
+from crowdeck.routing import policies
 
-# Assumed until a sidecar has reported a step of its own.
-UNKNOWN_STEP_SECONDS = 0.005
-# One engine step serves a whole batch, so one more sequence adds only a
-# part of a step: the fill at which a step takes twice as long.
-BATCH_FILL = 16
-# Costs within a fifth of each other cannot be told apart by reports that
-# are a heartbeat old; see docs/decisions/0007.
-NEAR_EQUAL = 0.2
+# Costs within a tenth of each other cannot be told apart by reports that
+# are some tenths of a second old; see docs/decisions/0007.
+NEAR_EQUAL = 0.1
 
 
 @attrs.frozen
@@ -59,13 +55,6 @@
     stages: tuple[Candidate, ...]
 
 
-def stage_seconds(view: fleets.SidecarView) -> float:
-    """Predict the time of one position at a stage, queue included."""
-    reported = view.load.step_seconds if view.load is not None else 0.0
-    step = reported or UNKNOWN_STEP_SECONDS
-    return step * (1.0 + view.inflight / BATCH_FILL)
-
-
 class Planner:
     """Chooses paths for one entry."""
 
@@ -75,7 +64,9 @@
         zone_links: zones.ZoneLinks,
         availability_zone: str,
         randomness: random.Random,
+        policy: policies.Policy,
     ) -> None:
+        self._policy = policy
         self._fleet = fleet
         self._zone_links = zone_links
         self._zone = availability_zone
@@ -94,11 +85,15 @@
         model: str,
         avoid: frozenset[str] = frozenset(),
         adapter: str = "",
+        gap_limit: float = 0.0,
     ) -> pipeline.Path:
         """Return a path for a new attempt.
 
         :param avoid: instances not to use.
-        :raises CrowdeckError: ``NO_PATH`` when none covers every layer.
+        :param gap_limit: seconds between tokens that may be predicted at
+            the most; 0 for any.
+        :raises CrowdeckError: ``NO_PATH`` when none covers every layer,
+            ``OVERLOADED`` when all would be too slow.
         """
         groups = self._group(model, adapter, avoid)
         found = [
@@ -114,8 +109,7 @@
                 retry_after=1.0,
             )
         best = min(found, key=lambda one: one.seconds)
-        for candidate in best.stages:
-            candidate.view.unreported += 1
+        self._require_fast(best, gap_limit)
         first = best.stages[0].offer
         return pipeline.Path(
             model=first.model,
@@ -125,6 +119,40 @@
             stages=tuple(candidate.ref for candidate in best.stages),
         )
 
+    def acquire(self, path: pipeline.Path) -> None:
+        """Count an answer as in progress on a path."""
+        for view in self._views(path):
+            view.own += 1
+            view.chosen += 1
+
+    def release(self, path: pipeline.Path) -> None:
+        """Count it as no longer in progress there."""
+        for view in self._views(path):
+            # A view that was dropped and made anew starts from nothing.
+            view.own = max(0, view.own - 1)
+
+    def _views(self, path: pipeline.Path) -> list[fleets.SidecarView]:
+        found = [self._fleet.find(stage.instance) for stage in path.stages]
+        return [view for view in found if view is not None]
+
+    def _require_fast(self, best: _Partial, gap_limit: float) -> None:
+        if not gap_limit:
+            return
+        gap = max(
+            policies.congestion_seconds(one.view, one.offer)
+            for one in best.stages
+        )
+        if gap > gap_limit:
+            counters.COUNTERS.add("planner.overloaded")
+            # Streams end all the time, so room comes soon; the jitter
+            # keeps those that were refused together from coming back so.
+            raise errors.CrowdeckError(
+                errors.Code.OVERLOADED,
+                f"tokens would come {gap:.2f} s apart, over the "
+                f"{gap_limit:g} s that are promised",
+                retry_after=self._random.uniform(1.0, 3.0),
+            )
+
     def replace(
         self, path: pipeline.Path, instance: str
     ) -> pipeline.Path | None:
@@ -147,7 +175,6 @@
         if not fitting:
             return None
         chosen = min(fitting, key=lambda one: one.seconds)
-        chosen.view.unreported += 1
         return attrs.evolve(
             path,
             stages=tuple(
@@ -168,9 +195,8 @@
                 if (offer.model, offer.adapter) != (model, adapter):
                     continue
                 spread = 1.0 + self._random.uniform(0.0, NEAR_EQUAL)
-                candidate = Candidate(
-                    view, offer, stage_seconds(view) * spread
-                )
+                cost = self._policy.cost(view, offer)
+                candidate = Candidate(view, offer, cost * spread)
                 key = (offer.version, offer.layer_count)
                 groups.setdefault(key, []).append(candidate)
         return groups
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -14,6 +14,7 @@
 
 from crowdeck import errors
 from crowdeck import instance as instances
+from crowdeck.routing import policies
 from crowdeck.settings import options
 from crowdeck.wire import rpc
 
@@ -52,6 +53,12 @@
         options.Integer(
             "body_bytes", 1_048_576, "largest body taken", 1, 67_108_864
         ),
+        options.Text(
+            "policy",
+            policies.CROWDECK,
+            "how paths are chosen; the others are for comparison",
+            policies.NAMES,
+        ),
         options.Text("tls_certificate", "", "PEM file towards callers"),
         options.Text("tls_key", "", "PEM file towards callers"),
     )
--- a/src/crowdeck/settings/tree.py
+++ b/src/crowdeck/settings/tree.py
@@ -51,6 +51,13 @@
             "deadline_seconds", 120.0, "time for a whole answer", 0.1, 300.0
         ),
         options.Integer("max_tokens", 4096, "longest answer", 1, 1_000_000),
+        options.Number(
+            "token_gap_seconds",
+            0.0,
+            "refuse what would get slower tokens; 0 for never",
+            0.0,
+            60.0,
+        ),
         options.Integer(
             "window", 128, "tokens ahead of a slow caller", 1, 65_536
         ),
--- a/src/crowdeck/sidecar/batcher.py
+++ b/src/crowdeck/sidecar/batcher.py
@@ -27,12 +27,59 @@
 # More prefills at once would only take turns inside the engine while
 # their KV caches crowd out running sequences.
 PREFILL_LIMIT = 8
-SMOOTHING = 0.2
 
 Result = upstream.EngineOutput | errors.CrowdeckError
 Callback = abc.Callable[[Result], None]
 
 
+class StepTimes:
+    """Learns how a batch's time depends on its size.
+
+    A line through recent batches by least squares, older ones fading; a
+    plain average would read a loaded engine as a slow one, and the same
+    engine when idle as fast.
+    """
+
+    # A batch counts half after about 70 more, some seconds under load:
+    # soon enough to see a device slow down, late enough to be steady.
+    FADE = 0.99
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._sizes = 0.0
+        self._squares = 0.0
+        self._seconds = 0.0
+        self._products = 0.0
+
+    def learn(self, size: int, seconds: float) -> None:
+        """Take note of one batch."""
+        fade = self.FADE
+        self._count = self._count * fade + 1.0
+        self._sizes = self._sizes * fade + size
+        self._squares = self._squares * fade + size * size
+        self._seconds = self._seconds * fade + seconds
+        self._products = self._products * fade + size * seconds
+
+    @property
+    def token_seconds(self) -> float:
+        """What each further sequence adds to a batch, in seconds."""
+        spread = self._count * self._squares - self._sizes**2
+        # Batches of nearly one size say nothing about the slope.
+        if spread <= 0.05 * self._count**2:
+            return 0.0
+        slope = self._count * self._products - self._sizes * self._seconds
+        return max(0.0, slope / spread)
+
+    @property
+    def batch_seconds(self) -> float:
+        """Time of a batch, whatever is in it, in seconds; 0 unknown."""
+        if not self._count:
+            return 0.0
+        mean = self._seconds / self._count
+        size = self._sizes / self._count
+        return max(0.0, mean - self.token_seconds * size)
+
+
 class Batcher:
     """Runs steps on one engine and hands each its result."""
 
@@ -47,7 +94,7 @@
         ] = collections.deque()
         self._has_decode = anyio.Event()
         self._has_prefill = anyio.Event()
-        self._step_seconds = 0.0
+        self._times = StepTimes()
 
     @property
     def queued(self) -> int:
@@ -55,9 +102,9 @@
         return len(self._decodes) + len(self._prefills)
 
     @property
-    def step_seconds(self) -> float:
-        """Smoothed time of one decode batch, in seconds."""
-        return self._step_seconds
+    def times(self) -> "StepTimes":
+        """What was learned of the engine's decode batches."""
+        return self._times
 
     def decode(self, step: upstream.EngineStep, callback: Callback) -> None:
         """Queue a decode step."""
@@ -85,7 +132,9 @@
             batch = [self._decodes.popleft() for _ in range(size)]
             started = self._clock.now()
             await self._run_batch(batch)
-            self._note_time(self._clock.now() - started)
+            elapsed = self._clock.now() - started
+            self._times.learn(len(batch), elapsed)
+            counters.COUNTERS.time("engine.step", elapsed)
 
     async def _run_prefills(self) -> None:
         while True:
@@ -109,12 +158,6 @@
         for (step, callback), result in zip(batch, results, strict=True):
             callback(_checked(step, result))
 
-    def _note_time(self, seconds: float) -> None:
-        if self._step_seconds == 0.0:
-            self._step_seconds = seconds
-        self._step_seconds += SMOOTHING * (seconds - self._step_seconds)
-        counters.COUNTERS.time("engine.step", seconds)
-
 
 def _wrong_count(asked: int, got: int) -> errors.CrowdeckError:
     return errors.CrowdeckError(
--- a/src/crowdeck/sidecar/sidecar.py
+++ b/src/crowdeck/sidecar/sidecar.py
@@ -29,6 +29,8 @@
 from crowdeck.wire import messages
 
 IDLE_POLL_SECONDS = 0.05
+# One report to one entry at each tick: 8 a second at 120 bytes is 1 KB/s.
+REPORT_SECONDS = 0.125
 
 
 class Sidecar:
@@ -68,6 +70,8 @@
         self._moves: kv_moves.KvMoves | None = None
         self._stopped = anyio.Event()
         self._peers: set[link.Peer] = set()
+        self._told: dict[str, tuple[int, int]] = {}
+        self._tick = 0
 
     @property
     def incarnation(self) -> int:
@@ -88,6 +92,7 @@
     async def start(self, transport: link.Transport) -> None:
         """Learn what the engine serves and begin to serve it."""
         self._timers.subscribe("calls", 1.0, self._calls.sweep)
+        self._timers.subscribe("report", REPORT_SECONDS, self._report)
         self._timers.subscribe("turns", 0.25, self._turns.sweep)
         if self._engine is None:
             return
@@ -215,9 +220,8 @@
             self._turns.leave()
             logs.change("leaving", instance=self._name)
             # Heartbeats may be far apart: say it to every entry at once.
-            for peer in self._peers:
-                if peer.greeting.role == instances.Role.ENTRY:
-                    peer.send(self._load())
+            for peer in self._entry_peers:
+                peer.send(self._load())
         with anyio.move_on_after(limit):
             while self.running:
                 await anyio.sleep(IDLE_POLL_SECONDS)
@@ -230,6 +234,34 @@
         """Return once a planned stop has ended."""
         await self._stopped.wait()
 
+    @property
+    def _entry_peers(self) -> list[link.Peer]:
+        return [
+            peer
+            for peer in self._peers
+            if peer.greeting.role == instances.Role.ENTRY
+        ]
+
+    async def _report(self) -> None:
+        """Tell one entry, in turn, how much runs here, if that changed.
+
+        One report at each tick whatever the number of entries: what it
+        costs does not grow with the fleet, only what it says gets older.
+        """
+        load = self._load()
+        for peer in sorted(
+            self._entry_peers, key=lambda one: one.greeting.instance
+        ):
+            told = self._told.get(peer.greeting.instance, (-1, 0))
+            if told[0] != load.running and self._tick >= told[1]:
+                peer.send(load)
+                self._tick += 1
+                self._told[peer.greeting.instance] = (
+                    load.running,
+                    self._tick + len(self._peers) // 2,
+                )
+                return
+
     def status(self) -> dict[str, object]:
         """Return what operators see of this process."""
         return {
@@ -254,7 +286,8 @@
             services=self._calls.services,
             queued=batcher.queued if batcher is not None else 0,
             running=self.running,
-            step_seconds=batcher.step_seconds if batcher is not None else 0.0,
+            batch_seconds=batcher.times.batch_seconds if batcher else 0.0,
+            token_seconds=batcher.times.token_seconds if batcher else 0.0,
         )
 
     def _require_stage(self) -> stages.Stage:
--- a/src/crowdeck/standin/serve.py
+++ b/src/crowdeck/standin/serve.py
@@ -39,6 +39,7 @@
         layers=pipeline.LayerRange(spec["first"], spec["end"]),
         layer_count=spec["layer_count"],
         accelerator=spec.get("accelerator", ""),
+        batch_limit=spec["batch_limit"],
     )
     model = models.StandinModel(
         f"{spec['model']}/{spec['version']}", spec["layer_count"]
--- a/src/crowdeck/wire/crowdeck.capnp
+++ b/src/crowdeck/wire/crowdeck.capnp
@@ -299,6 +299,7 @@
   endLayer @4 :UInt32;
   layerCount @5 :UInt32;
   accelerator @6 :Text;
+  batchLimit @7 :UInt32;
 }
 
 struct Load {
@@ -308,7 +309,8 @@
   services @3 :List(Text);
   queued @4 :UInt32;
   running @5 :UInt32;
-  stepSeconds @6 :Float64;
+  batchSeconds @6 :Float64;
+  tokenSeconds @7 :Float64;
 }
 
 struct MovedOut { position @0 :UInt32; context @1 :UInt32; }
--- a/src/crowdeck/wire/messages.py
+++ b/src/crowdeck/wire/messages.py
@@ -166,6 +166,7 @@
     end_layer: int
     layer_count: int
     accelerator: str
+    batch_limit: int
 
     @classmethod
     def of(cls, offer: pipeline.Offer) -> "OfferNote":
@@ -178,6 +179,7 @@
             end_layer=offer.layers.end,
             layer_count=offer.layer_count,
             accelerator=offer.accelerator,
+            batch_limit=offer.batch_limit,
         )
 
     def as_offer(self) -> pipeline.Offer:
@@ -192,6 +194,7 @@
             layers=pipeline.LayerRange(self.first_layer, self.end_layer),
             layer_count=self.layer_count,
             accelerator=self.accelerator,
+            batch_limit=self.batch_limit,
         )
 
 
@@ -204,7 +207,9 @@
 
     :ivar queued: steps waiting for the engine.
     :ivar running: attempts and calls in progress.
-    :ivar step_seconds: smoothed time of one engine step.
+    :ivar batch_seconds: learned time of an engine batch, whatever is in
+        it; 0 while none was run.
+    :ivar token_seconds: what each further sequence in a batch adds.
     """
 
     incarnation: int
@@ -213,7 +218,8 @@
     services: tuple[str, ...]
     queued: int
     running: int
-    step_seconds: float
+    batch_seconds: float
+    token_seconds: float
 
 
 Record = (
--- a/tests/system.py
+++ b/tests/system.py
@@ -119,6 +119,15 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "System":
+        try:
+            await self._start()
+        except BaseException as error:
+            # The group knows which of its tasks has failed, and says so.
+            await self._stack.__aexit__(type(error), error, None)
+            raise
+        return self
+
+    async def _start(self) -> None:
         self.tasks = await self._stack.enter_async_context(
             anyio.create_task_group()
         )
@@ -141,7 +150,6 @@
         for index in range(self.entry_count):
             await self.add_entry(f"e{index}")
         await anyio.sleep(1.0)
-        return self
 
     async def __aexit__(self, *exc_info: typing.Any) -> None:
         self.tasks.cancel_scope.cancel()
