--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -13,6 +13,8 @@
 
 from crowdeck.entry import drive as drives
 from crowdeck import errors
+from crowdeck.sidecar import attempt as attempts
+from crowdeck.sidecar import stage as stages
 from crowdeck.wire import messages
 from tests import system as systems
 from tests import virtual
@@ -442,6 +444,63 @@
 
         virtual.run(check)
 
+    def test_record_for_an_earlier_stage_is_refused(self) -> None:
+        """A step that skips a stage would give a wrong token."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                crossed: list[messages.Step] = []
+
+                def cross(record: messages.Record) -> messages.Record:
+                    is_first = (
+                        isinstance(record, messages.Step)
+                        and record.position == 4
+                        and record.next_layer == 2
+                    )
+                    if is_first and not crossed:
+                        assert isinstance(record, messages.Step)
+                        crossed.append(record)
+                        _stage_of(system, 2).on_step(_NO_PEER, record)
+                        return messages.Cancel("nobody", 0)
+                    return record
+
+                _tamper_records(system, cross)
+                caller = systems.Caller()
+                await system.answer(PROMPT, caller)
+                assert crossed
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    def test_record_of_an_earlier_epoch_is_refused(self) -> None:
+        """A late step of a given-up attempt fits but for its epoch."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+                late: list[messages.Step] = []
+
+                def inject() -> None:
+                    tail, attempt = _running_tail(system, epoch=1)
+                    step = messages.Step(
+                        request=attempt.request,
+                        epoch=0,
+                        position=attempt.next_position,
+                        next_layer=attempt.first_layer,
+                        context=attempt.context,
+                        hidden=bytes(8),
+                    )
+                    late.append(step)
+                    tail.on_step(_NO_PEER, step)
+
+                caller.at[3] = lambda: system.kill(_busy(system, 1))
+                caller.at[8] = inject
+                await system.answer(PROMPT, caller)
+                assert late
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
     def test_answer_with_a_foreign_token_does_not_pass(self) -> None:
         async def check() -> None:
             async with systems.System() as system:
@@ -462,6 +521,28 @@
         virtual.run(check)
 
 
+# Records are judged by what they say, not by the link they come on.
+_NO_PEER: typing.Any = None
+
+
+def _stage_of(system: systems.System, stage: int) -> stages.Stage:
+    found = system.sidecar(_busy(system, stage))._stage
+    assert found is not None
+    return found
+
+
+def _running_tail(
+    system: systems.System, epoch: int
+) -> tuple[stages.Stage, attempts.Attempt]:
+    for name in system.engines:
+        stage = system.sidecar(name)._stage
+        assert stage is not None
+        for attempt in stage.kept:
+            if attempt.is_tail and attempt.epoch == epoch:
+                return stage, attempt
+    raise AssertionError(f"no tail runs epoch {epoch}")
+
+
 def _busy(system: systems.System, stage: int) -> str:
     for name in system.engines:
         if name.startswith(f"s{stage}-") and system.sidecar(name).running:
