--- /dev/null
+++ b/examples/claim_a_key.py
@@ -0,0 +1,51 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""One run per key: two workers race, the store decides.
+
+Run it with ``python examples/claim_a_key.py``.
+"""
+
+import time
+
+import anyio
+
+import crowdeck
+from crowdeck.platform import claims
+from crowdeck.standin import store
+from crowdeck import timers
+
+
+async def work(name: str, ledger: crowdeck.ClaimsLedger) -> None:
+    """Claim a key and do its work only if we hold it."""
+    claim = crowdeck.Claim(
+        key=claims.digest_key("team", "receipts", "sale-81"),
+        fingerprint="",
+        request=f"request-of-{name}",
+        nonce=claims.new_nonce(),
+        sidecars=(name,),
+        incarnations=(1,),
+        expires=time.time() + 900,
+    )
+    holder = await ledger.claim(claim)
+    if holder.nonce == claim.nonce:
+        print(f"{name} holds the key and does the work")
+    else:
+        print(f"{name} finds the work with {holder.sidecars[0]}")
+
+
+async def main() -> None:
+    """Let two processes' ledgers claim the same key."""
+    shared = store.StandinStore()
+    async with anyio.create_task_group() as tasks:
+        for name in ("left", "right"):
+            ledger = crowdeck.ClaimsLedger(
+                shared, timers.LoopClock(), time.time
+            )
+            tasks.start_soon(work, name, ledger)
+
+
+if __name__ == "__main__":
+    anyio.run(main)
--- /dev/null
+++ b/examples/seal_a_call.py
@@ -0,0 +1,38 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A lost reply: did the call run? The gate tells, and keeps its word.
+
+Run it with ``python examples/seal_a_call.py``.
+"""
+
+import time
+
+import crowdeck
+
+
+class WallClock:
+    """Seconds for the gate's notes."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+
+def main() -> None:
+    """Seal one call before it comes, and one after it has run."""
+    gate = crowdeck.Gate(incarnation=7, clock=WallClock())
+    print("late:", gate.seal("late-call", 0, incarnation=7))
+    try:
+        gate.enter("late-call", 0, is_new_work=True)
+    except crowdeck.CrowdeckError as error:
+        print("its late arrival:", error.code)
+    gate.enter("prompt-call", 0, is_new_work=True)
+    gate.finish("prompt-call")
+    print("prompt:", gate.seal("prompt-call", 0, incarnation=7))
+
+
+if __name__ == "__main__":
+    main()
