No token past the end; callers' HTTP in four modules

Cause: rolling replacement under load gave two answers other texts than the model's: both were longer than asked for. When a path broke between the last token and AnswerEnd, the entry drove the answer on and a new head gave one token more, past max_tokens or past the model's own end. The tests had stopped short of the last position.

Change: a token says whether it ends the answer; an entry that has the last one opens no further attempt; the tail keeps the end as well. A further attempt is given 5 s for its first token, not 30: one answer waited 27 s.

--- /dev/null
+++ b/src/crowdeck/entry/context.py
@@ -0,0 +1,31 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What every caller's request has, whichever kind it is."""
+
+import attrs
+
+from crowdeck.observe import traces
+from crowdeck.settings import tree as trees
+from crowdeck import team as teams
+
+
+@attrs.frozen
+class RequestContext:
+    """What every request has: who asks, where, and until when."""
+
+    caller: teams.Caller
+    tree: trees.Tree
+    sequence: int
+    seconds_left: float
+    key: str
+    span: traces.OpenSpan
+
+    @property
+    def session_name(self) -> str:
+        """Full name of the caller's session, empty for none."""
+        if not self.caller.session:
+            return ""
+        return f"{self.caller.team}/{self.caller.session}"
--- a/src/crowdeck/entry/drive.py
+++ b/src/crowdeck/entry/drive.py
@@ -33,12 +33,16 @@
 from crowdeck.wire import link
 from crowdeck.wire import messages
 
+FINISH_LENGTH = "length"
 OPEN_TIMEOUT = 2.0
 MOVE_TIMEOUT = 8.0
 # Silence after which a path is given up although nobody reported a
 # failure. A long prompt's prefill may take most of the first.
 FIRST_TOKEN_TIMEOUT = 30.0
 TOKEN_TIMEOUT = 2.0
+# A further attempt has a reader in the middle of an answer. One such waited
+# 27 s under load for a path whose stages all lived.
+REPLAY_TIMEOUT = 5.0
 # What is taken up is running, or broken; its path is not known here, so
 # that probes cannot tell.
 RESUME_TIMEOUT = 4.0
@@ -153,6 +157,7 @@
         self._epoch = -1
         self._path: pipeline.Path | None = None
         self._head: link.Peer | None = None
+        self._finish = ""
         self._gap_seconds = 0.0
         self._token_at = 0.0
         self._former: tuple[link.Peer, int] | None = None
@@ -163,6 +168,12 @@
         """The answer so far."""
         return tuple(self._pieces)
 
+    @property
+    def _is_whole(self) -> bool:
+        """Whether the last token is here, though perhaps not the end."""
+        is_longest = len(self._pieces) >= self._request.max_tokens
+        return bool(self._finish) or is_longest
+
     async def run(
         self,
         resume: Resume | None = None,
@@ -227,6 +238,11 @@
             except _Superseded as superseded:
                 opening = superseded.opening
             except errors.CrowdeckError as error:
+                if self._is_whole and error.code not in _FINAL:
+                    # Only its end got lost. Another attempt would go on
+                    # past the end and give tokens that nobody asked for.
+                    self._cancel()
+                    return self._finish or FINISH_LENGTH
                 opening = None
                 await self._recover(error)
 
@@ -304,6 +320,8 @@
             opening.epoch, path.head.instance, path.tail.instance
         )
         counters.COUNTERS.add("drive.attempts")
+        if self._pieces:
+            return await self._consume(REPLAY_TIMEOUT)
         return await self._consume(FIRST_TOKEN_TIMEOUT)
 
     def _hold_path(self, path: pipeline.Path | None) -> None:
@@ -469,6 +487,7 @@
                 verdict=_MAY_HAVE_RUN,
             )
         self._learn_gap()
+        self._finish = answer.finish
         await self._deliver(messages.Piece(answer.token, answer.text))
         return True
 
--- /dev/null
+++ b/src/crowdeck/entry/model_answer.py
@@ -0,0 +1,233 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A model request's answer, streamed to its caller or collected."""
+
+import anyio
+import anyio.abc
+import attrs
+from starlette import requests
+from starlette import responses
+from starlette import types
+
+from crowdeck.entry import admission as admissions
+from crowdeck.entry import context as context_module
+from crowdeck.entry import drive as drives
+from crowdeck.entry import keys
+from crowdeck.entry import openai
+from crowdeck.entry import replies
+from crowdeck.entry import turns
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.wire import messages
+
+
+class ModelAnswer(responses.Response):
+    """One model request's answer, streamed or collected."""
+
+    def __init__(
+        self,
+        parts: drives.DriveParts,
+        answer_keys: keys.AnswerKeys,
+        session_turns: turns.SessionTurns,
+        admission: admissions.Admission,
+        context: context_module.RequestContext,
+        body: openai.CompletionBody,
+        wanted: drives.ModelRequest,
+        resume: openai.EventId | None,
+    ) -> None:
+        self._parts = parts
+        self._keys = answer_keys
+        self._turns = session_turns
+        self._admission = admission
+        self._context = context
+        self._body = body
+        self._wanted = wanted
+        self._resume = resume
+
+    async def collect(self, request: requests.Request) -> responses.Response:
+        """Return the whole answer as one JSON object."""
+        texts: list[str] = []
+        sink = _Collector(texts)
+        finish = await self._run(sink)
+        self._context.span.end("answered")
+        whole = openai.whole_answer(
+            self._wanted.request,
+            self._body,
+            "".join(texts),
+            len(texts),
+            finish,
+        )
+        return replies.json_response(whole)
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Stream the answer as server-sent events."""
+        writer = openai.EventWriter(
+            self._wanted.request, self._body.model, self._body.is_chat
+        )
+        sink = _Streamer(send, writer, self._wanted.request)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_disconnect, receive, tasks)
+            try:
+                await self._stream(sink, scope, receive, send)
+            finally:
+                self._context.span.end("ended")
+            tasks.cancel_scope.cancel()
+
+    async def _stream(
+        self,
+        sink: "_Streamer",
+        scope: types.Scope,
+        receive: types.Receive,
+        send: types.Send,
+    ) -> None:
+        try:
+            finish = await self._run(sink)
+            await sink.finish(finish)
+        except errors.CrowdeckError as error:
+            counters.COUNTERS.add(f"entry.failed.{error.code.lower()}")
+            self._context.span.note("error", str(error.code))
+            if sink.has_begun:
+                await sink.fail(errors.ErrorReport.of(error))
+            else:
+                await replies.error_response(error)(scope, receive, send)
+
+    async def _run(self, sink: "_Collector | _Streamer") -> str:
+        place = self._context.caller.place(self._body.model)
+        tree = self._context.tree
+        team = self._context.caller.team
+        limit = tree.integer(place, "concurrency")
+        weight = tree.number(place, "weight")
+        with self._admission.enter(team, limit, weight):
+            gap = tree.number(place, "token_gap_seconds")
+            factor = self._admission.share_factor(team)
+            self._wanted = attrs.evolve(self._wanted, gap_limit=gap * factor)
+            if self._resume is not None:
+                # The turn is the first connection's; it is still held.
+                return await self._drive(sink).run(self._resume.as_resume())
+            return await self._run_in_turn(sink)
+
+    async def _run_in_turn(self, sink: "_Collector | _Streamer") -> str:
+        session = self._context.session_name
+        deadline = self._parts.clock.now() + self._context.seconds_left
+        async with self._turns.hold(
+            session, self._wanted.request, self._context.sequence, deadline
+        ):
+            if not self._context.key:
+                return await self._drive(sink).run()
+            return await self._run_keyed(sink)
+
+    async def _run_keyed(self, sink: "_Collector | _Streamer") -> str:
+        """Give the key's first answer again, or begin it."""
+        key = self._context.key
+        claimed = await self._keys.claim(self._wanted, key)
+        while claimed.resume is not None:
+            first = attrs.evolve(self._wanted, request=claimed.request)
+            drive = drives.Drive(self._parts, first, sink, self._context.span)
+            try:
+                return await drive.run(claimed.resume)
+            except errors.CrowdeckError as error:
+                if error.code != errors.Code.ANSWER_GONE or drive.pieces:
+                    raise
+            # Nobody keeps it any more. A model's answer may be computed
+            # again, so the key starts anew rather than being lost.
+            claimed = await self._keys.claim(self._wanted, key, claimed.nonce)
+        return await self._drive(sink).run(path=claimed.path)
+
+    def _drive(self, sink: "_Collector | _Streamer") -> drives.Drive:
+        return drives.Drive(
+            self._parts, self._wanted, sink, self._context.span
+        )
+
+
+class _Collector:
+    """Keeps an answer's texts."""
+
+    def __init__(self, texts: list[str]) -> None:
+        self._texts = texts
+
+    async def put(self, position: int, piece: messages.Piece) -> None:
+        self._texts.append(piece.text)
+
+    def locate(self, epoch: int, head: str, tail: str) -> None:
+        """Who keeps the answer does not matter to this caller."""
+
+
+class _Streamer:
+    """Writes an answer's events as its caller takes them."""
+
+    def __init__(
+        self, send: types.Send, writer: openai.EventWriter, request: str
+    ) -> None:
+        self._send = send
+        self._writer = writer
+        self._request = request
+        self._head = ""
+        self._tail = ""
+        self._has_begun = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the response's status has been sent."""
+        return self._has_begun
+
+    def locate(self, epoch: int, head: str, tail: str) -> None:
+        """Name the answer's keepers in the events from now on."""
+        self._head = head
+        self._tail = tail
+
+    async def put(self, position: int, piece: messages.Piece) -> None:
+        """Write one event; waits while the caller's buffers are full."""
+        event = openai.EventId(self._request, self._head, self._tail, position)
+        if self._has_begun:
+            await self._write(self._writer.piece(event, piece.text))
+            return
+        await self._begin()
+        await self._write(self._writer.first(event, piece.text))
+
+    async def finish(self, finish: str) -> None:
+        """Write the closing events."""
+        if not self._has_begun:
+            await self._begin()
+        await self._write(self._writer.last(finish), is_last=True)
+
+    async def fail(self, report: errors.ErrorReport) -> None:
+        """End the answer with an error event."""
+        await self._write(self._writer.error(report), is_last=True)
+
+    async def _begin(self) -> None:
+        self._has_begun = True
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    (b"content-type", b"text/event-stream; charset=utf-8"),
+                    (b"cache-control", b"no-store"),
+                ],
+            }
+        )
+
+    async def _write(self, event: bytes, is_last: bool = False) -> None:
+        await self._send(
+            {
+                "type": "http.response.body",
+                "body": event,
+                "more_body": not is_last,
+            }
+        )
+
+
+async def _cancel_on_disconnect(
+    receive: types.Receive, tasks: anyio.abc.TaskGroup
+) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            counters.COUNTERS.add("entry.caller_left")
+            tasks.cancel_scope.cancel()
+            return
--- /dev/null
+++ b/src/crowdeck/entry/replies.py
@@ -0,0 +1,85 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Answers to callers that are not streamed: JSON, errors, services."""
+
+import typing
+import uuid
+
+import orjson
+from starlette import responses
+
+from crowdeck import digest
+from crowdeck.entry import openai
+from crowdeck import errors
+from crowdeck import verdict as verdicts
+from crowdeck.wire import messages
+
+MULTIPART = "multipart/mixed"
+
+
+def json_response(body: typing.Any) -> responses.Response:
+    """Return a JSON answer."""
+    return responses.Response(
+        orjson.dumps(body), media_type="application/json"
+    )
+
+
+def error_response(error: errors.CrowdeckError) -> responses.Response:
+    """Return the HTTP answer that reports an error."""
+    report = errors.ErrorReport.of(error)
+    response = responses.Response(
+        orjson.dumps({"error": openai.error_body(report)}),
+        error.http_status,
+        media_type="application/json",
+    )
+    if error.retry_after is not None:
+        response.headers["retry-after"] = f"{error.retry_after:.0f}"
+    response.headers["x-crowdeck-verdict"] = str(error.verdict)
+    is_safe = error.verdict is verdicts.Verdict.NOT_RUN
+    response.headers["x-should-retry"] = "true" if is_safe else "false"
+    return response
+
+
+def service_response(called: messages.Called) -> responses.Response:
+    """Return a plain service's answer, with its companions if any."""
+    if called.companions:
+        return _multipart(called)
+    response = responses.Response(called.body, called.status)
+    for header in called.headers:
+        if header.name != "content-length":
+            response.headers.append(header.name, header.value)
+    return response
+
+
+def _multipart(called: messages.Called) -> responses.Response:
+    """Put an answer and its companions into one body, whole or not."""
+    body_digest = digest.digest_answer(
+        "companions", [(len(one.body), one.path) for one in called.companions]
+    )
+    boundary = f"crowdeck-{uuid.uuid4().hex}-{body_digest:x}"
+    main_type = next(
+        (one.value for one in called.headers if one.name == "content-type"),
+        "application/octet-stream",
+    )
+    parts = [_part(boundary, main_type, "", called.body)]
+    parts += [
+        _part(boundary, one.content_type, one.path, one.body)
+        for one in called.companions
+    ]
+    parts.append(f"--{boundary}--\r\n".encode())
+    return responses.Response(
+        b"".join(parts),
+        called.status,
+        media_type=f'{MULTIPART}; boundary="{boundary}"',
+    )
+
+
+def _part(boundary: str, content_type: str, path: str, body: bytes) -> bytes:
+    lines = [f"--{boundary}", f"Content-Type: {content_type}"]
+    if path:
+        lines.append(f"Content-Location: {path}")
+    head = "\r\n".join((*lines, "", ""))
+    return head.encode() + body + b"\r\n"
--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -22,6 +22,7 @@
 # A step that takes longer is a dead engine to every caller's deadline.
 STEP_TIMEOUT = 30.0
 CONNECTION_LIMIT = 64
+KEEPALIVE_SECONDS = 2.0
 RESPONSE_LIMIT = 4 * 1024 * 1024
 MEDIA_TYPE = "application/msgpack"
 # Headers of one connection, which must not be handed to the next.
@@ -71,6 +72,10 @@
             # The library's own retries would hide whether a request may
             # have run; every retry is decided by verdict, elsewhere.
             retries=0,
+            # Servers close idle connections after some seconds (uvicorn
+            # after 5). A request sent into that is lost with an unknown
+            # outcome, so we close them first.
+            keepalive_expiry=KEEPALIVE_SECONDS,
         )
 
     async def send(
--- a/src/crowdeck/sidecar/stage.py
+++ b/src/crowdeck/sidecar/stage.py
@@ -421,6 +421,8 @@
             self._take_token(attempt, token)
             return
         attempt.pieces.append(messages.Piece(output.token, output.text))
+        # Whoever takes the answer up here has to know that it is whole.
+        attempt.finish = output.finish
         assert attempt.forward is not None
         attempt.forward.send(token)
 
@@ -451,6 +453,9 @@
         attempt.pieces.append(messages.Piece(record.token, record.text))
         attempt.touched = self._clock.now()
         counters.COUNTERS.add("head.tokens")
+        finish = record.finish
+        if not finish and len(attempt.pieces) >= attempt.opening.max_tokens:
+            finish = FINISH_LENGTH
         self._send_source(
             attempt,
             messages.Answer(
@@ -459,13 +464,12 @@
                 position=position,
                 token=record.token,
                 text=record.text,
+                finish=finish,
             ),
         )
-        self._drive_on(attempt, record.finish)
+        self._drive_on(attempt, finish)
 
     def _drive_on(self, attempt: attempts.Attempt, finish: str) -> None:
-        if not finish and len(attempt.pieces) >= attempt.opening.max_tokens:
-            finish = FINISH_LENGTH
         if finish:
             self._finish(attempt, finish)
         elif attempt.is_moved:
--- a/src/crowdeck/wire/crowdeck.capnp
+++ b/src/crowdeck/wire/crowdeck.capnp
@@ -73,6 +73,7 @@
   position @2 :UInt32;
   token @3 :UInt32;
   text @4 :Text;
+  finish @5 :Text;
 }
 
 struct AnswerEnd {
@@ -146,6 +147,7 @@
   position @2 :List(UInt32);
   token @3 :List(UInt32);
   text @4 :List(Text);
+  finish @5 :List(Text);
 }
 
 # Neighbouring records of one kind; runs keep the order of the records.
--- a/src/crowdeck/wire/messages.py
+++ b/src/crowdeck/wire/messages.py
@@ -106,13 +106,19 @@
 
 @attrs.frozen
 class Answer:
-    """A token, from the head to the entry."""
+    """A token, from the head to the entry.
+
+    :ivar finish: why the answer ends with this token, empty while it goes
+        on. An entry whose head dies before ``AnswerEnd`` must not drive
+        an answer on that is whole.
+    """
 
     request: str
     epoch: int
     position: int
     token: int
     text: str
+    finish: str
 
 
 @attrs.frozen
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -91,6 +91,43 @@
 
         virtual.run(check)
 
+    @pytest.mark.parametrize("dies", ["head", "tail", "both"])
+    @pytest.mark.parametrize("length", [20, 1])
+    def test_death_after_the_last_token_adds_none(
+        self, dies: str, length: int
+    ) -> None:
+        """Found by rolling replacement under load: tokens past the end."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+
+                def kill() -> None:
+                    head, tail = caller.location
+                    for name in {"head": {head}, "tail": {tail}}.get(
+                        dies, {head, tail}
+                    ):
+                        system.kill(name)
+
+                caller.at[length - 1] = kill
+                finish = await system.answer(PROMPT, caller, length)
+                assert caller.texts == system.expected(PROMPT, length)
+                assert finish == "length"
+
+        virtual.run(check)
+
+    def test_death_after_the_models_own_end_adds_none(self) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                prompt, length = _prompt_that_stops(system)
+                caller = systems.Caller()
+                caller.at[length - 1] = lambda: system.kill(caller.location[0])
+                finish = await system.answer(prompt, caller, 400)
+                assert caller.texts == system.expected(prompt, 400)
+                assert finish == "stop"
+
+        virtual.run(check)
+
     def test_two_stages_die_together(self) -> None:
         async def check() -> None:
             async with systems.System() as system:
@@ -531,6 +568,16 @@
     return found
 
 
+def _prompt_that_stops(system: systems.System) -> tuple[str, int]:
+    """Return a prompt whose answer the model itself ends, and its length."""
+    for number in range(1000):
+        prompt = f"short question {number}"
+        length = len(system.expected(prompt, 60))
+        if 5 < length < 60:
+            return prompt, length
+    raise AssertionError("no such prompt")
+
+
 def _running_tail(
     system: systems.System, epoch: int
 ) -> tuple[stages.Stage, attempts.Attempt]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -35,7 +35,7 @@
     messages.Step("r", 1, 2, 4, 7, b"hidden"),
     messages.Step("q", 0, 0, 0, 0, b""),
     messages.Token("r", 1, 2, 4, 7, 11, "tök", ""),
-    messages.Answer("r", 1, 2, 11, "tök"),
+    messages.Answer("r", 1, 2, 11, "tök", ""),
     messages.AnswerEnd("r", 1, 3, 2**64 - 1, "stop"),
     messages.Failure(
         "r", 1, verdicts.Verdict.RAN, errors.Code.STALLED, "m", "a"
