--- a/bench/report.py
+++ b/bench/report.py
@@ -17,7 +17,7 @@
 from bench import scenarios
 from crowdeck.standin import model as models
 
-# The letter's aims, 0.59 s and 41 ms, times the stand-ins' scale: their
+# The aims, 0.59 s and 41 ms, times the stand-ins' scale: their
 # devices take about twenty times as long as the ones the aims are for, so
 # that the machine under the bench is not the limit.
 SCALE = 20.0
