A stop signal ends a daemon that has not begun to serve

Cause: read in the code, then tried: SIGTERM to a sidecar that waits for its engine hit an assertion in its signal task. Change: nothing runs then, so it ends at once; SIGHUP is left alone until it serves; 'starting' is logged. Figures: two tests with the real daemon, exit code 0.

--- a/src/crowdeck/cmd/daemon.py
+++ b/src/crowdeck/cmd/daemon.py
@@ -68,7 +68,8 @@
 async def _serve(config: configs.Config, path: pathlib.Path) -> None:
     async with capnp.kj_loop(), anyio.create_task_group() as tasks:
         process = processes.Process(config)
-        await tasks.start(_handle_signals, process, path)
+        await tasks.start(_handle_signals, process, path, tasks.cancel_scope)
+        logs.change("starting", instance=config.name)
         await process.run()
         tasks.cancel_scope.cancel()
 
@@ -76,6 +77,7 @@
 async def _handle_signals(
     process: processes.Process,
     path: pathlib.Path,
+    whole: anyio.CancelScope,
     *,
     task_status: anyio.abc.TaskStatus[None],
 ) -> None:
@@ -88,11 +90,18 @@
                 if number == signal.SIGHUP:
                     _reread(process, path)
                     continue
+                if not process.is_running:
+                    # It waits for its engine or platform; nothing runs
+                    # that a planned stop would have to wait for.
+                    whole.cancel()
+                    return
                 tasks.start_soon(process.stop, has_begun)
                 has_begun = True
 
 
 def _reread(process: processes.Process, path: pathlib.Path) -> None:
+    if not process.is_running:
+        return
     try:
         config = processes.check(path)
     except errors.ConfigError as error:
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -67,6 +67,11 @@
         self._stop = anyio.Event()
         self._running: Running | None = None
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has begun to serve."""
+        return self._running is not None
+
     @property
     def running(self) -> Running:
         """What serves; only once :meth:`run` has reported it."""
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -12,6 +12,10 @@
 import io
 import json
 import os
+import pathlib
+import signal
+import subprocess
+import sys
 import typing
 
 import anyio
@@ -395,6 +399,34 @@
 class TestDaemon:
     """``crowdeckd`` and its files."""
 
+    @pytest.mark.parametrize("role", ["entry", "sidecar"])
+    def test_stop_signal_ends_it_cleanly(
+        self, role: str, tmp_path: pathlib.Path
+    ) -> None:
+        """An entry that serves, and a sidecar that waits for its engine."""
+        text = (
+            f"[crowdeckd]\nrole = {role}\nname = one\n"
+            "availability_zone = z\nhost = 127.0.0.1\n"
+            "[platform]\nurl = http://127.0.0.1:9\n"
+            "[entry]\nhttp_host = 127.0.0.1\n"
+            "[sidecar]\nengine_url = http://127.0.0.1:9\n"
+        )
+        config = tmp_path / "one.ini"
+        config.write_text(text)
+        awaited = "started" if role == "entry" else "starting"
+        with subprocess.Popen(
+            [sys.executable, "-m", "crowdeck.cmd.daemon", "--config", config],
+            stdout=subprocess.PIPE,
+            text=True,
+        ) as daemon:
+            assert daemon.stdout is not None
+            for line in daemon.stdout:
+                if json.loads(line)["message_type"] == f"crowdeck:{awaited}":
+                    daemon.send_signal(signal.SIGTERM)
+                    break
+            daemon.stdout.read()
+            assert daemon.wait() == 0
+
     @pytest.mark.parametrize("name", ["entry", "sidecar"])
     def test_sample_files_are_in_order(self, name: str) -> None:
         path = os.path.join(os.path.dirname(__file__), "..", "etc")
