--- a/bench/report.py
+++ b/bench/report.py
@@ -108,7 +108,6 @@
             and seen.service_runs.get(f"receipt {call.number}", 0) > 0
             for call in seen.calls
         ),
-        "order_violations": 0,
         "streams_cut_by_stop": _cut(seen) if seen.faults.leaving else 0,
         "work_after_leaving_s": _work_after_leaving(seen),
         "retry_ratio": round(seen.retries / max(1, len(seen.answers)), 4),
