A warm opening waits for a stage's step instead of refusing

Cause: after a stage's KV cache was handed over, the other stages often still ran the step that the moved one had left out; they refused the warm opening, and the answer was replayed cold and without a healthy instance. The test missed it: its engines were idle at that moment, and it only looked for a replay in attempt 1, while the replay is attempt 2.

Change: a warm opening waits up to 2 s for the boundary, at the head and at later stages; the wait is one function now instead of two.

--- a/src/crowdeck/sidecar/kv_moves.py
+++ b/src/crowdeck/sidecar/kv_moves.py
@@ -10,8 +10,6 @@
 next attempt warm, and no layer runs again for any token.
 """
 
-import anyio
-
 from crowdeck import errors
 from crowdeck.membership import links as links_module
 from crowdeck.observe import counters
@@ -22,8 +20,6 @@
 from crowdeck.wire import messages
 
 IMPORT_TIMEOUT = 5.0
-BOUNDARY_TIMEOUT = 2.0
-BOUNDARY_POLL_SECONDS = 0.002
 
 
 class KvMoves:
@@ -51,7 +47,8 @@
                 errors.Code.CACHE_GONE, "no such attempt runs here"
             )
         attempt.is_moved = True
-        await self._wait_boundary(attempt)
+        await self._stage.wait_boundary(question.request)
+        self._require_boundary(attempt)
         kv = await self._engine.export_kv(attempt.sequence)
         moved = messages.MovedOut(
             position=attempt.next_position, context=attempt.context
@@ -60,11 +57,7 @@
         counters.COUNTERS.add("stage.moved_out")
         return moved
 
-    async def _wait_boundary(self, attempt: attempts.Attempt) -> None:
-        """Wait until the engine has no step of this attempt."""
-        with anyio.move_on_after(BOUNDARY_TIMEOUT):
-            while attempt.is_in_engine:
-                await anyio.sleep(BOUNDARY_POLL_SECONDS)
+    def _require_boundary(self, attempt: attempts.Attempt) -> None:
         if attempt.is_in_engine or not attempt.is_running:
             raise errors.CrowdeckError(
                 errors.Code.STALLED, "the attempt did not pause to be moved"
--- a/src/crowdeck/sidecar/sidecar.py
+++ b/src/crowdeck/sidecar/sidecar.py
@@ -163,7 +163,10 @@
             case messages.Heartbeat():
                 return self._load()
             case messages.Open():
-                self._require_stage().open(peer, question.opening)
+                stage = self._require_stage()
+                if question.opening.warm_position >= 0:
+                    await stage.wait_boundary(question.opening.request)
+                stage.open(peer, question.opening)
                 return messages.Done()
             case messages.Attach():
                 return self._require_stage().attach(peer, question)
--- a/src/crowdeck/sidecar/stage.py
+++ b/src/crowdeck/sidecar/stage.py
@@ -11,6 +11,7 @@
 a property of the data and not of the timing.
 """
 
+import anyio
 import anyio.abc
 
 from crowdeck import digest
@@ -36,6 +37,8 @@
 KEEP_SECONDS = 60.0
 KEPT_LIMIT = 10_000
 FINISH_LENGTH = "length"
+BOUNDARY_TIMEOUT = 2.0
+BOUNDARY_POLL_SECONDS = 0.002
 
 _MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 
@@ -103,8 +106,31 @@
             step, lambda result: self._on_prefilled(attempt, result)
         )
 
+    async def wait_boundary(self, request: str) -> None:
+        """Wait until the engine has no step of a request, or too long.
+
+        A warm opening comes while its stages may still run the step that
+        the moved stage left out; refusing it then would cost a replay.
+        """
+        attempt = self._attempts.get(request)
+        with anyio.move_on_after(BOUNDARY_TIMEOUT):
+            while attempt is not None and attempt.is_in_engine:
+                await anyio.sleep(BOUNDARY_POLL_SECONDS)
+
     def on_prefill(self, peer: link.Peer, record: messages.Prefill) -> None:
         """Begin an attempt as a later stage."""
+        if record.opening.warm_position >= 0:
+            self._tasks.start_soon(self._prefill_warm, peer, record)
+        else:
+            self._prefill(peer, record)
+
+    async def _prefill_warm(
+        self, peer: link.Peer, record: messages.Prefill
+    ) -> None:
+        await self.wait_boundary(record.opening.request)
+        self._prefill(peer, record)
+
+    def _prefill(self, peer: link.Peer, record: messages.Prefill) -> None:
         opening = record.opening
         try:
             attempt = self._begin(peer, opening)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -316,11 +316,36 @@
                     for engine in system.engines.values()
                     for name, _ in engine.runs
                 ]
-                assert not any(name.endswith(".1") for name in sequences)
+                assert all(_is_first_run(name) for name in sequences)
                 assert system.sidecar(left[0]).running == 0
 
         virtual.run(check)
 
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    def test_answer_moves_while_engines_are_busy(self, stage: int) -> None:
+        """Found under load: a busy stage refused, and all was replayed."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                for engine in system.engines.values():
+                    engine.slowness = 100.0
+                caller = systems.Caller()
+
+                def leave() -> None:
+                    system.sidecar(_busy(system, stage)).begin_drain(30.0)
+
+                caller.at[3] = leave
+                await system.answer(PROMPT, caller, count=12)
+                assert caller.texts == system.expected(PROMPT, 12)
+                names = [
+                    name
+                    for engine in system.engines.values()
+                    for name, _ in engine.runs
+                ]
+                assert all(_is_first_run(name) for name in names)
+
+        virtual.run(check)
+
     def test_no_replacement_means_the_stage_finishes(self) -> None:
         async def check() -> None:
             async with systems.System(replicas=1) as system:
@@ -568,6 +593,11 @@
     return found
 
 
+def _is_first_run(sequence: str) -> bool:
+    """Whether a sequence is no replay: an attempt 0, or moved from one."""
+    return sequence.endswith((".0", ".import"))
+
+
 def _prompt_that_stops(system: systems.System) -> tuple[str, int]:
     """Return a prompt whose answer the model itself ends, and its length."""
     for number in range(1000):
