Planned replacement measured after its mending

Cause: the figure for work after leaving counted the next run's work too, now that a run ends within 3.5 s. Change: only what began before the first run ended counts.

--- a/bench/report.py
+++ b/bench/report.py
@@ -191,21 +191,17 @@
 
 
 def _work_after_leaving(seen: Seen) -> float:
+    """Return how long after its stop began a leaving instance got work.
+
+    Its next run has the same name and engine, so only what began before
+    the first run ended counts.
+    """
     latest = 0.0
     for name, left in seen.faults.leaving.items():
-        # The next run of the same name begins when the first has ended.
-        begun = [
-            at - left
-            for sequence, at in seen.begun.get(name, [])
-            if sequence.endswith(".0") and 0 < at - left < 30
-        ]
-        before_gap = []
-        for at in sorted(begun):
-            if before_gap and at - before_gap[-1] > 1.0:
-                break
-            if at < 3.5:
-                before_gap.append(at)
-        latest = max(latest, *before_gap, 0.0)
+        ended = seen.faults.ended.get(name, float("inf"))
+        for sequence, at in seen.begun.get(name, []):
+            if sequence.endswith(".0") and left < at <= ended:
+                latest = max(latest, at - left)
     return round(latest, 3)
 
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -27,6 +27,7 @@
 
     at: list[float] = attrs.field(factory=list)
     leaving: dict[str, float] = attrs.field(factory=dict)
+    ended: dict[str, float] = attrs.field(factory=dict)
 
     def note(self) -> None:
         """Note a fault now."""
@@ -145,6 +146,7 @@
             while fleet.is_running(name):
                 await anyio.sleep(0.1)
         if not fleet.is_running(name):
+            log.ended[name] = time.monotonic()
             await anyio.to_thread.run_sync(fleet.replace, name)
         await anyio.sleep(pause / 2)
 
