A fault in taking a record is seen; a team check has its test

Cause: looked for what is silent. What a record's handler raised went to the peer as a stack trace, file names and all, and left no trace here; inner errors of questions were counted but not logged. And the check that another team cannot replace a running answer could be removed unnoticed.

Change: such a fault is counted, logged by kind and place (its text may hold a caller's words), and closes its link; a test for each, both seen to fail without their protection.

--- a/src/crowdeck/wire/rpc.py
+++ b/src/crowdeck/wire/rpc.py
@@ -14,6 +14,7 @@
 import contextlib
 import itertools
 import ssl
+import traceback
 import typing
 
 import anyio
@@ -24,6 +25,7 @@
 from crowdeck import errors
 from crowdeck import instance as instances
 from crowdeck.observe import counters
+from crowdeck.observe import logs
 from crowdeck import verdict as verdicts
 from crowdeck.wire import codec
 from crowdeck.wire import link
@@ -190,6 +192,11 @@
                 self._handler.on_record(peer, record)
         except errors.CrowdeckError as error:
             self._close_for(peer, error)
+        except Exception as error:
+            # A fault of our own in one record must neither pass unseen
+            # nor cross the link as a stack trace, file names and all.
+            _note_internal(error)
+            peer.close()
 
     async def ask(self, question: typing.Any, **_: typing.Any) -> typing.Any:
         # What is raised here would cross the link with its stack trace,
@@ -201,7 +208,7 @@
         except errors.CrowdeckError as error:
             reply = messages.Refused.of(error)
         except Exception as error:
-            counters.COUNTERS.add("link.internal_error")
+            _note_internal(error)
             reply = messages.Refused.of(_internal(error))
         return codec.REPLIES.encode(reply)
 
@@ -222,6 +229,14 @@
         peer.close()
 
 
+def _note_internal(error: Exception) -> None:
+    counters.COUNTERS.add("link.internal_error")
+    # Its text may hold a caller's words; its kind and place do not.
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
+    logs.change("internal_error", error=type(error).__name__, place=place)
+
+
 def _internal(error: Exception) -> errors.CrowdeckError:
     return errors.CrowdeckError(
         errors.Code.INTERNAL,
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -265,6 +265,30 @@
 
         virtual.run(check)
 
+    def test_other_team_cannot_replace_a_running_answer(self) -> None:
+        """A later epoch of the same request id, but from another team."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+                refused: list[errors.Code] = []
+
+                def intrude() -> None:
+                    head = _stage_of(system, 0)
+                    own = next(one for one in head.kept if one.is_running)
+                    foreign = attrs.evolve(own.opening, epoch=5, team="x")
+                    try:
+                        head.open(_NO_PEER, foreign)
+                    except errors.CrowdeckError as error:
+                        refused.append(error.code)
+
+                caller.at[5] = intrude
+                await system.answer(PROMPT, caller)
+                assert refused == [errors.Code.FORBIDDEN]
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
     def test_former_entry_is_told_when_it_lives(self) -> None:
         async def check() -> None:
             async with systems.System() as system:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,6 +18,7 @@
 
 from crowdeck import errors
 from crowdeck import instance as instances
+from crowdeck.observe import counters
 from crowdeck import pipeline
 from crowdeck.settings import config as configs
 from crowdeck import verdict as verdicts
@@ -112,7 +113,7 @@
 
     def __init__(self) -> None:
         self.records: list[messages.Record] = []
-        self.arrived = anyio.Event()
+        self.fault: Exception | None = None
         self.closed = anyio.Event()
 
     def on_opened(self, peer: link.Peer) -> None:
@@ -122,8 +123,9 @@
         self.closed.set()
 
     def on_record(self, peer: link.Peer, record: messages.Record) -> None:
+        if self.fault is not None:
+            raise self.fault
         self.records.append(record)
-        self.arrived.set()
 
     async def on_question(
         self, peer: link.Peer, question: messages.Question
@@ -195,6 +197,20 @@
 
         _with_link(check)
 
+    def test_fault_in_a_record_is_counted_and_closes_its_link(self) -> None:
+        async def check(
+            client: rpc.RpcTransport, address: instances.Address, far: _Echo
+        ) -> None:
+            before = counters.COUNTERS.get("link.internal_error")
+            far.fault = RuntimeError("secret detail")
+            peer = await client.dial(address)
+            peer.send(SAMPLES[1])
+            await far.closed.wait()
+            after = counters.COUNTERS.get("link.internal_error")
+            assert after == before + 1
+
+        _with_link(check)
+
     def test_foreign_cluster_is_refused(self) -> None:
         async def check(
             client: rpc.RpcTransport, address: instances.Address, far: _Echo
