One client for the store, speaking the platform's published protocol

Cause: the users' platform has a store of its own protocol, and the product's client spoke another one that only our stand-in understood; the claims ledger and the Protocol types stood in the adapter's folder.

Change: Protocol types and the claims ledger move to crowdeck.state; the one HTTP client and the stand-in's HTTP side speak the published protocol, whose names stand in crowdeck.platform.names. Objects can be listed, and watches tell what was removed and that history is lost (STORE_HISTORY).

Ruled out: a second client beside the first (two copies of each rule about lost replies).

--- a/examples/claim_a_key.py
+++ b/examples/claim_a_key.py
@@ -13,8 +13,8 @@
 import anyio
 
 import crowdeck
-from crowdeck.platform import claims
 from crowdeck.standin import store
+from crowdeck.state import claims
 from crowdeck import timers
 
 
--- a/src/crowdeck/__init__.py
+++ b/src/crowdeck/__init__.py
@@ -17,14 +17,14 @@
 from crowdeck.errors import Code
 from crowdeck.errors import CrowdeckError
 from crowdeck.pipeline import Path
-from crowdeck.platform.claims import Claim
-from crowdeck.platform.claims import ClaimsLedger
-from crowdeck.platform.store import ObjectStore
 from crowdeck.routing.rendezvous import rank
 from crowdeck.routing.retry import RetryBudget
 from crowdeck.settings.editor import SettingsEditor
 from crowdeck.settings.holder import SettingsHolder
 from crowdeck.sidecar.gate import Gate
+from crowdeck.state.claims import Claim
+from crowdeck.state.claims import ClaimsLedger
+from crowdeck.state.objects import ObjectStore
 from crowdeck.timers import TimerService
 from crowdeck.verdict import Verdict
 
--- a/src/crowdeck/cmd/operator.py
+++ b/src/crowdeck/cmd/operator.py
@@ -16,7 +16,7 @@
 from crowdeck import instance as instances
 from crowdeck.membership import directory as directories
 from crowdeck.membership import links as links_module
-from crowdeck.platform import http as platform_http
+from crowdeck.platform import store as platform_store
 from crowdeck.wire import link
 from crowdeck.wire import messages
 from crowdeck.wire import rpc
@@ -68,7 +68,7 @@
         self._timeout = timeout
         self._stack = contextlib.AsyncExitStack()
         self._client = http.HttpClient(platform_url)
-        self.store = platform_http.HttpStore(self._client)
+        self.store = platform_store.HttpStore(self._client)
         self._directory = directories.Directory(self.store)
         greeting = messages.Greeting(
             cluster=cluster,
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -26,7 +26,7 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.observe import traces
-from crowdeck.platform import http as platform_http
+from crowdeck.platform import store as platform_store
 from crowdeck.settings import config as configs
 from crowdeck.sidecar import sidecar as sidecars
 from crowdeck import timers
@@ -88,7 +88,7 @@
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
             tracer = self._open_tracer(stack)
-            platform = platform_http.HttpStore(
+            platform = platform_store.HttpStore(
                 self._open_client(stack, self._config.platform_url)
             )
             if self._config.role is instances.Role.ENTRY:
@@ -186,7 +186,7 @@
         self,
         stack: contextlib.AsyncExitStack,
         tasks: anyio.abc.TaskGroup,
-        platform: platform_http.HttpStore,
+        platform: platform_store.HttpStore,
         tracer: traces.Tracer,
     ) -> Running:
         directory = directories.Directory(platform)
@@ -225,7 +225,7 @@
         self,
         stack: contextlib.AsyncExitStack,
         tasks: anyio.abc.TaskGroup,
-        platform: platform_http.HttpStore,
+        platform: platform_store.HttpStore,
         tracer: traces.Tracer,
     ) -> Running:
         answers = answers_module.Answers()
--- a/src/crowdeck/entry/entry.py
+++ b/src/crowdeck/entry/entry.py
@@ -30,12 +30,12 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.observe import traces
-from crowdeck.platform import claims as claims_module
-from crowdeck.platform import store as stores
 from crowdeck.routing import planner as planners
 from crowdeck.routing import policies
 from crowdeck.routing import retry
 from crowdeck.settings import holder as settings_holder
+from crowdeck.state import claims as claims_module
+from crowdeck.state import objects as stores
 from crowdeck import timers
 from crowdeck.wire import link
 from crowdeck.wire import messages
--- a/src/crowdeck/entry/keys.py
+++ b/src/crowdeck/entry/keys.py
@@ -14,8 +14,8 @@
 
 from crowdeck.entry import drive as drives
 from crowdeck import pipeline
-from crowdeck.platform import claims as claims_module
 from crowdeck.routing import planner as planners
+from crowdeck.state import claims as claims_module
 
 
 @attrs.frozen
--- a/src/crowdeck/entry/service_calls.py
+++ b/src/crowdeck/entry/service_calls.py
@@ -20,8 +20,8 @@
 from crowdeck.membership import fleet as fleets
 from crowdeck.membership import links as links_module
 from crowdeck.observe import counters
-from crowdeck.platform import claims as claims_module
 from crowdeck.routing import retry
+from crowdeck.state import claims as claims_module
 from crowdeck import timers
 from crowdeck import verdict as verdicts
 from crowdeck.wire import link
--- a/src/crowdeck/membership/directory.py
+++ b/src/crowdeck/membership/directory.py
@@ -10,7 +10,7 @@
 from crowdeck import errors
 from crowdeck import instance as instances
 from crowdeck.observe import counters
-from crowdeck.platform import store as stores
+from crowdeck.state import objects as stores
 
 # Entries look this often. While nothing changed, the answer is empty; at
 # 390 entries that is 78 of the store's 2,000 reads a second. Sidecars look
--- /dev/null
+++ b/src/crowdeck/platform/names.py
@@ -0,0 +1,141 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Every name that the platform puts on the wire, spelled once.
+
+Some of these words mean different things in different messages; the
+comments say what each holds. The rest of the product uses the types of
+the decoding modules beside this one.
+"""
+
+# Headers, as ASGI and httpcore give them: lower case, latin-1.
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-request-deadline"  # milliseconds that the sender will wait
+SIGNATURE = b"x-response-signature"
+NOT_EXECUTED = b"x-not-executed"
+EXPECTED_INSTANCE = b"x-expected-instance"
+TEAM = b"x-tenant"
+HOPS = b"x-hop-count"  # the whole path, not a count
+CULPRIT = b"at-server"
+LOAD = b"x-server-load"
+PRIORITY = b"x-request-priority"
+TOKEN_COUNTS = b"x-token-counts"
+LENGTH_HINT = b"x-length-hint"
+LAST_EVENT_ID = b"last-event-id"
+RETRY_AFTER = b"retry-after"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = "token "
+
+# Calls.
+READINESS_PATH = "/api/readiness"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+OBJECTS_PATH = "/api/objects"
+
+# The store's objects and answers.
+METADATA = "metadata"
+NAME = "name"
+REVISION = "revision"
+SPECIFICATION = "specification"
+ITEMS = "items"
+MORE = "has_more"
+AFTER_NAME = "after_revision"  # a name to go on after, not a revision
+AT_REVISION = "timestamp"  # the store's revision, not a time
+EVENTS = "events"
+OBJECT = "object"
+REMOVED = "tombstone"
+WATCH = "watch"
+WAIT_MS = "wait_ms"
+STALE = "serializable"
+
+# Kinds of objects.
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+UPSTREAM_KIND = "servers"
+INSTANCE_KIND = "instances"
+
+# An engine's entry and report.
+SERVICE = "service"
+ADDRESS = "address"
+ZONE = "zone"
+SLOTS = "slots"
+STATE = "state"
+STATE_DRAINING = "draining"
+CARD = "route_kind"  # in an entry or a report: the accelerator's kind
+LAYERS = "layers"  # a range in entries and reports, a count in profiles
+FIRST_LAYER = "from"
+END_LAYER = "target_version"  # in a layer range: its exclusive end
+MODELS = "models"
+BUSY = "busy"
+ORDERS_TAKEN = "sequence_number"  # in a report; in an entry: heartbeats
+RUNNING = "running"
+WAITING = "waiting"
+CACHE_USED = "kv_cache_used"  # tokens times layers
+CACHE_TOTAL = "kv_cache_total"  # tokens times layers
+SLOWDOWN = "pace"  # in a report: over 1 while slow
+STALLED = "stalled"
+ID = "id"
+
+# Orders.
+OPERATION = "operation"
+PLACE = "place"
+REPATH = "repath"
+PATH = "path"
+METHOD = "method"
+METHOD_QUEUE = "queue"
+EXPECTED_ORDERS = "expected_revision"
+FENCING_TOKEN = "fencing_token"  # noqa: S105
+
+# The operator's config.
+VERSION = "version"
+ROUTES = "routes"
+SERVICES = "services"
+LIMITS = "limits"
+TEAMS = "tenants"
+API_KEYS = "api_keys"
+HOST = "host"
+PREFIX = "path_prefix"
+ROUTE_KIND = "route_kind"  # in a route: what may be repeated
+KIND_IDEMPOTENT = "idempotent"
+KIND_STREAMING = "streaming"
+TIMEOUT_MS = "timeout_ms"
+OBJECTIVE_MS = "target_latency_ms"
+GAP_MS = "target_gap_ms"
+MAX_ATTEMPTS = "max_attempts"
+RANK = "priority"
+ANONYMOUS = "allow_anonymous"
+RESUMABLE = "stream_resumption"
+SPLIT = "traffic_split"
+WEIGHT = "weight"
+HEADER_BYTES = "max_header_bytes"
+BODY_BYTES = "max_body_bytes"
+HEADER_MS = "header_timeout_ms"
+IDLE_MS = "idle_timeout_ms"
+CONNECTIONS = "connection_limit"
+
+# A service's engine profile.
+ENGINE = "engine"
+STEP_MS = "step_ms"
+SEQUENCE_MS = "per_seq_ms"
+CONTEXT_MS = "context_per_k"
+READ_RATE = "read_per_s"
+PAIRS_MS = "pairs_per_m"
+CHUNK = "chunk"
+LAYER_MB = "layer_mb"
+CARDS = "kinds"
+CARD_MB = "size_mb"
+CARD_STEP = "pace"  # in a card: factor on steps
+CARD_READ = "read_factor"
+TOKEN_BYTES = "kv_token_bytes"  # noqa: S105
+ACTIVATION_BYTES = "activation_bytes"
+PIPE_MBPS = "pipeline_mbps"
+LOAD_SECONDS = "load_time_s"
+LOADS_AT_ONCE = "loads_at_once"
+USUAL = "usual"
+USUAL_PROMPT = "prompt"
+USUAL_ANSWER = "answer"
+DELAYS = "delays"
+DELAY_TO = "target_version"  # in a delay: the other zone
+DELAY_MS = "delay_ms"
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -3,78 +3,223 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""The platform's object API and instance list, as the system sees them."""
+"""The platform's store, met over HTTP: objects, watches, instances."""
 
 import typing
+import urllib.parse
 
-import attrs
+import orjson
 
+from crowdeck import errors
+from crowdeck import http
 from crowdeck import instance as instances
+from crowdeck.platform import names
+from crowdeck.state import objects as stores
+from crowdeck import upstream
+from crowdeck import verdict as verdicts
 
-CREATE = 0
+# The store answers in 4 ms, or 240 ms when it is sixty times slower; a
+# call without an answer after this long has met an outage.
+REQUEST_TIMEOUT = 1.0
+# A watch that is answered at its end still has to travel.
+WATCH_SLACK = 1.0
+PAGE_LIMIT = 1_000
 
+_NOT_RUN = verdicts.Verdict.NOT_RUN
+_MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+_JSON_TYPE = (b"content-type", b"application/json")
 
-@attrs.frozen
-class StoredObject:
-    """One object; ``version`` grows with each write and is never 0."""
+Json = dict[str, typing.Any]
+Query = dict[str, str | int]
 
-    kind: str
-    name: str
-    version: int
-    value: bytes
 
+class HttpStore:
+    """Implements ``ObjectStore`` and ``InstanceList``."""
 
-@attrs.frozen
-class Changes:
-    """What a watch saw: objects written after a version, and the latest."""
+    def __init__(self, client: http.HttpClient) -> None:
+        self._client = client
 
-    version: int
-    objects: tuple[StoredObject, ...]
-
-
-class ObjectStore(typing.Protocol):
-    """Objects with versions, conditional updates and watches.
-
-    Every method raises ``CrowdeckError`` with ``STORE_DOWN`` when the
-    store cannot be reached; a write whose reply is lost raises
-    ``STORE_UNSURE`` instead, and must be read back.
-    """
-
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or ``None`` where there is none."""
-        ...
+    async def get(self, kind: str, name: str) -> stores.StoredObject | None:
+        """Return an object."""
+        response = await self._read(_path(kind, name))
+        if response.status == 404:
+            return None
+        return _stored(kind, _parsed(response))
 
     async def put(
         self, kind: str, name: str, value: bytes, expected: int
     ) -> int:
-        """Write an object if its version is ``expected``.
-
-        :param expected: the version read before, or ``CREATE``.
-        :return: the new version.
-        :raises CrowdeckError: ``STORE_CONFLICT`` when another wrote first.
-        """
-        ...
-
-    async def watch(self, kind: str, after: int, wait: float) -> Changes:
-        """Return what was written after a version, waiting for it."""
-        ...
-
-
-@attrs.frozen
-class Listing:
-    """The instance list, and a mark that changes whenever it does."""
-
-    mark: str
-    instances: tuple[instances.Instance, ...]
-
-
-class InstanceList(typing.Protocol):
-    """The platform's list of instances, which lags."""
-
-    async def list_instances(self, known: str = "") -> Listing | None:
-        """Return live and leaving instances.
-
-        :param known: mark of the listing that the caller has.
-        :return: ``None`` when that listing is still the latest.
-        """
-        ...
+        """Write an object if its version is the expected one."""
+        metadata: Json = {names.NAME: name}
+        if expected == stores.CREATE:
+            method, path = "POST", _path(kind)
+        else:
+            method, path = "PUT", _path(kind, name)
+            metadata[names.REVISION] = expected
+        body = {
+            names.METADATA: metadata,
+            names.SPECIFICATION: orjson.loads(value),
+        }
+        response = await self._write(method, path, orjson.dumps(body))
+        if response.status in (404, 409):
+            raise errors.CrowdeckError(
+                errors.Code.STORE_CONFLICT,
+                f"{kind}/{name} was written by another",
+            )
+        return _stored(kind, _parsed_write(response)).version
+
+    async def watch(
+        self, kind: str, after: int, wait: float
+    ) -> stores.Changes:
+        """Return what changed after a version."""
+        query: Query = {names.WATCH: after, names.WAIT_MS: int(wait * 1000)}
+        response = await self._read(
+            _path(kind, query=query), wait + WATCH_SLACK
+        )
+        if response.status == 410:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_HISTORY,
+                f"the store has forgotten what happened after {after}",
+            )
+        body = _parsed(response)
+        return _changes(kind, body, body.get(names.EVENTS) or [])
+
+    async def list(self, kind: str) -> stores.Changes:
+        """Return every object of a kind, page by page."""
+        found: list[stores.StoredObject] = []
+        query: Query = {}
+        version: int | None = None
+        for _ in range(PAGE_LIMIT):
+            body = _parsed(await self._read(_path(kind, query=query)))
+            found += [_stored(kind, one) for one in body[names.ITEMS]]
+            if version is None:
+                # Objects of later pages may be newer than this, never
+                # older: a watch from here repeats some, and misses none.
+                version = int(body[names.AT_REVISION])
+            if not body.get(names.MORE) or not found:
+                break
+            query = {names.AFTER_NAME: found[-1].name}
+        return stores.Changes(version or 0, tuple(found))
+
+    async def list_instances(self, known: str = "") -> stores.Listing | None:
+        """Return the listed instances, unless nothing changed."""
+        changes = await self.list(names.INSTANCE_KIND)
+        # Not the store's version: that rises with every other write too.
+        mark = str(max((one.version for one in changes.objects), default=0))
+        mark = f"{len(changes.objects)}-{mark}"
+        if mark == known:
+            return None
+        try:
+            listed = tuple(_instance(one) for one in changes.objects)
+        except (KeyError, TypeError, ValueError) as error:
+            raise _down("the instance list is malformed") from error
+        return stores.Listing(mark, listed)
+
+    async def _read(
+        self, path: str, timeout: float = REQUEST_TIMEOUT
+    ) -> upstream.ServiceResponse:
+        try:
+            response = await self._client.send("GET", path, [], b"", timeout)
+        except errors.CrowdeckError as error:
+            raise _down(error.message) from None
+        if response.status not in (200, 404, 410):
+            raise _down(f"the store answered {response.status}")
+        return response
+
+    async def _write(
+        self, method: str, path: str, body: bytes
+    ) -> upstream.ServiceResponse:
+        try:
+            response = await self._client.send(
+                method, path, [_JSON_TYPE], body, REQUEST_TIMEOUT
+            )
+        except errors.CrowdeckError as error:
+            raise _write_lost(error.verdict) from None
+        if response.status in (429, 503):
+            raise _write_lost(_NOT_RUN)
+        if response.status not in (200, 201, 404, 409):
+            raise _write_lost(_MAY_HAVE_RUN)
+        return response
+
+
+def _path(kind: str, name: str = "", query: Query | None = None) -> str:
+    path = f"{names.OBJECTS_PATH}/{kind}"
+    if name:
+        path += "/" + urllib.parse.quote(name, safe="")
+    if query:
+        path += "?" + urllib.parse.urlencode(query)
+    return path
+
+
+def _stored(kind: str, body: Json) -> stores.StoredObject:
+    try:
+        metadata = body[names.METADATA]
+        return stores.StoredObject(
+            kind,
+            str(metadata[names.NAME]),
+            int(metadata[names.REVISION]),
+            orjson.dumps(body.get(names.SPECIFICATION)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise _down("an object of the store is malformed") from error
+
+
+def _changes(kind: str, body: Json, events: list[Json]) -> stores.Changes:
+    """Return what the events come to: each object's last state."""
+    written: dict[str, stores.StoredObject] = {}
+    removed: dict[str, None] = {}
+    for event in events:
+        one = _stored(kind, event[names.OBJECT])
+        written.pop(one.name, None)
+        removed.pop(one.name, None)
+        if event.get(names.REMOVED):
+            removed[one.name] = None
+        else:
+            written[one.name] = one
+    return stores.Changes(
+        int(body[names.AT_REVISION]), tuple(written.values()), tuple(removed)
+    )
+
+
+def _instance(stored: stores.StoredObject) -> instances.Instance:
+    body = orjson.loads(stored.value)
+    return instances.Instance(
+        name=stored.name,
+        role=instances.Role(body["role"]),
+        availability_zone=body["availability_zone"],
+        address=instances.Address(**body["address"]),
+        is_leaving=body["is_leaving"],
+    )
+
+
+def _parsed(response: upstream.ServiceResponse) -> Json:
+    try:
+        body = orjson.loads(response.body)
+    except orjson.JSONDecodeError as error:
+        raise _down("the store's answer is malformed") from error
+    if not isinstance(body, dict):
+        raise _down("the store's answer is malformed")
+    return body
+
+
+def _parsed_write(response: upstream.ServiceResponse) -> Json:
+    try:
+        return _parsed(response)
+    except errors.CrowdeckError:
+        raise _write_lost(_MAY_HAVE_RUN) from None
+
+
+def _down(message: str) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.STORE_DOWN, message, retry_after=1.0
+    )
+
+
+def _write_lost(verdict: verdicts.Verdict) -> errors.CrowdeckError:
+    if verdict is _NOT_RUN:
+        return _down("the store could not be reached")
+    return errors.CrowdeckError(
+        errors.Code.STORE_UNSURE,
+        "the store's reply to a write was lost",
+        verdict=verdict,
+    )
--- a/src/crowdeck/settings/editor.py
+++ b/src/crowdeck/settings/editor.py
@@ -12,9 +12,9 @@
 import orjson
 
 from crowdeck import errors
-from crowdeck.platform import store as stores
 from crowdeck.settings import holder
 from crowdeck.settings import tree as trees
+from crowdeck.state import objects as stores
 
 HISTORY_KIND = "settings-history"
 
--- a/src/crowdeck/settings/holder.py
+++ b/src/crowdeck/settings/holder.py
@@ -11,8 +11,8 @@
 from crowdeck import errors
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import store as stores
 from crowdeck.settings import tree as trees
+from crowdeck.state import objects as stores
 
 KIND = "settings"
 NAME = "tree"
--- a/src/crowdeck/standin/store.py
+++ b/src/crowdeck/standin/store.py
@@ -11,7 +11,7 @@
 
 from crowdeck import errors
 from crowdeck import instance as instances
-from crowdeck.platform import store as stores
+from crowdeck.state import objects as stores
 from crowdeck import verdict as verdicts
 
 DEFAULT_DELAY = 0.002
@@ -28,6 +28,8 @@
     def __init__(self, delay: float = DEFAULT_DELAY) -> None:
         self._objects: dict[tuple[str, str], stores.StoredObject] = {}
         self._instances: dict[str, instances.Instance] = {}
+        self._removals: list[tuple[int, str, str]] = []
+        self._forgotten = 0
         self._version = 0
         self._list_version = 0
         self._changed = anyio.Event()
@@ -53,12 +55,7 @@
                 errors.Code.STORE_CONFLICT,
                 f"{kind}/{name} is at version {version}, not {expected}",
             )
-        self._version += 1
-        self._objects[kind, name] = stores.StoredObject(
-            kind, name, self._version, value
-        )
-        self._changed.set()
-        self._changed = anyio.Event()
+        version = self.write(kind, name, value)
         if self.lost_replies:
             self.lost_replies -= 1
             raise errors.CrowdeckError(
@@ -66,19 +63,31 @@
                 "the store's reply was lost",
                 verdict=verdicts.Verdict.MAY_HAVE_RUN,
             )
-        return self._version
+        return version
 
     async def watch(
         self, kind: str, after: int, wait: float
     ) -> stores.Changes:
         """Return what was written after a version."""
         await self._travel("watch")
+        if after < self._forgotten:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_HISTORY, "the history is gone"
+            )
         with anyio.move_on_after(wait):
-            while not self._written(kind, after):
+            while not self._has_changed(kind, after):
                 await self._changed.wait()
                 self._raise_if_down()
-        found = self._written(kind, after)
-        return stores.Changes(self._version, found)
+        return stores.Changes(
+            self._version,
+            self._written(kind, after),
+            self._removed(kind, after),
+        )
+
+    async def list(self, kind: str) -> stores.Changes:
+        """Return every object of a kind."""
+        await self._travel("list")
+        return stores.Changes(self._version, self._written(kind, 0))
 
     async def list_instances(self, known: str = "") -> stores.Listing | None:
         """Return the listed instances, unless nothing changed."""
@@ -102,6 +111,44 @@
         self._instances.pop(name, None)
         self._list_version += 1
 
+    def write(self, kind: str, name: str, value: bytes) -> int:
+        """Write an object as the operator or an upstream does."""
+        self._version += 1
+        self._objects[kind, name] = stores.StoredObject(
+            kind, name, self._version, value
+        )
+        self._tell()
+        return self._version
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object, if it is there."""
+        if self._objects.pop((kind, name), None) is None:
+            return
+        self._version += 1
+        self._removals.append((self._version, kind, name))
+        self._tell()
+
+    def forget_history(self) -> None:
+        """Drop what watches go on from; listings stay possible."""
+        self._forgotten = self._version
+        self._removals.clear()
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _has_changed(self, kind: str, after: int) -> bool:
+        return bool(self._written(kind, after) or self._removed(kind, after))
+
+    def _removed(self, kind: str, after: int) -> tuple[str, ...]:
+        return tuple(
+            name
+            for version, its_kind, name in self._removals
+            if its_kind == kind
+            and version > after
+            and (kind, name) not in self._objects
+        )
+
     def _written(
         self, kind: str, after: int
     ) -> tuple[stores.StoredObject, ...]:
--- a/src/crowdeck/standin/store_http.py
+++ b/src/crowdeck/standin/store_http.py
@@ -5,7 +5,6 @@
 
 """The store stand-in's HTTP side, as ``docs/STORE.md`` describes it."""
 
-import base64
 import typing
 
 import attrs
@@ -17,35 +16,43 @@
 
 from crowdeck import errors
 from crowdeck import instance as instances
-from crowdeck.platform import store as stores
+from crowdeck.platform import names
 from crowdeck.standin import store as standin_store
+from crowdeck.state import objects as stores
 
 STATUS = {
-    errors.Code.STORE_CONFLICT: 412,
+    errors.Code.STORE_CONFLICT: 409,
     errors.Code.STORE_DOWN: 503,
+    errors.Code.STORE_HISTORY: 410,
     errors.Code.STORE_UNSURE: 504,
 }
 
+Json = dict[str, typing.Any]
+
 
 class StoreApp:
-    """Serves one stand-in store over HTTP."""
+    """Serves one stand-in store over HTTP.
+
+    ``/instances`` is no part of the protocol: benches tell the stand-in
+    there which instances it is to list.
+    """
 
     def __init__(self, store: standin_store.StandinStore) -> None:
         self._store = store
 
     def build(self) -> applications.Starlette:
         """Return the ASGI application."""
-        name_path = "/objects/{kind}/{name}"
+        kind_path = names.OBJECTS_PATH + "/{kind}"
+        name_path = kind_path + "/{name}"
+        listed_path = "/instances/{name}"
         return applications.Starlette(
             routes=[
                 routing.Route(name_path, self._get, methods=["GET"]),
                 routing.Route(name_path, self._put, methods=["PUT"]),
-                routing.Route("/objects/{kind}", self._watch),
-                routing.Route("/instances", self._list),
-                routing.Route("/instances/{name}", self._add, methods=["PUT"]),
-                routing.Route(
-                    "/instances/{name}", self._remove, methods=["DELETE"]
-                ),
+                routing.Route(kind_path, self._read_kind, methods=["GET"]),
+                routing.Route(kind_path, self._create, methods=["POST"]),
+                routing.Route(listed_path, self._add, methods=["PUT"]),
+                routing.Route(listed_path, self._remove, methods=["DELETE"]),
             ],
             exception_handlers={errors.CrowdeckError: _refuse},
         )
@@ -56,49 +63,62 @@
         )
         if found is None:
             return responses.Response(status_code=404)
-        return responses.Response(
-            found.value, headers={"etag": f'"{found.version}"'}
-        )
+        return _json(_object(found))
 
     async def _put(self, request: requests.Request) -> responses.Response:
-        expected = request.headers.get("if-match", "").strip('"')
-        version = await self._store.put(
-            request.path_params["kind"],
-            request.path_params["name"],
-            await request.body(),
-            int(expected) if expected else stores.CREATE,
+        body = orjson.loads(await request.body())
+        expected = int(body[names.METADATA][names.REVISION])
+        return await self._store_body(
+            request, request.path_params["name"], body, expected
         )
-        return responses.Response(headers={"etag": f'"{version}"'})
 
-    async def _watch(self, request: requests.Request) -> responses.Response:
-        changes = await self._store.watch(
-            request.path_params["kind"],
-            int(request.query_params.get("after", "0")),
-            float(request.query_params.get("wait", "0")),
-        )
-        return _json(
-            {
-                "version": changes.version,
-                "objects": [
-                    {
-                        "name": one.name,
-                        "version": one.version,
-                        "value": base64.b64encode(one.value).decode(),
-                    }
-                    for one in changes.objects
-                ],
-            }
+    async def _create(self, request: requests.Request) -> responses.Response:
+        body = orjson.loads(await request.body())
+        name = str(body[names.METADATA][names.NAME])
+        return await self._store_body(request, name, body, stores.CREATE)
+
+    async def _store_body(
+        self, request: requests.Request, name: str, body: Json, expected: int
+    ) -> responses.Response:
+        kind = request.path_params["kind"]
+        value = orjson.dumps(body[names.SPECIFICATION])
+        version = await self._store.put(kind, name, value, expected)
+        stored = stores.StoredObject(kind, name, version, value)
+        return _json(_object(stored))
+
+    async def _read_kind(
+        self, request: requests.Request
+    ) -> responses.Response:
+        kind = request.path_params["kind"]
+        query = request.query_params
+        if names.WATCH in query:
+            wait = int(query.get(names.WAIT_MS, "0")) / 1000.0
+            after = int(query[names.WATCH])
+            changes = await self._store.watch(kind, after, wait)
+            return _json(_events(changes))
+        if kind == names.INSTANCE_KIND:
+            changes = await self._list_instances()
+        else:
+            changes = await self._store.list(kind)
+        return _json(_listing(changes))
+
+    async def _list_instances(self) -> stores.Changes:
+        listing = await self._store.list_instances()
+        assert listing is not None, "no known mark was given"
+        mark = int(listing.mark)
+        return stores.Changes(
+            mark,
+            tuple(
+                stores.StoredObject(
+                    names.INSTANCE_KIND,
+                    one.name,
+                    mark,
+                    orjson.dumps(attrs.asdict(one)),
+                )
+                for one in listing.instances
+            ),
         )
 
-    async def _list(self, request: requests.Request) -> responses.Response:
-        known = request.headers.get("if-none-match", "").strip('"')
-        listing = await self._store.list_instances(known)
-        if listing is None:
-            return responses.Response(status_code=304)
-        response = _json([attrs.asdict(one) for one in listing.instances])
-        response.headers["etag"] = f'"{listing.mark}"'
-        return response
-
     async def _add(self, request: requests.Request) -> responses.Response:
         body = orjson.loads(await request.body())
         self._store.add_instance(
@@ -117,7 +137,36 @@
         return responses.Response(status_code=204)
 
 
-def _json(body: typing.Any) -> responses.Response:
+def _object(stored: stores.StoredObject) -> Json:
+    return {
+        names.METADATA: {
+            names.NAME: stored.name,
+            names.REVISION: stored.version,
+        },
+        names.SPECIFICATION: orjson.loads(stored.value),
+    }
+
+
+def _listing(changes: stores.Changes) -> Json:
+    return {
+        names.ITEMS: [_object(one) for one in changes.objects],
+        names.MORE: False,
+        names.AT_REVISION: changes.version,
+    }
+
+
+def _events(changes: stores.Changes) -> Json:
+    events = [
+        {names.REMOVED: False, names.OBJECT: _object(one)}
+        for one in changes.objects
+    ]
+    for name in changes.removed:
+        gone = stores.StoredObject("", name, changes.version, b"null")
+        events.append({names.REMOVED: True, names.OBJECT: _object(gone)})
+    return {names.EVENTS: events, names.AT_REVISION: changes.version}
+
+
+def _json(body: Json) -> responses.Response:
     return responses.Response(
         orjson.dumps(body), media_type="application/json"
     )
--- a/src/crowdeck/platform/claims.py
+++ b/src/crowdeck/state/claims.py
@@ -23,7 +23,7 @@
 
 from crowdeck import errors
 from crowdeck.observe import counters
-from crowdeck.platform import store as stores
+from crowdeck.state import objects as stores
 from crowdeck import timers
 
 KIND = "claims"
--- /dev/null
+++ b/src/crowdeck/state/objects.py
@@ -0,0 +1,99 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The platform's object store and instance list, as the system sees them."""
+
+import typing
+
+import attrs
+
+from crowdeck import instance as instances
+
+CREATE = 0
+
+
+@attrs.frozen
+class StoredObject:
+    """One object; ``version`` grows with each write and is never 0.
+
+    ``value`` is a JSON text: the store keeps structured values and may
+    hand back other white space than it was given.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+@attrs.frozen
+class Changes:
+    """What a listing or a watch saw.
+
+    :ivar version: the store's latest version, from which to watch on.
+    :ivar objects: objects written, in order of their versions.
+    :ivar removed: names of objects that are gone.
+    """
+
+    version: int
+    objects: tuple[StoredObject, ...]
+    removed: tuple[str, ...] = ()
+
+
+class ObjectStore(typing.Protocol):
+    """Objects with versions, conditional updates and watches.
+
+    Every method raises ``CrowdeckError`` with ``STORE_DOWN`` when the
+    store cannot be reached; a write whose reply is lost raises
+    ``STORE_UNSURE`` instead, and must be read back.
+    """
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or ``None`` where there is none."""
+        ...
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: int
+    ) -> int:
+        """Write an object if its version is ``expected``.
+
+        :param expected: the version read before, or ``CREATE``.
+        :return: the new version.
+        :raises CrowdeckError: ``STORE_CONFLICT`` when another wrote first.
+        """
+        ...
+
+    async def watch(self, kind: str, after: int, wait: float) -> Changes:
+        """Return what changed after a version, waiting for it.
+
+        :param wait: seconds to wait at most; nothing changed is no error.
+        :raises CrowdeckError: ``STORE_HISTORY`` when the store no longer
+            knows what changed; list the kind again.
+        """
+        ...
+
+    async def list(self, kind: str) -> Changes:
+        """Return every object of a kind."""
+        ...
+
+
+@attrs.frozen
+class Listing:
+    """The instance list, and a mark that changes whenever it does."""
+
+    mark: str
+    instances: tuple[instances.Instance, ...]
+
+
+class InstanceList(typing.Protocol):
+    """The platform's list of instances, which lags."""
+
+    async def list_instances(self, known: str = "") -> Listing | None:
+        """Return live and leaving instances.
+
+        :param known: mark of the listing that the caller has.
+        :return: ``None`` when that listing is still the latest.
+        """
+        ...
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,8 +12,8 @@
 import pytest
 
 from crowdeck import errors
-from crowdeck.platform import claims
 from crowdeck.standin import store as stores
+from crowdeck.state import claims
 from crowdeck import timers
 from tests import virtual
 
