--- /dev/null
+++ b/deploy/crowdeckd.py
@@ -0,0 +1,15 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Runs ``crowdeckd`` from a checkout, without installing it."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
+
+from crowdeck.cmd import daemon  # noqa: E402
+
+sys.exit(daemon.main())
--- /dev/null
+++ b/src/crowdeck/chain.py
@@ -0,0 +1,164 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Engines that pass a request's activations on along a path themselves.
+
+Such engines need no sidecar between the stages: whoever sends a request
+names the whole path, and the last engine returns each token to the first.
+"""
+
+import attrs
+
+from crowdeck import instance as instances
+from crowdeck import pipeline
+
+
+@attrs.frozen
+class Card:
+    """A kind of accelerator.
+
+    :ivar memory_mb: what layers and requests share.
+    :ivar step_factor: how many times the profile's step time it takes.
+    :ivar read_factor: the same for reading a prompt.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@attrs.frozen
+class EngineProfile:
+    """How the engines of one model behave, all layers together.
+
+    :ivar layer_count: layers of the model.
+    :ivar layer_mb: memory of one layer's weights.
+    :ivar token_bytes: memory of one token's KV cache, over all layers.
+    :ivar step_ms: one step of a batch.
+    :ivar sequence_ms: added to a step by each sequence in the batch.
+    :ivar context_ms: added to a step by 1,000 tokens of context.
+    :ivar read_tokens_per_second: prompt tokens read in a second.
+    :ivar activation_bytes: what one token hands on from stage to stage.
+    :ivar pipe_bytes_per_second: what all share between two zones.
+    :ivar load_seconds: loading all layers onto one engine.
+    :ivar loads_at_once: beyond this many, loads slow one another down.
+    :ivar slots: requests at once for which an engine is the first.
+    :ivar usual_prompt: mean prompt in tokens.
+    :ivar usual_answer: mean answer in tokens.
+    """
+
+    layer_count: int
+    layer_mb: float
+    token_bytes: float
+    step_ms: float
+    sequence_ms: float
+    context_ms: float
+    read_tokens_per_second: float
+    activation_bytes: float
+    pipe_bytes_per_second: float
+    load_seconds: float
+    loads_at_once: int
+    slots: int
+    usual_prompt: float
+    usual_answer: float
+    cards: dict[str, Card]
+
+    @property
+    def token_layer_mb(self) -> float:
+        """Memory of one token's KV cache in one layer, in MB."""
+        return self.token_bytes / self.layer_count / 1e6
+
+    def room(self, card: str, layers: int) -> float:
+        """Return how many tokens fit beside ``layers`` layers of weights.
+
+        An unknown card is taken for one without limit: its engine says
+        itself when it is full.
+        """
+        known = self.cards.get(card)
+        if known is None or not layers:
+            return float("inf")
+        free = known.memory_mb - layers * self.layer_mb
+        return free / (self.token_layer_mb * layers)
+
+
+@attrs.frozen
+class Upstream:
+    """One upstream instance, as the platform lists it.
+
+    :ivar name: unique to one run of the instance, never used again.
+    :ivar card: kind of its accelerator, empty for plain services.
+    :ivar layers: the layers it holds, or ``None``.
+    :ivar is_leaving: whether it says that it will end soon.
+    """
+
+    name: str
+    service: str
+    address: instances.Address
+    availability_zone: str
+    slots: int
+    is_leaving: bool
+    card: str = ""
+    layers: pipeline.LayerRange | None = None
+
+
+@attrs.frozen
+class Hop:
+    """One engine's part of a path."""
+
+    upstream: Upstream
+    layers: pipeline.LayerRange
+
+    def __str__(self) -> str:
+        return f"{self.upstream.address}={self.layers.first}-{self.layers.end}"
+
+
+@attrs.frozen
+class ChainPath:
+    """The engines that a request passes, first to last."""
+
+    hops: tuple[Hop, ...]
+
+    @property
+    def head(self) -> Upstream:
+        """The engine that takes the request and returns the answer."""
+        return self.hops[0].upstream
+
+    def passes(self, name: str) -> bool:
+        """Whether an upstream instance is on the path."""
+        return any(hop.upstream.name == name for hop in self.hops)
+
+    def __str__(self) -> str:
+        return ",".join(str(hop) for hop in self.hops)
+
+
+@attrs.frozen
+class Stall:
+    """A request that waits for an engine which does not answer."""
+
+    request: str
+    address: str
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine says of itself.
+
+    :ivar orders_taken: counts orders since the engine started.
+    :ivar is_busy: whether an order is being carried out.
+    :ivar cache_used: tokens times layers that cannot give way.
+    :ivar cache_total: tokens times layers that there is room for.
+    :ivar slowdown: over 1 while the engine is slower than its card.
+    """
+
+    orders_taken: int
+    is_busy: bool
+    layers: pipeline.LayerRange | None
+    running: int
+    waiting: int
+    cache_used: float
+    cache_total: float
+    slowdown: float
+    stalls: tuple[Stall, ...]
--- /dev/null
+++ b/src/crowdeck/cmd/checks.py
@@ -0,0 +1,33 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Checks of a configuration and of all files that it names."""
+
+import pathlib
+import ssl
+
+from crowdeck import errors
+from crowdeck.settings import config as configs
+
+
+def check(path: pathlib.Path) -> configs.Config:
+    """Load a configuration and all files that it names.
+
+    :raises ConfigError: in one line.
+    """
+    config = configs.load(path)
+    config.tls.load()
+    certificate = str(config.entry["tls_certificate"])
+    if certificate:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        try:
+            context.load_cert_chain(
+                certificate, str(config.entry["tls_key"]) or None
+            )
+        except (OSError, ssl.SSLError) as error:
+            raise errors.ConfigError(
+                f"{path}: [entry] tls_certificate: {error}"
+            ) from None
+    return config
--- a/src/crowdeck/cmd/commands.py
+++ b/src/crowdeck/cmd/commands.py
@@ -12,8 +12,8 @@
 import anyio
 import attrs
 
+from crowdeck.cmd import checks
 from crowdeck.cmd import operator as operators
-from crowdeck.cmd import process as processes
 from crowdeck import errors
 from crowdeck.settings import config as configs
 from crowdeck.settings import editor as editors
@@ -253,7 +253,7 @@
     """Check a daemon's configuration, or a settings tree, by its looks."""
     text = _read(path)
     if f"[{configs.DAEMON}]" in text:
-        processes.check(path)
+        checks.check(path)
         kind = "configuration"
     else:
         trees.parse(text, 1)
--- a/src/crowdeck/cmd/daemon.py
+++ b/src/crowdeck/cmd/daemon.py
@@ -9,12 +9,13 @@
 import pathlib
 import signal
 import sys
+import typing
 
 import anyio
 import anyio.abc
-import capnp
 
-from crowdeck.cmd import process as processes
+from crowdeck.cmd import checks
+from crowdeck.cmd import fleet_process
 from crowdeck import errors
 from crowdeck.observe import logs
 from crowdeck.settings import config as configs
@@ -33,11 +34,32 @@
 """
 
 
+class Stoppable(typing.Protocol):
+    """A process of either kind."""
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has begun to serve."""
+        ...
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        ...
+
+    def reconfigure(self, config: configs.Config) -> None:
+        """Take a configuration that was read again."""
+        ...
+
+    async def stop(self, hurry: bool = False) -> None:
+        """Stop as planned."""
+        ...
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon; returns its exit code."""
     options = _parser().parse_args(arguments)
     try:
-        config = processes.check(options.config)
+        config = checks.check(options.config)
     except errors.ConfigError as error:
         print(f"{error.code}: {error.message}", file=sys.stderr)
         return EXIT_CONFIG
@@ -66,8 +88,23 @@
 
 
 async def _serve(config: configs.Config, path: pathlib.Path) -> None:
-    async with capnp.kj_loop(), anyio.create_task_group() as tasks:
-        process = processes.Process(config)
+    if config.is_fleet:
+        await _run(fleet_process.FleetProcess(config), config, path)
+        return
+    # Only where sidecars chain the stages: Cap'n Proto takes memory that
+    # a process without links of its own would waste.
+    import capnp
+
+    from crowdeck.cmd import process as processes
+
+    async with capnp.kj_loop():
+        await _run(processes.Process(config), config, path)
+
+
+async def _run(
+    process: Stoppable, config: configs.Config, path: pathlib.Path
+) -> None:
+    async with anyio.create_task_group() as tasks:
         await tasks.start(_handle_signals, process, path, tasks.cancel_scope)
         logs.change("starting", instance=config.name)
         await process.run()
@@ -75,7 +112,7 @@
 
 
 async def _handle_signals(
-    process: processes.Process,
+    process: Stoppable,
     path: pathlib.Path,
     whole: anyio.CancelScope,
     *,
@@ -99,11 +136,11 @@
                 has_begun = True
 
 
-def _reread(process: processes.Process, path: pathlib.Path) -> None:
+def _reread(process: Stoppable, path: pathlib.Path) -> None:
     if not process.is_running:
         return
     try:
-        config = processes.check(path)
+        config = checks.check(path)
     except errors.ConfigError as error:
         logs.change("config_refused", reason=error.message)
         return
--- /dev/null
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -0,0 +1,269 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Builds and runs an entry in front of engines that chain themselves."""
+
+import contextlib
+import os
+import secrets
+
+import anyio
+import anyio.abc
+
+from crowdeck.cmd import http_server
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import roster as rosters
+from crowdeck.membership import upstreams as books
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.placement import duty as duties
+from crowdeck.platform import config as platform_config
+from crowdeck.platform import engines
+from crowdeck.platform import names
+from crowdeck.platform import orders as platform_orders
+from crowdeck.platform import store as platform_store
+from crowdeck.platform import upstreams as platform_upstreams
+from crowdeck.relay import context as contexts
+from crowdeck.relay import ingress
+from crowdeck.relay import relay as relays
+from crowdeck.relay import stalls
+from crowdeck.relay import status as statuses
+from crowdeck.routing import hops
+from crowdeck.routing import usage as usages
+from crowdeck.settings import config as configs
+from crowdeck.state import leases
+from crowdeck.state import mirror as mirrors
+
+PLACEMENT = "placement"
+# One connection for each request under way, and those of reports and
+# orders; the descriptors of an entry allow four times as many.
+UPSTREAM_CONNECTIONS = 1_000
+# The config's watch is renewed this often, which proves it current: a
+# third of the shortest time in which a removed key has to stop working,
+# so that one lost answer does not stop the service.
+CONFIG_WAIT_SHARE = 0.3
+# A key works on for so much of the time allowed after the last proof.
+# The rest is for a watch that is silent for up to a second before its
+# history is lost, and for requests already sent.
+TRUST_SHARE = 0.7
+# An instance that leaves may get work for two seconds after its entry
+# says so; a tenth of that is spent on letting changes gather.
+UPSTREAM_WAIT = 10.0
+UPSTREAM_LINGER = 0.2
+CONFIG_LINGER = 0.1
+# Shorter than the store's history, or each watch would end with a listing.
+ROSTER_WAIT = 10.0
+ROSTER_LINGER = 1.0
+# Balancers ask once a second and take an instance out after two answers
+# that do not welcome them; until then new connections still come.
+UNREADY_SECONDS = 2.3
+# What is left of the grace after the last answers were ended.
+STOP_MARGIN = 0.6
+IDLE_SECONDS = 15
+
+
+class FleetProcess:
+    """One entry, from its configuration to its end."""
+
+    def __init__(self, config: configs.Config) -> None:
+        self._config = config
+        self._relay: relays.Relay | None = None
+        self._server: http_server.QuietServer | None = None
+        self._stopped = anyio.Event()
+        self._is_stopping = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has begun to serve."""
+        return self._server is not None
+
+    async def run(self) -> None:
+        """Serve until :meth:`stop` has ended it, or until cancelled."""
+        async with contextlib.AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
+            store = platform_store.HttpStore(
+                self._open_client(stack, self._config.platform_url)
+            )
+            await self._build(stack, tasks, store)
+            logs.change(
+                "started",
+                instance=self._config.name,
+                zone=self._config.availability_zone,
+                process=os.getpid(),
+            )
+            await self._stopped.wait()
+            logs.change("stopped", instance=self._config.name)
+
+    def reconfigure(self, config: configs.Config) -> None:
+        """Take a configuration read again: the grace of a planned stop."""
+        self._config = config
+        logs.change("reconfigured", instance=config.name)
+
+    async def stop(self, hurry: bool = False) -> None:
+        """Stop as planned: no new callers, then the end of what runs."""
+        if self._relay is None or self._server is None:
+            self._stopped.set()
+            return
+        grace = float(self._config.fleet["grace_seconds"]) - STOP_MARGIN
+        if hurry:
+            self._stopped.set()
+            return
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        began = anyio.current_time()
+        self._relay.leave()
+        logs.change("stopping", in_progress=self._relay.in_progress)
+        await anyio.sleep(min(UNREADY_SECONDS, grace / 2))
+        self._server.should_exit = True
+        with anyio.move_on_at(began + grace):
+            await self._relay.wait_idle()
+        logs.change("stop_ends", left=self._relay.in_progress)
+        self._stopped.set()
+
+    async def _build(
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        store: platform_store.HttpStore,
+    ) -> None:
+        fleet = self._config.fleet
+        book = books.UpstreamBook(platform_upstreams.decode)
+        holder = relays.ConfigHolder(platform_config.decode, names.CONFIG_NAME)
+        roster = rosters.Roster(
+            store, self._config.name, self._config.availability_zone
+        )
+        revocation = float(fleet["revocation_ms"]) / 1000.0
+        config_mirror = mirrors.Mirror(
+            store,
+            names.CONFIG_KIND,
+            holder,
+            CONFIG_WAIT_SHARE * revocation,
+            CONFIG_LINGER,
+        )
+        book_mirror = mirrors.Mirror(
+            store,
+            names.UPSTREAM_KIND,
+            book,
+            UPSTREAM_WAIT,
+            UPSTREAM_LINGER,
+        )
+        roster_mirror = mirrors.Mirror(
+            store,
+            rosters.KIND,
+            roster,
+            ROSTER_WAIT,
+            ROSTER_LINGER,
+        )
+        book.watch_store(lambda: book_mirror.failed_at)
+        context = self._context(stack, book)
+        watch = stalls.StallWatch(context)
+        self._relay = relays.Relay(
+            context,
+            holder,
+            watch,
+            config_mirror.age,
+            TRUST_SHARE * revocation,
+        )
+        holder_name = f"{self._config.name}/{secrets.token_hex(8)}"
+        lease = leases.Lease(store, PLACEMENT, holder_name)
+        duty = duties.PlacementDuty(
+            lease,
+            book,
+            platform_orders.EngineOrders(context.client),
+            lambda: holder.services,
+        )
+        share = _Sharing(context, roster)
+        for part in (
+            config_mirror.run,
+            book_mirror.run,
+            roster_mirror.run,
+            roster.enrol,
+            share.run,
+            lease.run,
+            duty.run,
+            watch.run,
+        ):
+            tasks.start_soon(part)
+        await self._listen(tasks, self._relay)
+
+    def _context(
+        self, stack: contextlib.AsyncExitStack, book: books.UpstreamBook
+    ) -> contexts.RelayContext:
+        fleet = self._config.fleet
+        client = http.HttpClient(
+            "", keep_alive=False, connection_limit=UPSTREAM_CONNECTIONS
+        )
+        stack.push_async_callback(client.close)
+        usage = usages.InFlight()
+        return contexts.RelayContext(
+            zone=self._config.availability_zone,
+            book=book,
+            client=engines.UpstreamClient(client),
+            usage=usage,
+            planner=hops.HopPlanner(usage),
+            terms=contexts.BudgetTerms(
+                float(fleet["retry_ratio"]),
+                float(fleet["retry_slack"]),
+                float(fleet["retry_window_seconds"]),
+            ),
+        )
+
+    async def _listen(
+        self, tasks: anyio.abc.TaskGroup, relay: relays.Relay
+    ) -> None:
+        fleet = self._config.fleet
+        status = _address(str(fleet["status"]))
+        app = statuses.StatusApp(relay, counters.COUNTERS)
+        status_server = http_server.build(app, status.host, status.port)
+        await tasks.start(_run_server, status_server)
+        callers = _address(str(fleet["callers"]))
+        self._server = http_server.build(
+            ingress.Ingress(relay),
+            callers.host,
+            callers.port,
+            timeout_keep_alive=IDLE_SECONDS,
+            date_header=False,
+        )
+        await tasks.start(_run_server, self._server)
+
+    def _open_client(
+        self, stack: contextlib.AsyncExitStack, url: str
+    ) -> http.HttpClient:
+        client = http.HttpClient(url)
+        stack.push_async_callback(client.close)
+        return client
+
+
+class _Sharing:
+    """Keeps an entry's share of limits in step with the roster."""
+
+    def __init__(
+        self, context: contexts.RelayContext, roster: rosters.Roster
+    ) -> None:
+        self._context = context
+        self._roster = roster
+
+    async def run(self) -> None:
+        while True:
+            self._context.share_among(
+                self._roster.zone_count, self._roster.count
+            )
+            await anyio.sleep(1.0)
+
+
+async def _run_server(
+    server: http_server.QuietServer,
+    *,
+    task_status: anyio.abc.TaskStatus[int],
+) -> None:
+    await http_server.run(server, task_status=task_status)
+
+
+def _address(text: str) -> instances.Address:
+    host, _, port = text.rpartition(":")
+    return instances.Address(host, int(port))
--- /dev/null
+++ b/src/crowdeck/cmd/http_server.py
@@ -0,0 +1,78 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""uvicorn as the daemons run it: without signals and logs of its own."""
+
+import contextlib
+import typing
+
+import anyio
+import anyio.abc
+import uvicorn
+
+STOP_SECONDS = 2
+START_STEP = 0.005
+
+
+class QuietServer(uvicorn.Server):
+    """uvicorn without its own signal handling: the process has its own."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        """Leave signals alone."""
+        yield
+
+
+def build(
+    app: typing.Any, host: str, port: int, **options: typing.Any
+) -> QuietServer:
+    """Return a server for an ASGI application, not started yet."""
+    return QuietServer(
+        uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            log_level="error",
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            server_header=False,
+            **options,
+        )
+    )
+
+
+async def run(
+    server: QuietServer,
+    *,
+    task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until told to exit or cancelled; reports the port."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        while not server.started:
+            await anyio.sleep(START_STEP)
+        task_status.started(server.servers[0].sockets[0].getsockname()[1])
+
+
+async def serve_http(
+    app: typing.Any,
+    host: str,
+    port: int,
+    *,
+    certificate: str = "",
+    key: str = "",
+    task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an ASGI application until cancelled; reports its port."""
+    server = build(
+        app,
+        host,
+        port,
+        timeout_graceful_shutdown=STOP_SECONDS,
+        ssl_certfile=certificate or None,
+        ssl_keyfile=key or None,
+    )
+    await run(server, task_status=task_status)
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -6,16 +6,13 @@
 """Builds a daemon's process from its configuration, and runs it."""
 
 import contextlib
-import pathlib
-import ssl
-import typing
 
 import anyio
 import anyio.abc
 import attrs
 import statsd
-import uvicorn
 
+from crowdeck.cmd import http_server
 from crowdeck.entry import answers as answers_module
 from crowdeck.entry import entry as entries
 from crowdeck.entry import http as entry_http
@@ -31,13 +28,13 @@
 from crowdeck.sidecar import sidecar as sidecars
 from crowdeck import timers
 from crowdeck import upstream
+from crowdeck import upstream_http
 from crowdeck.wire import link
 from crowdeck.wire import messages
 from crowdeck.wire import rpc
 
 ENGINE_RETRY_SECONDS = 0.5
 # uvicorn's own wait for open answers; our planned stop has done it before.
-HTTP_STOP_SECONDS = 2
 
 
 @attrs.frozen
@@ -211,13 +208,13 @@
         url = str(self._config.sidecar["engine_url"])
         if not url:
             return None
-        return http.HttpEngine(self._open_client(stack, url))
+        return upstream_http.HttpEngine(self._open_client(stack, url))
 
     def _open_services(
         self, stack: contextlib.AsyncExitStack
     ) -> dict[str, upstream.PlainService]:
         return {
-            name: http.HttpService(self._open_client(stack, url))
+            name: upstream_http.HttpService(self._open_client(stack, url))
             for name, url in self._config.services.items()
         }
 
@@ -257,7 +254,7 @@
         self, entry: entries.Entry, *, task_status: anyio.abc.TaskStatus[int]
     ) -> None:
         section = self._config.entry
-        await serve_http(
+        await http_server.serve_http(
             entry.build_app(),
             str(section["http_host"]),
             int(section["http_port"]),
@@ -277,63 +274,3 @@
             return
         except errors.CrowdeckError:
             await anyio.sleep(ENGINE_RETRY_SECONDS)
-
-
-class _QuietServer(uvicorn.Server):
-    """uvicorn without its own signal handling: the process has its own."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> typing.Iterator[None]:
-        yield
-
-
-async def serve_http(
-    app: typing.Any,
-    host: str,
-    port: int,
-    *,
-    certificate: str = "",
-    key: str = "",
-    task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve an ASGI application until cancelled; reports its port."""
-    server = _QuietServer(
-        uvicorn.Config(
-            app,
-            host=host,
-            port=port,
-            log_level="error",
-            access_log=False,
-            lifespan="off",
-            timeout_graceful_shutdown=HTTP_STOP_SECONDS,
-            ssl_certfile=certificate or None,
-            ssl_keyfile=key or None,
-            server_header=False,
-        )
-    )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve)
-        while not server.started:
-            await anyio.sleep(0.005)
-        task_status.started(server.servers[0].sockets[0].getsockname()[1])
-
-
-def check(path: pathlib.Path) -> configs.Config:
-    """Load a configuration and all files that it names.
-
-    :raises ConfigError: in one line.
-    """
-    config = configs.load(path)
-    config.tls.load()
-    certificate = str(config.entry["tls_certificate"])
-    if certificate:
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        try:
-            context.load_cert_chain(
-                certificate, str(config.entry["tls_key"]) or None
-            )
-        except (OSError, ssl.SSLError) as error:
-            raise errors.ConfigError(
-                f"{path}: [entry] tls_certificate: {error}"
-            ) from None
-    return config
--- /dev/null
+++ b/src/crowdeck/membership/upstreams.py
@@ -0,0 +1,229 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What this process believes of every upstream instance."""
+
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.state import objects as stores
+
+# An instance that failed is left alone for this long, twice as long
+# after each further failure. The first pause is a little over the time
+# in which a restarted engine would be back under another name.
+AVOID_SECONDS = 1.0
+AVOID_MOST_SECONDS = 8.0
+# An entry that goes soon after the store was away may only have lapsed
+# there: instances that live write theirs again within two seconds of the
+# store's return, and a half for the watch to tell.
+LAPSE_SECONDS = 2.5
+
+Decoder = typing.Callable[[stores.StoredObject], chain.Upstream]
+Listener = typing.Callable[[], None]
+
+
+@attrs.define
+class _Belief:
+    upstream: chain.Upstream
+    avoided_until: float = 0.0
+    failures: int = 0
+    lapsed_at: float | None = None
+
+
+class UpstreamBook:
+    """Upstream instances as listed, less those that were seen to fail.
+
+    It is a follower of the mirror of the instances' entries.
+
+    :param decode: turns a stored entry into an instance.
+    """
+
+    def __init__(self, decode: Decoder) -> None:
+        self._decode = decode
+        self._beliefs: dict[str, _Belief] = {}
+        self._listeners: list[Listener] = []
+        self._store_failed_at: typing.Callable[[], float | None] = lambda: None
+
+    def watch_store(
+        self, failed_at: typing.Callable[[], float | None]
+    ) -> None:
+        """Tell the book how to learn when the store last failed."""
+        self._store_failed_at = failed_at
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` after every change of a belief."""
+        self._listeners.append(listener)
+
+    def find(self, name: str) -> chain.Upstream | None:
+        """Return an instance by its name."""
+        belief = self._beliefs.get(name)
+        return belief.upstream if belief else None
+
+    def at(self, address: str) -> chain.Upstream | None:
+        """Return the newest instance listed at an address."""
+        found = None
+        for belief in self._beliefs.values():
+            if str(belief.upstream.address) == address:
+                found = belief.upstream
+        return found
+
+    def listed(self, service: str) -> tuple[chain.Upstream, ...]:
+        """Return every listed instance of a service."""
+        self._drop_lapsed()
+        return tuple(
+            belief.upstream
+            for belief in self._beliefs.values()
+            if belief.upstream.service == service
+        )
+
+    def usable(self, service: str) -> tuple[chain.Upstream, ...]:
+        """Return the instances that may get new work."""
+        now = anyio.current_time()
+        self._drop_lapsed()
+        return tuple(
+            belief.upstream
+            for belief in self._beliefs.values()
+            if belief.upstream.service == service
+            and not belief.upstream.is_leaving
+            and belief.avoided_until <= now
+        )
+
+    def avoided(self) -> tuple[chain.Upstream, ...]:
+        """Return the instances that failed and have not answered since."""
+        return tuple(
+            belief.upstream
+            for belief in self._beliefs.values()
+            if belief.failures
+        )
+
+    def is_usable(self, name: str) -> bool:
+        """Whether an instance may get new work."""
+        belief = self._beliefs.get(name)
+        return (
+            belief is not None
+            and not belief.upstream.is_leaving
+            and belief.avoided_until <= anyio.current_time()
+        )
+
+    def is_avoided(self, name: str) -> bool:
+        """Whether an instance is left alone because it failed."""
+        belief = self._beliefs.get(name)
+        return belief is None or belief.avoided_until > anyio.current_time()
+
+    def avoid(self, name: str, reason: str) -> None:
+        """Give an instance that failed nothing for a while."""
+        belief = self._beliefs.get(name)
+        now = anyio.current_time()
+        if belief is None or belief.avoided_until > now:
+            return
+        belief.failures += 1
+        pause = AVOID_SECONDS * 2.0 ** (belief.failures - 1)
+        belief.avoided_until = now + min(pause, AVOID_MOST_SECONDS)
+        counters.COUNTERS.add("upstream.avoided")
+        logs.change(
+            "upstream_avoided",
+            upstream=name,
+            address=str(belief.upstream.address),
+            reason=reason,
+            seconds=belief.avoided_until - now,
+            failures=belief.failures,
+        )
+        self._tell()
+
+    def trust(self, name: str) -> None:
+        """Note that an instance answered as it should."""
+        belief = self._beliefs.get(name)
+        if belief is None or not belief.failures:
+            return
+        belief.failures = 0
+        belief.avoided_until = 0.0
+        logs.change(
+            "upstream_trusted",
+            upstream=name,
+            address=str(belief.upstream.address),
+        )
+        self._tell()
+
+    def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        """Take all entries."""
+        present = {one.name for one in objects}
+        for one in objects:
+            self._take(one)
+        for name in [name for name in self._beliefs if name not in present]:
+            self._remove(name)
+        self._tell()
+
+    def on_changed(
+        self,
+        objects: tuple[stores.StoredObject, ...],
+        removed: tuple[str, ...],
+    ) -> None:
+        """Take entries that changed or went."""
+        for one in objects:
+            self._take(one)
+        for name in removed:
+            self._remove(name)
+        self._tell()
+
+    def _take(self, stored: stores.StoredObject) -> None:
+        try:
+            upstream = self._decode(stored)
+        except errors.CrowdeckError as error:
+            logs.change("entry_refused", name=stored.name, reason=str(error))
+            return
+        belief = self._beliefs.get(stored.name)
+        if belief is None:
+            self._beliefs[stored.name] = _Belief(upstream)
+            self._log("upstream_listed", upstream, stored.version)
+            return
+        belief.lapsed_at = None
+        if belief.upstream == upstream:
+            return
+        belief.upstream = upstream
+        self._log("upstream_changed", upstream, stored.version)
+
+    def _remove(self, name: str) -> None:
+        belief = self._beliefs[name] if name in self._beliefs else None
+        if belief is None:
+            return
+        failed_at = self._store_failed_at()
+        now = anyio.current_time()
+        if failed_at is not None and now - failed_at < LAPSE_SECONDS:
+            if belief.lapsed_at is None:
+                belief.lapsed_at = now
+                self._log("upstream_lapsed", belief.upstream, 0)
+            return
+        del self._beliefs[name]
+        self._log("upstream_gone", belief.upstream, 0)
+
+    def _drop_lapsed(self) -> None:
+        now = anyio.current_time()
+        for name, belief in list(self._beliefs.items()):
+            lapsed_at = belief.lapsed_at
+            if lapsed_at is not None and now - lapsed_at > LAPSE_SECONDS:
+                del self._beliefs[name]
+                self._log("upstream_gone", belief.upstream, 0)
+
+    def _log(self, what: str, upstream: chain.Upstream, version: int) -> None:
+        layers = upstream.layers
+        logs.change(
+            what,
+            upstream=upstream.name,
+            service=upstream.service,
+            address=str(upstream.address),
+            is_leaving=upstream.is_leaving,
+            layers=f"{layers.first}-{layers.end}" if layers else "",
+            version=version,
+        )
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- a/src/crowdeck/observe/counters.py
+++ b/src/crowdeck/observe/counters.py
@@ -10,9 +10,12 @@
 the names.
 """
 
+import bisect
 import collections
 import typing
 
+import attrs
+
 
 class StatsdPipe(typing.Protocol):
     """The part of a statsd client that is used here."""
@@ -35,6 +38,27 @@
 TIMING_LIMIT = 1_000
 
 
+# Upper bounds of a histogram's buckets in seconds: each a little over
+# twice the one before, from below a hop's time to above every deadline.
+BUCKETS = (
+    *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35),
+    *(0.5, 0.75, 1.0, 1.5, 2.0, 3.5, 5.0, 10.0, 20.0, 45.0),
+)
+
+
+@attrs.define
+class Histogram:
+    """How many durations fell into each bucket."""
+
+    counts: list[int] = attrs.field(factory=lambda: [0] * (len(BUCKETS) + 1))
+    total: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKETS, seconds)] += 1
+        self.total += seconds
+
+
 class Counters:
     """A table of counts, gauges and recent durations."""
 
@@ -43,6 +67,7 @@
         self._sent: collections.Counter[str] = collections.Counter()
         self._gauges: dict[str, float] = {}
         self._timings: list[tuple[str, float]] = []
+        self._histograms: dict[str, Histogram] = {}
 
     def add(self, name: str, count: int = 1) -> None:
         """Add ``count`` to a counter."""
@@ -54,6 +79,7 @@
 
     def time(self, name: str, seconds: float) -> None:
         """Note a duration."""
+        self._histograms.setdefault(name, Histogram()).add(seconds)
         if len(self._timings) < TIMING_LIMIT:
             self._timings.append((name, seconds))
 
@@ -65,6 +91,17 @@
         """Return all counters by name, sorted."""
         return dict(sorted(self._counts.items()))
 
+    def as_text(self) -> str:
+        """Return everything in the Prometheus text format."""
+        lines = []
+        for name, value in self.as_dict().items():
+            lines.append(f"{_exposed(name)}_total {value}")
+        for name, level in sorted(self._gauges.items()):
+            lines.append(f"{_exposed(name)} {level:g}")
+        for name, histogram in sorted(self._histograms.items()):
+            lines += _histogram_lines(_exposed(name), histogram)
+        return "\n".join(lines) + "\n"
+
     def flush(self, pipe: StatsdPipe) -> None:
         """Send what changed since the last flush."""
         for name, value in self._counts.items():
@@ -79,4 +116,20 @@
         self._timings.clear()
 
 
+def _exposed(name: str) -> str:
+    return "crowdeck_" + name.replace(".", "_").replace("-", "_")
+
+
+def _histogram_lines(name: str, histogram: Histogram) -> list[str]:
+    lines = []
+    running = 0
+    bounds = [f"{bound:g}" for bound in BUCKETS] + ["+Inf"]
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        running += count
+        lines.append(f'{name}_seconds_bucket{{le="{bound}"}} {running}')
+    lines.append(f"{name}_seconds_sum {histogram.total:.6f}")
+    lines.append(f"{name}_seconds_count {running}")
+    return lines
+
+
 COUNTERS = Counters()
--- /dev/null
+++ b/src/crowdeck/placement/duty.py
@@ -0,0 +1,199 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The duty of ordering engines to hold layers, done by one entry."""
+
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck.membership import upstreams as books
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.placement import plan
+from crowdeck import route as routes
+from crowdeck.state import leases
+
+# How often the plan is looked at while nothing is told to have changed:
+# an engine that is avoided or an order that was lost shows only in time.
+LOOK_SECONDS = 0.5
+# An engine tells its new layers with its next heartbeat; until about
+# then its order is taken for under way.
+SETTLE_SECONDS = 2.5
+# A fleet that starts lists its engines one after the other. A plan made
+# for the first few would be wrong for all, so the first one waits until
+# no engine was added for a while; engines start within about a second of
+# one another and are listed within two heartbeats.
+LIST_QUIET_SECONDS = 1.2
+LIST_MOST_SECONDS = 5.0
+# An order whose answer was lost may be done up to twelve seconds late.
+# Asking the engine what it holds settles it sooner, not before this.
+UNKNOWN_SECONDS = 0.6
+
+
+class Orders(typing.Protocol):
+    """Reaches engines with orders."""
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        """Return what an engine says of itself."""
+        ...
+
+    async def place(
+        self, move: plan.Move, expected_orders: int, fencing_token: int
+    ) -> bool:
+        """Give an order; false when it is not known to have been taken."""
+        ...
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """An engine that was ordered, or could not be.
+
+    :ivar layers: what it is going to hold, as far as is known.
+    """
+
+    layers: chain.Upstream
+    until: float
+
+
+@attrs.define
+class _Arrivals:
+    """When engines of a service were first seen, and last added to."""
+
+    names: frozenset[str]
+    first_at: float
+    last_at: float
+
+
+class PlacementDuty:
+    """Keeps the layers of every model in place while the lease is held."""
+
+    def __init__(
+        self,
+        lease: leases.Lease,
+        book: books.UpstreamBook,
+        orders: Orders,
+        services: typing.Callable[[], tuple[routes.Service, ...]],
+    ) -> None:
+        self._lease = lease
+        self._book = book
+        self._orders = orders
+        self._services = services
+        self._pending: dict[str, _Pending] = {}
+        self._arrivals: dict[str, _Arrivals] = {}
+        self._changed = anyio.Event()
+        book.subscribe(self._wake)
+
+    async def run(self) -> None:
+        """Look at the plan whenever something changed, until cancelled."""
+        while True:
+            self._changed = anyio.Event()
+            if self._lease.is_held:
+                await self._look()
+            with anyio.move_on_after(LOOK_SECONDS):
+                await self._changed.wait()
+
+    def _wake(self) -> None:
+        self._changed.set()
+
+    async def _look(self) -> None:
+        self._forget_pending()
+        for service in self._services():
+            if service.profile is None:
+                continue
+            engines = self._engines(service)
+            if not self._has_gathered(service.name, engines):
+                continue
+            moves = plan.next_moves(engines, service.profile, self._is_idle)
+            if moves:
+                async with anyio.create_task_group() as tasks:
+                    for move in moves:
+                        tasks.start_soon(self._order, move)
+
+    def _has_gathered(
+        self, service: str, engines: list[chain.Upstream]
+    ) -> bool:
+        """Whether a service's first plan can be made."""
+        now = anyio.current_time()
+        listed = frozenset(one.name for one in engines)
+        seen = self._arrivals.get(service)
+        if seen is None:
+            seen = self._arrivals[service] = _Arrivals(listed, now, now)
+        elif not listed <= seen.names:
+            seen.names, seen.last_at = listed, now
+        if any(one.layers is not None for one in engines):
+            return True
+        return (
+            now - seen.last_at >= LIST_QUIET_SECONDS
+            or now - seen.first_at >= LIST_MOST_SECONDS
+        )
+
+    def _engines(self, service: routes.Service) -> list[chain.Upstream]:
+        """Return the engines that live, with what they are going to hold."""
+        found = []
+        for one in self._book.listed(service.name):
+            if one.is_leaving or self._book.is_avoided(one.name):
+                continue
+            pending = self._pending.get(one.name)
+            found.append(pending.layers if pending else one)
+        return found
+
+    def _is_idle(self, upstream: chain.Upstream) -> bool:
+        return upstream.name not in self._pending
+
+    def _forget_pending(self) -> None:
+        now = anyio.current_time()
+        for name, pending in list(self._pending.items()):
+            listed = self._book.find(name)
+            is_done = listed is None or listed.layers == pending.layers.layers
+            if is_done or pending.until <= now:
+                del self._pending[name]
+
+    async def _order(self, move: plan.Move) -> None:
+        name = move.upstream.name
+        self._expect(move, UNKNOWN_SECONDS)
+        try:
+            report = await self._orders.report(move.upstream)
+        except errors.CrowdeckError as error:
+            self._book.avoid(name, f"no report: {error.message}")
+            return
+        if report.is_busy or report.layers != move.upstream.layers:
+            # It carries out an order already, or its entry lags behind:
+            # plan again from what it says itself.
+            self._keep(move.upstream, report)
+            return
+        if not self._lease.is_held:
+            return
+        is_taken = await self._orders.place(
+            move, report.orders_taken, self._lease.term
+        )
+        self._expect(move, SETTLE_SECONDS if is_taken else UNKNOWN_SECONDS)
+        counters.COUNTERS.add("placement.ordered")
+        logs.change(
+            "placement_ordered",
+            upstream=name,
+            address=str(move.upstream.address),
+            layers=f"{move.layers.first}-{move.layers.end}",
+            orders_taken=report.orders_taken,
+            term=self._lease.term,
+            is_taken=is_taken,
+        )
+
+    def _expect(self, move: plan.Move, seconds: float) -> None:
+        self._pending[move.upstream.name] = _Pending(
+            attrs.evolve(move.upstream, layers=move.layers),
+            anyio.current_time() + seconds,
+        )
+
+    def _keep(
+        self, upstream: chain.Upstream, report: chain.EngineReport
+    ) -> None:
+        self._pending[upstream.name] = _Pending(
+            attrs.evolve(upstream, layers=report.layers or upstream.layers),
+            anyio.current_time() + UNKNOWN_SECONDS,
+        )
--- /dev/null
+++ b/src/crowdeck/placement/plan.py
@@ -0,0 +1,205 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Which layers each engine of a group of mixed cards should hold."""
+
+import typing
+
+import attrs
+
+from crowdeck import chain
+from crowdeck import pipeline
+
+# Requests at once that an engine should have memory for, as a share of
+# its slots. Half of them: a path's engines are all in use together, and
+# more room costs a copy of the model for little more throughput.
+ROOM_SHARE = 0.5
+# Where the cards of a zone cannot hold the model with that much room,
+# less is taken in steps, down to a few requests at once.
+ROOM_STEP = 0.7
+ROOM_LEAST = 4.0
+
+
+@attrs.frozen
+class Move:
+    """An engine that is to hold other layers than it does."""
+
+    upstream: chain.Upstream
+    layers: pipeline.LayerRange
+
+
+@attrs.define(eq=False)
+class _Cell:
+    """Engines close to one another that hold the whole model together."""
+
+    engines: list[chain.Upstream]
+    room: float
+
+    def quota(
+        self, engine: chain.Upstream, profile: chain.EngineProfile
+    ) -> int:
+        return quota(engine, profile, self.room)
+
+
+def quota(
+    engine: chain.Upstream, profile: chain.EngineProfile, room: float
+) -> int:
+    """Return how many layers leave an engine ``room`` tokens of memory."""
+    card = profile.cards.get(engine.card)
+    if card is None:
+        return profile.layer_count
+    per_layer = profile.layer_mb + room * profile.token_layer_mb
+    return min(profile.layer_count, int(card.memory_mb / per_layer))
+
+
+def next_moves(
+    engines: typing.Sequence[chain.Upstream],
+    profile: chain.EngineProfile,
+    idle: typing.Callable[[chain.Upstream], bool],
+) -> list[Move]:
+    """Return the moves that bring a group of engines nearer to the plan.
+
+    Each cell of engines, an availability zone where its cards suffice,
+    holds the whole model, so that a request need not cross between
+    zones. Engines without layers take the layers that the fewest others
+    hold. When all have some and a layer is held by none, an engine whose
+    layers others hold too changes over. An engine is never told to give
+    up layers that only it holds.
+
+    :param engines: those that live and stay, in any order.
+    :param idle: whether an engine can be ordered now; what the others
+        hold, or are about to, is as listed.
+    """
+    moves: list[Move] = []
+    for cell in _cells(engines, profile):
+        moves += _fill(cell, profile, idle)
+    return moves
+
+
+def coverage(
+    engines: typing.Iterable[chain.Upstream], layer_count: int
+) -> list[int]:
+    """Return by how many engines each layer is held."""
+    counts = [0] * layer_count
+    for engine in engines:
+        if engine.layers is not None:
+            for layer in range(engine.layers.first, engine.layers.end):
+                counts[layer] += 1
+    return counts
+
+
+def _cells(
+    engines: typing.Sequence[chain.Upstream], profile: chain.EngineProfile
+) -> list[_Cell]:
+    by_zone: dict[str, list[chain.Upstream]] = {}
+    for engine in sorted(engines, key=lambda one: one.name):
+        by_zone.setdefault(engine.availability_zone, []).append(engine)
+    whole: list[_Cell] = []
+    rest: list[chain.Upstream] = []
+    for zone in sorted(by_zone):
+        room = _room(by_zone[zone], profile)
+        if room is None:
+            rest += by_zone[zone]
+        else:
+            whole.append(_Cell(by_zone[zone], room))
+    if not rest:
+        return whole
+    room = _room(rest, profile)
+    if room is not None:
+        whole.append(_Cell(rest, room))
+    elif whole:
+        # Too few for a copy of their own: they strengthen another's.
+        whole[0].engines += rest
+    else:
+        whole.append(_Cell(rest, ROOM_LEAST * _request_tokens(profile)))
+    return whole
+
+
+def _request_tokens(profile: chain.EngineProfile) -> float:
+    """Return what a request holds on average while it runs."""
+    return max(1.0, profile.usual_prompt + profile.usual_answer / 2.0)
+
+
+def _room(
+    engines: list[chain.Upstream], profile: chain.EngineProfile
+) -> float | None:
+    """Return the most room with which the engines hold the whole model."""
+    requests = profile.slots * ROOM_SHARE
+    while requests >= ROOM_LEAST:
+        room = requests * _request_tokens(profile)
+        total = sum(quota(one, profile, room) for one in engines)
+        if total >= profile.layer_count:
+            return room
+        requests *= ROOM_STEP
+    return None
+
+
+def _fill(
+    cell: _Cell,
+    profile: chain.EngineProfile,
+    idle: typing.Callable[[chain.Upstream], bool],
+) -> list[Move]:
+    counts = coverage(cell.engines, profile.layer_count)
+    empty = [one for one in cell.engines if one.layers is None and idle(one)]
+    # Large cards first: they take the long runs, small ones fill gaps.
+    empty.sort(key=lambda one: (-cell.quota(one, profile), one.name))
+    moves: list[Move] = []
+    for engine in empty:
+        size = cell.quota(engine, profile)
+        if size:
+            moves.append(_assign(engine, size, counts))
+    if 0 in counts:
+        move = _change_over(cell, profile, counts, idle)
+        if move is not None:
+            moves.append(move)
+    return moves
+
+
+def _assign(engine: chain.Upstream, size: int, counts: list[int]) -> Move:
+    """Give an engine the layers that the fewest others hold."""
+    first = counts.index(min(counts))
+    first = max(0, min(first, len(counts) - size))
+    layers = pipeline.LayerRange(first, min(len(counts), first + size))
+    for layer in range(layers.first, layers.end):
+        counts[layer] += 1
+    return Move(engine, layers)
+
+
+def _change_over(
+    cell: _Cell,
+    profile: chain.EngineProfile,
+    counts: list[int],
+    idle: typing.Callable[[chain.Upstream], bool],
+) -> Move | None:
+    """Return a move of an engine that can be spared into the first gap.
+
+    One at a time: the next is found when this one is listed as done, so
+    two that could each be spared are never moved together.
+    """
+    spare = [
+        one
+        for one in cell.engines
+        if one.layers is not None and idle(one) and _is_spare(one, counts)
+    ]
+    if not spare:
+        return None
+    gap = counts.index(0)
+    length = 0
+    while gap + length < len(counts) and counts[gap + length] == 0:
+        length += 1
+    # The smallest that fills the gap, or the largest there is.
+    spare.sort(key=lambda one: (cell.quota(one, profile), one.name))
+    fitting = [one for one in spare if cell.quota(one, profile) >= length]
+    engine = fitting[0] if fitting else spare[-1]
+    size = max(1, cell.quota(engine, profile))
+    first = max(0, min(gap, len(counts) - size))
+    end = min(len(counts), first + size)
+    return Move(engine, pipeline.LayerRange(first, end))
+
+
+def _is_spare(engine: chain.Upstream, counts: list[int]) -> bool:
+    assert engine.layers is not None
+    held = range(engine.layers.first, engine.layers.end)
+    return all(counts[layer] > 1 for layer in held)
--- /dev/null
+++ b/src/crowdeck/platform/config.py
@@ -0,0 +1,147 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The operator's config, decoded into the product's types."""
+
+import typing
+
+import orjson
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck.platform import names
+from crowdeck import route as routes
+
+Json = dict[str, typing.Any]
+
+_REPEATS = {
+    names.KIND_IDEMPOTENT: routes.Repeat.IDEMPOTENT,
+    names.KIND_STREAMING: routes.Repeat.STREAM,
+}
+DEFAULT_TIMEOUT_MS = 20_000
+
+
+def decode(value: bytes) -> routes.FleetConfig:
+    """Return the config in a stored object.
+
+    :raises SettingsError: when it cannot be understood.
+    """
+    try:
+        body = orjson.loads(value)
+        return routes.FleetConfig(
+            version=int(body[names.VERSION]),
+            routes=tuple(_route(one) for one in body[names.ROUTES]),
+            services=tuple(_service(one) for one in body[names.SERVICES]),
+            teams=tuple(_team(one) for one in body.get(names.TEAMS) or ()),
+            limits=_limits(body.get(names.LIMITS) or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.SettingsError(
+            f"the stored config is malformed ({error!r})"
+        ) from None
+
+
+def _route(body: Json) -> routes.Route:
+    repeat = _REPEATS.get(body[names.ROUTE_KIND], routes.Repeat.ONCE)
+    is_resumable = repeat is routes.Repeat.STREAM and bool(
+        body.get(names.RESUMABLE, False)
+    )
+    return routes.Route(
+        name=str(body[names.NAME]),
+        host=str(body[names.HOST]).lower(),
+        prefix=str(body[names.PREFIX]),
+        repeat=repeat,
+        shares=_shares(body),
+        max_attempts=int(body.get(names.MAX_ATTEMPTS, 1)),
+        timeout=_seconds(body.get(names.TIMEOUT_MS, DEFAULT_TIMEOUT_MS)),
+        objective=_seconds(
+            body.get(names.OBJECTIVE_MS)
+            or body.get(names.TIMEOUT_MS, DEFAULT_TIMEOUT_MS)
+        ),
+        gap=_seconds(body.get(names.GAP_MS) or 0),
+        priority=int(body.get(names.RANK) or 0),
+        is_anonymous=bool(body.get(names.ANONYMOUS, False)),
+        is_resumable=is_resumable,
+    )
+
+
+def _shares(body: Json) -> tuple[routes.Share, ...]:
+    split = body.get(names.SPLIT)
+    if not split:
+        return (routes.Share(str(body[names.SERVICE]), 1.0),)
+    return tuple(
+        routes.Share(str(one[names.SERVICE]), float(one[names.WEIGHT]))
+        for one in split
+    )
+
+
+def _service(body: Json) -> routes.Service:
+    engine = body.get(names.ENGINE)
+    return routes.Service(
+        name=str(body[names.NAME]),
+        connection_limit=int(body.get(names.CONNECTIONS) or 0),
+        profile=_profile(engine) if engine else None,
+    )
+
+
+def _profile(body: Json) -> chain.EngineProfile | None:
+    if not body.get(names.LAYERS):
+        return None
+    models = body.get(names.MODELS) or [{}]
+    usual = body.get(names.USUAL) or {}
+    cards = (_card(one) for one in body.get(names.CARDS) or ())
+    return chain.EngineProfile(
+        layer_count=int(body[names.LAYERS]),
+        layer_mb=float(body[names.LAYER_MB]),
+        token_bytes=float(body[names.TOKEN_BYTES]),
+        step_ms=float(body[names.STEP_MS]),
+        sequence_ms=float(body[names.SEQUENCE_MS]),
+        context_ms=float(body[names.CONTEXT_MS]),
+        read_tokens_per_second=float(body[names.READ_RATE]),
+        activation_bytes=float(body[names.ACTIVATION_BYTES]),
+        pipe_bytes_per_second=float(body[names.PIPE_MBPS]) * 1e6 / 8,
+        load_seconds=float(models[0].get(names.LOAD_SECONDS, 0.0)),
+        loads_at_once=int(body.get(names.LOADS_AT_ONCE) or 1),
+        slots=int(body[names.SLOTS]),
+        usual_prompt=float(usual.get(names.USUAL_PROMPT, 0.0)),
+        usual_answer=float(usual.get(names.USUAL_ANSWER, 0.0)),
+        cards={one.name: one for one in cards},
+    )
+
+
+def _card(body: Json) -> chain.Card:
+    return chain.Card(
+        name=str(body[names.NAME]),
+        memory_mb=float(body[names.CARD_MB]),
+        step_factor=float(body[names.CARD_STEP]),
+        read_factor=float(body[names.CARD_READ]),
+    )
+
+
+def _team(body: Json) -> routes.TeamKeys:
+    priority = body.get(names.RANK)
+    return routes.TeamKeys(
+        name=str(body[names.NAME]),
+        keys=frozenset(str(key) for key in body.get(names.API_KEYS) or ()),
+        priority=None if priority is None else int(priority),
+    )
+
+
+def _limits(body: Json) -> routes.Limits:
+    default = routes.Limits()
+    return routes.Limits(
+        header_bytes=int(body.get(names.HEADER_BYTES, default.header_bytes)),
+        body_bytes=int(body.get(names.BODY_BYTES, default.body_bytes)),
+        header_seconds=float(
+            body.get(names.HEADER_MS, default.header_seconds * 1000) / 1000
+        ),
+        idle_seconds=float(
+            body.get(names.IDLE_MS, default.idle_seconds * 1000) / 1000
+        ),
+    )
+
+
+def _seconds(milliseconds: float) -> float:
+    return float(milliseconds) / 1000.0
--- /dev/null
+++ b/src/crowdeck/platform/engines.py
@@ -0,0 +1,238 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Calls to upstream instances: requests, reports and orders."""
+
+import contextlib
+import enum
+import typing
+
+import attrs
+import orjson
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import pipeline
+from crowdeck.platform import names
+from crowdeck.platform import upstreams
+from crowdeck.relay import request as requests
+
+# A report or an order is answered at once by a sound engine; a link
+# between availability zones adds less than a millisecond.
+CONNECT_SECONDS = 0.25
+EXCHANGE_SECONDS = 0.5
+_JSON_TYPE = (b"content-type", b"application/json")
+_NOT_RUN_STATUSES = frozenset({421})
+
+
+@attrs.frozen
+class Load:
+    """What an upstream tells of its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class UpstreamAnswer:
+    """An upstream's answer whose body is still to come."""
+
+    def __init__(self, response: http.OpenResponse) -> None:
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """The upstream's status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> http.RawHeaders:
+        """All headers as they came."""
+        return self._response.headers
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the upstream says that it did not run the request."""
+        return self.status in _NOT_RUN_STATUSES or bool(
+            self._response.find(names.NOT_EXECUTED)
+        )
+
+    @property
+    def is_signed(self) -> bool:
+        """Whether the answer bears the upstream's signature."""
+        return bool(self._response.find(names.SIGNATURE))
+
+    @property
+    def culprit(self) -> str:
+        """Address of the engine that made a path fail, or nothing."""
+        return self._response.find(names.CULPRIT).decode("latin-1")
+
+    @property
+    def load(self) -> Load | None:
+        """The load that the upstream tells, if it does."""
+        parts = self._response.find(names.LOAD).split(b",")
+        try:
+            running, waiting, slots = (int(part) for part in parts)
+        except ValueError:
+            return None
+        return Load(running, waiting, slots)
+
+    def belongs_to(self, request: requests.CallerRequest) -> bool:
+        """Whether this is the answer to ``request`` and to no other."""
+        return self._response.find(names.REQUEST_ID) == request.id.encode()
+
+    def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Yield the body as it comes."""
+        return self._response.chunks()
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body."""
+        return await self._response.read(limit)
+
+
+class OrderOutcome(enum.Enum):
+    """What became of an order."""
+
+    BEGUN = "begun"
+    HOLDS = "holds"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class RepathOutcome:
+    """What became of a change of path.
+
+    :ivar culprit: address of the engine because of which it was refused.
+    """
+
+    is_done: bool
+    is_known: bool
+    culprit: str = ""
+
+
+class UpstreamClient:
+    """Speaks to upstream instances, on a new connection for each call."""
+
+    def __init__(self, client: http.HttpClient) -> None:
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        upstream: chain.Upstream,
+        request: requests.CallerRequest,
+        headers: http.RawHeaders,
+        timeouts: http.Timeouts,
+    ) -> typing.AsyncIterator[UpstreamAnswer]:
+        """Send a request and yield its answer once the head is here.
+
+        :raises CrowdeckError: ``UPSTREAM_LOST``, with the verdict.
+        """
+        async with self._client.open(
+            request.method,
+            f"http://{upstream.address}{request.target}",
+            headers,
+            request.body,
+            timeouts,
+        ) as response:
+            yield UpstreamAnswer(response)
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        """Return what an engine says of itself.
+
+        :raises CrowdeckError: when it cannot be had.
+        """
+        status, body, _ = await self._exchange(
+            "GET", upstream, names.REPORT_PATH, b""
+        )
+        if status != 200:
+            raise errors.CrowdeckError(
+                errors.Code.UPSTREAM_FAILED, f"a report came with {status}"
+            )
+        return upstreams.decode_report(body)
+
+    async def place(
+        self,
+        upstream: chain.Upstream,
+        layers: pipeline.LayerRange,
+        expected_orders: int,
+        fencing_token: int,
+    ) -> OrderOutcome:
+        """Order an engine to hold ``layers`` and no others.
+
+        :param expected_orders: the engine takes the order only if it has
+            taken just so many before; a late copy then no longer fits.
+        """
+        order = {
+            names.OPERATION: names.PLACE,
+            names.FIRST_LAYER: layers.first,
+            names.END_LAYER: layers.end,
+            names.METHOD: names.METHOD_QUEUE,
+            names.EXPECTED_ORDERS: expected_orders,
+            names.FENCING_TOKEN: fencing_token,
+        }
+        try:
+            status, _, _ = await self._order(upstream, order)
+        except errors.CrowdeckError as error:
+            if error.verdict.is_retry_safe:
+                return OrderOutcome.REFUSED
+            return OrderOutcome.UNKNOWN
+        if status == 202:
+            return OrderOutcome.BEGUN
+        return OrderOutcome.HOLDS if status == 200 else OrderOutcome.REFUSED
+
+    async def repath(
+        self, head: chain.Upstream, request_id: str, path: chain.ChainPath
+    ) -> RepathOutcome:
+        """Have a running request go on along another path.
+
+        :param path: begins with the same first part as before.
+        """
+        order = {
+            names.OPERATION: names.REPATH,
+            names.ID: request_id,
+            names.PATH: str(path),
+        }
+        try:
+            status, body, _ = await self._order(head, order)
+        except errors.CrowdeckError:
+            return RepathOutcome(is_done=False, is_known=False)
+        if status in (200, 202):
+            return RepathOutcome(is_done=True, is_known=True)
+        return RepathOutcome(
+            is_done=False, is_known=status != 404, culprit=_address_in(body)
+        )
+
+    async def _order(
+        self, upstream: chain.Upstream, order: typing.Mapping[str, object]
+    ) -> tuple[int, bytes, http.RawHeaders]:
+        return await self._exchange(
+            "POST", upstream, names.ORDER_PATH, orjson.dumps(order)
+        )
+
+    async def _exchange(
+        self, method: str, upstream: chain.Upstream, path: str, body: bytes
+    ) -> tuple[int, bytes, http.RawHeaders]:
+        headers = [(names.EXPECTED_INSTANCE, upstream.name.encode())]
+        if body:
+            headers.append(_JSON_TYPE)
+        async with self._client.open(
+            method,
+            f"http://{upstream.address}{path}",
+            headers,
+            body,
+            http.Timeouts(CONNECT_SECONDS, EXCHANGE_SECONDS),
+        ) as response:
+            content = await response.read(http.RESPONSE_LIMIT)
+            return response.status, content, response.headers
+
+
+def _address_in(body: bytes) -> str:
+    try:
+        return str(orjson.loads(body).get(names.ADDRESS, ""))
+    except (orjson.JSONDecodeError, AttributeError):
+        return ""
--- /dev/null
+++ b/src/crowdeck/platform/orders.py
@@ -0,0 +1,33 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Placement orders, as the placement duty gives them."""
+
+from crowdeck import chain
+from crowdeck.placement import plan
+from crowdeck.platform import engines
+
+
+class EngineOrders:
+    """Implements ``placement.duty.Orders`` over engines' own calls."""
+
+    def __init__(self, client: engines.UpstreamClient) -> None:
+        self._client = client
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        """Return what an engine says of itself."""
+        return await self._client.report(upstream)
+
+    async def place(
+        self, move: plan.Move, expected_orders: int, fencing_token: int
+    ) -> bool:
+        """Give an order; false when it is not known to have been taken."""
+        outcome = await self._client.place(
+            move.upstream, move.layers, expected_orders, fencing_token
+        )
+        return outcome in (
+            engines.OrderOutcome.BEGUN,
+            engines.OrderOutcome.HOLDS,
+        )
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -39,9 +39,12 @@
     def __init__(self, client: http.HttpClient) -> None:
         self._client = client
 
-    async def get(self, kind: str, name: str) -> stores.StoredObject | None:
+    async def get(
+        self, kind: str, name: str, *, may_be_old: bool = False
+    ) -> stores.StoredObject | None:
         """Return an object."""
-        response = await self._read(_path(kind, name))
+        query: Query | None = {names.STALE: 1} if may_be_old else None
+        response = await self._read(_path(kind, name, query))
         if response.status == 404:
             return None
         return _stored(kind, _parsed(response))
--- /dev/null
+++ b/src/crowdeck/relay/calls.py
@@ -0,0 +1,285 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Calls of plain services: one answer, at most as many runs as allowed."""
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck import http
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.platform import callers
+from crowdeck.platform import engines
+from crowdeck.relay import context as contexts
+from crowdeck.relay import request as requests
+from crowdeck import route as routes
+from crowdeck.routing import balance
+from crowdeck.routing import routes as tables
+from crowdeck import verdict as verdicts
+
+CONNECT_SECONDS = 0.25
+# A repeatable call that got no answer within this share of its time is
+# tried at another instance while there is time left for that.
+FIRST_TRY_SHARE = 0.4
+# The caller is told before its own time is over, not after.
+ANSWER_MARGIN = 0.03
+# With less than this left no upstream could answer in time.
+LEAST_SECONDS = 0.05
+# Instances whose connection is refused did not get the request: others
+# are tried, but not all of a large fleet.
+CONNECT_TRIES = 4
+RETRY_AFTER = 0.5
+CALL_BYTES = http.RESPONSE_LIMIT
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    headers: http.RawHeaders
+    body: bytes
+    verdict: verdicts.Verdict
+
+    @property
+    def has_failed(self) -> bool:
+        return self.status >= 500
+
+
+class CallRelay:
+    """Passes calls on to the instances of plain services."""
+
+    def __init__(self, context: contexts.RelayContext) -> None:
+        self._context = context
+        self._balancer = balance.Balancer(context.usage, context.zone)
+
+    async def serve(
+        self,
+        request: requests.CallerRequest,
+        admitted: tables.Admitted,
+        service: routes.Service,
+        sink: requests.Sink,
+    ) -> None:
+        """Answer one call.
+
+        :raises CrowdeckError: with the verdict, when there is no answer.
+        """
+        self._context.budget(service.name).earn()
+        call = _Call(self._context, self._balancer, request, admitted, service)
+        answer = await call.run()
+        await sink.reply(answer.status, answer.headers, answer.body)
+
+
+class _Call:
+    """One call in progress.
+
+    ``_sent`` counts the instances that may have got it, ``_verdict``
+    is the worst that became of it at any of them.
+    """
+
+    def __init__(
+        self,
+        context: contexts.RelayContext,
+        balancer: balance.Balancer,
+        request: requests.CallerRequest,
+        admitted: tables.Admitted,
+        service: routes.Service,
+    ) -> None:
+        self._context = context
+        self._balancer = balancer
+        self._request = request
+        self._admitted = admitted
+        self._service = service
+        self._route = admitted.route
+        patience = request.patience or self._route.timeout
+        limit = min(patience, self._route.timeout)
+        self._deadline = request.arrived + limit - ANSWER_MARGIN
+        self._tried: set[str] = set()
+        self._sent = 0
+        self._verdict = verdicts.Verdict.NOT_RUN
+
+    async def run(self) -> _Answer:
+        failed: _Answer | None = None
+        for _ in range(CONNECT_TRIES + self._route.max_attempts):
+            try:
+                upstream = self._choose()
+            except errors.CrowdeckError:
+                if failed is not None:
+                    return failed
+                raise
+            try:
+                answer = await self._try(upstream)
+            except errors.CrowdeckError as error:
+                self._note(upstream, error)
+                if not self._may_go_on(error.verdict):
+                    raise self._failure(error) from None
+                continue
+            if not answer.has_failed:
+                return answer
+            failed = answer
+            if not self._may_go_on(answer.verdict):
+                break
+        if failed is not None:
+            return failed
+        raise self._failure(self._none_left())
+
+    def _choose(self) -> chain.Upstream:
+        if self._left() < LEAST_SECONDS:
+            raise self._failure(
+                errors.CrowdeckError(errors.Code.DEADLINE, "no time is left")
+            )
+        usable = self._context.book.usable(self._service.name)
+        fresh = [one for one in usable if one.name not in self._tried]
+        upstream = self._balancer.pick(fresh)
+        if upstream is None:
+            raise self._failure(self._none_left())
+        return upstream
+
+    async def _try(self, upstream: chain.Upstream) -> _Answer:
+        self._tried.add(upstream.name)
+        self._context.usage.enter_call(upstream)
+        began = anyio.current_time()
+        seconds = self._try_seconds()
+        try:
+            with anyio.fail_after(seconds):
+                answer = await self._exchange(upstream)
+        except TimeoutError:
+            self._balancer.note_failure(upstream)
+            raise errors.CrowdeckError(
+                errors.Code.DEADLINE,
+                f"no answer within {seconds:.2f} s",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                culprit=upstream.name,
+            ) from None
+        finally:
+            self._context.usage.leave_call(upstream)
+        took = anyio.current_time() - began
+        self._balancer.note_answer(upstream, took, answer.has_failed)
+        self._context.book.trust(upstream.name)
+        logs.decision(
+            "call_answered",
+            self._request.id,
+            upstream=upstream.name,
+            status=answer.status,
+            seconds=round(took, 4),
+            tries=self._sent,
+        )
+        return answer
+
+    def _try_seconds(self) -> float:
+        left = self._left()
+        if self._route.may_repeat and self._sent < self._max_sends:
+            return min(left, self._route.timeout * FIRST_TRY_SHARE)
+        return left
+
+    async def _exchange(self, upstream: chain.Upstream) -> _Answer:
+        headers = callers.onward(
+            self._request,
+            upstream,
+            self._admitted.team,
+            self._admitted.priority,
+            self._left(),
+            None,
+            self._request.last_event,
+        )
+        timeouts = http.Timeouts(CONNECT_SECONDS, self._left())
+        self._sent += 1
+        async with self._context.client.open(
+            upstream, self._request, headers, timeouts
+        ) as answer:
+            return await self._read(upstream, answer)
+
+    async def _read(
+        self, upstream: chain.Upstream, answer: engines.UpstreamAnswer
+    ) -> _Answer:
+        if answer.load is not None:
+            self._balancer.note_load(upstream, answer.load)
+        if answer.has_not_run:
+            raise errors.CrowdeckError(
+                errors.Code.OVERLOADED,
+                f"{upstream.name} refused with {answer.status}",
+                culprit=upstream.name,
+            )
+        if not answer.belongs_to(self._request):
+            raise _wrong(upstream, "it bears another request's id")
+        if answer.status < 300 and not answer.is_signed:
+            raise _wrong(upstream, "it bears no signature")
+        body = await answer.read(CALL_BYTES)
+        if answer.status in requests.PROMISES:
+            raise _wrong(upstream, f"{answer.status} without a promise")
+        return _Answer(
+            answer.status,
+            callers.back(answer.headers),
+            body,
+            verdicts.Verdict.RAN,
+        )
+
+    def _note(
+        self, upstream: chain.Upstream, error: errors.CrowdeckError
+    ) -> None:
+        if error.verdict is not verdicts.Verdict.NOT_RUN:
+            self._verdict = verdicts.Verdict.MAY_HAVE_RUN
+            self._balancer.note_failure(upstream)
+        elif error.code is errors.Code.UPSTREAM_LOST:
+            # No connection was had, so it was not sent after all.
+            self._sent -= 1
+            self._context.book.avoid(upstream.name, error.message)
+        logs.decision(
+            "call_failed",
+            self._request.id,
+            upstream=upstream.name,
+            reason=error.message,
+            verdict=str(error.verdict),
+            tries=self._sent,
+        )
+
+    @property
+    def _max_sends(self) -> int:
+        return max(1, self._route.max_attempts)
+
+    def _may_go_on(self, verdict: verdicts.Verdict) -> bool:
+        """Whether the call is tried at another instance."""
+        if verdict is not verdicts.Verdict.NOT_RUN:
+            if not self._route.may_repeat:
+                return False
+        if self._sent >= self._max_sends:
+            return False
+        if not self._sent:
+            return True
+        counters.COUNTERS.add("relay.call.repeated")
+        return self._context.budget(self._service.name).spend()
+
+    def _none_left(self) -> errors.CrowdeckError:
+        return errors.CrowdeckError(
+            errors.Code.NO_PATH,
+            "no instance of the service can take it now",
+            retry_after=RETRY_AFTER,
+        )
+
+    def _failure(self, error: errors.CrowdeckError) -> errors.CrowdeckError:
+        """Return the error with what is known of all tries together."""
+        verdict = error.verdict
+        if self._verdict is not verdicts.Verdict.NOT_RUN:
+            verdict = self._verdict
+        return errors.CrowdeckError(
+            error.code,
+            error.message,
+            verdict=verdict,
+            retry_after=error.retry_after or RETRY_AFTER,
+            culprit=error.culprit,
+        )
+
+    def _left(self) -> float:
+        return self._deadline - anyio.current_time()
+
+
+def _wrong(upstream: chain.Upstream, why: str) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.WRONG_ANSWER,
+        f"an answer of {upstream.name} cannot be passed on: {why}",
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        culprit=upstream.name,
+    )
--- /dev/null
+++ b/src/crowdeck/relay/context.py
@@ -0,0 +1,66 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What the parts of the relay share."""
+
+import random
+import typing
+
+import attrs
+
+from crowdeck.membership import upstreams as books
+from crowdeck.platform import engines
+from crowdeck.routing import budget as budgets
+from crowdeck.routing import hops
+from crowdeck.routing import usage as usages
+
+
+@attrs.frozen
+class BudgetTerms:
+    """The terms of the retry budget, as the operator sets them."""
+
+    ratio: float
+    slack: float
+    window: float
+
+
+@attrs.define(eq=False)
+class RelayContext:
+    """One entry's knowledge of upstreams and its means to reach them.
+
+    :ivar zone: the entry's availability zone.
+    """
+
+    zone: str
+    book: books.UpstreamBook
+    client: engines.UpstreamClient
+    usage: usages.InFlight
+    planner: hops.HopPlanner
+    terms: BudgetTerms
+    chance: random.Random = attrs.field(factory=random.Random)
+    _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
+    _entries: int = 1
+
+    def budget(self, service: str) -> budgets.SharedBudget:
+        """Return this entry's share of a service's retry budget."""
+        found = self._budgets.get(service)
+        if found is None:
+            terms = self.terms
+            found = budgets.SharedBudget(
+                terms.ratio, terms.slack, terms.window
+            )
+            found.share_among(self._entries)
+            self._budgets[service] = found
+        return found
+
+    def share_among(self, zone: int, whole: int) -> None:
+        """Take this entry for one of so many in its zone, and in all."""
+        self.usage.share_among(zone)
+        self._entries = whole
+        for found in self._budgets.values():
+            found.share_among(whole)
+
+
+Now = typing.Callable[[], float]
--- /dev/null
+++ b/src/crowdeck/relay/ingress.py
@@ -0,0 +1,257 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Callers' HTTP connections, as an ASGI application."""
+
+import typing
+
+import anyio
+import attrs
+import orjson
+
+from crowdeck import errors
+from crowdeck import http
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.platform import callers
+from crowdeck.relay import request as requests
+from crowdeck import verdict as verdicts
+
+Message = dict[str, typing.Any]
+Receive = typing.Callable[[], typing.Awaitable[Message]]
+Send = typing.Callable[[Message], typing.Awaitable[None]]
+Scope = dict[str, typing.Any]
+
+_JSON_TYPE = (b"content-type", b"application/json")
+_CLOSE = (b"connection", b"close")
+
+
+class Server(typing.Protocol):
+    """Answers callers' requests."""
+
+    @property
+    def body_limit(self) -> int:
+        """Most bytes that a request's body may have."""
+        ...
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether callers are to use other connections from now on."""
+        ...
+
+    async def serve(
+        self, request: requests.CallerRequest, sink: requests.Sink
+    ) -> None:
+        """Answer one request.
+
+        :raises CrowdeckError: when there is no answer to pass on.
+        """
+        ...
+
+
+class CallerSink:
+    """An answer on a caller's connection."""
+
+    def __init__(self, send: Send, server: Server) -> None:
+        self._send = send
+        self._server = server
+        self._has_started = False
+        self._has_ended = False
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head was sent."""
+        return self._has_started
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the whole answer was sent."""
+        return self._has_ended
+
+    async def start(self, status: int, headers: http.RawHeaders) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        self._has_started = True
+        headers = [pair for pair in headers if pair[0] != b"content-length"]
+        if self._server.is_leaving:
+            headers.append(_CLOSE)
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": piece, "more_body": True}
+        )
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        await self._send({"type": "http.response.body", "body": b""})
+        self._has_ended = True
+
+    async def reply(
+        self, status: int, headers: http.RawHeaders, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        self._has_started = True
+        headers = [*headers, length]
+        if self._server.is_leaving:
+            headers.append(_CLOSE)
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await self._send({"type": "http.response.body", "body": body})
+        self._has_ended = True
+
+
+@attrs.frozen
+class _Body:
+    content: bytes
+    is_whole: bool
+
+
+class Ingress:
+    """Reads requests, has them served, and tells callers of failures."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request of one connection."""
+        assert scope["type"] == "http", "only HTTP is served"
+        arrived = anyio.current_time()
+        sink = CallerSink(send, self._server)
+        try:
+            body = await self._read(receive)
+            if not body.is_whole:
+                return
+            request = _decode(scope, body.content, arrived)
+        except errors.CrowdeckError as error:
+            await _refuse(sink, "", error)
+            return
+        await self._serve(request, sink, receive)
+
+    async def _serve(
+        self,
+        request: requests.CallerRequest,
+        sink: CallerSink,
+        receive: Receive,
+    ) -> None:
+        counters.COUNTERS.add("relay.requests")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                _await_leaving, request, sink, receive, tasks.cancel_scope
+            )
+            try:
+                await self._server.serve(request, sink)
+            except errors.CrowdeckError as error:
+                await _refuse(sink, request.id, error, request.arrived)
+            tasks.cancel_scope.cancel()
+        took = anyio.current_time() - request.arrived
+        counters.COUNTERS.time("relay.answered", took)
+
+    async def _read(self, receive: Receive) -> _Body:
+        pieces = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return _Body(b"", is_whole=False)
+            piece = message.get("body", b"")
+            size += len(piece)
+            if size > self._server.body_limit:
+                raise errors.CrowdeckError(
+                    errors.Code.TOO_LARGE,
+                    f"a body may have {self._server.body_limit} bytes",
+                )
+            pieces.append(piece)
+            if not message.get("more_body"):
+                return _Body(b"".join(pieces), is_whole=True)
+
+
+def _decode(
+    scope: Scope, body: bytes, arrived: float
+) -> requests.CallerRequest:
+    request = callers.decode(
+        scope["method"],
+        scope["raw_path"],
+        scope["query_string"],
+        list(scope["headers"]),
+        body,
+        arrived,
+    )
+    if request is None:
+        raise errors.CrowdeckError(
+            errors.Code.BAD_REQUEST, "a request needs an id"
+        )
+    return request
+
+
+async def _await_leaving(
+    request: requests.CallerRequest,
+    sink: CallerSink,
+    receive: Receive,
+    work: anyio.CancelScope,
+) -> None:
+    """End the work on a request once its caller has gone."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            if sink.has_ended:
+                return
+            counters.COUNTERS.add("relay.caller_left")
+            logs.decision(
+                "caller_left",
+                request.id,
+                after=round(anyio.current_time() - request.arrived, 3),
+            )
+            work.cancel()
+            return
+
+
+async def _refuse(
+    sink: CallerSink,
+    request_id: str,
+    error: errors.CrowdeckError,
+    arrived: float | None = None,
+) -> None:
+    """Tell a caller of a failure, unless its answer has begun.
+
+    An answer that has begun is left without its end: the server then
+    closes the connection, and the caller sees that it is not whole.
+    """
+    status = requests.status_of(error)
+    now = anyio.current_time()
+    held = 0.0 if arrived is None else now - arrived
+    counters.COUNTERS.add(f"relay.ended.{status}")
+    logs.decision(
+        "answer_cut" if sink.has_started else "refused",
+        request_id,
+        status=status,
+        code=str(error.code),
+        reason=error.message,
+        verdict=str(error.verdict),
+        held=round(held, 3),
+        retry_after=error.retry_after,
+    )
+    if sink.has_started:
+        return
+    headers: http.RawHeaders = [_JSON_TYPE]
+    has_not_run = error.verdict is verdicts.Verdict.NOT_RUN
+    if has_not_run and error.retry_after and status in requests.PROMISES:
+        headers.append(callers.retry_after(error.retry_after))
+    body = orjson.dumps(attrs.asdict(errors.ErrorReport.of(error)))
+    await sink.reply(status, headers, body)
--- /dev/null
+++ b/src/crowdeck/relay/live.py
@@ -0,0 +1,82 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Streams in progress, as the watch over them sees them."""
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck.relay import request as requests
+from crowdeck import route as routes
+from crowdeck.routing import usage as usages
+
+
+@attrs.define(eq=False)
+class LiveStream:
+    """One stream in progress.
+
+    :ivar profile: of the engines that serve it.
+    :ivar tokens: what the request is expected to hold in the end.
+    :ivar last_event: id of the last event passed on, -1 for none.
+    :ivar moved_at: the loop's time when it last moved: an event came,
+        or an attempt began.
+    :ivar next_look: not looked at before this time.
+    """
+
+    request: requests.CallerRequest
+    service: routes.Service
+    profile: chain.EngineProfile
+    gap: float
+    objective: float
+    tokens: float
+    _usage: usages.InFlight
+    last_event: int = -1
+    has_events: bool = False
+    moved_at: float = 0.0
+    next_look: float = 0.0
+    abandoned: str = ""
+    _path: chain.ChainPath | None = None
+    _scope: anyio.CancelScope | None = None
+
+    @property
+    def path(self) -> chain.ChainPath | None:
+        """The path in use, or ``None`` between attempts."""
+        return self._path
+
+    def begin(self, path: chain.ChainPath, scope: anyio.CancelScope) -> None:
+        """Begin an attempt; ``scope`` is cancelled to abandon it."""
+        self._scope = scope
+        self.abandoned = ""
+        self.moved_at = anyio.current_time()
+        self.next_look = 0.0
+        self.take_path(path)
+
+    def take_path(self, path: chain.ChainPath) -> None:
+        """Go on along another path."""
+        self._leave_path()
+        self._path = path
+        self._usage.enter(path, self.tokens)
+
+    def end(self) -> None:
+        """End the attempt."""
+        self._scope = None
+        self._leave_path()
+
+    def abandon(self, reason: str) -> None:
+        """Give up the attempt; the stream then goes on elsewhere."""
+        if self._scope is not None and not self.abandoned:
+            self.abandoned = reason
+            self._scope.cancel()
+
+    def moved(self) -> None:
+        """Note that an event came."""
+        self.moved_at = anyio.current_time()
+        self.next_look = 0.0
+
+    def _leave_path(self) -> None:
+        if self._path is not None:
+            self._usage.leave(self._path, self.tokens)
+            self._path = None
--- /dev/null
+++ b/src/crowdeck/relay/relay.py
@@ -0,0 +1,211 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The relay: which config is in force, and who serves a request."""
+
+import typing
+
+import anyio
+
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.relay import calls
+from crowdeck.relay import context as contexts
+from crowdeck.relay import request as requests
+from crowdeck.relay import streams
+from crowdeck import route as routes
+from crowdeck.routing import routes as tables
+from crowdeck.state import objects as stores
+
+RETRY_AFTER = 1.0
+# A process that has just started knows its config within a few calls.
+START_RETRY_AFTER = 0.3
+
+Decoder = typing.Callable[[bytes], routes.FleetConfig]
+Age = typing.Callable[[], float]
+
+
+class ConfigHolder:
+    """The newest version of the config seen; never goes back.
+
+    A follower of the mirror of configs.
+
+    :param decode: turns a stored config into the product's types.
+    :param name: name of the object that is in force.
+    """
+
+    def __init__(self, decode: Decoder, name: str) -> None:
+        self._decode = decode
+        self._name = name
+        self._table: tables.RouteTable | None = None
+
+    @property
+    def table(self) -> tables.RouteTable | None:
+        """The config in force, or ``None`` before the first was seen."""
+        return self._table
+
+    @property
+    def services(self) -> tuple[routes.Service, ...]:
+        """The services of the config in force."""
+        return self._table.config.services if self._table else ()
+
+    def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        """Take all configs."""
+        self.on_changed(objects, ())
+
+    def on_changed(
+        self,
+        objects: tuple[stores.StoredObject, ...],
+        removed: tuple[str, ...],
+    ) -> None:
+        """Take configs that were written; a removed one stays in force."""
+        for one in objects:
+            if one.name == self._name:
+                self._take(one)
+
+    def _take(self, stored: stores.StoredObject) -> None:
+        try:
+            config = self._decode(stored.value)
+        except errors.CrowdeckError as error:
+            logs.change("config_refused", reason=error.message)
+            return
+        held = self._table.version if self._table else -1
+        if config.version <= held:
+            return
+        self._table = tables.RouteTable(config)
+        counters.COUNTERS.add("config.taken")
+        logs.change(
+            "config_in_force",
+            version=config.version,
+            before=held,
+            revision=stored.version,
+            routes=len(config.routes),
+            teams=len(config.teams),
+        )
+
+
+class Relay:
+    """Serves callers' requests.
+
+    :param age: seconds since the config was last known to be the newest.
+    :param trust_seconds: with an older config, no key is known to stand,
+        and requests that need one are refused.
+    """
+
+    def __init__(
+        self,
+        context: contexts.RelayContext,
+        holder: ConfigHolder,
+        watch: streams.Watch,
+        age: Age,
+        trust_seconds: float,
+    ) -> None:
+        self._context = context
+        self._holder = holder
+        self._age = age
+        self._trust_seconds = trust_seconds
+        self._calls = calls.CallRelay(context)
+        self._streams = streams.StreamRelay(context, watch)
+        self._is_leaving = False
+        self._in_progress = 0
+        self._idle = anyio.Event()
+
+    @property
+    def body_limit(self) -> int:
+        """Most bytes that a request's body may have."""
+        table = self._holder.table
+        limits = table.config.limits if table else routes.Limits()
+        return limits.body_bytes
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._is_leaving
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return (
+            not self._is_leaving
+            and self._holder.table is not None
+            and self._age() <= self._trust_seconds
+        )
+
+    @property
+    def in_progress(self) -> int:
+        """Requests being served."""
+        return self._in_progress
+
+    def leave(self) -> None:
+        """Begin a planned stop: connections end with their next answer."""
+        self._is_leaving = True
+        if not self._in_progress:
+            self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing is served any more."""
+        while self._in_progress:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def serve(
+        self, request: requests.CallerRequest, sink: requests.Sink
+    ) -> None:
+        """Answer one request.
+
+        :raises CrowdeckError: when there is no answer to pass on.
+        """
+        self._in_progress += 1
+        try:
+            await self._serve(request, sink)
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    async def _serve(
+        self, request: requests.CallerRequest, sink: requests.Sink
+    ) -> None:
+        table = self._holder.table
+        if table is None:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN,
+                "no config is known yet",
+                retry_after=START_RETRY_AFTER,
+            )
+        admitted = self._admit(table, request)
+        name = tables.pick_service(admitted.route, self._context.chance)
+        service = table.service(name) or routes.Service(name, 0)
+        if service.profile is not None:
+            await self._streams.serve(request, admitted, service, sink)
+        else:
+            await self._calls.serve(request, admitted, service, sink)
+
+    def _admit(
+        self, table: tables.RouteTable, request: requests.CallerRequest
+    ) -> tables.Admitted:
+        age = self._age()
+        is_trusted = age <= self._trust_seconds
+        try:
+            admitted = table.admit(request.host, request.path, request.key)
+        except errors.CrowdeckError:
+            if is_trusted:
+                raise
+            # A newer config may well have this route or key.
+            raise self._untrusted(age) from None
+        needs_key = bool(table.config.teams) and not (
+            admitted.route.is_anonymous
+        )
+        if needs_key and not is_trusted:
+            raise self._untrusted(age)
+        return admitted
+
+    def _untrusted(self, age: float) -> errors.CrowdeckError:
+        return errors.CrowdeckError(
+            errors.Code.STORE_DOWN,
+            f"the config was last known to be current {age:.1f} s ago",
+            retry_after=RETRY_AFTER,
+        )
--- /dev/null
+++ b/src/crowdeck/relay/request.py
@@ -0,0 +1,104 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Callers' requests and what they are answered, as the relay sees them."""
+
+import typing
+
+import attrs
+
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import verdict as verdicts
+
+
+@attrs.frozen
+class PromptSize:
+    """What a model request asks for, in tokens.
+
+    :ivar prompt: tokens of the prompt.
+    :ivar most: tokens that the answer may have at most.
+    :ivar guess: the caller's guess of the answer's tokens, often far off;
+        0 where it gave none.
+    """
+
+    prompt: int
+    most: int
+    guess: int = 0
+
+    def expected(self, usual_answer: float) -> float:
+        """Return the tokens that the request is likely to hold in the end."""
+        answer = max(float(self.guess), usual_answer)
+        return self.prompt + min(float(self.most or answer), answer)
+
+
+@attrs.frozen
+class CallerRequest:
+    """One request of a caller, read in full.
+
+    :ivar target: path and query, exactly as the caller sent them.
+    :ivar path: the path without its query.
+    :ivar patience: seconds that the caller waits, ``None`` if unsaid.
+    :ivar arrived: the loop's time when its head had been read.
+    :ivar last_event: id of the last event that the caller has, or -1.
+    """
+
+    id: str
+    method: str
+    target: str
+    path: str
+    host: str
+    key: str = attrs.field(repr=False)
+    headers: http.RawHeaders = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
+    patience: float | None
+    arrived: float
+    size: PromptSize | None = None
+    last_event: int = -1
+
+
+class Sink(typing.Protocol):
+    """Where an answer goes: the caller's connection."""
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of an answer was sent."""
+        ...
+
+    async def start(self, status: int, headers: http.RawHeaders) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        ...
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body, waiting while the caller is slow."""
+        ...
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        ...
+
+    async def reply(
+        self, status: int, headers: http.RawHeaders, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        ...
+
+
+# Statuses by which a caller is promised that its request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
+UNKNOWN_STATUS = 502
+LATE_STATUS = 504
+
+
+def status_of(error: errors.CrowdeckError) -> int:
+    """Return the status that tells a caller the truth about an error."""
+    status = error.http_status
+    if error.verdict is verdicts.Verdict.NOT_RUN:
+        if status >= 500:
+            return 503
+        return status
+    if error.code is errors.Code.DEADLINE:
+        return LATE_STATUS
+    return UNKNOWN_STATUS if status in PROMISES else max(status, 500)
--- /dev/null
+++ b/src/crowdeck/relay/status.py
@@ -0,0 +1,59 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Readiness and metrics of an entry, as an ASGI application."""
+
+import typing
+
+from crowdeck.observe import counters
+from crowdeck.platform import names
+from crowdeck.relay import ingress
+
+METRICS_PATH = "/metrics"
+_TEXT = (b"content-type", b"text/plain; version=0.0.4")
+
+
+class Ready(typing.Protocol):
+    """Knows whether new connections are welcome."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        ...
+
+
+class StatusApp:
+    """Answers balancers and collectors of metrics."""
+
+    def __init__(self, ready: Ready, table: counters.Counters) -> None:
+        self._ready = ready
+        self._counters = table
+
+    async def __call__(
+        self,
+        scope: ingress.Scope,
+        receive: ingress.Receive,
+        send: ingress.Send,
+    ) -> None:
+        """Answer one request."""
+        path = scope["path"]
+        if path == names.READINESS_PATH:
+            await _answer(send, 200 if self._ready.is_ready else 503, b"")
+        elif path == METRICS_PATH:
+            await _answer(send, 200, self._counters.as_text().encode())
+        else:
+            await _answer(send, 404, b"")
+
+
+async def _answer(send: ingress.Send, status: int, body: bytes) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [_TEXT, length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/crowdeck/route.py
@@ -0,0 +1,104 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Routes, services and teams of one version of the operator's config."""
+
+import enum
+
+import attrs
+
+from crowdeck import chain
+
+
+class Repeat(enum.StrEnum):
+    """What a route says of running a request again."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen
+class Share:
+    """A service's share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where requests of one host and path prefix go, and how.
+
+    :ivar max_attempts: most upstreams that one request is sent to.
+    :ivar timeout: seconds that a request is held at most.
+    :ivar objective: seconds within which an answer is in time.
+    :ivar gap: longest pause of a stream that is in time, in seconds.
+    :ivar is_anonymous: whether requests need no key.
+    :ivar is_resumable: whether a stream may go on at another upstream.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    shares: tuple[Share, ...]
+    max_attempts: int
+    timeout: float
+    objective: float
+    gap: float
+    priority: int
+    is_anonymous: bool
+    is_resumable: bool
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        return self.repeat is Repeat.IDEMPOTENT or self.is_resumable
+
+
+@attrs.frozen
+class Service:
+    """A group of like upstream instances.
+
+    :ivar profile: how its model engines behave, ``None`` for others.
+    """
+
+    name: str
+    connection_limit: int
+    profile: chain.EngineProfile | None = None
+
+
+@attrs.frozen
+class TeamKeys:
+    """A team, its keys and its priority, where it has one of its own."""
+
+    name: str
+    keys: frozenset[str] = attrs.field(repr=False)
+    priority: int | None = None
+
+
+@attrs.frozen
+class Limits:
+    """What callers may send, and how long they may take or rest."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@attrs.frozen
+class FleetConfig:
+    """One version of the operator's config.
+
+    :ivar teams: empty where no request needs a key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    teams: tuple[TeamKeys, ...]
+    limits: Limits
--- /dev/null
+++ b/src/crowdeck/routing/budget.py
@@ -0,0 +1,64 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A retry budget that entries share without asking one another."""
+
+import collections
+
+import anyio
+
+# An entry sees only its own requests and repeats. What the others do at
+# the edges of a window is unknown, so a part stays unspent.
+MARGIN = 0.8
+
+
+class SharedBudget:
+    """This entry's share of a service's budget in a sliding window.
+
+    All entries together may repeat ``ratio`` of the window's requests
+    and ``slack`` more. Each spends ``ratio`` of its own requests and its
+    part of the slack, which adds up to no more.
+
+    :param ratio: repeats allowed for each request.
+    :param slack: repeats allowed on top, by all entries together.
+    :param window: length of the sliding window in seconds.
+    """
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._entries = 1
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    @property
+    def left(self) -> float:
+        """Repeats that may be made now."""
+        self._forget()
+        share = self._slack / self._entries
+        allowed = self._ratio * len(self._requests) + share
+        return MARGIN * allowed - len(self._repeats)
+
+    def share_among(self, entries: int) -> None:
+        """Take a part of the slack: one of ``entries``."""
+        self._entries = max(1, entries)
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._requests.append(anyio.current_time())
+
+    def spend(self) -> bool:
+        """Count a repeat, unless the budget is spent."""
+        if self.left < 1.0:
+            return False
+        self._repeats.append(anyio.current_time())
+        return True
+
+    def _forget(self) -> None:
+        since = anyio.current_time() - self._window
+        for times in (self._requests, self._repeats):
+            while times and times[0] < since:
+                times.popleft()
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -15,8 +15,9 @@
 from crowdeck import errors
 from crowdeck import instance as instances
 from crowdeck.routing import policies
+from crowdeck.settings import fleet_options
 from crowdeck.settings import options
-from crowdeck.wire import rpc
+from crowdeck.wire import security
 
 DAEMON = "crowdeckd"
 PLATFORM = "platform"
@@ -94,6 +95,7 @@
     SIDECAR: SIDECAR_OPTIONS,
     TLS: TLS_OPTIONS,
     OBSERVE: OBSERVE_OPTIONS,
+    fleet_options.FLEET: fleet_options.FLEET_OPTIONS,
 }
 
 Section = dict[str, options.Value]
@@ -112,13 +114,13 @@
         """Whether links are to be encrypted."""
         return bool(self.certificate)
 
-    def load(self) -> rpc.Security:
+    def load(self) -> security.Security:
         """Return contexts that demand a signed certificate of both ends.
 
         :raises ConfigError: when a file cannot be used.
         """
         if not self.is_set:
-            return rpc.Security()
+            return security.Security()
         try:
             server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
             client = ssl.create_default_context(ssl.Purpose.SERVER_AUTH)
@@ -130,7 +132,7 @@
             raise errors.ConfigError(
                 f"[{TLS}]: the files cannot be used: {error}"
             ) from None
-        return rpc.Security(server=server, client=client)
+        return security.Security(server=server, client=client)
 
 
 @attrs.frozen
@@ -148,6 +150,12 @@
     entry: Section
     sidecar: Section
     observe: Section
+    fleet: Section
+
+    @property
+    def is_fleet(self) -> bool:
+        """Whether engines chain their stages: no sidecars are needed."""
+        return bool(self.fleet["callers"])
 
     @property
     def services(self) -> dict[str, str]:
@@ -239,9 +247,30 @@
         entry=read[ENTRY],
         sidecar=read[SIDECAR],
         observe=read[OBSERVE],
+        fleet=_read_fleet(read[fleet_options.FLEET]),
     )
 
 
+def _read_fleet(section: Section) -> Section:
+    for name in ("callers", "status"):
+        value = str(section[name])
+        if not value:
+            if section["callers"]:
+                raise errors.ConfigError(
+                    f"[{fleet_options.FLEET}] {name}: it must be given; "
+                    "it takes IP:PORT"
+                )
+            continue
+        host, _, port = value.rpartition(":")
+        _require_ip(fleet_options.FLEET, name, host)
+        if not port.isdigit():
+            raise errors.ConfigError(
+                f"[{fleet_options.FLEET}] {name}: {value!r} is not allowed; "
+                "it takes IP:PORT"
+            )
+    return section
+
+
 def _require(
     section: str, known: options.Options, values: Section, *names: str
 ) -> None:
--- a/src/crowdeck/standin/cluster.py
+++ b/src/crowdeck/standin/cluster.py
@@ -18,6 +18,7 @@
 import attrs
 import capnp
 
+from crowdeck.cmd import http_server
 from crowdeck.cmd import process as processes
 from crowdeck import instance as instances
 from crowdeck import pipeline
@@ -156,7 +157,9 @@
 
     async def _serve(self, app: typing.Any) -> int:
         assert self._tasks is not None
-        port: int = await self._tasks.start(processes.serve_http, app, HOST, 0)
+        port: int = await self._tasks.start(
+            http_server.serve_http, app, HOST, 0
+        )
         return port
 
     async def _start_sidecars(self) -> None:
--- a/src/crowdeck/standin/serve.py
+++ b/src/crowdeck/standin/serve.py
@@ -16,7 +16,7 @@
 import anyio
 import anyio.abc
 
-from crowdeck.cmd import process as processes
+from crowdeck.cmd import http_server
 from crowdeck import pipeline
 from crowdeck.standin import engine as engines
 from crowdeck.standin import engine_http
@@ -58,7 +58,9 @@
     async with anyio.create_task_group() as tasks:
 
         async def add(name: str, app: typing.Any) -> None:
-            ports[name] = await tasks.start(processes.serve_http, app, HOST, 0)
+            ports[name] = await tasks.start(
+                http_server.serve_http, app, HOST, 0
+            )
 
         if "store" in spec:
             store = stores.StandinStore(**spec["store"])
--- a/src/crowdeck/standin/store.py
+++ b/src/crowdeck/standin/store.py
@@ -38,7 +38,9 @@
         self.lost_replies = 0
         self.calls: collections.Counter[str] = collections.Counter()
 
-    async def get(self, kind: str, name: str) -> stores.StoredObject | None:
+    async def get(
+        self, kind: str, name: str, *, may_be_old: bool = False
+    ) -> stores.StoredObject | None:
         """Return an object."""
         await self._travel("get")
         return self._objects.get((kind, name))
--- /dev/null
+++ b/src/crowdeck/state/leases.py
@@ -0,0 +1,148 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A lease in the platform's store: one holder of a duty at a time."""
+
+import anyio
+import attrs
+import orjson
+
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.state import objects as stores
+
+KIND = "crowdeck-leases"
+# Long enough to outlive two lost renewals, short enough that a duty is
+# taken up again while a request that waits for it still has time.
+LEASE_SECONDS = 4.5
+RENEW_SECONDS = 1.5
+# The holder stops this much before others may begin: time for an act
+# under way to arrive. Clocks need not agree, only run at one rate.
+SAFETY_SECONDS = 0.7
+
+
+@attrs.frozen
+class Holding:
+    """The stored lease.
+
+    :ivar holder: name of the holder's run, empty when it was given up.
+    :ivar term: rises with each change of holder: the fencing token.
+    """
+
+    holder: str
+    term: int
+
+
+class Lease:
+    """One process's side of a lease.
+
+    Others judge the holder by their own clocks: a lease whose object has
+    not changed for its whole length, as watched here, has run out. So no
+    wall clock matters, and a jump of one does no harm.
+
+    :param holder: unique to this run of the process, so that a restarted
+        process does not take itself for the holder.
+    """
+
+    def __init__(
+        self, store: stores.ObjectStore, duty: str, holder: str
+    ) -> None:
+        self._store = store
+        self._duty = duty
+        self._holder = holder
+        self._version = stores.CREATE
+        self._seen: Holding | None = None
+        self._seen_at = 0.0
+        self._held_until = 0.0
+        self._was_held = False
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this process may act now."""
+        return anyio.current_time() < self._held_until
+
+    @property
+    def term(self) -> int:
+        """The fencing token, while the lease is held."""
+        return self._seen.term if self._seen else 0
+
+    async def run(self) -> None:
+        """Take, keep or await the lease until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except errors.CrowdeckError as error:
+                counters.COUNTERS.add("lease.failed")
+                if error.code is errors.Code.STORE_CONFLICT:
+                    self._lost("another wrote it")
+                elif error.code is errors.Code.STORE_UNSURE:
+                    # Our own write may stand under a version that we do
+                    # not know; reading it back tells.
+                    await self._read_back()
+            self._note_change()
+            await anyio.sleep(RENEW_SECONDS)
+
+    async def _step(self) -> None:
+        if self._seen is not None and self._seen.holder == self._holder:
+            await self._write(self._seen)
+            return
+        # An old answer only makes a take-over fail at its conditional
+        # write; looking is what all other processes do all day.
+        await self._look(may_be_old=self._seen is not None)
+        now = anyio.current_time()
+        if self._seen is None:
+            await self._write(Holding(self._holder, 1))
+        elif not self._seen.holder or now - self._seen_at >= LEASE_SECONDS:
+            await self._write(Holding(self._holder, self._seen.term + 1))
+
+    async def _look(self, may_be_old: bool = False) -> None:
+        found = await self._store.get(KIND, self._duty, may_be_old=may_be_old)
+        if found is None:
+            self._seen, self._version = None, stores.CREATE
+            return
+        if found.version != self._version or self._seen is None:
+            self._version = found.version
+            self._seen = _decode(found.value)
+            self._seen_at = anyio.current_time()
+
+    async def _read_back(self) -> None:
+        try:
+            await self._look()
+        except errors.CrowdeckError as error:
+            logs.change("lease_unread", duty=self._duty, reason=error.message)
+
+    async def _write(self, holding: Holding) -> None:
+        sent_at = anyio.current_time()
+        value = orjson.dumps({"holder": holding.holder, "term": holding.term})
+        # A changed value each time: a write that changes nothing would
+        # not move the version by which the others see a renewal.
+        value = value[:-1] + f',"sent":{sent_at:.6f}}}'.encode()
+        version = await self._store.put(KIND, self._duty, value, self._version)
+        self._version = version
+        self._seen = holding
+        self._seen_at = sent_at
+        self._held_until = sent_at + LEASE_SECONDS - SAFETY_SECONDS
+
+    def _lost(self, reason: str) -> None:
+        self._held_until = 0.0
+        self._seen = None
+        logs.change("lease_conflict", duty=self._duty, reason=reason)
+
+    def _note_change(self) -> None:
+        if self.is_held != self._was_held:
+            self._was_held = self.is_held
+            what = "lease_taken" if self.is_held else "lease_lost"
+            logs.change(what, duty=self._duty, term=self.term)
+
+
+def _decode(value: bytes) -> Holding:
+    try:
+        body = orjson.loads(value)
+        return Holding(str(body["holder"]), int(body["term"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.CrowdeckError(
+            errors.Code.MALFORMED, f"the stored lease is malformed ({error!r})"
+        ) from None
--- a/src/crowdeck/state/objects.py
+++ b/src/crowdeck/state/objects.py
@@ -50,8 +50,14 @@
     ``STORE_UNSURE`` instead, and must be read back.
     """
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or ``None`` where there is none."""
+    async def get(
+        self, kind: str, name: str, *, may_be_old: bool = False
+    ) -> StoredObject | None:
+        """Return an object, or ``None`` where there is none.
+
+        :param may_be_old: take a cheaper answer, seconds old perhaps. Only
+            for what a later conditional write decides.
+        """
         ...
 
     async def put(
--- a/src/crowdeck/wire/rpc.py
+++ b/src/crowdeck/wire/rpc.py
@@ -13,13 +13,11 @@
 import collections
 import contextlib
 import itertools
-import ssl
 import traceback
 import typing
 
 import anyio
 import anyio.abc
-import attrs
 import capnp
 
 from crowdeck import errors
@@ -30,6 +28,7 @@
 from crowdeck.wire import codec
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import security
 
 DIAL_TIMEOUT = 2.0
 # A batch of 512 decode records is about 64 KiB, one TCP window; larger
@@ -40,12 +39,7 @@
 QUEUE_LIMIT = 65_536
 
 
-@attrs.frozen
-class Security:
-    """TLS contexts for both ends of a link, ``None`` for plain TCP."""
-
-    server: ssl.SSLContext | None = None
-    client: ssl.SSLContext | None = None
+Security = security.Security
 
 
 class RpcPeer:
