--- a/src/crowdeck/chain.py
+++ b/src/crowdeck/chain.py
@@ -126,6 +126,13 @@
         """The engine that takes the request and returns the answer."""
         return self.hops[0].upstream
 
+    @property
+    def crossings(self) -> int:
+        """How often the path goes from one availability zone to another."""
+        zones = [hop.upstream.availability_zone for hop in self.hops]
+        pairs = zip(zones, zones[1:], strict=False)
+        return sum(1 for one, other in pairs if one != other)
+
     def passes(self, name: str) -> bool:
         """Whether an upstream instance is on the path."""
         return any(hop.upstream.name == name for hop in self.hops)
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -20,6 +20,7 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.placement import duty as duties
+from crowdeck.platform import callers
 from crowdeck.platform import config as platform_config
 from crowdeck.platform import engines
 from crowdeck.platform import names
@@ -160,7 +161,8 @@
             ROSTER_LINGER,
         )
         book.watch_store(lambda: book_mirror.failed_at)
-        context = self._context(stack, book)
+        upstreams = self._open_upstreams(stack)
+        context = self._context(upstreams, book)
         watch = stalls.StallWatch(context)
         self._relay = relays.Relay(
             context,
@@ -174,7 +176,7 @@
         duty = duties.PlacementDuty(
             lease,
             book,
-            platform_orders.EngineOrders(context.client),
+            platform_orders.EngineOrders(upstreams),
             lambda: holder.services,
         )
         share = _Sharing(context, roster)
@@ -191,19 +193,24 @@
             tasks.start_soon(part)
         await self._listen(tasks, self._relay)
 
-    def _context(
-        self, stack: contextlib.AsyncExitStack, book: books.UpstreamBook
-    ) -> contexts.RelayContext:
-        fleet = self._config.fleet
+    def _open_upstreams(
+        self, stack: contextlib.AsyncExitStack
+    ) -> engines.UpstreamClient:
         client = http.HttpClient(
             "", keep_alive=False, connection_limit=UPSTREAM_CONNECTIONS
         )
         stack.push_async_callback(client.close)
+        return engines.UpstreamClient(client)
+
+    def _context(
+        self, upstreams: engines.UpstreamClient, book: books.UpstreamBook
+    ) -> contexts.RelayContext:
+        fleet = self._config.fleet
         usage = usages.InFlight()
         return contexts.RelayContext(
             zone=self._config.availability_zone,
             book=book,
-            client=engines.UpstreamClient(client),
+            client=upstreams,
             usage=usage,
             planner=hops.HopPlanner(usage),
             terms=contexts.BudgetTerms(
@@ -218,14 +225,16 @@
     ) -> None:
         fleet = self._config.fleet
         status = _address(str(fleet["status"]))
-        app = statuses.StatusApp(relay, counters.COUNTERS)
+        app = statuses.StatusApp(
+            relay, counters.COUNTERS, names.READINESS_PATH
+        )
         status_server = http_server.build(app, status.host, status.port)
         await tasks.start(_run_server, status_server)
-        callers = _address(str(fleet["callers"]))
+        address = _address(str(fleet["callers"]))
         self._server = http_server.build(
-            ingress.Ingress(relay),
-            callers.host,
-            callers.port,
+            ingress.Ingress(relay, callers),
+            address.host,
+            address.port,
             timeout_keep_alive=IDLE_SECONDS,
             date_header=False,
         )
--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -21,6 +21,11 @@
 # in which a restarted engine would be back under another name.
 AVOID_SECONDS = 1.0
 AVOID_MOST_SECONDS = 8.0
+# One that refused for want of room has some again when a request ends.
+FULL_SECONDS = 0.4
+# One that no longer holds what its entry says has a new entry within two
+# heartbeats and the time that a watch takes.
+STALE_SECONDS = 2.0
 # An entry that goes soon after the store was away may only have lapsed
 # there: instances that live write theirs again within two seconds of the
 # store's return, and a half for the watch to tell.
@@ -138,6 +143,21 @@
         )
         self._tell()
 
+    def pause(self, name: str, seconds: float, reason: str) -> None:
+        """Give an instance that refused a request nothing for a moment."""
+        belief = self._beliefs.get(name)
+        now = anyio.current_time()
+        if belief is None or belief.avoided_until > now:
+            return
+        belief.avoided_until = now + seconds
+        logs.change(
+            "upstream_paused",
+            upstream=name,
+            address=str(belief.upstream.address),
+            reason=reason,
+            seconds=seconds,
+        )
+
     def trust(self, name: str) -> None:
         """Note that an instance answered as it should."""
         belief = self._beliefs.get(name)
--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -10,6 +10,7 @@
 from crowdeck import chain
 from crowdeck import http
 from crowdeck.platform import names
+from crowdeck.relay import reach
 from crowdeck.relay import request as requests
 
 # Set by us, or meant for us alone: a caller's own value never goes on.
@@ -28,6 +29,8 @@
 _HOST = b"host"
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?=[\r\n]|$)")
 LEAST_DEADLINE_MS = 1
+# The least urgent rank that engines know.
+LAST_RANK = 9
 
 
 def decode(
@@ -68,32 +71,28 @@
 def onward(
     request: requests.CallerRequest,
     upstream: chain.Upstream,
-    team: str,
-    priority: int,
-    seconds_left: float,
-    path: chain.ChainPath | None,
-    last_event: int,
+    dispatch: reach.Dispatch,
 ) -> http.RawHeaders:
-    """Return the headers with which a request goes to an upstream.
-
-    :param last_event: id of the last event that is not wanted again, or
-        -1 for a request that begins at the beginning.
-    """
+    """Return the headers with which a request goes to an upstream."""
     dropped = _OURS | _HOP | _named_by_connection(request.headers)
     dropped -= {_HOST}
-    if last_event != request.last_event:
+    if dispatch.last_event != request.last_event:
         dropped |= {names.LAST_EVENT_ID}
     headers = [pair for pair in request.headers if pair[0] not in dropped]
-    milliseconds = max(LEAST_DEADLINE_MS, int(seconds_left * 1000))
+    milliseconds = max(LEAST_DEADLINE_MS, int(dispatch.seconds_left * 1000))
     headers.append((names.DEADLINE, str(milliseconds).encode()))
     headers.append((names.EXPECTED_INSTANCE, upstream.name.encode()))
-    headers.append((names.PRIORITY, str(min(9, priority)).encode()))
-    if team:
-        headers.append((names.TEAM, team.encode()))
-    if path is not None:
-        headers.append((names.HOPS, str(path).encode()))
-    if last_event != request.last_event:
-        headers.append((names.LAST_EVENT_ID, str(last_event).encode()))
+    headers.append(
+        (names.PRIORITY, str(min(LAST_RANK, dispatch.priority)).encode())
+    )
+    if dispatch.team:
+        headers.append((names.TEAM, dispatch.team.encode()))
+    if dispatch.path is not None:
+        headers.append((names.HOPS, str(dispatch.path).encode()))
+    if dispatch.last_event != request.last_event:
+        headers.append(
+            (names.LAST_EVENT_ID, str(dispatch.last_event).encode())
+        )
     if request.body or any(
         name == b"content-length" for name, _ in request.headers
     ):
--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -9,15 +9,16 @@
 import enum
 import typing
 
-import attrs
 import orjson
 
 from crowdeck import chain
 from crowdeck import errors
 from crowdeck import http
 from crowdeck import pipeline
+from crowdeck.platform import callers
 from crowdeck.platform import names
 from crowdeck.platform import upstreams
+from crowdeck.relay import reach
 from crowdeck.relay import request as requests
 
 # A report or an order is answered at once by a sound engine; a link
@@ -28,15 +29,6 @@
 _NOT_RUN_STATUSES = frozenset({421})
 
 
-@attrs.frozen
-class Load:
-    """What an upstream tells of its load with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class UpstreamAnswer:
     """An upstream's answer whose body is still to come."""
 
@@ -49,9 +41,9 @@
         return self._response.status
 
     @property
-    def headers(self) -> http.RawHeaders:
-        """All headers as they came."""
-        return self._response.headers
+    def caller_headers(self) -> http.RawHeaders:
+        """The headers that go to the caller."""
+        return callers.back(self._response.headers)
 
     @property
     def has_not_run(self) -> bool:
@@ -71,19 +63,23 @@
         return self._response.find(names.CULPRIT).decode("latin-1")
 
     @property
-    def load(self) -> Load | None:
+    def load(self) -> reach.Load | None:
         """The load that the upstream tells, if it does."""
         parts = self._response.find(names.LOAD).split(b",")
         try:
             running, waiting, slots = (int(part) for part in parts)
         except ValueError:
             return None
-        return Load(running, waiting, slots)
+        return reach.Load(running, waiting, slots)
 
     def belongs_to(self, request: requests.CallerRequest) -> bool:
         """Whether this is the answer to ``request`` and to no other."""
         return self._response.find(names.REQUEST_ID) == request.id.encode()
 
+    def event_id(self, event: bytes) -> int | None:
+        """Return the id of one event of a stream, or ``None``."""
+        return callers.event_id(event)
+
     def chunks(self) -> typing.AsyncIterator[bytes]:
         """Yield the body as it comes."""
         return self._response.chunks()
@@ -102,18 +98,6 @@
     UNKNOWN = "unknown"
 
 
-@attrs.frozen
-class RepathOutcome:
-    """What became of a change of path.
-
-    :ivar culprit: address of the engine because of which it was refused.
-    """
-
-    is_done: bool
-    is_known: bool
-    culprit: str = ""
-
-
 class UpstreamClient:
     """Speaks to upstream instances, on a new connection for each call."""
 
@@ -125,7 +109,7 @@
         self,
         upstream: chain.Upstream,
         request: requests.CallerRequest,
-        headers: http.RawHeaders,
+        dispatch: reach.Dispatch,
         timeouts: http.Timeouts,
     ) -> typing.AsyncIterator[UpstreamAnswer]:
         """Send a request and yield its answer once the head is here.
@@ -135,7 +119,7 @@
         async with self._client.open(
             request.method,
             f"http://{upstream.address}{request.target}",
-            headers,
+            callers.onward(request, upstream, dispatch),
             request.body,
             timeouts,
         ) as response:
@@ -187,7 +171,7 @@
 
     async def repath(
         self, head: chain.Upstream, request_id: str, path: chain.ChainPath
-    ) -> RepathOutcome:
+    ) -> reach.RepathOutcome:
         """Have a running request go on along another path.
 
         :param path: begins with the same first part as before.
@@ -200,10 +184,10 @@
         try:
             status, body, _ = await self._order(head, order)
         except errors.CrowdeckError:
-            return RepathOutcome(is_done=False, is_known=False)
+            return reach.RepathOutcome(is_done=False, is_known=False)
         if status in (200, 202):
-            return RepathOutcome(is_done=True, is_known=True)
-        return RepathOutcome(
+            return reach.RepathOutcome(is_done=True, is_known=True)
+        return reach.RepathOutcome(
             is_done=False, is_known=status != 404, culprit=_address_in(body)
         )
 
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -13,9 +13,8 @@
 from crowdeck import http
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import callers
-from crowdeck.platform import engines
 from crowdeck.relay import context as contexts
+from crowdeck.relay import reach
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
 from crowdeck.routing import balance
@@ -176,24 +175,21 @@
         return left
 
     async def _exchange(self, upstream: chain.Upstream) -> _Answer:
-        headers = callers.onward(
-            self._request,
-            upstream,
+        dispatch = reach.Dispatch(
             self._admitted.team,
             self._admitted.priority,
             self._left(),
-            None,
-            self._request.last_event,
+            last_event=self._request.last_event,
         )
         timeouts = http.Timeouts(CONNECT_SECONDS, self._left())
         self._sent += 1
         async with self._context.client.open(
-            upstream, self._request, headers, timeouts
+            upstream, self._request, dispatch, timeouts
         ) as answer:
             return await self._read(upstream, answer)
 
     async def _read(
-        self, upstream: chain.Upstream, answer: engines.UpstreamAnswer
+        self, upstream: chain.Upstream, answer: reach.Answer
     ) -> _Answer:
         if answer.load is not None:
             self._balancer.note_load(upstream, answer.load)
@@ -212,7 +208,7 @@
             raise _wrong(upstream, f"{answer.status} without a promise")
         return _Answer(
             answer.status,
-            callers.back(answer.headers),
+            answer.caller_headers,
             body,
             verdicts.Verdict.RAN,
         )
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -6,12 +6,11 @@
 """What the parts of the relay share."""
 
 import random
-import typing
 
 import attrs
 
 from crowdeck.membership import upstreams as books
-from crowdeck.platform import engines
+from crowdeck.relay import reach
 from crowdeck.routing import budget as budgets
 from crowdeck.routing import hops
 from crowdeck.routing import usage as usages
@@ -35,7 +34,7 @@
 
     zone: str
     book: books.UpstreamBook
-    client: engines.UpstreamClient
+    client: reach.Upstreams
     usage: usages.InFlight
     planner: hops.HopPlanner
     terms: BudgetTerms
@@ -61,6 +60,3 @@
         self._entries = whole
         for found in self._budgets.values():
             found.share_among(whole)
-
-
-Now = typing.Callable[[], float]
--- a/src/crowdeck/relay/ingress.py
+++ b/src/crowdeck/relay/ingress.py
@@ -15,7 +15,7 @@
 from crowdeck import http
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import callers
+from crowdeck.relay import reach
 from crowdeck.relay import request as requests
 from crowdeck import verdict as verdicts
 
@@ -124,8 +124,9 @@
 class Ingress:
     """Reads requests, has them served, and tells callers of failures."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, codec: reach.CallerCodec) -> None:
         self._server = server
+        self._codec = codec
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -138,9 +139,9 @@
             body = await self._read(receive)
             if not body.is_whole:
                 return
-            request = _decode(scope, body.content, arrived)
+            request = self._decode(scope, body.content, arrived)
         except errors.CrowdeckError as error:
-            await _refuse(sink, "", error)
+            await self._refuse(sink, "", error)
             return
         await self._serve(request, sink, receive)
 
@@ -158,7 +159,7 @@
             try:
                 await self._server.serve(request, sink)
             except errors.CrowdeckError as error:
-                await _refuse(sink, request.id, error, request.arrived)
+                await self._refuse(sink, request.id, error, request.arrived)
             tasks.cancel_scope.cancel()
         took = anyio.current_time() - request.arrived
         counters.COUNTERS.time("relay.answered", took)
@@ -181,23 +182,57 @@
             if not message.get("more_body"):
                 return _Body(b"".join(pieces), is_whole=True)
 
+    def _decode(
+        self, scope: Scope, body: bytes, arrived: float
+    ) -> requests.CallerRequest:
+        request = self._codec.decode(
+            scope["method"],
+            scope["raw_path"],
+            scope["query_string"],
+            list(scope["headers"]),
+            body,
+            arrived,
+        )
+        if request is None:
+            raise errors.CrowdeckError(
+                errors.Code.BAD_REQUEST, "a request needs an id"
+            )
+        return request
+
+    async def _refuse(
+        self,
+        sink: CallerSink,
+        request_id: str,
+        error: errors.CrowdeckError,
+        arrived: float | None = None,
+    ) -> None:
+        """Tell a caller of a failure, unless its answer has begun.
 
-def _decode(
-    scope: Scope, body: bytes, arrived: float
-) -> requests.CallerRequest:
-    request = callers.decode(
-        scope["method"],
-        scope["raw_path"],
-        scope["query_string"],
-        list(scope["headers"]),
-        body,
-        arrived,
-    )
-    if request is None:
-        raise errors.CrowdeckError(
-            errors.Code.BAD_REQUEST, "a request needs an id"
+        An answer that has begun is left without its end: the server then
+        closes the connection, and the caller sees that it is not whole.
+        """
+        status = requests.status_of(error)
+        now = anyio.current_time()
+        held = 0.0 if arrived is None else now - arrived
+        counters.COUNTERS.add(f"relay.ended.{status}")
+        logs.decision(
+            "answer_cut" if sink.has_started else "refused",
+            request_id,
+            status=status,
+            code=str(error.code),
+            reason=error.message,
+            verdict=str(error.verdict),
+            held=round(held, 3),
+            retry_after=error.retry_after,
         )
-    return request
+        if sink.has_started:
+            return
+        headers: http.RawHeaders = [_JSON_TYPE]
+        has_not_run = error.verdict is verdicts.Verdict.NOT_RUN
+        if has_not_run and error.retry_after and status in requests.PROMISES:
+            headers.append(self._codec.retry_after(error.retry_after))
+        body = orjson.dumps(attrs.asdict(errors.ErrorReport.of(error)))
+        await sink.reply(status, headers, body)
 
 
 async def _await_leaving(
@@ -220,38 +255,3 @@
             )
             work.cancel()
             return
-
-
-async def _refuse(
-    sink: CallerSink,
-    request_id: str,
-    error: errors.CrowdeckError,
-    arrived: float | None = None,
-) -> None:
-    """Tell a caller of a failure, unless its answer has begun.
-
-    An answer that has begun is left without its end: the server then
-    closes the connection, and the caller sees that it is not whole.
-    """
-    status = requests.status_of(error)
-    now = anyio.current_time()
-    held = 0.0 if arrived is None else now - arrived
-    counters.COUNTERS.add(f"relay.ended.{status}")
-    logs.decision(
-        "answer_cut" if sink.has_started else "refused",
-        request_id,
-        status=status,
-        code=str(error.code),
-        reason=error.message,
-        verdict=str(error.verdict),
-        held=round(held, 3),
-        retry_after=error.retry_after,
-    )
-    if sink.has_started:
-        return
-    headers: http.RawHeaders = [_JSON_TYPE]
-    has_not_run = error.verdict is verdicts.Verdict.NOT_RUN
-    if has_not_run and error.retry_after and status in requests.PROMISES:
-        headers.append(callers.retry_after(error.retry_after))
-    body = orjson.dumps(attrs.asdict(errors.ErrorReport.of(error)))
-    await sink.reply(status, headers, body)
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -13,6 +13,9 @@
 from crowdeck import route as routes
 from crowdeck.routing import usage as usages
 
+# Weight of the newest pause in a stream's mean.
+NEWEST = 0.1
+
 
 @attrs.define(eq=False)
 class LiveStream:
@@ -20,10 +23,13 @@
 
     :ivar profile: of the engines that serve it.
     :ivar tokens: what the request is expected to hold in the end.
+    :ivar may_resume: whether it may go on elsewhere from its last event.
     :ivar last_event: id of the last event passed on, -1 for none.
     :ivar moved_at: the loop's time when it last moved: an event came,
         or an attempt began.
     :ivar next_look: not looked at before this time.
+    :ivar looks: how often it was looked into since it last moved.
+    :ivar usual_pause: mean pause between its events, in seconds.
     """
 
     request: requests.CallerRequest
@@ -33,10 +39,13 @@
     objective: float
     tokens: float
     _usage: usages.InFlight
+    may_resume: bool = False
     last_event: int = -1
     has_events: bool = False
     moved_at: float = 0.0
     next_look: float = 0.0
+    looks: int = 0
+    usual_pause: float = 0.0
     abandoned: str = ""
     _path: chain.ChainPath | None = None
     _scope: anyio.CancelScope | None = None
@@ -73,8 +82,13 @@
 
     def moved(self) -> None:
         """Note that an event came."""
-        self.moved_at = anyio.current_time()
+        now = anyio.current_time()
+        if self.has_events:
+            pause = now - self.moved_at
+            self.usual_pause += NEWEST * (pause - self.usual_pause)
+        self.moved_at = now
         self.next_look = 0.0
+        self.looks = 0
 
     def _leave_path(self) -> None:
         if self._path is not None:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -7,46 +7,43 @@
 
 import anyio
 import anyio.abc
-import attrs
 
 from crowdeck import chain
-from crowdeck import errors
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import engines
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
+from crowdeck.relay import probes
+from crowdeck.relay import reach
 from crowdeck.routing import hops
 
 # How often streams are looked at: a small part of the pause that is
 # allowed, at little cost for some tens of streams.
-LOOK_SECONDS = 0.025
-# A stream is looked into after this share of the longest pause that is
-# in time; the rest of the pause is for asking and leading it around.
-SILENT_SHARE = 0.4
+LOOK_SECONDS = 0.02
+# A stream is looked into when it was silent for this many times its own
+# usual pause, but neither before the first nor after the second share of
+# the longest pause that is in time; the rest is for asking and acting.
+RHYTHM_FACTOR = 4.0
+EARLIEST_SHARE = 0.35
+LATEST_SHARE = 0.55
 # A first event takes a prompt's reading as well: this share of its
 # objective.
-FIRST_SHARE = 0.5
-# An engine of the path that says nothing for this long while the stream
-# is silent is taken for the cause. Sound ones answer within 2 ms.
-PROBE_SECONDS = 0.06
+FIRST_SHARE = 0.4
+# Beginning anew spends the retry budget; this much of it is kept for
+# requests that cannot be served in another way.
+BUDGET_KEPT = 10.0
 # A stream whose engines all answer is only slow; it is looked into again
-# after this many times the pause.
+# after this many times the pause, and each time after twice as long.
 AGAIN_SHARE = 1.0
 
 
-@attrs.frozen
-class _Probe:
-    upstream: chain.Upstream
-    report: chain.EngineReport | None
-    reason: str = ""
-
-
 class StallWatch:
     """Looks after the streams of one entry."""
 
     def __init__(self, context: contexts.RelayContext) -> None:
         self._context = context
+        self._lateness = probes.LatenessMeter()
+        self._prober = probes.Prober(context.client, self._lateness)
         self._streams: set[live.LiveStream] = set()
         self._looking: set[live.LiveStream] = set()
 
@@ -61,6 +58,7 @@
     async def run(self) -> None:
         """Look at all streams again and again, until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._lateness.run)
             while True:
                 await anyio.sleep(LOOK_SECONDS)
                 now = anyio.current_time()
@@ -73,7 +71,9 @@
         if stream.path is None or stream in self._looking:
             return False
         if stream.has_events:
-            limit = SILENT_SHARE * stream.gap
+            limit = RHYTHM_FACTOR * stream.usual_pause
+            limit = max(limit, EARLIEST_SHARE * stream.gap)
+            limit = min(limit, LATEST_SHARE * stream.gap)
         else:
             limit = FIRST_SHARE * stream.objective
         return now >= max(stream.moved_at + limit, stream.next_look)
@@ -82,7 +82,8 @@
         try:
             await self._find_cause(stream)
         finally:
-            again = AGAIN_SHARE * stream.gap
+            stream.looks += 1
+            again = AGAIN_SHARE * stream.gap * 2.0 ** (stream.looks - 1)
             stream.next_look = anyio.current_time() + again
             self._looking.discard(stream)
 
@@ -91,64 +92,52 @@
         if path is None:
             return
         silent_since = stream.moved_at
-        probes = await self._probe(path)
+        culprits, is_sure = await self._culprits(stream, path)
         if stream.path is not path or stream.moved_at != silent_since:
             return
-        culprits = self._culprits(stream, probes)
         logs.decision(
             "stream_silent",
             stream.request.id,
             silent=round(anyio.current_time() - silent_since, 3),
+            usual=round(stream.usual_pause, 4),
             after=stream.last_event,
             culprits=[str(one.address) for one in culprits],
-            slow=[
-                str(probe.upstream.address)
-                for probe in probes
-                if probe.report is not None and probe.report.slowdown > 1.0
-            ],
+            is_sure=is_sure,
         )
         for culprit in culprits:
             self._context.book.avoid(culprit.name, "silent in a stream")
             await self._lead_around(culprit)
 
-    async def _probe(self, path: chain.ChainPath) -> list[_Probe]:
-        """Ask every engine of a path for its report, all at once."""
-        probes: list[_Probe] = []
+    async def _culprits(
+        self, stream: live.LiveStream, path: chain.ChainPath
+    ) -> tuple[list[chain.Upstream], bool]:
+        """Return the engines that hold a stream up, and whether it is sure.
+
+        The first engine knows best: it tells which requests wait for
+        whom, all at once. Only when it knows of nothing are the others
+        asked, since each question takes time of a busy entry.
+        """
+        head = await self._prober.ask(path.head)
+        if head.report is None:
+            return ([path.head] if head.is_silent else []), head.is_sure
+        named = [
+            self._context.book.at(stall.address)
+            for stall in head.report.stalls
+            if stall.request == stream.request.id
+        ]
+        found = [one for one in named if one is not None]
+        if found:
+            return found, True
+        answers: list[probes.Probe] = []
 
         async def ask(upstream: chain.Upstream) -> None:
-            report: chain.EngineReport | None = None
-            reason = "no answer"
-            with anyio.move_on_after(PROBE_SECONDS):
-                try:
-                    report = await self._context.client.report(upstream)
-                except errors.CrowdeckError as error:
-                    reason = error.message
-            probes.append(_Probe(upstream, report, reason))
-
-        counters.COUNTERS.add("relay.probed", len(path.hops))
+            answers.append(await self._prober.ask(upstream))
+
         async with anyio.create_task_group() as tasks:
-            for hop in path.hops:
+            for hop in path.hops[1:]:
                 tasks.start_soon(ask, hop.upstream)
-        return probes
-
-    def _culprits(
-        self, stream: live.LiveStream, probes: list[_Probe]
-    ) -> list[chain.Upstream]:
-        found = {
-            probe.upstream.name: probe.upstream
-            for probe in probes
-            if probe.report is None
-        }
-        for probe in probes:
-            if probe.report is None:
-                continue
-            for stall in probe.report.stalls:
-                if stall.request != stream.request.id:
-                    continue
-                upstream = self._context.book.at(stall.address)
-                if upstream is not None:
-                    found[upstream.name] = upstream
-        return list(found.values())
+        silent = [one.upstream for one in answers if one.is_silent]
+        return silent, all(one.is_sure for one in answers)
 
     async def _lead_around(self, culprit: chain.Upstream) -> None:
         """Change the path of every stream that passes a failed engine."""
@@ -171,6 +160,10 @@
         refused: set[str] = {culprit.name}
         while True:
             other = self._around(stream, path, refused)
+            if self._is_better_begun_anew(stream, path, other):
+                self._log(stream, path, None, "goes on elsewhere")
+                stream.abandon(f"{culprit.address} is silent")
+                return
             if other is None:
                 self._log(stream, path, None, "no other engine has room")
                 return
@@ -191,6 +184,25 @@
                 return
             refused.add(named.name)
 
+    def _is_better_begun_anew(
+        self,
+        stream: live.LiveStream,
+        path: chain.ChainPath,
+        other: chain.ChainPath | None,
+    ) -> bool:
+        """Whether a stream had better go on from its last event elsewhere.
+
+        A detour through another zone has all tokens so far cross between
+        zones. With tens of streams that fills the pipe which all share
+        for seconds, and stops the streams that cross it as well. Read
+        again in another zone from the beginning, nothing crosses.
+        """
+        if not stream.may_resume:
+            return False
+        if self._context.budget(stream.service.name).left < BUDGET_KEPT:
+            return False
+        return other is None or other.crossings > path.crossings
+
     def _around(
         self,
         stream: live.LiveStream,
@@ -222,7 +234,7 @@
         )
 
 
-def _words(outcome: engines.RepathOutcome) -> str:
+def _words(outcome: reach.RepathOutcome) -> str:
     if outcome.is_done:
         return "done"
     if not outcome.is_known:
--- a/src/crowdeck/relay/status.py
+++ b/src/crowdeck/relay/status.py
@@ -8,7 +8,6 @@
 import typing
 
 from crowdeck.observe import counters
-from crowdeck.platform import names
 from crowdeck.relay import ingress
 
 METRICS_PATH = "/metrics"
@@ -27,8 +26,11 @@
 class StatusApp:
     """Answers balancers and collectors of metrics."""
 
-    def __init__(self, ready: Ready, table: counters.Counters) -> None:
+    def __init__(
+        self, ready: Ready, table: counters.Counters, readiness_path: str
+    ) -> None:
         self._ready = ready
+        self._readiness_path = readiness_path
         self._counters = table
 
     async def __call__(
@@ -39,7 +41,7 @@
     ) -> None:
         """Answer one request."""
         path = scope["path"]
-        if path == names.READINESS_PATH:
+        if path == self._readiness_path:
             await _answer(send, 200 if self._ready.is_ready else 503, b"")
         elif path == METRICS_PATH:
             await _answer(send, 200, self._counters.as_text().encode())
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -12,13 +12,13 @@
 from crowdeck import chain
 from crowdeck import errors
 from crowdeck import http
+from crowdeck.membership import upstreams as books
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import callers
-from crowdeck.platform import engines
 from crowdeck.relay import context as contexts
 from crowdeck.relay import events
 from crowdeck.relay import live
+from crowdeck.relay import reach
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
 from crowdeck.routing import hops
@@ -39,6 +39,8 @@
 RETRY_AFTER = 0.3
 ANSWER_MARGIN = 0.05
 LEAST_SECONDS = 0.1
+# An engine that does not hold its part of a path, or is another one.
+STALE_STATUS = 421
 BODY_LIMIT = http.RESPONSE_LIMIT
 
 _MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
@@ -85,6 +87,7 @@
             objective=admitted.route.objective,
             tokens=size.expected(service.profile.usual_answer),
             usage=self._context.usage,
+            may_resume=admitted.route.is_resumable,
             last_event=request.last_event,
         )
         self._watch.add(stream)
@@ -196,9 +199,7 @@
 
     async def _exchange(self, path: chain.ChainPath) -> None:
         left = self._deadline - anyio.current_time()
-        headers = callers.onward(
-            self._request,
-            path.head,
+        dispatch = reach.Dispatch(
             self._admitted.team,
             self._admitted.priority,
             left,
@@ -209,7 +210,7 @@
             async with self._context.client.open(
                 path.head,
                 self._request,
-                headers,
+                dispatch,
                 http.Timeouts(CONNECT_SECONDS, left),
             ) as answer:
                 await self._pass_on(path, answer)
@@ -222,7 +223,7 @@
         )
 
     async def _pass_on(
-        self, path: chain.ChainPath, answer: engines.UpstreamAnswer
+        self, path: chain.ChainPath, answer: reach.Answer
     ) -> None:
         if answer.has_not_run:
             raise self._refusal(path, answer)
@@ -234,7 +235,7 @@
         if not answer.is_signed:
             raise _wrong(path, "it bears no signature")
         self._ran_on.add(path.head.name)
-        splitter = events.EventSplitter(callers.event_id)
+        splitter = events.EventSplitter(answer.event_id)
         async for chunk in answer.chunks():
             for event in splitter.feed(chunk):
                 await self._pass_event(path, answer, event)
@@ -248,7 +249,7 @@
     async def _pass_event(
         self,
         path: chain.ChainPath,
-        answer: engines.UpstreamAnswer,
+        answer: reach.Answer,
         event: events.Event,
     ) -> None:
         stream = self._stream
@@ -261,17 +262,23 @@
                     path, f"event {event.id} follows {stream.last_event}"
                 )
         if not self._sink.has_started:
-            await self._sink.start(answer.status, callers.back(answer.headers))
+            await self._sink.start(answer.status, answer.caller_headers)
         await self._sink.write(event.content)
         stream.has_events = True
         if event.id is not None:
             stream.last_event = event.id
 
     def _refusal(
-        self, path: chain.ChainPath, answer: engines.UpstreamAnswer
+        self, path: chain.ChainPath, answer: reach.Answer
     ) -> errors.CrowdeckError:
         culprit = self._context.book.at(answer.culprit) or path.head
         self._excluded.add(culprit.name)
+        is_stale = answer.status == STALE_STATUS
+        self._context.book.pause(
+            culprit.name,
+            books.STALE_SECONDS if is_stale else books.FULL_SECONDS,
+            f"refused with {answer.status}",
+        )
         return errors.CrowdeckError(
             errors.Code.OVERLOADED,
             f"{culprit.address} refused with {answer.status}",
@@ -279,16 +286,14 @@
         )
 
     async def _pass_failure(
-        self, path: chain.ChainPath, answer: engines.UpstreamAnswer
+        self, path: chain.ChainPath, answer: reach.Answer
     ) -> None:
         body = await answer.read(BODY_LIMIT)
         if self._sink.has_started or answer.status in requests.PROMISES:
             raise _wrong(path, f"status {answer.status}")
         if self._route.is_resumable and answer.status >= 500:
             raise _wrong(path, f"status {answer.status}")
-        await self._sink.reply(
-            answer.status, callers.back(answer.headers), body
-        )
+        await self._sink.reply(answer.status, answer.caller_headers, body)
 
     def _note(
         self, path: chain.ChainPath, error: errors.CrowdeckError
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -22,8 +22,10 @@
 # A crossing between zones costs its delay at each token, and the time
 # that the prompt holds the shared pipe, during which others wait: the
 # pipe serves one request after the other, so its time counts many fold.
+# With 20, a third of all paths crossed on a calm day, prompts queued for
+# the pipe, and streams of others paused for 0.1 s behind them.
 CROSSING_MS = 0.5
-PIPE_FACTOR = 20.0
+PIPE_FACTOR = 50.0
 # An answer from another zone crosses once more, to the entry. Events are
 # small, but such bytes are dear, and its engines are nearer to others:
 # taken when the own zone's engines are about half full, or broken.
--- /dev/null
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -0,0 +1,353 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A stand-in for upstreams that chain their stages themselves.
+
+It serves the relay in process, over ``relay.reach.Upstreams``, and keeps
+what a test asks afterwards: what ran where, and how often. Streams are
+event N of request R as ``id: N``, ``data: R:N``, so that a missing, doubled
+or foreign event shows.
+"""
+
+import collections
+import contextlib
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck import pipeline
+from crowdeck.placement import plan
+from crowdeck.relay import reach
+from crowdeck.relay import request as requests
+from crowdeck import verdict as verdicts
+
+# Engines cut what waits for a dead or silent one after this long.
+STALL_SECONDS = 2.0
+POLL_SECONDS = 0.005
+DIAL_SECONDS = 0.001
+
+
+@attrs.define(eq=False)
+class StandinUpstream:
+    """One upstream instance and what a test makes of it.
+
+    :ivar is_dead: refuses connections.
+    :ivar is_dark: does not answer, nor does it refuse.
+    :ivar rejects: how many of the next requests it refuses as not run.
+    :ivar loses: how many of the next answers it loses after running.
+    :ivar breaks_after: breaks a stream off after so many events, once.
+    :ivar fails: how many of the next calls it answers with 500.
+    :ivar forges: how many of the next answers bear another's id.
+    """
+
+    listed: chain.Upstream
+    orders_taken: int = 0
+    is_dead: bool = False
+    is_dark: bool = False
+    rejects: int = 0
+    loses: int = 0
+    breaks_after: int = -1
+    fails: int = 0
+    forges: int = 0
+    seconds: float = 0.02
+    late_orders: list[plan.Move] = attrs.field(factory=list)
+
+    @property
+    def answers(self) -> bool:
+        """Whether it answers at all."""
+        return not self.is_dead and not self.is_dark
+
+
+@attrs.frozen
+class Run:
+    """One time that an upstream ran a request."""
+
+    upstream: str
+    request: str
+    after: int
+    path: str
+    team: str
+
+
+class StandinAnswer:
+    """An answer of a stand-in upstream."""
+
+    def __init__(
+        self,
+        status: int,
+        request_id: str,
+        pieces: typing.AsyncIterator[bytes],
+        *,
+        has_not_run: bool = False,
+        culprit: str = "",
+    ) -> None:
+        self.status = status
+        self.has_not_run = has_not_run
+        self.is_signed = not has_not_run
+        self.culprit = culprit
+        self.load: reach.Load | None = None
+        self.caller_headers: http.RawHeaders = []
+        self._request_id = request_id
+        self._pieces = pieces
+
+    def belongs_to(self, request: requests.CallerRequest) -> bool:
+        """Whether it answers ``request``."""
+        return self._request_id == request.id
+
+    def event_id(self, event: bytes) -> int | None:
+        """Return an event's id."""
+        first = event.split(b"\n")[0]
+        return int(first[4:]) if first.startswith(b"id: ") else None
+
+    async def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Yield the body."""
+        async for piece in self._pieces:
+            yield piece
+
+    async def read(self, limit: int) -> bytes:
+        """Return the body."""
+        return b"".join([piece async for piece in self.chunks()])
+
+
+class ChainFleet:
+    """Upstreams by address, in one process."""
+
+    def __init__(self, layer_count: int = 80) -> None:
+        self._layer_count = layer_count
+        self._upstreams: dict[str, StandinUpstream] = {}
+        self._paths: dict[str, chain.ChainPath] = {}
+        self.runs: list[Run] = []
+        self.rejected: collections.Counter[str] = collections.Counter()
+        self.repaths: list[str] = []
+        self.events = 20
+        self.event_seconds = 0.02
+
+    def add(self, listed: chain.Upstream) -> StandinUpstream:
+        """Add an upstream instance."""
+        upstream = StandinUpstream(listed)
+        self._upstreams[str(listed.address)] = upstream
+        return upstream
+
+    def at(self, address: instances.Address | str) -> StandinUpstream:
+        """Return the instance at an address."""
+        return self._upstreams[str(address)]
+
+    def runs_of(self, request_id: str) -> list[Run]:
+        """Return when and where a request ran."""
+        return [run for run in self.runs if run.request == request_id]
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        upstream: chain.Upstream,
+        request: requests.CallerRequest,
+        dispatch: reach.Dispatch,
+        timeouts: http.Timeouts,
+    ) -> typing.AsyncIterator[reach.Answer]:
+        """Send a request."""
+        target = await self._dial(upstream, timeouts.connect)
+        if target.listed.name != upstream.name or target.rejects:
+            target.rejects = max(0, target.rejects - 1)
+            self.rejected[target.listed.name] += 1
+            yield self._rejection(request, 503, "")
+            return
+        culprit = self._misfit(dispatch.path)
+        if culprit is not None:
+            self.rejected[target.listed.name] += 1
+            yield self._rejection(request, 421, culprit)
+            return
+        self.runs.append(
+            Run(
+                target.listed.name,
+                request.id,
+                dispatch.last_event,
+                str(dispatch.path or ""),
+                dispatch.team,
+            )
+        )
+        answer = self._answer(target, request, dispatch)
+        if dispatch.path is not None:
+            self._paths[request.id] = dispatch.path
+        else:
+            await self._work(target)
+        if target.loses:
+            target.loses -= 1
+            raise _lost(verdicts.Verdict.MAY_HAVE_RUN)
+        yield answer
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        """Return what an engine says of itself."""
+        target = await self._dial(upstream, 0.25)
+        stalls = [
+            chain.Stall(request, str(hop.upstream.address))
+            for request, path in self._paths.items()
+            if path.head.address == upstream.address
+            for hop in path.hops
+            if not self.at(hop.upstream.address).answers
+        ]
+        return chain.EngineReport(
+            orders_taken=target.orders_taken,
+            is_busy=False,
+            layers=target.listed.layers,
+            running=0,
+            waiting=0,
+            cache_used=0.0,
+            cache_total=1.0,
+            slowdown=1.0,
+            stalls=tuple(stalls),
+        )
+
+    async def repath(
+        self, head: chain.Upstream, request_id: str, path: chain.ChainPath
+    ) -> reach.RepathOutcome:
+        """Have a running request go on along another path."""
+        await self._dial(head, 0.25)
+        if request_id not in self._paths:
+            return reach.RepathOutcome(is_done=False, is_known=False)
+        for hop in path.hops:
+            if not self._holds(hop):
+                return reach.RepathOutcome(
+                    False, True, str(hop.upstream.address)
+                )
+        self._paths[request_id] = path
+        self.repaths.append(request_id)
+        return reach.RepathOutcome(is_done=True, is_known=True)
+
+    async def place(
+        self, move: plan.Move, expected_orders: int, fencing_token: int
+    ) -> bool:
+        """Give an order, as ``placement.duty.Orders`` has it."""
+        target = await self._dial(move.upstream, 0.25)
+        if target.orders_taken != expected_orders:
+            return False
+        self.carry_out(target, move)
+        return True
+
+    def carry_out(self, target: StandinUpstream, move: plan.Move) -> None:
+        """Hold other layers from now on."""
+        target.orders_taken += 1
+        target.listed = attrs.evolve(target.listed, layers=move.layers)
+
+    async def _dial(
+        self, upstream: chain.Upstream, timeout: float
+    ) -> StandinUpstream:
+        target = self._upstreams.get(str(upstream.address))
+        if target is not None and target.is_dark:
+            await anyio.sleep(timeout)
+        else:
+            await anyio.sleep(DIAL_SECONDS)
+        if target is None or not target.answers:
+            raise _lost(verdicts.Verdict.NOT_RUN)
+        return target
+
+    def _misfit(self, path: chain.ChainPath | None) -> str | None:
+        """Return the address of an engine that lacks its part."""
+        if path is None:
+            return None
+        position = 0
+        for hop in path.hops:
+            if hop.layers.first != position or not self._holds(hop):
+                return str(hop.upstream.address)
+            position = hop.layers.end
+        return None if position == self._layer_count else "0.0.0.0:0"
+
+    def _holds(self, hop: chain.Hop) -> bool:
+        target = self._upstreams.get(str(hop.upstream.address))
+        if target is None or target.is_dead or target.listed.layers is None:
+            return False
+        held = target.listed.layers
+        return held.first <= hop.layers.first and hop.layers.end <= held.end
+
+    def _answer(
+        self,
+        target: StandinUpstream,
+        request: requests.CallerRequest,
+        dispatch: reach.Dispatch,
+    ) -> StandinAnswer:
+        request_id = request.id
+        if target.forges:
+            target.forges -= 1
+            request_id = "another"
+        if dispatch.path is not None:
+            pieces = self._stream(target, request, dispatch)
+            return StandinAnswer(200, request_id, pieces)
+        status = 200
+        if target.fails:
+            target.fails -= 1
+            status = 500
+        return StandinAnswer(status, request_id, _one(request.id.encode()))
+
+    async def _work(self, target: StandinUpstream) -> None:
+        await anyio.sleep(target.seconds)
+        if target.is_dark:
+            await anyio.sleep_forever()
+
+    async def _stream(
+        self,
+        target: StandinUpstream,
+        request: requests.CallerRequest,
+        dispatch: reach.Dispatch,
+    ) -> typing.AsyncIterator[bytes]:
+        sent = 0
+        for number in range(dispatch.last_event + 1, self.events):
+            await anyio.sleep(self.event_seconds)
+            await self._await_path(target, request.id)
+            if target.breaks_after == sent:
+                target.breaks_after = -1
+                yield event(request.id, number)[:5]
+                raise _lost(verdicts.Verdict.MAY_HAVE_RUN)
+            yield event(request.id, number)
+            sent += 1
+
+    async def _await_path(
+        self, target: StandinUpstream, request_id: str
+    ) -> None:
+        waited = 0.0
+        while True:
+            if target.is_dark:
+                await anyio.sleep_forever()
+            if target.is_dead or waited > STALL_SECONDS:
+                raise _lost(verdicts.Verdict.MAY_HAVE_RUN)
+            path = self._paths[request_id]
+            if all(self.at(hop.upstream.address).answers for hop in path.hops):
+                return
+            await anyio.sleep(POLL_SECONDS)
+            waited += POLL_SECONDS
+
+    def _rejection(
+        self, request: requests.CallerRequest, status: int, culprit: str
+    ) -> StandinAnswer:
+        return StandinAnswer(
+            status, request.id, _one(b""), has_not_run=True, culprit=culprit
+        )
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return the bytes of one event."""
+    return f"id: {number}\ndata: {request_id}:{number}\n\n".encode()
+
+
+def cut(layer_count: int, parts: int) -> list[pipeline.LayerRange]:
+    """Return ``layer_count`` layers in ``parts`` ranges."""
+    bounds = [layer_count * part // parts for part in range(parts + 1)]
+    return [
+        pipeline.LayerRange(first, end)
+        for first, end in zip(bounds, bounds[1:], strict=False)
+    ]
+
+
+async def _one(piece: bytes) -> typing.AsyncIterator[bytes]:
+    yield piece
+
+
+def _lost(verdict: verdicts.Verdict) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.UPSTREAM_LOST, "the upstream was lost", verdict=verdict
+    )
--- /dev/null
+++ b/tests/fleet_system.py
@@ -0,0 +1,259 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A relay in front of stand-in upstreams, in virtual time."""
+
+import random
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import upstreams as books
+from crowdeck import pipeline
+from crowdeck.relay import context as contexts
+from crowdeck.relay import relay as relays
+from crowdeck.relay import request as requests
+from crowdeck.relay import stalls
+from crowdeck import route as routes
+from crowdeck.routing import hops
+from crowdeck.routing import usage as usages
+from crowdeck.standin import chain_fleet
+from crowdeck.state import objects as stores
+
+ZONES = ("plateau", "almadies")
+PROFILE = chain.EngineProfile(
+    layer_count=80,
+    layer_mb=1750.0,
+    token_bytes=1_180_000.0,
+    step_ms=0.85,
+    sequence_ms=0.008,
+    context_ms=0.01,
+    read_tokens_per_second=196_000.0,
+    activation_bytes=59_000.0,
+    pipe_bytes_per_second=1.125e9,
+    load_seconds=14.0,
+    loads_at_once=6,
+    slots=96,
+    usual_prompt=772.0,
+    usual_answer=172.0,
+    cards={
+        "large": chain.Card("large", 72_000.0, 1.4, 1.0),
+        "small": chain.Card("small", 21_600.0, 16.0, 8.2),
+    },
+)
+MODEL = "assistant"
+PLAIN = "records"
+
+
+def upstream(
+    name: str,
+    zone: str = "plateau",
+    layers: tuple[int, int] | None = None,
+    card: str = "small",
+    service: str = MODEL,
+) -> chain.Upstream:
+    """Return an upstream instance whose address tells its name."""
+    number = sum(ord(one) * 31**at for at, one in enumerate(name)) % 65_000
+    return chain.Upstream(
+        name=name,
+        service=service,
+        address=instances.Address("10.0.0.1", 1 + number),
+        availability_zone=zone,
+        slots=6,
+        is_leaving=False,
+        card=card,
+        layers=pipeline.LayerRange(*layers) if layers else None,
+    )
+
+
+def a_route(repeat: routes.Repeat, **changes: typing.Any) -> routes.Route:
+    """Return a route of the host ``desk``."""
+    is_stream = repeat is routes.Repeat.STREAM
+    service = MODEL if is_stream else PLAIN
+    route = routes.Route(
+        name=str(repeat),
+        host="desk",
+        prefix=f"/{repeat}/",
+        repeat=repeat,
+        shares=(routes.Share(service, 1.0),),
+        max_attempts=2,
+        timeout=20.0 if is_stream else 1.5,
+        objective=0.5,
+        gap=0.2 if is_stream else 0.0,
+        priority=1,
+        is_anonymous=False,
+        is_resumable=is_stream,
+    )
+    return attrs.evolve(route, **changes)
+
+
+def a_config(
+    version: int = 1, listed: tuple[routes.Route, ...] | None = None
+) -> routes.FleetConfig:
+    """Return a config with a route of each kind and one team."""
+    if listed is None:
+        listed = tuple(a_route(repeat) for repeat in routes.Repeat)
+    return routes.FleetConfig(
+        version=version,
+        routes=listed,
+        services=(
+            routes.Service(MODEL, 100, PROFILE),
+            routes.Service(PLAIN, 100),
+        ),
+        teams=(routes.TeamKeys("kiosks", frozenset({"secret"})),),
+        limits=routes.Limits(),
+    )
+
+
+class Caller:
+    """A caller that keeps what it is sent."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+        self.is_whole = False
+        self.times: list[float] = []
+        self.error: errors.CrowdeckError | None = None
+
+    @property
+    def has_started(self) -> bool:
+        return self.status != 0
+
+    @property
+    def longest_pause(self) -> float:
+        pairs = zip(self.times, self.times[1:], strict=False)
+        return max((after - before for before, after in pairs), default=0.0)
+
+    async def start(self, status: int, headers: http.RawHeaders) -> None:
+        assert not self.status, "an answer has one head"
+        self.status = status
+
+    async def write(self, piece: bytes) -> None:
+        self.body += piece
+        self.times.append(anyio.current_time())
+
+    async def finish(self) -> None:
+        self.is_whole = True
+
+    async def reply(
+        self, status: int, headers: http.RawHeaders, body: bytes
+    ) -> None:
+        await self.start(status, headers)
+        self.body = body
+        self.is_whole = True
+
+
+class FleetSystem:
+    """One entry's relay, its upstreams, and the clock they share."""
+
+    def __init__(self) -> None:
+        self.fleet = chain_fleet.ChainFleet()
+        self.listed: dict[str, chain.Upstream] = {}
+        self.book = books.UpstreamBook(lambda one: self.listed[one.name])
+        self.usage = usages.InFlight()
+        self.context = contexts.RelayContext(
+            zone=ZONES[0],
+            book=self.book,
+            client=self.fleet,
+            usage=self.usage,
+            planner=hops.HopPlanner(self.usage),
+            terms=contexts.BudgetTerms(0.2, 100.0, 10.0),
+            chance=random.Random(1),
+        )
+        self.config = a_config()
+        self.holder = relays.ConfigHolder(lambda _: self.config, "main")
+        self.age = 0.0
+        self.watch = stalls.StallWatch(self.context)
+        self.relay = relays.Relay(
+            self.context, self.holder, self.watch, lambda: self.age, 3.5
+        )
+        self._ids = 0
+
+    def install(self, config: routes.FleetConfig) -> None:
+        """Put a config in force, as the store would tell it."""
+        self.config = config
+        self.holder.on_listed(
+            (stores.StoredObject("config", "main", config.version, b"{}"),)
+        )
+
+    def add(self, listed: chain.Upstream) -> chain_fleet.StandinUpstream:
+        """Add an upstream instance, and list it."""
+        target = self.fleet.add(listed)
+        self.tell(listed)
+        return target
+
+    def tell(self, listed: chain.Upstream) -> None:
+        """List an instance as it is now."""
+        self.listed[listed.name] = listed
+        self.book.on_changed(
+            (stores.StoredObject("upstreams", listed.name, 1, b"{}"),), ()
+        )
+
+    def add_model(self, copies: int = 2, parts: int = 4) -> None:
+        """Add engines that hold the model, ``copies`` times in each zone."""
+        for zone in ZONES:
+            for copy in range(copies):
+                ranges = chain_fleet.cut(PROFILE.layer_count, parts)
+                for part, layers in enumerate(ranges):
+                    self.add(
+                        upstream(
+                            f"{zone}-{copy}-{part}",
+                            zone,
+                            (layers.first, layers.end),
+                            "large",
+                        )
+                    )
+
+    def request(
+        self, repeat: routes.Repeat, **changes: typing.Any
+    ) -> requests.CallerRequest:
+        """Return a new request on one of the routes."""
+        self._ids += 1
+        request = requests.CallerRequest(
+            id=f"r{self._ids}",
+            method="POST",
+            target=f"/{repeat}/x",
+            path=f"/{repeat}/x",
+            host="desk",
+            key="secret",
+            headers=[],
+            body=b"",
+            patience=20.0,
+            arrived=anyio.current_time(),
+            size=requests.PromptSize(700, 400, 100),
+        )
+        return attrs.evolve(request, **changes)
+
+    async def ask(self, request: requests.CallerRequest) -> Caller:
+        """Send a request and wait for what comes of it."""
+        caller = Caller()
+        try:
+            await self.relay.serve(request, caller)
+        except errors.CrowdeckError as error:
+            caller.error = error
+        return caller
+
+
+def whole_answer(request_id: str, events: int) -> bytes:
+    """Return the bytes of a stream's whole answer."""
+    return b"".join(
+        chain_fleet.event(request_id, number) for number in range(events)
+    )
+
+
+async def run_with(
+    system: FleetSystem,
+    work: typing.Callable[[FleetSystem], typing.Awaitable[None]],
+) -> None:
+    """Run a test's work beside the watch over streams."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(system.watch.run)
+        await work(system)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,386 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Which engine is to hold which layers, and the duty of ordering it."""
+
+import typing
+
+import anyio
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck import pipeline
+from crowdeck.placement import duty as duties
+from crowdeck.placement import plan
+from crowdeck import route as routes
+from crowdeck.standin import store as standin_store
+from crowdeck.state import leases
+from crowdeck.state import objects as stores
+from tests import fleet_system
+from tests import virtual
+
+PROFILE = fleet_system.PROFILE
+CARDS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("large", "small")),
+        strategies.sampled_from(("plateau", "almadies", "pikine")),
+    ),
+    min_size=1,
+    max_size=40,
+)
+
+
+def engines(
+    cards: list[tuple[str, str]],
+) -> list[chain.Upstream]:
+    return [
+        fleet_system.upstream(f"e{number}", zone, None, card)
+        for number, (card, zone) in enumerate(cards)
+    ]
+
+
+def carry_out(
+    fleet: list[chain.Upstream], moves: list[plan.Move]
+) -> list[chain.Upstream]:
+    held = {move.upstream.name: move.layers for move in moves}
+    return [
+        attrs.evolve(one, layers=held.get(one.name, one.layers))
+        for one in fleet
+    ]
+
+
+def settle(fleet: list[chain.Upstream]) -> list[chain.Upstream]:
+    """Carry moves out until there are none."""
+    for _ in range(200):
+        moves = plan.next_moves(fleet, PROFILE, lambda _: True)
+        if not moves:
+            return fleet
+        fleet = carry_out(fleet, moves)
+    raise AssertionError("the plan never settles")
+
+
+def capacity(fleet: list[chain.Upstream]) -> int:
+    return sum(
+        plan.quota(one, PROFILE, plan.ROOM_LEAST * 900.0) for one in fleet
+    )
+
+
+class TestPlan:
+    """Properties of every plan."""
+
+    @hypothesis.given(CARDS)
+    @hypothesis.settings(max_examples=150, deadline=None)
+    def test_settles_with_every_layer_held_where_cards_suffice(
+        self, cards: list[tuple[str, str]]
+    ) -> None:
+        fleet = settle(engines(cards))
+        counts = plan.coverage(fleet, PROFILE.layer_count)
+        if capacity(fleet) >= 2 * PROFILE.layer_count:
+            assert min(counts) >= 1
+
+    @hypothesis.given(CARDS)
+    @hypothesis.settings(max_examples=100, deadline=None)
+    def test_no_engine_holds_more_than_fits(
+        self, cards: list[tuple[str, str]]
+    ) -> None:
+        for one in settle(engines(cards)):
+            if one.layers is not None:
+                size = one.layers.end - one.layers.first
+                card = PROFILE.cards[one.card]
+                assert size * PROFILE.layer_mb < card.memory_mb
+
+    @hypothesis.given(
+        CARDS, strategies.lists(strategies.integers(0, 39), max_size=6)
+    )
+    @hypothesis.settings(max_examples=150, deadline=None)
+    def test_no_move_takes_the_last_copy(
+        self, cards: list[tuple[str, str]], lost: list[int]
+    ) -> None:
+        fleet = settle(engines(cards))
+        fleet = [one for at, one in enumerate(fleet) if at not in set(lost)]
+        for _ in range(50):
+            before = plan.coverage(fleet, PROFILE.layer_count)
+            moves = plan.next_moves(fleet, PROFILE, lambda _: True)
+            if not moves:
+                break
+            # What is given up counts at once, what is taken up later.
+            given = {
+                move.upstream.name
+                for move in moves
+                if move.upstream.layers is not None
+            }
+            rest = [one for one in fleet if one.name not in given]
+            during = plan.coverage(rest, PROFILE.layer_count)
+            for held, left in zip(before, during, strict=True):
+                assert held == 0 or left > 0
+            fleet = carry_out(fleet, moves)
+
+    def test_each_zone_that_can_holds_the_whole_model(self) -> None:
+        cards = [("large", zone) for zone in ("plateau", "almadies")] * 4
+        fleet = settle(engines(cards))
+        for zone in ("plateau", "almadies"):
+            inside = [one for one in fleet if one.availability_zone == zone]
+            assert min(plan.coverage(inside, PROFILE.layer_count)) >= 1
+
+    def test_busy_engines_are_left_alone(self) -> None:
+        fleet = engines([("large", "plateau")] * 5)
+        moves = plan.next_moves(fleet, PROFILE, lambda one: one.name != "e0")
+        assert {move.upstream.name for move in moves} == {
+            "e1",
+            "e2",
+            "e3",
+            "e4",
+        }
+
+    def test_gap_is_filled_by_one_that_can_be_spared(self) -> None:
+        fleet = settle(engines([("small", "plateau")] * 16))
+        counts = plan.coverage(fleet, PROFILE.layer_count)
+        single = next(
+            one
+            for one in fleet
+            if one.layers is not None and counts[one.layers.first] == 1
+        )
+        left = [one for one in fleet if one.name != single.name]
+        after = settle(left)
+        assert min(plan.coverage(after, PROFILE.layer_count)) >= 1
+        moved = sum(
+            1
+            for one in after
+            if next(old for old in left if old.name == one.name) != one
+        )
+        assert moved <= 2
+
+
+class _Ledger:
+    """A lease that a test grants."""
+
+    def __init__(self) -> None:
+        self.is_held = True
+        self.term = 3
+
+
+def play_duty(
+    work: typing.Callable[
+        [fleet_system.FleetSystem, _Ledger], typing.Awaitable[None]
+    ],
+    count: int = 5,
+) -> None:
+    async def body() -> None:
+        system = fleet_system.FleetSystem()
+        ledger = _Ledger()
+        service = routes.Service(fleet_system.MODEL, 100, PROFILE)
+        duty = duties.PlacementDuty(
+            typing.cast(leases.Lease, ledger),
+            system.book,
+            system.fleet,
+            lambda: (service,),
+        )
+        for number in range(count):
+            system.add(
+                fleet_system.upstream(f"e{number}", "plateau", None, "large")
+            )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(duty.run)
+            await work(system, ledger)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+def tell_all(system: fleet_system.FleetSystem) -> None:
+    """Have every engine tell what it holds, as heartbeats do."""
+    for one in list(system.listed.values()):
+        target = system.fleet.at(one.address)
+        if target.answers:
+            system.tell(target.listed)
+
+
+class TestDuty:
+    """Orders, and what becomes of them."""
+
+    def test_first_plan_waits_for_the_fleet_to_be_listed(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(0.6)
+            system.add(fleet_system.upstream("late", "plateau", None, "large"))
+            await anyio.sleep(0.9)
+            assert all(
+                system.fleet.at(one.address).orders_taken == 0
+                for one in system.listed.values()
+            )
+            await anyio.sleep(1.0)
+            assert all(
+                system.fleet.at(one.address).orders_taken == 1
+                for one in system.listed.values()
+            )
+
+        play_duty(work)
+
+    def test_without_the_lease_nothing_is_ordered(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            ledger.is_held = False
+            await anyio.sleep(5.0)
+            assert all(
+                system.fleet.at(one.address).orders_taken == 0
+                for one in system.listed.values()
+            )
+
+        play_duty(work)
+
+    def test_restarted_engine_gets_layers_again(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            await anyio.sleep(0.1)
+            one = system.listed["e1"]
+            target = system.fleet.at(one.address)
+            target.listed = attrs.evolve(target.listed, layers=None)
+            target.orders_taken = 0
+            tell_all(system)
+            await anyio.sleep(1.0)
+            assert target.orders_taken == 1
+            assert target.listed.layers is not None
+
+        play_duty(work)
+
+    def test_late_order_no_longer_fits(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            target = system.fleet.at(system.listed["e1"].address)
+            assert target.orders_taken == 1
+            late = plan.Move(target.listed, pipeline.LayerRange(0, 3))
+            is_taken = await system.fleet.place(late, 0, 1)
+            assert not is_taken
+            assert target.listed.layers != late.layers
+
+        play_duty(work)
+
+    def test_lost_engine_is_replaced_by_one_to_spare(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            system.fleet.at(system.listed["e0"].address).is_dead = True
+            system.book.avoid("e0", "refused")
+            await anyio.sleep(0.7)
+            tell_all(system)
+            await anyio.sleep(0.1)
+            live = [one for one in system.listed.values() if one.name != "e0"]
+            assert min(plan.coverage(live, PROFILE.layer_count)) >= 1
+
+        play_duty(work, count=8)
+
+
+class TestLease:
+    """One holder at a time, by each one's own clock."""
+
+    def test_only_one_of_many_holds_it(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            rivals = [
+                leases.Lease(store, "duty", f"run-{number}")
+                for number in range(4)
+            ]
+            async with anyio.create_task_group() as tasks:
+                for rival in rivals:
+                    tasks.start_soon(rival.run)
+                for _ in range(200):
+                    await anyio.sleep(0.1)
+                    assert sum(rival.is_held for rival in rivals) <= 1
+                assert any(rival.is_held for rival in rivals)
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    def test_passes_on_with_a_higher_term_when_its_holder_dies(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            first = leases.Lease(store, "duty", "first")
+            second = leases.Lease(store, "duty", "second")
+            async with anyio.create_task_group() as tasks:
+                with anyio.CancelScope() as life:
+                    async with anyio.create_task_group() as inner:
+                        inner.start_soon(first.run)
+                        await anyio.sleep(1.0)
+                        assert first.is_held
+                        life.cancel()
+                tasks.start_soon(second.run)
+                await anyio.sleep(2.0)
+                assert not second.is_held
+                await anyio.sleep(6.0)
+                assert second.is_held and not first.is_held
+                assert second.term > first.term
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    def test_is_not_held_through_an_outage(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            lease = leases.Lease(store, "duty", "one")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lease.run)
+                await anyio.sleep(1.0)
+                assert lease.is_held
+                store.is_down = True
+                await anyio.sleep(leases.LEASE_SECONDS)
+                assert not lease.is_held
+                store.is_down = False
+                await anyio.sleep(2 * leases.RENEW_SECONDS)
+                assert lease.is_held
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    def test_lost_reply_to_its_own_write_is_read_back(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            lease = leases.Lease(store, "duty", "one")
+            store.lost_replies = 1
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lease.run)
+                await anyio.sleep(2 * leases.RENEW_SECONDS)
+                assert lease.is_held
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    def test_malformed_lease_is_told(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            store.write(leases.KIND, "duty", b"[]")
+            lease = leases.Lease(store, "duty", "one")
+            with anyio.move_on_after(5.0):
+                await lease.run()
+            assert not lease.is_held
+
+        virtual.run(body)
+
+
+def test_store_error_is_no_lease() -> None:
+    """A store that cannot be reached grants nothing."""
+
+    async def body() -> None:
+        store = standin_store.StandinStore()
+        store.is_down = True
+        lease = leases.Lease(store, "duty", "one")
+        with anyio.move_on_after(5.0):
+            await lease.run()
+        assert not lease.is_held
+        assert isinstance(errors.Code.STORE_DOWN, str) and stores.CREATE == 0
+
+    virtual.run(body)
--- /dev/null
+++ b/tests/test_relay_calls.py
@@ -0,0 +1,260 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Calls of plain services through the relay."""
+
+import typing
+
+import anyio
+import attrs
+import pytest
+
+from crowdeck import errors
+from crowdeck.relay import request as requests
+from crowdeck import route as routes
+from crowdeck import verdict as verdicts
+from tests import fleet_system
+from tests import virtual
+
+ONCE = routes.Repeat.ONCE
+IDEMPOTENT = routes.Repeat.IDEMPOTENT
+
+
+def play(
+    work: typing.Callable[[fleet_system.FleetSystem], typing.Awaitable[None]],
+    instances: int = 3,
+) -> None:
+    """Play ``work`` on a system with some instances of a plain service."""
+
+    async def body() -> None:
+        system = fleet_system.FleetSystem()
+        system.install(system.config)
+        for number in range(instances):
+            system.add(
+                fleet_system.upstream(
+                    f"records-{number}", service=fleet_system.PLAIN
+                )
+            )
+        await fleet_system.run_with(system, work)
+
+    virtual.run(body)
+
+
+def each(system: fleet_system.FleetSystem, **state: typing.Any) -> None:
+    for one in system.listed.values():
+        target = system.fleet.at(one.address)
+        for name, value in state.items():
+            setattr(target, name, value)
+
+
+class TestCallThatRunsOnce:
+    """A call that may not be repeated."""
+
+    def test_lost_answer_is_not_tried_again(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, loses=1)
+            request = system.request(ONCE)
+            caller = await system.ask(request)
+            assert len(system.fleet.runs_of(request.id)) == 1
+            assert caller.error is not None
+            assert caller.error.verdict is verdicts.Verdict.MAY_HAVE_RUN
+            assert requests.status_of(caller.error) == 502
+
+        play(work)
+
+    def test_silent_instance_ends_at_the_routes_time(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, seconds=60.0)
+            request = system.request(ONCE)
+            caller = await system.ask(request)
+            assert anyio.current_time() <= 1.5
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == 504
+            assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+    def test_refused_connection_goes_to_another(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            first = next(iter(system.listed.values()))
+            system.fleet.at(first.address).is_dead = True
+            for _ in range(3):
+                request = system.request(ONCE)
+                caller = await system.ask(request)
+                assert caller.status == 200
+                assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+    def test_forged_answer_is_no_answer(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, forges=1)
+            caller = await system.ask(system.request(ONCE))
+            assert caller.body == b""
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == 502
+
+        play(work)
+
+    def test_failure_is_passed_on_as_it_is(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, fails=1)
+            request = system.request(ONCE)
+            caller = await system.ask(request)
+            assert caller.status == 500
+            assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+    def test_all_refused_is_a_true_refusal(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, rejects=5)
+            request = system.request(ONCE)
+            caller = await system.ask(request)
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == 503
+            assert system.fleet.runs_of(request.id) == []
+
+        play(work)
+
+
+class TestRepeatableCall:
+    """A call that may run more than once."""
+
+    def test_lost_answer_is_tried_at_another(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            first = next(iter(system.listed.values()))
+            system.fleet.at(first.address).loses = 1
+            for _ in range(3):
+                caller = await system.ask(system.request(IDEMPOTENT))
+                assert caller.status == 200
+
+        play(work)
+
+    def test_failure_is_tried_at_another(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            first = next(iter(system.listed.values()))
+            system.fleet.at(first.address).fails = 1
+            for _ in range(3):
+                caller = await system.ask(system.request(IDEMPOTENT))
+                assert caller.status == 200
+
+        play(work)
+
+    def test_runs_at_no_more_instances_than_allowed(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, loses=9)
+            request = system.request(IDEMPOTENT)
+            caller = await system.ask(request)
+            assert caller.error is not None
+            assert len(system.fleet.runs_of(request.id)) == 2
+
+        play(work)
+
+    def test_silent_instance_leaves_time_for_another(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            first = next(iter(system.listed.values()))
+            system.fleet.at(first.address).seconds = 60.0
+            for _ in range(3):
+                request = system.request(IDEMPOTENT)
+                caller = await system.ask(request)
+                assert caller.status == 200
+
+        play(work)
+
+    def test_spent_budget_ends_repeats(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            budget = system.context.budget(fleet_system.PLAIN)
+            while budget.spend():
+                pass
+            each(system, loses=9)
+            request = system.request(IDEMPOTENT)
+            await system.ask(request)
+            assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+
+class TestAdmission:
+    """What is refused before any upstream is asked."""
+
+    @pytest.mark.parametrize(
+        ("change", "status"),
+        [({"key": "wrong"}, 401), ({"host": "other"}, 404)],
+    )
+    def test_unknown_key_or_route(
+        self, change: dict[str, str], status: int
+    ) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = attrs.evolve(system.request(ONCE), **change)
+            caller = await system.ask(request)
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == status
+            # With a config that may be old, neither is known for sure.
+            system.age = 4.0
+            caller = await system.ask(request)
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == 503
+
+        play(work)
+
+    def test_key_is_not_trusted_with_an_old_config(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.age = 3.6
+            request = system.request(ONCE)
+            caller = await system.ask(request)
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == 503
+            assert caller.error.retry_after
+            assert system.fleet.runs == []
+            assert not system.relay.is_ready
+
+        play(work)
+
+    def test_anonymous_route_goes_on_with_an_old_config(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            route = fleet_system.a_route(ONCE, is_anonymous=True)
+            system.install(fleet_system.a_config(2, (route,)))
+            system.age = 60.0
+            caller = await system.ask(system.request(ONCE, key=""))
+            assert caller.status == 200
+
+        play(work)
+
+    def test_no_config_yet_is_a_true_refusal(self) -> None:
+        async def body() -> None:
+            system = fleet_system.FleetSystem()
+            caller = await system.ask(system.request(ONCE))
+            assert caller.error is not None
+            assert requests.status_of(caller.error) == 503
+            assert caller.error.retry_after
+
+        virtual.run(body)
+
+    def test_older_config_never_comes_back(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.install(fleet_system.a_config(9))
+            system.install(fleet_system.a_config(8, ()))
+            caller = await system.ask(system.request(ONCE))
+            assert caller.status == 200
+            table = system.holder.table
+            assert table is not None and table.version == 9
+
+        play(work)
+
+
+class TestStatusOfErrors:
+    """The status tells the truth about whether a request has run."""
+
+    @pytest.mark.parametrize("code", list(errors.Code))
+    def test_promises_are_kept(self, code: errors.Code) -> None:
+        for verdict in verdicts.Verdict:
+            error = errors.CrowdeckError(code, "", verdict=verdict)
+            status = requests.status_of(error)
+            if verdict is verdicts.Verdict.NOT_RUN:
+                assert status < 500 or status == 503
+            else:
+                assert status not in requests.PROMISES
+                assert status >= 500
--- /dev/null
+++ b/tests/test_relay_streams.py
@@ -0,0 +1,311 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Streams through the relay, while engines fail."""
+
+import typing
+
+import anyio
+import attrs
+import pytest
+
+from crowdeck import errors
+from crowdeck.relay import request as requests
+from crowdeck import route as routes
+from crowdeck.standin import chain_fleet
+from crowdeck import verdict as verdicts
+from tests import fleet_system
+from tests import virtual
+
+STREAM = routes.Repeat.STREAM
+
+
+def play(
+    work: typing.Callable[[fleet_system.FleetSystem], typing.Awaitable[None]],
+    copies: int = 2,
+) -> None:
+    """Play ``work`` on a system with a whole model."""
+
+    async def body() -> None:
+        system = fleet_system.FleetSystem()
+        system.install(system.config)
+        system.add_model(copies)
+        await fleet_system.run_with(system, work)
+
+    virtual.run(body)
+
+
+def assert_whole(
+    caller: fleet_system.Caller, request: requests.CallerRequest, events: int
+) -> None:
+    assert caller.error is None
+    assert caller.is_whole
+    assert caller.body == fleet_system.whole_answer(request.id, events)
+
+
+async def during(
+    system: fleet_system.FleetSystem,
+    request: requests.CallerRequest,
+    after: float,
+    strike: typing.Callable[[], None],
+) -> fleet_system.Caller:
+    """Send a request and strike while it is answered."""
+    callers: list[fleet_system.Caller] = []
+
+    async def ask() -> None:
+        callers.append(await system.ask(request))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.sleep(after)
+        strike()
+    return callers[0]
+
+
+def path_of(
+    system: fleet_system.FleetSystem, request: requests.CallerRequest
+) -> list[chain_fleet.StandinUpstream]:
+    run = system.fleet.runs_of(request.id)[-1]
+    return [
+        system.fleet.at(part.partition("=")[0]) for part in run.path.split(",")
+    ]
+
+
+class TestCalmStream:
+    """A stream when nothing fails."""
+
+    def test_is_passed_on_whole(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            assert_whole(caller, request, system.fleet.events)
+            assert len(system.fleet.runs_of(request.id)) == 1
+            assert system.fleet.runs[0].team == "kiosks"
+
+        play(work)
+
+    def test_leaves_no_usage_behind(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            await system.ask(system.request(STREAM))
+            for one in system.listed.values():
+                assert system.usage.sequences(one) == 0
+                assert system.usage.fullness(one, fleet_system.PROFILE) == 0
+
+        play(work)
+
+    def test_stays_in_the_zone_of_the_entry(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+            await system.ask(request)
+            zones = {
+                one.listed.availability_zone
+                for one in path_of(system, request)
+            }
+            assert zones == {fleet_system.ZONES[0]}
+
+        play(work)
+
+    def test_callers_own_last_event_is_kept(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = attrs.evolve(system.request(STREAM), last_event=4)
+            caller = await system.ask(request)
+            assert caller.is_whole
+            assert caller.body.startswith(b"id: 5\n")
+
+        play(work)
+
+
+class TestFailedStage:
+    """An engine that is not the first fails in the middle of a stream."""
+
+    @pytest.mark.parametrize("how", ["is_dead", "is_dark"])
+    def test_stream_is_led_around_it(self, how: str) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                setattr(path_of(system, request)[2], how, True)
+
+            caller = await during(system, request, 0.15, strike)
+            assert_whole(caller, request, system.fleet.events)
+            assert system.fleet.repaths == [request.id]
+            # It ran once: only the part that failed was replaced.
+            assert len(system.fleet.runs_of(request.id)) == 1
+            assert caller.longest_pause < 0.2
+
+        play(work)
+
+    def test_other_streams_through_it_are_led_around_too(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            first = system.request(STREAM)
+            second = system.request(STREAM)
+            callers: list[fleet_system.Caller] = []
+
+            async def ask(request: requests.CallerRequest) -> None:
+                callers.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask, first)
+                tasks.start_soon(ask, second)
+                await anyio.sleep(0.15)
+                shared = path_of(system, first)[2]
+                shared.is_dark = True
+            passes = [
+                request.id
+                for request in (first, second)
+                if shared in path_of(system, request)
+            ]
+            assert sorted(system.fleet.repaths) == sorted(passes)
+            assert all(caller.is_whole for caller in callers)
+
+        play(work)
+
+    def test_new_streams_avoid_it(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                path_of(system, request)[1].is_dark = True
+
+            await during(system, request, 0.15, strike)
+            after = system.request(STREAM)
+            caller = await system.ask(after)
+            assert_whole(caller, after, system.fleet.events)
+            assert caller.longest_pause < 0.1
+
+        play(work)
+
+    def test_without_another_its_zone_is_left(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                path_of(system, request)[1].is_dead = True
+
+            caller = await during(system, request, 0.15, strike)
+            assert_whole(caller, request, system.fleet.events)
+
+        play(work, copies=1)
+
+
+class TestFailedHead:
+    """A stream's first engine fails."""
+
+    @pytest.mark.parametrize("how", ["is_dead", "is_dark"])
+    def test_stream_goes_on_at_another(self, how: str) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                setattr(path_of(system, request)[0], how, True)
+
+            caller = await during(system, request, 0.15, strike)
+            assert_whole(caller, request, system.fleet.events)
+            runs = system.fleet.runs_of(request.id)
+            assert len(runs) == 2
+            assert runs[1].after > 0
+
+        play(work)
+
+    def test_stream_that_must_not_go_on_is_cut(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            route = fleet_system.a_route(STREAM, is_resumable=False)
+            system.install(fleet_system.a_config(2, (route,)))
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                path_of(system, request)[0].is_dead = True
+
+            caller = await during(system, request, 0.15, strike)
+            assert not caller.is_whole
+            assert caller.error is not None
+            assert caller.error.verdict is verdicts.Verdict.MAY_HAVE_RUN
+            assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+    def test_stream_broken_in_an_event_has_no_torn_one(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for target in list(system.listed.values()):
+                system.fleet.at(target.address).breaks_after = 5
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            assert not caller.is_whole or caller.body == (
+                fleet_system.whole_answer(request.id, system.fleet.events)
+            )
+            ends = caller.body.split(b"\n\n")
+            assert ends[-1] == b""
+
+        play(work)
+
+    def test_unreached_head_costs_no_budget(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for name, one in system.listed.items():
+                if name == "plateau-0-0":
+                    system.fleet.at(one.address).is_dead = True
+            budget = system.context.budget(fleet_system.MODEL)
+            before = budget.left
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            assert_whole(caller, request, system.fleet.events)
+            assert budget.left >= before
+
+        play(work)
+
+
+class TestRefusal:
+    """Requests that no engine can take."""
+
+    def test_refused_head_is_followed_by_another(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for one in system.listed.values():
+                if one.name == "plateau-0-0":
+                    system.fleet.at(one.address).rejects = 1
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            assert_whole(caller, request, system.fleet.events)
+
+        play(work)
+
+    def test_what_refused_is_left_alone_by_the_next(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            stale = system.fleet.at(system.listed["plateau-0-2"].address)
+            # It gave its layers up; its entry does not say so yet.
+            stale.listed = attrs.evolve(stale.listed, layers=None)
+            for _ in range(3):
+                caller = await system.ask(system.request(STREAM))
+                assert caller.is_whole
+            assert sum(system.fleet.rejected.values()) <= 1
+
+        play(work)
+
+    def test_without_any_path_it_has_not_run(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for one in list(system.listed.values()):
+                system.tell(attrs.evolve(one, is_leaving=True))
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            assert caller.error is not None
+            assert caller.error.code is errors.Code.NO_PATH
+            assert caller.error.verdict is verdicts.Verdict.NOT_RUN
+            assert caller.error.retry_after
+            assert requests.status_of(caller.error) == 503
+            # At once, so that the caller can come back in time.
+            assert anyio.current_time() < 0.125 + 0.05
+
+        play(work)
+
+    def test_foreign_answer_is_not_passed_on(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for one in system.listed.values():
+                system.fleet.at(one.address).forges = 1
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            if caller.body:
+                assert_whole(caller, request, system.fleet.events)
+            else:
+                assert caller.error is not None
+
+        play(work)
