Silence is noticed at a third of the allowed pause; a refusal tells of a failed engine

Cause: a dead engine was noticed after 150 to 200 ms of silence, since all engines of a path were asked at once and so could not be asked early; the first engine knows of it at once, and names it when it refuses new work.

Change: the first look comes at 30 to 45 % of the allowed pause and asks only the path's first engine, once for all its streams; others are asked at the second look. A refusal that names another engine has the streams through it looked into at once.

--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -29,6 +29,7 @@
         or an attempt began.
     :ivar next_look: not looked at before this time.
     :ivar looks: how often it was looked into since it last moved.
+    :ivar is_suspect: whether it is to be looked into though not silent.
     :ivar usual_pause: mean pause between its events, in seconds.
     """
 
@@ -45,6 +46,7 @@
     moved_at: float = 0.0
     next_look: float = 0.0
     looks: int = 0
+    is_suspect: bool = False
     usual_pause: float = 0.0
     abandoned: str = ""
     _path: chain.ChainPath | None = None
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -11,6 +11,7 @@
 from crowdeck import chain
 from crowdeck import errors
 from crowdeck.observe import counters
+from crowdeck.observe import logs
 from crowdeck.relay import reach
 
 # An engine that says nothing for this long is taken for silent. Sound
@@ -57,8 +58,11 @@
         while True:
             due = anyio.current_time() + BEAT_SECONDS
             await anyio.sleep(BEAT_SECONDS)
-            if anyio.current_time() - due > LATE_SECONDS:
+            late = anyio.current_time() - due
+            if late > LATE_SECONDS:
                 self._late_at = anyio.current_time()
+                counters.COUNTERS.time("loop.late", late)
+                logs.change("loop_late", seconds=round(late, 4))
 
     def was_late(self) -> bool:
         """Whether the loop was late within the last moments."""
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -23,18 +23,20 @@
 # A stream is looked into when it was silent for this many times its own
 # usual pause, but neither before the first nor after the second share of
 # the longest pause that is in time; the rest is for asking and acting.
-RHYTHM_FACTOR = 4.0
-EARLIEST_SHARE = 0.35
-LATEST_SHARE = 0.55
+# The first look asks only the path's first engine, once for all streams.
+RHYTHM_FACTOR = 2.5
+EARLIEST_SHARE = 0.3
+LATEST_SHARE = 0.45
 # A first event takes a prompt's reading as well: this share of its
 # objective.
 FIRST_SHARE = 0.4
 # Beginning anew spends the retry budget; this much of it is kept for
 # requests that cannot be served in another way.
 BUDGET_KEPT = 10.0
-# A stream whose engines all answer is only slow; it is looked into again
-# after this many times the pause, and each time after twice as long.
-AGAIN_SHARE = 1.0
+# A stream of which its first engine knows nothing wrong is only slow, or
+# the report is of a moment ago; it is looked into again after this share
+# of the pause, with questions to all, and each time after twice as long.
+AGAIN_SHARE = 0.25
 
 
 class StallWatch:
@@ -55,6 +57,18 @@
         """Look after it no longer."""
         self._streams.discard(stream)
 
+    def suspect(self, upstream: chain.Upstream) -> None:
+        """Look at once into all streams that pass an engine.
+
+        A first engine refused a request because of it, which it knows
+        before the streams' silence shows.
+        """
+        for stream in self._streams:
+            path = stream.path
+            if path is not None and path.passes(upstream.name):
+                stream.next_look = 0.0
+                stream.is_suspect = True
+
     async def run(self) -> None:
         """Look at all streams again and again, until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -70,6 +84,9 @@
     def _is_silent(self, stream: live.LiveStream, now: float) -> bool:
         if stream.path is None or stream in self._looking:
             return False
+        if stream.is_suspect:
+            stream.is_suspect = False
+            return True
         if stream.has_events:
             limit = RHYTHM_FACTOR * stream.usual_pause
             limit = max(limit, EARLIEST_SHARE * stream.gap)
@@ -126,7 +143,7 @@
             if stall.request == stream.request.id
         ]
         found = [one for one in named if one is not None]
-        if found:
+        if found or not stream.looks:
             return found, True
         answers: list[probes.Probe] = []
 
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -57,6 +57,10 @@
         """Look after it no longer."""
         ...
 
+    def suspect(self, upstream: chain.Upstream) -> None:
+        """Look at once into all streams that pass an engine."""
+        ...
+
 
 class StreamRelay:
     """Passes streams on, over paths of engines that it chooses."""
@@ -92,11 +96,19 @@
         )
         self._watch.add(stream)
         try:
-            await _Drive(self._context, stream, admitted, sink).run()
+            await self._drive(stream, admitted, sink).run()
         finally:
             stream.end()
             self._watch.drop(stream)
 
+    def _drive(
+        self,
+        stream: live.LiveStream,
+        admitted: tables.Admitted,
+        sink: requests.Sink,
+    ) -> "_Drive":
+        return _Drive(self._context, self._watch, stream, admitted, sink)
+
 
 class _Drive:
     """Drives one stream to its end, attempt by attempt."""
@@ -104,11 +116,13 @@
     def __init__(
         self,
         context: contexts.RelayContext,
+        watch: Watch,
         stream: live.LiveStream,
         admitted: tables.Admitted,
         sink: requests.Sink,
     ) -> None:
         self._context = context
+        self._watch = watch
         self._stream = stream
         self._admitted = admitted
         self._route = admitted.route
@@ -273,6 +287,8 @@
     ) -> errors.CrowdeckError:
         culprit = self._context.book.at(answer.culprit) or path.head
         self._excluded.add(culprit.name)
+        if culprit.name != path.head.name:
+            self._watch.suspect(culprit)
         is_stale = answer.status == STALE_STATUS
         self._context.book.pause(
             culprit.name,
