Engines' own word on their load; losses verified before layers move

Each entry multiplied its own requests by the entries of its zone, though five used the copy: memory overran, requests were preempted and read anew, first events took 1.8 s. The others were broken by our own orders: a connection that broke once (answers lost) made the duty take the engine for gone and move large cards' layers.

Change: what a first engine tells of its load scales our own requests along its paths; a broken connection has the engine asked, and only one that stays silent is avoided; the duty moves layers only after two questions of its own went unanswered, the smallest engines first and no more than the gap.

--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -5,6 +5,7 @@
 
 """The duty of ordering engines to hold layers, done by one entry."""
 
+import collections
 import typing
 
 import anyio
@@ -31,6 +32,10 @@
 # one another and are listed within two heartbeats.
 LIST_QUIET_SECONDS = 1.2
 LIST_MOST_SECONDS = 5.0
+# An engine that failed a request is gone for the plan only after so many
+# questions, one at each look, went unanswered too: moving layers costs
+# loads, and takes engines out of paths that were well.
+UNANSWERED_QUESTIONS = 2
 # An order whose answer was lost may be done up to twelve seconds late.
 # Asking the engine what it holds settles it sooner, not before this.
 UNKNOWN_SECONDS = 0.6
@@ -85,6 +90,7 @@
         self._orders = orders
         self._services = services
         self._pending: dict[str, _Pending] = {}
+        self._unanswered: collections.Counter[str] = collections.Counter()
         self._arrivals: dict[str, _Arrivals] = {}
         self._changed = anyio.Event()
         book.subscribe(self._wake)
@@ -103,6 +109,7 @@
 
     async def _look(self) -> None:
         self._forget_pending()
+        await self._question_avoided()
         for service in self._services():
             if service.profile is None:
                 continue
@@ -133,11 +140,39 @@
             or now - seen.first_at >= LIST_MOST_SECONDS
         )
 
+    async def _question_avoided(self) -> None:
+        """Ask the engines that failed a request whether they live."""
+        avoided = self._book.avoided()
+        for name in set(self._unanswered) - {one.name for one in avoided}:
+            del self._unanswered[name]
+        async with anyio.create_task_group() as tasks:
+            for one in avoided:
+                if one.card:
+                    tasks.start_soon(self._question, one)
+
+    async def _question(self, upstream: chain.Upstream) -> None:
+        try:
+            await self._orders.report(upstream)
+        except errors.CrowdeckError as error:
+            self._unanswered[upstream.name] += 1
+            if self._unanswered[upstream.name] == UNANSWERED_QUESTIONS:
+                logs.change(
+                    "engine_lost",
+                    upstream=upstream.name,
+                    address=str(upstream.address),
+                    reason=error.message,
+                )
+            return
+        self._book.trust(upstream.name)
+
+    def _is_lost(self, name: str) -> bool:
+        return self._unanswered[name] >= UNANSWERED_QUESTIONS
+
     def _engines(self, service: routes.Service) -> list[chain.Upstream]:
         """Return the engines that live, with what they are going to hold."""
         found = []
         for one in self._book.listed(service.name):
-            if one.is_leaving or self._book.is_avoided(one.name):
+            if one.is_leaving or self._is_lost(one.name):
                 continue
             pending = self._pending.get(one.name)
             found.append(pending.layers if pending else one)
--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -150,10 +150,7 @@
         size = cell.quota(engine, profile)
         if size:
             moves.append(_assign(engine, size, counts))
-    if 0 in counts:
-        move = _change_over(cell, profile, counts, idle)
-        if move is not None:
-            moves.append(move)
+    moves += _change_over(cell, profile, counts, idle)
     return moves
 
 
@@ -162,8 +159,7 @@
     first = counts.index(min(counts))
     first = max(0, min(first, len(counts) - size))
     layers = pipeline.LayerRange(first, min(len(counts), first + size))
-    for layer in range(layers.first, layers.end):
-        counts[layer] += 1
+    _count(layers, counts, 1)
     return Move(engine, layers)
 
 
@@ -172,31 +168,37 @@
     profile: chain.EngineProfile,
     counts: list[int],
     idle: typing.Callable[[chain.Upstream], bool],
-) -> Move | None:
-    """Return a move of an engine that can be spared into the first gap.
+) -> list[Move]:
+    """Return moves of engines that can be spared into gaps.
 
-    One at a time: the next is found when this one is listed as done, so
-    two that could each be spared are never moved together.
+    Each takes no more than its gap: what an engine loads it cannot serve
+    meanwhile, so the smallest engines, which load least, go first.
     """
-    spare = [
-        one
-        for one in cell.engines
-        if one.layers is not None and idle(one) and _is_spare(one, counts)
-    ]
-    if not spare:
-        return None
-    gap = counts.index(0)
-    length = 0
-    while gap + length < len(counts) and counts[gap + length] == 0:
-        length += 1
-    # The smallest that fills the gap, or the largest there is.
-    spare.sort(key=lambda one: (cell.quota(one, profile), one.name))
-    fitting = [one for one in spare if cell.quota(one, profile) >= length]
-    engine = fitting[0] if fitting else spare[-1]
-    size = max(1, cell.quota(engine, profile))
-    first = max(0, min(gap, len(counts) - size))
-    end = min(len(counts), first + size)
-    return Move(engine, pipeline.LayerRange(first, end))
+    moves: list[Move] = []
+    held = [one for one in cell.engines if one.layers and idle(one)]
+    held.sort(key=lambda one: (cell.quota(one, profile), one.name))
+    for engine in held:
+        if 0 not in counts:
+            break
+        size = cell.quota(engine, profile)
+        if not size or not _is_spare(engine, counts):
+            continue
+        first = counts.index(0)
+        end = first + 1
+        while end < len(counts) and end - first < size and not counts[end]:
+            end += 1
+        moves.append(Move(engine, pipeline.LayerRange(first, end)))
+        _count(engine.layers, counts, -1)
+        _count(moves[-1].layers, counts, 1)
+    return moves
+
+
+def _count(
+    layers: pipeline.LayerRange | None, counts: list[int], change: int
+) -> None:
+    assert layers is not None
+    for layer in range(layers.first, layers.end):
+        counts[layer] += change
 
 
 def _is_spare(engine: chain.Upstream, counts: list[int]) -> bool:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -36,7 +36,7 @@
 # A stream of which its first engine knows nothing wrong is only slow, or
 # the report is of a moment ago; it is looked into again after this share
 # of the pause, with questions to all, and each time after twice as long.
-AGAIN_SHARE = 0.25
+AGAIN_SHARE = 0.5
 
 
 class StallWatch:
@@ -48,6 +48,7 @@
         self._prober = probes.Prober(context.client, self._lateness)
         self._streams: set[live.LiveStream] = set()
         self._looking: set[live.LiveStream] = set()
+        self._to_verify: dict[str, chain.Upstream] = {}
 
     def add(self, stream: live.LiveStream) -> None:
         """Look after a stream from now on."""
@@ -57,6 +58,10 @@
         """Look after it no longer."""
         self._streams.discard(stream)
 
+    def verify(self, upstream: chain.Upstream) -> None:
+        """Ask an engine whether it lives; if not, act on it."""
+        self._to_verify[upstream.name] = upstream
+
     def suspect(self, upstream: chain.Upstream) -> None:
         """Look at once into all streams that pass an engine.
 
@@ -75,12 +80,21 @@
             tasks.start_soon(self._lateness.run)
             while True:
                 await anyio.sleep(LOOK_SECONDS)
+                for upstream in self._to_verify.values():
+                    tasks.start_soon(self._verify, upstream)
+                self._to_verify.clear()
                 now = anyio.current_time()
                 for stream in tuple(self._streams):
                     if self._is_silent(stream, now):
                         self._looking.add(stream)
                         tasks.start_soon(self._look_into, stream)
 
+    async def _verify(self, upstream: chain.Upstream) -> None:
+        probe = await self._prober.ask(upstream)
+        if probe.is_silent:
+            self._context.book.avoid(upstream.name, probe.reason)
+            await self._lead_around(upstream)
+
     def _is_silent(self, stream: live.LiveStream, now: float) -> bool:
         if stream.path is None or stream in self._looking:
             return False
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -57,6 +57,10 @@
         """Look after it no longer."""
         ...
 
+    def verify(self, upstream: chain.Upstream) -> None:
+        """Ask an engine whether it lives; if not, act on it."""
+        ...
+
     def suspect(self, upstream: chain.Upstream) -> None:
         """Look at once into all streams that pass an engine."""
         ...
@@ -142,7 +146,7 @@
             if error is None:
                 return
             self._note(path, error)
-            if not self._may_go_on(error):
+            if not self._may_go_on(path, error):
                 raise self._failure(error)
 
     async def _await_path(self) -> chain.ChainPath:
@@ -239,6 +243,8 @@
     async def _pass_on(
         self, path: chain.ChainPath, answer: reach.Answer
     ) -> None:
+        if answer.load is not None:
+            self._context.usage.note_load(path.head, answer.load.running)
         if answer.has_not_run:
             raise self._refusal(path, answer)
         if not answer.belongs_to(self._request):
@@ -315,7 +321,8 @@
         self, path: chain.ChainPath, error: errors.CrowdeckError
     ) -> None:
         if error.code is errors.Code.UPSTREAM_LOST:
-            self._context.book.avoid(path.head.name, error.message)
+            # One connection that broke is no proof that the engine did.
+            self._watch.verify(path.head)
         if error.verdict is _MAY_HAVE_RUN:
             self._ran_on.add(path.head.name)
             self._excluded.add(path.head.name)
@@ -329,7 +336,9 @@
             after=self._stream.last_event,
         )
 
-    def _may_go_on(self, error: errors.CrowdeckError) -> bool:
+    def _may_go_on(
+        self, path: chain.ChainPath, error: errors.CrowdeckError
+    ) -> bool:
         """Whether another attempt is made."""
         if self._deadline - anyio.current_time() < LEAST_SECONDS:
             return False
@@ -338,14 +347,16 @@
         if error.verdict is _MAY_HAVE_RUN:
             if not self._may_resume():
                 return False
-        elif error.code is not errors.Code.UPSTREAM_LOST:
+        elif error.code is errors.Code.UPSTREAM_LOST:
+            self._excluded.add(path.head.name)
+            if not self._ran_on:
+                # No connection was had: nothing arrived anywhere, so
+                # nothing is repeated and no budget is spent.
+                return True
+        else:
             self._refusals += 1
             if self._refusals > REFUSED_TRIES:
                 return False
-        elif not self._ran_on:
-            # No connection was had: nothing arrived anywhere, so nothing
-            # is repeated and no budget is spent.
-            return True
         counters.COUNTERS.add("relay.stream.repeated")
         return self._context.budget(self._stream.service.name).spend()
 
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -7,34 +7,54 @@
 
 import collections
 
+import anyio
+import attrs
+
 from crowdeck import chain
 
+# What a first engine told of its load holds for about this long: half of
+# the requests that it counted have ended by then.
+TOLD_SECONDS = 1.5
+
+
+@attrs.frozen
+class _Told:
+    running: int
+    at: float
+
 
 class InFlight:
     """Requests that this entry has under way, by upstream instance.
 
-    Other entries of the same availability zone send as much, near
-    enough, to the same engines: what is counted here is multiplied by
-    their number. That is wrong for a moment after entries come or go,
-    and right again within the time of one request, without a call.
+    Other entries send theirs to the same engines, and no call tells how
+    many. A first engine tells with each answer how many requests it runs
+    in all: their number over our own there is the factor by which our own
+    are multiplied, along the whole path. Where nothing was told lately,
+    entries of the same availability zone are taken to send as much.
     """
 
     def __init__(self) -> None:
-        self._sequences: collections.Counter[str] = collections.Counter()
-        self._cells: collections.Counter[str] = collections.Counter()
+        self._sequences: dict[str, collections.Counter[str]] = {}
+        self._cells: dict[str, collections.Counter[str]] = {}
+        self._own: collections.Counter[str] = collections.Counter()
+        self._told: dict[str, _Told] = {}
         self._entries = 1
 
     def share_among(self, entries: int) -> None:
         """Take this entry for one of ``entries`` with the same load."""
         self._entries = max(1, entries)
 
+    def note_load(self, head: chain.Upstream, running: int) -> None:
+        """Take how many requests a first engine says that it runs."""
+        self._told[head.name] = _Told(running, anyio.current_time())
+
     def sequences(self, upstream: chain.Upstream) -> float:
-        """Return how many requests pass an upstream instance."""
-        return float(self._sequences[upstream.name] * self._entries)
+        """Return how many requests pass an upstream instance, of all."""
+        return self._estimate(self._sequences.get(upstream.name))
 
     def own(self, upstream: chain.Upstream) -> int:
         """Return how many of this entry's requests are there."""
-        return self._sequences[upstream.name]
+        return self._own[upstream.name]
 
     def fullness(
         self, upstream: chain.Upstream, profile: chain.EngineProfile
@@ -44,26 +64,62 @@
             return 0.0
         count = upstream.layers.end - upstream.layers.first
         room = profile.room(upstream.card, count) * count
-        return self._cells[upstream.name] * self._entries / max(1.0, room)
+        used = self._estimate(self._cells.get(upstream.name))
+        if upstream.layers.first == 0 and not used:
+            # None of ours is there to multiply; the others' number tells.
+            usual = profile.usual_prompt + profile.usual_answer / 2.0
+            used = self._told_running(upstream.name) * usual * count
+        return used / max(1.0, room)
 
     def enter(self, path: chain.ChainPath, tokens: float) -> None:
         """Count a request on a path."""
-        for hop in path.hops:
-            layers = hop.layers.end - hop.layers.first
-            self._sequences[hop.upstream.name] += 1
-            self._cells[hop.upstream.name] += int(tokens) * layers
+        self._add(path, tokens, 1)
 
     def leave(self, path: chain.ChainPath, tokens: float) -> None:
         """Take back what :meth:`enter` counted."""
-        for hop in path.hops:
-            layers = hop.layers.end - hop.layers.first
-            self._sequences[hop.upstream.name] -= 1
-            self._cells[hop.upstream.name] -= int(tokens) * layers
+        self._add(path, tokens, -1)
 
     def enter_call(self, upstream: chain.Upstream) -> None:
         """Count a call of a plain service."""
-        self._sequences[upstream.name] += 1
+        self._own[upstream.name] += 1
 
     def leave_call(self, upstream: chain.Upstream) -> None:
         """Take back what :meth:`enter_call` counted."""
-        self._sequences[upstream.name] -= 1
+        self._own[upstream.name] -= 1
+
+    def _add(self, path: chain.ChainPath, tokens: float, sign: int) -> None:
+        head = path.head.name
+        self._own[head] += sign
+        for hop in path.hops:
+            name = hop.upstream.name
+            layers = hop.layers.end - hop.layers.first
+            passing = self._sequences.setdefault(name, collections.Counter())
+            cells = self._cells.setdefault(name, collections.Counter())
+            passing[head] += sign
+            cells[head] += sign * int(tokens) * layers
+            if not passing[head]:
+                # An entry lives longer than engines: nothing may be kept
+                # for each that ever was.
+                del passing[head]
+                del cells[head]
+
+    def _estimate(self, own: collections.Counter[str] | None) -> float:
+        if not own:
+            return 0.0
+        return sum(count * self._factor(head) for head, count in own.items())
+
+    def _factor(self, head: str) -> float:
+        """Return how many times our own all entries' requests are."""
+        running = self._told_running(head)
+        if running <= 0:
+            return float(self._entries)
+        return max(1.0, running / max(1, self._own[head]))
+
+    def _told_running(self, head: str) -> int:
+        told = self._told.get(head)
+        if told is None:
+            return 0
+        if anyio.current_time() - told.at > TOLD_SECONDS:
+            del self._told[head]
+            return 0
+        return told.running
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -9,6 +9,7 @@
 import attrs
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from crowdeck import chain
 from crowdeck.routing import budget as budgets
@@ -156,6 +157,34 @@
         usage.share_among(3)
         assert usage.fullness(fleet[0], PROFILE) == 3 * alone
 
+    def test_what_a_first_engine_tells_counts_for_the_whole_path(
+        self,
+    ) -> None:
+        async def body() -> None:
+            fleet = engines([(0, 40, "plateau"), (40, 40, "plateau")])
+            usage = usages.InFlight()
+            path = hops.HopPlanner(usage).plan(fleet, WANTED)
+            assert path is not None
+            usage.enter(path, WANTED.tokens)
+            alone = usage.fullness(fleet[1], PROFILE)
+            usage.note_load(fleet[0], 20)
+            full = usage.fullness(fleet[1], PROFILE)
+            assert full == pytest.approx(20 * alone)
+            assert usage.sequences(fleet[1]) == 20.0
+            await anyio.sleep(usages.TOLD_SECONDS + 0.1)
+            assert usage.fullness(fleet[1], PROFILE) == alone
+
+        virtual.run(body)
+
+    def test_told_load_counts_where_none_of_ours_is(self) -> None:
+        async def body() -> None:
+            fleet = engines([(0, 40, "plateau"), (40, 40, "plateau")])
+            usage = usages.InFlight()
+            usage.note_load(fleet[0], 1000)
+            assert hops.HopPlanner(usage).plan(fleet, WANTED) is None
+
+        virtual.run(body)
+
     def test_unknown_card_is_taken_for_roomy(self) -> None:
         fleet = [
             attrs.evolve(one, card="new")
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -254,6 +254,16 @@
 
         play(work)
 
+    def test_one_lost_answer_is_no_proof_against_an_engine(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            head = system.listed["plateau-0-0"]
+            system.fleet.at(head.address).loses = 1
+            caller = await system.ask(system.request(STREAM))
+            assert caller.is_whole
+            assert system.book.is_usable(head.name)
+
+        play(work)
+
 
 class TestRefusal:
     """Requests that no engine can take."""
