Newcomers wait for those they replace; leaving engines a last resort; pipes have a load

Cause: in a release the new engine starts before the old one leaves. It was given layers that others held too, and moved when the old one left: two loads, and 2 s in which the zone's copy had a gap. Entries that vanished while this process alone was cut off from the store were used for 2.5 s more though they were gone.

Change: a newcomer waits 2 s while no layer is missing; an engine that says it leaves may be used for one second where a path is missing otherwise; the pipe between two zones counts as full at 0.7 of its capacity; engines whose entry may have lapsed serve once they have answered.

Ruled out: room for requests (54 of 1,400 refusals), our own lateness.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -26,6 +26,10 @@
 # One that no longer holds what its entry says has a new entry within two
 # heartbeats and the time that a watch takes.
 STALE_SECONDS = 2.0
+# An instance that says it is leaving may get work for two seconds more.
+# It does for the first of them, where nothing else can serve: what takes
+# its place is still loading. The rest covers what we learn late.
+LAST_WORK_SECONDS = 1.0
 # An entry that goes soon after the store was away may only have lapsed
 # there: instances that live write theirs again within two seconds of the
 # store's return, and a half for the watch to tell.
@@ -33,6 +37,7 @@
 
 Decoder = typing.Callable[[stores.StoredObject], chain.Upstream]
 Listener = typing.Callable[[], None]
+LapseListener = typing.Callable[[chain.Upstream], None]
 
 
 @attrs.define
@@ -40,6 +45,7 @@
     upstream: chain.Upstream
     avoided_until: float = 0.0
     failures: int = 0
+    leaving_at: float | None = None
     lapsed_at: float | None = None
 
 
@@ -55,6 +61,7 @@
         self._decode = decode
         self._beliefs: dict[str, _Belief] = {}
         self._listeners: list[Listener] = []
+        self._lapse_listeners: list[LapseListener] = []
         self._store_failed_at: typing.Callable[[], float | None] = lambda: None
 
     def watch_store(
@@ -67,6 +74,13 @@
         """Call ``listener`` after every change of a belief."""
         self._listeners.append(listener)
 
+    def subscribe_lapses(self, listener: LapseListener) -> None:
+        """Call ``listener`` for each engine whose entry may have lapsed.
+
+        It gets no new work until :meth:`trust` tells that it answers.
+        """
+        self._lapse_listeners.append(listener)
+
     def find(self, name: str) -> chain.Upstream | None:
         """Return an instance by its name."""
         belief = self._beliefs.get(name)
@@ -101,6 +115,19 @@
             and belief.avoided_until <= now
         )
 
+    def last_resort(self, service: str) -> tuple[chain.Upstream, ...]:
+        """Return instances that have begun to leave but may get work yet."""
+        now = anyio.current_time()
+        return tuple(
+            belief.upstream
+            for belief in self._beliefs.values()
+            if belief.upstream.service == service
+            and belief.upstream.is_leaving
+            and belief.leaving_at is not None
+            and now - belief.leaving_at < LAST_WORK_SECONDS
+            and belief.avoided_until <= now
+        )
+
     def avoided(self) -> tuple[chain.Upstream, ...]:
         """Return the instances that failed and have not answered since."""
         return tuple(
@@ -204,9 +231,14 @@
             self._beliefs[stored.name] = _Belief(upstream)
             self._log("upstream_listed", upstream, stored.version)
             return
-        belief.lapsed_at = None
+        if belief.lapsed_at is not None:
+            belief.lapsed_at = None
+            belief.failures = 0
+            belief.avoided_until = 0.0
         if belief.upstream == upstream:
             return
+        if upstream.is_leaving and not belief.upstream.is_leaving:
+            belief.leaving_at = anyio.current_time()
         belief.upstream = upstream
         self._log("upstream_changed", upstream, stored.version)
 
@@ -218,12 +250,23 @@
         now = anyio.current_time()
         if failed_at is not None and now - failed_at < LAPSE_SECONDS:
             if belief.lapsed_at is None:
-                belief.lapsed_at = now
-                self._log("upstream_lapsed", belief.upstream, 0)
+                self._lapse(belief, now)
             return
         del self._beliefs[name]
         self._log("upstream_gone", belief.upstream, 0)
 
+    def _lapse(self, belief: _Belief, now: float) -> None:
+        belief.lapsed_at = now
+        self._log("upstream_lapsed", belief.upstream, 0)
+        if not belief.upstream.card:
+            # A plain service is called over a new connection: if it is
+            # gone, the call is not sent, and goes to another.
+            return
+        belief.failures += 1
+        belief.avoided_until = now + LAPSE_SECONDS
+        for listener in self._lapse_listeners:
+            listener(belief.upstream)
+
     def _drop_lapsed(self) -> None:
         now = anyio.current_time()
         for name, belief in list(self._beliefs.items()):
--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -32,6 +32,10 @@
 # one another and are listed within two heartbeats.
 LIST_QUIET_SECONDS = 1.2
 LIST_MOST_SECONDS = 5.0
+# An engine that comes while every layer is held waits this long for its
+# layers: in a planned replacement the old one leaves soon after, and the
+# new one had better load what that held than be moved again.
+NEWCOMER_SECONDS = 2.0
 # An engine that failed a request is gone for the plan only after so many
 # questions, one at each look, went unanswered too: moving layers costs
 # loads, and takes engines out of paths that were well.
@@ -92,6 +96,7 @@
         self._pending: dict[str, _Pending] = {}
         self._unanswered: collections.Counter[str] = collections.Counter()
         self._arrivals: dict[str, _Arrivals] = {}
+        self._empty_since: dict[str, float] = {}
         self._changed = anyio.Event()
         book.subscribe(self._wake)
 
@@ -117,6 +122,7 @@
             if not self._has_gathered(service.name, engines):
                 continue
             moves = plan.next_moves(engines, service.profile, self._is_idle)
+            moves = self._hold_newcomers(engines, service.profile, moves)
             if moves:
                 async with anyio.create_task_group() as tasks:
                     for move in moves:
@@ -140,6 +146,29 @@
             or now - seen.first_at >= LIST_MOST_SECONDS
         )
 
+    def _hold_newcomers(
+        self,
+        engines: list[chain.Upstream],
+        profile: chain.EngineProfile,
+        moves: list[plan.Move],
+    ) -> list[plan.Move]:
+        """Leave out moves of engines that had better wait a little."""
+        now = anyio.current_time()
+        empty = {one.name for one in engines if one.layers is None}
+        for name in set(self._empty_since) - empty:
+            del self._empty_since[name]
+        for name in empty:
+            self._empty_since.setdefault(name, now)
+        if len(empty) == len(engines):
+            return moves
+        return [
+            move
+            for move in moves
+            if move.upstream.layers is not None
+            or now - self._empty_since[move.upstream.name] >= NEWCOMER_SECONDS
+            or plan.fills_gap(move, engines, profile)
+        ]
+
     async def _question_avoided(self) -> None:
         """Ask the engines that failed a request whether they live."""
         avoided = self._book.avoided()
--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -78,6 +78,20 @@
     return moves
 
 
+def fills_gap(
+    move: Move,
+    engines: typing.Sequence[chain.Upstream],
+    profile: chain.EngineProfile,
+) -> bool:
+    """Whether a move brings layers that no engine of its cell holds."""
+    name = move.upstream.name
+    for cell in _cells(engines, profile):
+        if any(one.name == name for one in cell.engines):
+            counts = coverage(cell.engines, profile.layer_count)
+            return 0 in counts[move.layers.first : move.layers.end]
+    return True
+
+
 def coverage(
     engines: typing.Iterable[chain.Upstream], layer_count: int
 ) -> list[int]:
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -56,7 +56,7 @@
 
     def share_among(self, zone: int, whole: int) -> None:
         """Take this entry for one of so many in its zone, and in all."""
-        self.usage.share_among(zone)
+        self.usage.share_among(zone, whole)
         self._entries = whole
         for found in self._budgets.values():
             found.share_among(whole)
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -49,6 +49,7 @@
         self._streams: set[live.LiveStream] = set()
         self._looking: set[live.LiveStream] = set()
         self._to_verify: dict[str, chain.Upstream] = {}
+        context.book.subscribe_lapses(self.verify)
 
     def add(self, stream: live.LiveStream) -> None:
         """Look after a stream from now on."""
@@ -94,6 +95,8 @@
         if probe.is_silent:
             self._context.book.avoid(upstream.name, probe.reason)
             await self._lead_around(upstream)
+        elif probe.report is not None:
+            self._context.book.trust(upstream.name)
 
     def _is_silent(self, stream: live.LiveStream, now: float) -> bool:
         if stream.path is None or stream in self._looking:
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -172,15 +172,25 @@
         return self._request.arrived + NEW_WAIT_SHARE * self._route.objective
 
     def _plan(self) -> chain.ChainPath | None:
+        book = self._context.book
+        service = self._stream.service.name
+        wanted = hops.Wanted(
+            self._stream.profile, self._stream.tokens, self._context.zone
+        )
         usable = [
             one
-            for one in self._context.book.usable(self._stream.service.name)
+            for one in book.usable(service)
             if one.name not in self._excluded
         ]
-        wanted = hops.Wanted(
-            self._stream.profile, self._stream.tokens, self._context.zone
-        )
         path = self._context.planner.plan(usable, wanted)
+        if path is None or path.crossings:
+            last = [
+                one
+                for one in book.last_resort(service)
+                if one.name not in self._excluded
+            ]
+            if last:
+                path = self._context.planner.plan(usable + last, wanted)
         if path is None and self._excluded:
             # What refused a moment ago may serve by now.
             self._excluded.clear()
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -26,6 +26,9 @@
 # the pipe, and streams of others paused for 0.1 s behind them.
 CROSSING_MS = 0.5
 PIPE_FACTOR = 50.0
+# A pipe is taken for full at this share of its capacity: what else goes
+# over it, and how slow it may have become, is not known here.
+PIPE_MOST = 0.7
 # An answer from another zone crosses once more, to the entry. Events are
 # small, but such bytes are dear, and its engines are nearer to others:
 # taken when the own zone's engines are about half full, or broken.
@@ -47,6 +50,12 @@
         """Return the used share of an engine's memory for requests."""
         ...
 
+    def pipe_load(
+        self, one: str, other: str, profile: chain.EngineProfile
+    ) -> float:
+        """Return the used share of the pipe between two zones."""
+        ...
+
 
 @attrs.frozen
 class _Leg:
@@ -168,9 +177,7 @@
     ) -> chain.Upstream | None:
         def cost(engine: chain.Upstream) -> float:
             assert engine.layers is not None
-            crossing = 0.0
-            if engine.availability_zone != zone:
-                crossing = _crossing(wanted.profile)
+            crossing = self._crossing(zone, engine.availability_zone, wanted)
             length = engine.layers.end - position
             total = self._cost(engine, position, wanted) + HOP_MS + crossing
             return total / length
@@ -181,7 +188,23 @@
             if one.layers is not None
             and one.layers.first <= position < one.layers.end
         ]
-        return min(fitting, key=cost, default=None)
+        best = min(fitting, key=cost, default=None)
+        if best is not None and cost(best) == float("inf"):
+            return None
+        return best
+
+    def _crossing(self, before: str, after: str, wanted: Wanted) -> float:
+        """Return what going from zone to zone costs, in ms a token.
+
+        Infinite when the pipe between them is full: one prompt more would
+        hold up every stream that crosses there.
+        """
+        if before == after:
+            return 0.0
+        load = self._usage.pipe_load(before, after, wanted.profile)
+        if load > PIPE_MOST:
+            return float("inf")
+        return _crossing(wanted.profile) * (1.0 + load)
 
     def _has_room(self, engine: chain.Upstream, wanted: Wanted) -> bool:
         if engine.layers is None:
@@ -244,8 +267,9 @@
             return
         cost = leg.cost + HOP_MS + self._cost(engine, position, wanted)
         before = leg.hop.upstream.availability_zone
-        if engine.availability_zone != before:
-            cost += _crossing(wanted.profile)
+        cost += self._crossing(before, engine.availability_zone, wanted)
+        if cost == float("inf"):
+            return
         hop = chain.Hop(engine, pipeline.LayerRange(position, layers.end))
         _offer(best, _Leg(cost, leg.count + 1, hop, leg))
 
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -15,6 +15,9 @@
 # What a first engine told of its load holds for about this long: half of
 # the requests that it counted have ended by then.
 TOLD_SECONDS = 1.5
+# Crossings between zones are counted over this time: about that in which
+# a prompt crosses a pipe that several others use as well.
+PIPE_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -38,11 +41,34 @@
         self._cells: dict[str, collections.Counter[str]] = {}
         self._own: collections.Counter[str] = collections.Counter()
         self._told: dict[str, _Told] = {}
+        self._crossed: dict[
+            frozenset[str], collections.deque[tuple[float, float]]
+        ] = {}
         self._entries = 1
+        self._all_entries = 1
 
-    def share_among(self, entries: int) -> None:
-        """Take this entry for one of ``entries`` with the same load."""
+    def share_among(self, entries: int, all_entries: int = 0) -> None:
+        """Take this entry for one of ``entries`` with the same load.
+
+        :param entries: entries of this availability zone.
+        :param all_entries: entries of all zones.
+        """
         self._entries = max(1, entries)
+        self._all_entries = max(self._entries, all_entries)
+
+    def pipe_load(
+        self, one: str, other: str, profile: chain.EngineProfile
+    ) -> float:
+        """Return the used share of the pipe between two zones."""
+        crossed = self._crossed.get(frozenset((one, other)))
+        if not crossed or not profile.pipe_bytes_per_second:
+            return 0.0
+        since = anyio.current_time() - PIPE_SECONDS
+        while crossed and crossed[0][0] < since:
+            crossed.popleft()
+        tokens = sum(count for _, count in crossed)
+        used = tokens * profile.activation_bytes * self._all_entries
+        return used / (profile.pipe_bytes_per_second * PIPE_SECONDS)
 
     def note_load(self, head: chain.Upstream, running: int) -> None:
         """Take how many requests a first engine says that it runs."""
@@ -74,6 +100,14 @@
     def enter(self, path: chain.ChainPath, tokens: float) -> None:
         """Count a request on a path."""
         self._add(path, tokens, 1)
+        for before, after in zip(path.hops, path.hops[1:], strict=False):
+            one = before.upstream.availability_zone
+            other = after.upstream.availability_zone
+            if one != other:
+                crossed = self._crossed.setdefault(
+                    frozenset((one, other)), collections.deque()
+                )
+                crossed.append((anyio.current_time(), tokens))
 
     def leave(self, path: chain.ChainPath, tokens: float) -> None:
         """Take back what :meth:`enter` counted."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -261,12 +261,39 @@
             target.listed = attrs.evolve(target.listed, layers=None)
             target.orders_taken = 0
             tell_all(system)
-            await anyio.sleep(1.0)
+            await anyio.sleep(duties.NEWCOMER_SECONDS + 1.0)
             assert target.orders_taken == 1
             assert target.listed.layers is not None
 
         play_duty(work)
 
+    def test_newcomer_waits_for_the_one_that_it_replaces(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            await anyio.sleep(0.1)
+            new = system.add(
+                fleet_system.upstream("new", "plateau", None, "large")
+            )
+            await anyio.sleep(1.0)
+            assert new.orders_taken == 0
+            counts = plan.coverage(system.listed.values(), PROFILE.layer_count)
+            old = next(
+                one
+                for one in system.listed.values()
+                if one.layers and counts[one.layers.end - 1] == 1
+            )
+            system.tell(attrs.evolve(old, is_leaving=True))
+            await anyio.sleep(0.1)
+            assert new.orders_taken == 1
+            assert new.listed.layers is not None
+            assert old.layers is not None
+            assert new.listed.layers.end >= old.layers.end
+
+        play_duty(work)
+
     def test_late_order_no_longer_fits(self) -> None:
         async def work(
             system: fleet_system.FleetSystem, ledger: _Ledger
