--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -61,8 +61,9 @@
 # Balancers ask once a second and take an instance out after two answers
 # that do not welcome them; until then new connections still come.
 UNREADY_SECONDS = 2.3
-# What is left of the grace after the last answers were ended.
-STOP_MARGIN = 0.6
+# What is left of the grace after the last answers were ended: closing all
+# connections takes an entry up to half a second of its share of a core.
+STOP_MARGIN = 1.0
 IDLE_SECONDS = 15
 
 
