An entry over real sockets in tests; uvicorn's messages become log lines

Cause: no test ran the entry as a process over the published protocol, and 'make demo' ended in pages of tracebacks: uvicorn reports every request that is cancelled when its process ends as an error of the application.

Change: stand-in upstreams have an HTTP side (standin.chain_http); tests run config, placement, streams, calls, revocation, planned stop and readiness through it. What uvicorn has to say is logged as a JSON line, but for requests that are cancelled at the end.

--- a/src/crowdeck/cmd/http_server.py
+++ b/src/crowdeck/cmd/http_server.py
@@ -5,17 +5,44 @@
 
 """uvicorn as the daemons run it: without signals and logs of its own."""
 
+import asyncio
 import contextlib
+import logging
 import typing
 
 import anyio
 import anyio.abc
 import uvicorn
 
+from crowdeck.observe import logs
+
 STOP_SECONDS = 2
 START_STEP = 0.005
 
 
+class _ToOurLogs(logging.Handler):
+    """Turns what uvicorn has to say into lines of our own log.
+
+    A request that is cancelled is no error of the application: that
+    happens only when its process ends.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one record."""
+        error = record.exc_info[1] if record.exc_info else None
+        if isinstance(error, asyncio.CancelledError):
+            return
+        message = record.getMessage().splitlines()[0]
+        logs.change("http_server", message=message, error=repr(error))
+
+
+def _take_logs() -> None:
+    logger = logging.getLogger("uvicorn.error")
+    if not any(isinstance(one, _ToOurLogs) for one in logger.handlers):
+        logger.addHandler(_ToOurLogs())
+        logger.propagate = False
+
+
 class QuietServer(uvicorn.Server):
     """uvicorn without its own signal handling: the process has its own."""
 
@@ -29,6 +56,7 @@
     app: typing.Any, host: str, port: int, **options: typing.Any
 ) -> QuietServer:
     """Return a server for an ASGI application, not started yet."""
+    _take_logs()
     return QuietServer(
         uvicorn.Config(
             app,
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -135,6 +135,11 @@
         self._upstreams[str(listed.address)] = upstream
         return upstream
 
+    @property
+    def upstreams(self) -> list[StandinUpstream]:
+        """Every instance."""
+        return list(self._upstreams.values())
+
     def at(self, address: instances.Address | str) -> StandinUpstream:
         """Return the instance at an address."""
         return self._upstreams[str(address)]
--- /dev/null
+++ b/src/crowdeck/standin/chain_http.py
@@ -0,0 +1,233 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The HTTP side of stand-in upstreams that chain their stages themselves.
+
+Each instance has a port of its own and speaks the platform's published
+protocol, so that a whole entry can be run against it.
+"""
+
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import orjson
+
+from crowdeck import chain
+from crowdeck.cmd import http_server
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck import pipeline
+from crowdeck.placement import plan
+from crowdeck.platform import callers
+from crowdeck.platform import names
+from crowdeck.relay import reach
+from crowdeck.standin import chain_fleet
+from crowdeck.standin import store as standin_store
+
+HOST = "127.0.0.1"
+HEARTBEAT_SECONDS = 0.2
+PATIENCE = http.Timeouts(1.0, 60.0)
+
+Json = dict[str, typing.Any]
+Scope = dict[str, typing.Any]
+Receive = typing.Callable[[], typing.Awaitable[Json]]
+Send = typing.Callable[[Json], typing.Awaitable[None]]
+
+
+class UpstreamApp:
+    """One instance's ASGI application."""
+
+    def __init__(
+        self, fleet: chain_fleet.ChainFleet, address: instances.Address
+    ) -> None:
+        self._fleet = fleet
+        self._address = address
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request."""
+        body = await _read(receive)
+        try:
+            if scope["path"] == names.REPORT_PATH:
+                await self._report(send)
+            elif scope["path"] == names.ORDER_PATH:
+                await self._order(orjson.loads(body), send)
+            else:
+                await self._serve(scope, body, send)
+        except errors.CrowdeckError:
+            # It fell over: what began is left without its end.
+            return
+
+    @property
+    def _target(self) -> chain_fleet.StandinUpstream:
+        return self._fleet.at(self._address)
+
+    async def _report(self, send: Send) -> None:
+        report = await self._fleet.report(self._target.listed)
+        content = {
+            names.ORDERS_TAKEN: report.orders_taken,
+            names.BUSY: report.is_busy,
+            names.LAYERS: _layers(report.layers),
+            names.STALLED: [
+                {names.ID: one.request, names.ADDRESS: one.address}
+                for one in report.stalls
+            ],
+        }
+        await _answer(send, 200, orjson.dumps(content))
+
+    async def _order(self, order: Json, send: Send) -> None:
+        if order[names.OPERATION] == names.REPATH:
+            path = self._path(order[names.PATH])
+            outcome = await self._fleet.repath(
+                self._target.listed, order[names.ID], path
+            )
+            status = 200 if outcome.is_done else 409
+            if not outcome.is_known:
+                status = 404
+            content = {names.ADDRESS: outcome.culprit}
+            await _answer(send, status, orjson.dumps(content))
+            return
+        layers = pipeline.LayerRange(
+            order[names.FIRST_LAYER], order[names.END_LAYER]
+        )
+        is_taken = await self._fleet.place(
+            plan.Move(self._target.listed, layers),
+            order[names.EXPECTED_ORDERS],
+            order[names.FENCING_TOKEN],
+        )
+        await _answer(send, 202 if is_taken else 409, b"")
+
+    async def _serve(self, scope: Scope, body: bytes, send: Send) -> None:
+        headers = dict(scope["headers"])
+        request = callers.decode(
+            scope["method"],
+            scope["raw_path"],
+            scope["query_string"],
+            list(scope["headers"]),
+            body,
+            anyio.current_time(),
+        )
+        assert request is not None, "the system sends an id"
+        hops = headers.get(names.HOPS, b"").decode()
+        dispatch = reach.Dispatch(
+            team=headers.get(names.TEAM, b"").decode(),
+            priority=0,
+            seconds_left=request.patience or 0.0,
+            path=self._path(hops) if hops else None,
+            last_event=request.last_event,
+        )
+        expected = headers[names.EXPECTED_INSTANCE].decode()
+        listed = attrs.evolve(self._target.listed, name=expected)
+        async with self._fleet.open(
+            listed, request, dispatch, PATIENCE
+        ) as answer:
+            head = [(names.REQUEST_ID, request.id.encode())]
+            if answer.has_not_run:
+                head.append((names.NOT_EXECUTED, b"1"))
+                head.append((names.CULPRIT, answer.culprit.encode()))
+            if answer.is_signed:
+                head.append((names.SIGNATURE, b"stand-in"))
+            await _start(send, answer.status, head)
+            async for piece in answer.chunks():
+                await _write(send, piece)
+        await send({"type": "http.response.body", "body": b""})
+
+    def _path(self, text: str) -> chain.ChainPath:
+        found = []
+        for part in text.split(","):
+            address, _, layers = part.partition("=")
+            first, _, end = layers.partition("-")
+            listed = self._fleet.at(address).listed
+            span = pipeline.LayerRange(int(first), int(end))
+            found.append(chain.Hop(listed, span))
+        return chain.ChainPath(tuple(found))
+
+
+async def heartbeat(
+    fleet: chain_fleet.ChainFleet, store: standin_store.StandinStore
+) -> None:
+    """Write each living instance's entry to the store, until cancelled."""
+    while True:
+        for target in fleet.upstreams:
+            if target.answers:
+                write_entry(target.listed, store)
+        await anyio.sleep(HEARTBEAT_SECONDS)
+
+
+def write_entry(
+    listed: chain.Upstream, store: standin_store.StandinStore
+) -> None:
+    """Write an instance's entry, if it changed."""
+    content = {
+        names.SERVICE: listed.service,
+        names.ADDRESS: str(listed.address),
+        names.ZONE: listed.availability_zone,
+        names.SLOTS: listed.slots,
+        names.STATE: names.STATE_DRAINING if listed.is_leaving else "ready",
+        names.CARD: listed.card,
+        names.LAYERS: _layers(listed.layers),
+    }
+    store.write_if_new(names.UPSTREAM_KIND, listed.name, orjson.dumps(content))
+
+
+async def serve(
+    fleet: chain_fleet.ChainFleet,
+    listed: chain.Upstream,
+    tasks: anyio.abc.TaskGroup,
+) -> chain.Upstream:
+    """Serve an instance on a free port; returns it with its address."""
+    app = _Deferred()
+    port = await tasks.start(http_server.serve_http, app, HOST, 0)
+    placed = attrs.evolve(listed, address=instances.Address(HOST, port))
+    fleet.add(placed)
+    app.app = UpstreamApp(fleet, placed.address)
+    return placed
+
+
+class _Deferred:
+    """An application that is known only once its port is."""
+
+    app: UpstreamApp
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        await self.app(scope, receive, send)
+
+
+def _layers(layers: pipeline.LayerRange | None) -> Json | None:
+    if layers is None:
+        return None
+    return {names.FIRST_LAYER: layers.first, names.END_LAYER: layers.end}
+
+
+async def _read(receive: Receive) -> bytes:
+    pieces = []
+    while True:
+        message = await receive()
+        pieces.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(pieces)
+
+
+async def _answer(send: Send, status: int, body: bytes) -> None:
+    await _start(send, status, [])
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _start(send: Send, status: int, head: http.RawHeaders) -> None:
+    await send(
+        {"type": "http.response.start", "status": status, "headers": head}
+    )
+
+
+async def _write(send: Send, piece: bytes) -> None:
+    await send(
+        {"type": "http.response.body", "body": piece, "more_body": True}
+    )
--- a/src/crowdeck/standin/store.py
+++ b/src/crowdeck/standin/store.py
@@ -121,6 +121,12 @@
         self._tell()
         return self._version
 
+    def write_if_new(self, kind: str, name: str, value: bytes) -> None:
+        """Write an object unless it holds that value already."""
+        held = self._objects.get((kind, name))
+        if held is None or held.value != value:
+            self.write(kind, name, value)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object, if it is there."""
         if self._objects.pop((kind, name), None) is None:
--- /dev/null
+++ b/tests/test_fleet_process.py
@@ -0,0 +1,303 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""A whole entry over real sockets, in front of stand-in upstreams."""
+
+import pathlib
+import socket
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import httpcore
+import orjson
+import pytest
+
+from crowdeck import chain
+from crowdeck.cmd import fleet_process
+from crowdeck.cmd import http_server
+from crowdeck import errors
+from crowdeck.platform import names
+from crowdeck.platform import upstreams
+from crowdeck.settings import config as configs
+from crowdeck.standin import chain_fleet
+from crowdeck.standin import chain_http
+from crowdeck.standin import store as standin_store
+from crowdeck.standin import store_http
+from tests import fleet_system
+from tests import test_platform_formats
+
+HOST = "127.0.0.1"
+TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy" / "entry.ini"
+SETTINGS = {
+    "node_name": "entry-0",
+    "zone": "plateau",
+    "ip_address": HOST,
+    "bounds.revocation_ms": "5000",
+    "bounds.grace_period_s": "8",
+    "bounds.retry_budget_ratio": "0.2",
+    "bounds.retry_budget_slack": "100",
+    "bounds.budget_window_s": "10",
+}
+
+
+def free_port() -> int:
+    with socket.socket() as one:
+        one.bind((HOST, 0))
+        return int(one.getsockname()[1])
+
+
+def fill(template: str, values: dict[str, str]) -> str:
+    """Fill a template as the platform does, for plain values."""
+    for name, value in values.items():
+        template = template.replace("{{" + name + "}}", value)
+    return template
+
+
+def a_config(model: str, plain: str) -> dict[str, typing.Any]:
+    body = orjson.loads(orjson.dumps(test_platform_formats.CONFIG))
+    stream, once = body["routes"]
+    stream["traffic_split"] = [{"service": model, "weight": 1}]
+    once["service"] = plain
+    body["services"][0]["name"] = model
+    body["services"][1]["name"] = plain
+    card = body["services"][0]["engine"]["kinds"][0]
+    card["size_mb"] = 60_000.0
+    return typing.cast(dict[str, typing.Any], body)
+
+
+@attrs.define
+class Running:
+    """A running entry and what stands around it."""
+
+    process: fleet_process.FleetProcess
+    fleet: chain_fleet.ChainFleet
+    store: standin_store.StandinStore
+    callers: str
+    status: str
+
+    async def send(
+        self, path: str, request_id: str, **changes: bytes
+    ) -> httpcore.Response:
+        headers = [
+            (b"x-request-id", request_id.encode()),
+            (b"x-request-deadline", b"9000"),
+            (b"x-token-counts", b"100,40"),
+            (b"authorization", changes.get("key", b"Token k1")),
+            (b"host", b"desk.example"),
+        ]
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                "POST", f"http://{self.callers}{path}", headers=headers
+            )
+
+
+async def run_entry(
+    work: typing.Callable[[Running], typing.Awaitable[None]],
+) -> None:
+    store = standin_store.StandinStore()
+    fleet = chain_fleet.ChainFleet()
+    fleet.event_seconds = 0.01
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(
+            http_server.serve_http,
+            store_http.StoreApp(store).build(),
+            HOST,
+            0,
+        )
+        for number in range(4):
+            await chain_http.serve(
+                fleet,
+                fleet_system.upstream(f"e{number}", "plateau", None, "t4"),
+                tasks,
+            )
+        await chain_http.serve(
+            fleet,
+            fleet_system.upstream("p0", service=fleet_system.PLAIN, card=""),
+            tasks,
+        )
+        body = a_config(fleet_system.MODEL, fleet_system.PLAIN)
+        store.write(names.CONFIG_KIND, names.CONFIG_NAME, orjson.dumps(body))
+        tasks.start_soon(chain_http.heartbeat, fleet, store)
+        callers, status = free_port(), free_port()
+        text = fill(
+            TEMPLATE.read_text(),
+            {
+                **SETTINGS,
+                "platform.address": f"{HOST}:{port}",
+                "listen_addresses.frontend": f"{HOST}:{callers}",
+                "listen_addresses.readiness": f"{HOST}:{status}",
+            },
+        )
+        process = fleet_process.FleetProcess(configs.parse(text))
+        tasks.start_soon(process.run)
+        running = Running(
+            process, fleet, store, f"{HOST}:{callers}", f"{HOST}:{status}"
+        )
+        await until_serving(running)
+        await work(running)
+        tasks.cancel_scope.cancel()
+
+
+async def until_serving(running: Running) -> None:
+    """Wait until the model's layers are ordered and told."""
+    with anyio.fail_after(20.0):
+        while True:
+            await anyio.sleep(0.1)
+            held = [one.listed.layers for one in running.fleet.upstreams]
+            if not running.process.is_running or held.count(None) > 1:
+                continue
+            response = await running.send("/a/warm", "warm")
+            if response.status == 200:
+                return
+
+
+async def status_of(running: Running, path: str) -> httpcore.Response:
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request("GET", f"http://{running.status}{path}")
+
+
+class TestEntry:
+    """The entry as its callers and operators see it."""
+
+    def test_serves_streams_and_calls(self) -> None:
+        async def work(running: Running) -> None:
+            stream = await running.send("/a/x", "s1")
+            assert stream.status == 200
+            events = running.fleet.events
+            whole = fleet_system.whole_answer("s1", events)
+            assert stream.content == whole
+            call = await running.send("/a/b/x", "c1")
+            assert call.status == 200
+            assert call.content == b"c1"
+            assert running.fleet.runs_of("s1")[0].team == "hule"
+
+        anyio.run(run_entry, work)
+
+    def test_refuses_unknown_keys_and_routes(self) -> None:
+        async def work(running: Running) -> None:
+            wrong = await running.send("/a/x", "w1", key=b"Token nobody")
+            assert wrong.status == 401
+            lost = await running.send("/nowhere/", "w2")
+            assert lost.status == 404
+            assert running.fleet.runs_of("w1") == []
+
+        anyio.run(run_entry, work)
+
+    def test_tells_readiness_and_metrics(self) -> None:
+        async def work(running: Running) -> None:
+            ready = await status_of(running, names.READINESS_PATH)
+            assert ready.status == 200
+            metrics = await status_of(running, "/metrics")
+            assert b"crowdeck_relay_requests_total" in metrics.content
+            assert b"relay_answered_seconds_bucket" in metrics.content
+            assert (await status_of(running, "/other")).status == 404
+
+        anyio.run(run_entry, work)
+
+    def test_taken_away_key_stops_working(self) -> None:
+        async def work(running: Running) -> None:
+            body = a_config(fleet_system.MODEL, fleet_system.PLAIN)
+            body["version"] = 8
+            body["tenants"][0]["api_keys"] = ["k2"]
+            running.store.write(
+                names.CONFIG_KIND, names.CONFIG_NAME, orjson.dumps(body)
+            )
+            await anyio.sleep(0.5)
+            assert (await running.send("/a/x", "r1")).status == 401
+            again = await running.send("/a/x", "r2", key=b"Token k2")
+            assert again.status == 200
+
+        anyio.run(run_entry, work)
+
+    def test_planned_stop_cuts_nothing(self) -> None:
+        async def work(running: Running) -> None:
+            running.fleet.event_seconds = 0.1
+            answers: list[httpcore.Response] = []
+
+            async def ask() -> None:
+                answers.append(await running.send("/a/x", "long"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.5)
+                tasks.start_soon(running.process.stop)
+                await anyio.sleep(0.1)
+                ready = await status_of(running, names.READINESS_PATH)
+                assert ready.status == 503
+            whole = fleet_system.whole_answer("long", running.fleet.events)
+            assert answers[0].content == whole
+
+        anyio.run(run_entry, work)
+
+    def test_caller_that_leaves_ends_the_work(self) -> None:
+        async def work(running: Running) -> None:
+            running.fleet.event_seconds = 0.1
+            with anyio.move_on_after(0.5):
+                await running.send("/a/x", "left")
+            await anyio.sleep(0.3)
+            metrics = await status_of(running, "/metrics")
+            assert b"crowdeck_relay_caller_left_total 1" in metrics.content
+
+        anyio.run(run_entry, work)
+
+
+class TestConfig:
+    """The settings that the platform lays for an entry."""
+
+    def test_template_is_a_whole_config(self) -> None:
+        text = fill(
+            TEMPLATE.read_text(),
+            {
+                **SETTINGS,
+                "platform.address": "10.0.0.1:1",
+                "listen_addresses.frontend": "10.0.0.2:2",
+                "listen_addresses.readiness": "10.0.0.2:3",
+            },
+        )
+        assert "{{" not in text
+        config = configs.parse(text)
+        assert config.is_fleet
+        assert config.fleet["revocation_ms"] == 5000.0
+
+    @pytest.mark.parametrize(
+        ("line", "named"),
+        [
+            ("status =", "status"),
+            ("status = here", "status"),
+            ("grace_seconds = soon", "grace_seconds"),
+        ],
+    )
+    def test_wrong_settings_are_named(self, line: str, named: str) -> None:
+        name = line.split(" ")[0]
+        lines = []
+        for one in TEMPLATE.read_text().splitlines():
+            lines.append(line if one.startswith(f"{name} =") else one)
+        text = fill(
+            "\n".join(lines),
+            {
+                **SETTINGS,
+                "platform.address": "10.0.0.1:1",
+                "listen_addresses.frontend": "10.0.0.2:2",
+                "listen_addresses.readiness": "10.0.0.2:3",
+            },
+        )
+        with pytest.raises(errors.CrowdeckError) as caught:
+            configs.parse(text)
+        assert named in caught.value.message
+
+
+def test_upstreams_of_the_stand_in_are_the_products() -> None:
+    """The stand-in lists what the adapter decodes."""
+    listed = fleet_system.upstream("e1", "plateau", (0, 9), "t4")
+    store = standin_store.StandinStore()
+    chain_http.write_entry(listed, store)
+
+    async def body() -> chain.Upstream:
+        changes = await store.list(names.UPSTREAM_KIND)
+        return upstreams.decode(changes.objects[0])
+
+    assert anyio.run(body) == listed
