crowdeck explain: from a request's id to its cause; crowdeck placement

Change: 'crowdeck explain ID FILES' follows a request over processes, shows what was believed of the engines that it met, and names the cause; its exit code tells whether one was found. Each stream ends in a line with its first event and its longest pause, both also histograms. 'crowdeck placement' draws which layers are held how often.

--- a/src/crowdeck/cmd/cli.py
+++ b/src/crowdeck/cmd/cli.py
@@ -38,6 +38,8 @@
   crowdeck settings diff new.ini && crowdeck settings apply new.ini
   crowdeck trace 4bf92f3577b34da6a3ce929d0e0e4736
   crowdeck check etc/entry.ini
+  crowdeck explain 9c41d07be2a35f68 entry-*.log
+  crowdeck --platform http://127.0.0.1:8000 placement
 
 exit codes:
   0 done   1 failed   2 wrong usage or file   3 a racing edit
@@ -75,6 +77,8 @@
 def _run(options: argparse.Namespace) -> commands.Result:
     if options.command == "check":
         return commands.check_file(options.file)
+    if options.command == "explain":
+        return commands.explain_request(options.id, options.files, options.gap)
     if not options.platform:
         raise errors.ConfigError(
             f"say where the platform is: --platform URL or {PLATFORM_VARIABLE}"
@@ -124,6 +128,8 @@
             return commands.show_status
         case "upstreams":
             return commands.show_upstreams
+        case "placement":
+            return lambda one: commands.show_placement(one.store)
         case "trace":
             return lambda one: commands.show_trace(one, options.id)
         case "drain":
@@ -201,6 +207,30 @@
         "trace", parents=[shared], help="show one request's spans"
     )
     one.add_argument("id", help="trace id, 32 hexadecimal digits")
+    one = chosen.add_parser(
+        "explain",
+        parents=[shared],
+        help="follow one request through logs to its cause",
+    )
+    one.add_argument("id", help="the request's id")
+    one.add_argument(
+        "files",
+        type=pathlib.Path,
+        nargs="*",
+        help="log files; standard input where none is named",
+    )
+    one.add_argument(
+        "--gap",
+        type=float,
+        default=0.2,
+        metavar="SECONDS",
+        help="pause from which a stream counts as late",
+    )
+    chosen.add_parser(
+        "placement",
+        parents=[shared],
+        help="show which engines hold which layers",
+    )
     one = chosen.add_parser(
         "drain", parents=[shared], help="plan an instance's stop"
     )
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -31,6 +31,8 @@
     :ivar looks: how often it was looked into since it last moved.
     :ivar is_suspect: whether it is to be looked into though not silent.
     :ivar usual_pause: mean pause between its events, in seconds.
+    :ivar longest_pause: the longest of them.
+    :ivar first_event_at: the loop's time of its first event.
     """
 
     request: requests.CallerRequest
@@ -48,6 +50,8 @@
     looks: int = 0
     is_suspect: bool = False
     usual_pause: float = 0.0
+    longest_pause: float = 0.0
+    first_event_at: float | None = None
     abandoned: str = ""
     _path: chain.ChainPath | None = None
     _scope: anyio.CancelScope | None = None
@@ -85,9 +89,12 @@
     def moved(self) -> None:
         """Note that an event came."""
         now = anyio.current_time()
-        if self.has_events:
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
             pause = now - self.moved_at
             self.usual_pause += NEWEST * (pause - self.usual_pause)
+            self.longest_pause = max(self.longest_pause, pause)
         self.moved_at = now
         self.next_look = 0.0
         self.looks = 0
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -275,6 +275,7 @@
             raise _wrong(path, "it holds no event")
         self._context.book.trust(path.head.name)
         await self._sink.finish()
+        self._note_end(path)
 
     async def _pass_event(
         self,
@@ -298,6 +299,24 @@
         if event.id is not None:
             stream.last_event = event.id
 
+    def _note_end(self, path: chain.ChainPath) -> None:
+        stream = self._stream
+        now = anyio.current_time()
+        arrived = self._request.arrived
+        first = (stream.first_event_at or now) - arrived
+        counters.COUNTERS.time("relay.first_event", first)
+        counters.COUNTERS.time("relay.longest_pause", stream.longest_pause)
+        logs.decision(
+            "stream_ended",
+            self._request.id,
+            head=path.head.name,
+            first_event=round(first, 4),
+            longest_pause=round(stream.longest_pause, 4),
+            last_event=stream.last_event,
+            seconds=round(now - arrived, 3),
+            attempts=len(self._ran_on),
+        )
+
     def _refusal(
         self, path: chain.ChainPath, answer: reach.Answer
     ) -> errors.CrowdeckError:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,140 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""From a request's id to its cause, by logs alone."""
+
+import pathlib
+
+import anyio
+import orjson
+import pytest
+
+from crowdeck.cmd import cli
+from crowdeck.cmd import commands
+from crowdeck.observe import explain
+from crowdeck.platform import names
+from crowdeck.standin import chain_http
+from crowdeck.standin import store as standin_store
+from tests import fleet_system
+from tests import test_platform_formats
+
+
+def line(at: float, kind: str, source: str = "a", **fields: object) -> str:
+    body = {"timestamp": at, "message_type": f"crowdeck:{kind}", **fields}
+    return f"{source} {orjson.dumps(body).decode()}\n"
+
+
+REFUSED = [
+    line(10.0, "path_chosen", request="r1", path="10.0.0.1:1=0-80"),
+    line(10.1, "upstream_avoided", upstream="i-1", address="10.0.0.1:1"),
+    line(10.1, "upstream_avoided", upstream="i-2", address="10.0.0.2:1"),
+    line(10.1, "upstream_avoided", "b", upstream="i-1", address="10.0.0.1:1"),
+    line(10.2, "attempt_failed", request="r1", reason="10.0.0.1:1 is silent"),
+    line(
+        10.3,
+        "refused",
+        request="r1",
+        code="NO_PATH",
+        reason="no path through the model has room",
+        status=502,
+    ),
+    line(10.3, "refused", request="r2", code="UNAUTHORIZED", reason="x"),
+]
+
+
+class TestExplain:
+    """The cause, the request's lines, and the beliefs that mattered."""
+
+    def test_refusal_is_told_with_what_went_before(self) -> None:
+        found = explain.explain("r1", REFUSED)
+        assert [one.kind for one in found.lines] == [
+            "path_chosen",
+            "attempt_failed",
+            "refused",
+        ]
+        assert found.has_failed
+        assert "no engines with room" in found.cause
+        assert "10.0.0.1:1 is silent" in found.cause
+
+    def test_context_is_of_its_process_and_its_engines(self) -> None:
+        found = explain.explain("r1", REFUSED)
+        assert len(found.context) == 1
+        assert found.context[0].fields["upstream"] == "i-1"
+        assert found.context[0].source == "a"
+
+    def test_pause_of_a_stream_is_told(self) -> None:
+        texts = [
+            line(1.0, "stream_silent", request="r1", culprits=["10.0.0.9:1"]),
+            line(2.0, "stream_ended", request="r1", longest_pause=0.4),
+        ]
+        found = explain.explain("r1", texts)
+        assert found.has_failed
+        assert "0.4 s" in found.cause and "10.0.0.9:1" in found.cause
+        assert not explain.explain("r1", texts, gap=0.5).has_failed
+
+    def test_failure_of_the_upstream_itself(self) -> None:
+        texts = [
+            line(
+                1.0, "call_answered", request="r1", upstream="i-1", status=500
+            )
+        ]
+        assert "i-1 itself answered 500" in explain.explain("r1", texts).cause
+
+    def test_lines_of_other_programs_are_passed_over(self) -> None:
+        texts = ["", "{", "plain text", "[]", '{"message_type": 1}', *REFUSED]
+        assert len(explain.explain("r1", texts).lines) == 3
+
+    @pytest.mark.parametrize("request_id", ["r3", ""])
+    def test_unknown_request_has_no_cause(self, request_id: str) -> None:
+        found = explain.explain(request_id, REFUSED)
+        assert found.lines == () and found.cause == ""
+
+
+class TestCommand:
+    """``crowdeck explain`` and ``crowdeck placement``."""
+
+    def test_exit_code_tells_whether_a_cause_was_found(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        log = tmp_path / "entry.log"
+        log.write_text("".join(REFUSED))
+        assert cli.main(["explain", "r1", str(log)]) == commands.EXIT_OK
+        assert "cause: no engines with room" in capsys.readouterr().out
+        assert cli.main(["explain", "r9", str(log)]) == commands.EXIT_FAILED
+        assert "hold nothing of it" in capsys.readouterr().out
+
+    def test_json_for_programs(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        log = tmp_path / "entry.log"
+        log.write_text("".join(REFUSED))
+        cli.main(["explain", "--json", "r1", str(log)])
+        told = orjson.loads(capsys.readouterr().out)
+        assert told["has_failed"] is True
+        assert len(told["lines"]) == 3
+
+    def test_missing_file_is_named(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        missing = tmp_path / "none.log"
+        assert cli.main(["explain", "r1", str(missing)]) != commands.EXIT_OK
+        assert "none.log" in capsys.readouterr().err
+
+    def test_placement_shows_gaps(self) -> None:
+        async def body() -> commands.Result:
+            store = standin_store.StandinStore()
+            config = orjson.dumps(test_platform_formats.CONFIG)
+            store.write(names.CONFIG_KIND, names.CONFIG_NAME, config)
+            for name, first, end in (("a", 0, 5), ("b", 5, 9)):
+                listed = fleet_system.upstream(
+                    name, "plateau", (first, end), "t4", "huvo11a"
+                )
+                chain_http.write_entry(listed, store)
+            return await commands.show_placement(store)
+
+        result = anyio.run(body)
+        assert "71 missing" in result.text
+        assert "1" * 9 + "0" * 71 in result.text
+        assert "0-5" in result.text and "5-9" in result.text
