Each stream is led around a failed engine once; a missing path is told with what it lacks

Figures: with 12 streams through one dark engine each is led around once (test_each_stream_is_led_around_once).

--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -198,6 +198,9 @@
     code = str(end.fields.get("code", ""))
     cause = _CAUSES.get(code, f"error {code}")
     cause += f": {end.fields.get('reason', '')}"
+    gaps = [line for line in own if line.kind == "no_path"]
+    if gaps:
+        cause += "; " + _lack(gaps[-1])
     failures = [
         str(line.fields.get("reason", ""))
         for line in own
@@ -208,6 +211,21 @@
     return cause
 
 
+def _lack(line: Line) -> str:
+    missing = line.fields.get("missing_layers")
+    usable = line.fields.get("usable")
+    if missing:
+        first = line.fields.get("first_missing")
+        return (
+            f"{missing} layers, from layer {first} on, were held by none of "
+            f"{usable} usable engines"
+        )
+    return (
+        f"{usable} usable engines held all layers, and those of each path "
+        f"lacked room for {line.fields.get('tokens')} tokens"
+    )
+
+
 def _judge_stream(own: list[Line], end: Line, gap: float) -> tuple[str, bool]:
     pause = float(end.fields.get("longest_pause") or 0.0)
     if pause <= gap:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -48,6 +48,7 @@
         self._prober = probes.Prober(context.client, self._lateness)
         self._streams: set[live.LiveStream] = set()
         self._looking: set[live.LiveStream] = set()
+        self._repathing: set[live.LiveStream] = set()
         self._to_verify: dict[str, chain.Upstream] = {}
         context.book.subscribe_lapses(self.verify)
 
@@ -180,10 +181,24 @@
                 path = stream.path
                 if path is None or not path.passes(culprit.name):
                     continue
+                if stream.abandoned or stream in self._repathing:
+                    continue
                 if path.head.name == culprit.name:
                     stream.abandon(f"first engine {culprit.address} is silent")
                     continue
-                tasks.start_soon(self._repath, stream, path, culprit)
+                self._repathing.add(stream)
+                tasks.start_soon(self._lead, stream, path, culprit)
+
+    async def _lead(
+        self,
+        stream: live.LiveStream,
+        path: chain.ChainPath,
+        culprit: chain.Upstream,
+    ) -> None:
+        try:
+            await self._repath(stream, path, culprit)
+        finally:
+            self._repathing.discard(stream)
 
     async def _repath(
         self,
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -15,6 +15,7 @@
 from crowdeck.membership import upstreams as books
 from crowdeck.observe import counters
 from crowdeck.observe import logs
+from crowdeck.placement import plan
 from crowdeck.relay import context as contexts
 from crowdeck.relay import events
 from crowdeck.relay import live
@@ -158,6 +159,7 @@
                 return path
             now = anyio.current_time()
             if now >= min(waits_until, self._deadline - LEAST_SECONDS):
+                self._note_no_path()
                 raise self._failure(
                     errors.CrowdeckError(
                         errors.Code.NO_PATH,
@@ -166,6 +168,24 @@
                 )
             await anyio.sleep(WAIT_STEP)
 
+    def _note_no_path(self) -> None:
+        book = self._context.book
+        service = self._stream.service.name
+        usable = book.usable(service)
+        count = self._stream.profile.layer_count
+        held = plan.coverage(usable, count)
+        missing = [layer for layer, copies in enumerate(held) if not copies]
+        logs.decision(
+            "no_path",
+            self._request.id,
+            listed=len(book.listed(service)),
+            usable=len(usable),
+            missing_layers=len(missing),
+            first_missing=missing[0] if missing else None,
+            tokens=int(self._stream.tokens),
+            waited=round(anyio.current_time() - self._request.arrived, 3),
+        )
+
     def _wait_limit(self) -> float:
         if self._sink.has_started:
             return anyio.current_time() + BEGUN_WAIT_SECONDS
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -74,6 +74,16 @@
         assert "0.4 s" in found.cause and "10.0.0.9:1" in found.cause
         assert not explain.explain("r1", texts, gap=0.5).has_failed
 
+    def test_lack_of_layers_or_of_room_is_told(self) -> None:
+        end = line(2.0, "refused", request="r1", code="NO_PATH", reason="x")
+        gap = {"request": "r1", "usable": 30, "tokens": 900}
+        lack = line(1.0, "no_path", missing_layers=6, first_missing=24, **gap)
+        full = line(1.0, "no_path", missing_layers=0, **gap)
+        told = explain.explain("r1", [lack, end]).cause
+        assert "6 layers, from layer 24 on" in told
+        told = explain.explain("r1", [full, end]).cause
+        assert "lacked room for 900 tokens" in told
+
     def test_failure_of_the_upstream_itself(self) -> None:
         texts = [
             line(
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -189,6 +189,24 @@
 
         play(work, copies=1)
 
+    def test_each_stream_is_led_around_once(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            asked = [system.request(STREAM) for _ in range(12)]
+            callers: list[fleet_system.Caller] = []
+
+            async def ask(request: requests.CallerRequest) -> None:
+                callers.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                for request in asked:
+                    tasks.start_soon(ask, request)
+                await anyio.sleep(0.15)
+                path_of(system, asked[0])[2].is_dark = True
+            assert all(caller.is_whole for caller in callers)
+            assert len(system.fleet.repaths) == len(set(system.fleet.repaths))
+
+        play(work)
+
 
 class TestFailedHead:
     """A stream's first engine fails."""
