Runs are counted truly; no stream is given up that may not go on; a stopped giver frees its lease

A first engine that was only full or leaving did not count among those that ran a request, so some ran at three of two; and a stream whose later stage failed was given up to go on elsewhere though no run was left, and so was cut.

Change: only engines that failed themselves go uncounted; a stream is given up only while a run is left, else led around even across zones; the lease is given up at the stop.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -71,6 +71,7 @@
         self._config = config
         self._relay: relays.Relay | None = None
         self._server: http_server.QuietServer | None = None
+        self._lease: leases.Lease | None = None
         self._stopped = anyio.Event()
         self._is_stopping = False
 
@@ -117,7 +118,9 @@
         began = anyio.current_time()
         self._relay.leave()
         logs.change("stopping", in_progress=self._relay.in_progress)
-        await anyio.sleep(min(UNREADY_SECONDS, grace / 2))
+        if self._lease is not None:
+            await self._lease.give_up()
+        await anyio.sleep_until(began + min(UNREADY_SECONDS, grace / 2))
         self._server.should_exit = True
         with anyio.move_on_at(began + grace):
             await self._relay.wait_idle()
@@ -163,6 +166,7 @@
         )
         holder_name = f"{self._config.name}/{secrets.token_hex(8)}"
         lease = leases.Lease(store, PLACEMENT, holder_name)
+        self._lease = lease
         duty = duties.PlacementDuty(
             lease,
             book,
--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -145,10 +145,13 @@
             and belief.avoided_until <= anyio.current_time()
         )
 
-    def is_avoided(self, name: str) -> bool:
-        """Whether an instance is left alone because it failed."""
+    def has_failed(self, name: str) -> bool:
+        """Whether an instance is gone, or failed and has not answered since.
+
+        One that leaves, or is full, has not failed.
+        """
         belief = self._beliefs.get(name)
-        return belief is None or belief.avoided_until > anyio.current_time()
+        return belief is None or belief.failures > 0
 
     def avoid(self, name: str, reason: str) -> None:
         """Give an instance that failed nothing for a while."""
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -23,7 +23,8 @@
 
     :ivar profile: of the engines that serve it.
     :ivar tokens: what the request is expected to hold in the end.
-    :ivar may_resume: whether it may go on elsewhere from its last event.
+    :ivar may_resume: whether it may go on at another first engine from
+        its last event, once the attempt under way is given up.
     :ivar last_event: id of the last event passed on, -1 for none.
     :ivar moved_at: the loop's time when it last moved: an event came,
         or an attempt began.
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -96,7 +96,6 @@
             objective=admitted.route.objective,
             tokens=size.expected(service.profile.usual_answer),
             usage=self._context.usage,
-            may_resume=admitted.route.is_resumable,
             last_event=request.last_event,
         )
         self._watch.add(stream)
@@ -232,6 +231,10 @@
         try:
             with anyio.CancelScope() as scope:
                 self._stream.begin(path, scope)
+                self._stream.may_resume = (
+                    self._route.is_resumable
+                    and self._runs_left(path.head.name) > 0
+                )
                 await self._exchange(path)
                 return None
         except errors.CrowdeckError as error:
@@ -415,12 +418,18 @@
         if self._stream.has_events and self._stream.last_event < 0:
             # Its events bear no ids: none can be asked for again.
             return False
-        # Engines that died do not count: only they can have been left
-        # without an answer by no choice of ours.
-        sound = sum(
-            1 for name in self._ran_on if self._context.book.is_usable(name)
-        )
-        return sound < self._route.max_attempts
+        return self._runs_left() > 0
+
+    def _runs_left(self, running_on: str = "") -> int:
+        """Return at how many more engines the request may run.
+
+        Engines that failed do not count: they were not left by choice.
+        One that merely leaves, is full or passes a path that broke does.
+        """
+        names = self._ran_on | {running_on} if running_on else self._ran_on
+        book = self._context.book
+        sound = sum(1 for name in names if not book.has_failed(name))
+        return self._route.max_attempts - sound
 
     def _failure(self, error: errors.CrowdeckError) -> errors.CrowdeckError:
         verdict = _MAY_HAVE_RUN if self._ran_on else error.verdict
--- a/src/crowdeck/state/leases.py
+++ b/src/crowdeck/state/leases.py
@@ -58,6 +58,7 @@
         self._seen_at = 0.0
         self._held_until = 0.0
         self._was_held = False
+        self._is_over = False
 
     @property
     def is_held(self) -> bool:
@@ -71,7 +72,7 @@
 
     async def run(self) -> None:
         """Take, keep or await the lease until cancelled."""
-        while True:
+        while not self._is_over:
             try:
                 await self._step()
             except errors.CrowdeckError as error:
@@ -85,6 +86,24 @@
             self._note_change()
             await anyio.sleep(RENEW_SECONDS)
 
+    async def give_up(self) -> None:
+        """Let another have the lease at once, if it is held here.
+
+        Without it the others wait for its whole length. A store that
+        cannot be reached costs no more than that.
+        """
+        self._is_over = True
+        self._held_until = 0.0
+        seen = self._seen
+        if seen is None or seen.holder != self._holder:
+            return
+        try:
+            await self._write(Holding("", seen.term))
+        except errors.CrowdeckError as error:
+            logs.change("lease_kept", duty=self._duty, reason=error.message)
+        self._held_until = 0.0
+        self._note_change()
+
     async def _step(self) -> None:
         if self._seen is not None and self._seen.holder == self._holder:
             await self._write(self._seen)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -417,6 +417,25 @@
 
         virtual.run(body)
 
+    def test_given_up_it_passes_on_at_once(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            first = leases.Lease(store, "duty", "first")
+            second = leases.Lease(store, "duty", "second")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(first.run)
+                await anyio.sleep(1.0)
+                tasks.start_soon(second.run)
+                await anyio.sleep(1.0)
+                await first.give_up()
+                assert not first.is_held
+                await anyio.sleep(leases.RENEW_SECONDS + 0.1)
+                assert second.is_held and not first.is_held
+                assert second.term == 2
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
     def test_malformed_lease_is_told(self) -> None:
         async def body() -> None:
             store = standin_store.StandinStore()
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -258,6 +258,61 @@
 
         play(work)
 
+    def test_second_failure_is_led_around_when_no_run_is_left(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for part, layers in enumerate(chain_fleet.cut(80, 4)):
+                system.add(
+                    fleet_system.upstream(
+                        f"pikine-{part}",
+                        "pikine",
+                        (layers.first, layers.end),
+                        "large",
+                    )
+                )
+            system.fleet.events = 60
+            request = system.request(STREAM)
+            callers: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                callers.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                for _ in range(2):
+                    # Its first engine is sound each time: only a later
+                    # part of the path fails, and the zone has no other.
+                    await anyio.sleep(0.3)
+                    path_of(system, request)[2].is_dark = True
+            # The first time it goes on in another zone, the second time it
+            # may not: a detour through the third is all that is left.
+            assert_whole(callers[0], request, 60)
+            heads = {run.upstream for run in system.fleet.runs_of(request.id)}
+            assert len(heads) == 2
+            assert system.fleet.repaths == [request.id]
+
+        play(work, copies=1)
+
+    def test_full_engine_counts_as_one_that_ran_it(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for one in system.listed.values():
+                system.fleet.at(one.address).breaks_after = 3
+            request = system.request(STREAM)
+
+            async def refuse_others() -> None:
+                while True:
+                    await anyio.sleep(0.005)
+                    for run in system.fleet.runs_of(request.id):
+                        system.book.pause(run.upstream, 5.0, "full")
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(refuse_others)
+                await system.ask(request)
+                tasks.cancel_scope.cancel()
+            heads = {run.upstream for run in system.fleet.runs_of(request.id)}
+            assert len(heads) == 2
+
+        play(work)
+
     def test_unreached_head_costs_no_budget(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             for name, one in system.listed.items():
