A stream that its first engine leaves alone goes elsewhere

Change: a stream without an event for 0.8 of its objective, or three allowed pauses, is begun elsewhere once its first engine has nobody waiting and other streams there move; the engine is left alone for 1.5 s. Not where a path crosses zones, nor where nothing moves: there it is only slow.

--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -7,6 +7,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from crowdeck import chain
 from crowdeck.observe import counters
@@ -36,6 +37,32 @@
 # after this share of the pause, and each time after twice as long.
 AGAIN_SHARE = 0.5
 
+# An engine may take a request and never work on it, while its report and
+# its other streams are well. This share of the objective without a first
+# event, or so many times the allowed pause between events, is taken for
+# that; what is merely slow has begun by then on all but the worst days.
+HUNG_SHARE = 0.8
+HUNG_GAPS = 3.0
+# It gets no new work for this long: such engines hold up a part of what
+# they are given, so one that was caught will be again.
+HUNG_PAUSE_SECONDS = 1.5
+# A sibling that moved within this many pauses shows that the engine works.
+SIBLING_PAUSES = 3.0
+
+
+@attrs.frozen
+class _Finding:
+    """What a look into a silent stream found.
+
+    :ivar culprits: engines that hold it up.
+    :ivar is_sure: whether silence was the engines' and not our own.
+    :ivar head: what the first engine said, if it did.
+    """
+
+    culprits: list[chain.Upstream]
+    is_sure: bool
+    head: chain.EngineReport | None = None
+
 
 class StallWatch:
     """Looks after the streams of one entry."""
@@ -132,7 +159,7 @@
         if path is None:
             return
         silent_since = stream.moved_at
-        culprits, is_sure = await self._culprits(stream, path)
+        found = await self._culprits(stream, path)
         if stream.path is not path or stream.moved_at != silent_since:
             return
         logs.decision(
@@ -141,17 +168,51 @@
             silent=round(anyio.current_time() - silent_since, 3),
             usual=round(stream.usual_pause, 4),
             after=stream.last_event,
-            culprits=[str(one.address) for one in culprits],
-            is_sure=is_sure,
+            culprits=[str(one.address) for one in found.culprits],
+            is_sure=found.is_sure,
         )
-        for culprit in culprits:
+        for culprit in found.culprits:
             self._context.book.avoid(culprit.name, "silent in a stream")
             await self._lead_around(culprit)
+        if not found.culprits and self._is_hung(stream, path, found):
+            self._give_up_hung(stream, path)
+
+    def _is_hung(
+        self, stream: live.LiveStream, path: chain.ChainPath, found: _Finding
+    ) -> bool:
+        """Whether its first engine holds a stream and does not work on it."""
+        if not stream.may_resume or path.crossings:
+            return False
+        if found.head is None or found.head.waiting or not found.is_sure:
+            return False
+        limit = HUNG_SHARE * stream.objective
+        if stream.has_events:
+            limit = HUNG_GAPS * stream.gap
+        now = anyio.current_time()
+        if now - stream.moved_at < limit:
+            return False
+        budget = self._context.budget(stream.service.name)
+        return budget.left >= BUDGET_KEPT and any(
+            other.path is not None
+            and other.path.head.name == path.head.name
+            and other.has_events
+            and now - other.moved_at < SIBLING_PAUSES * other.usual_pause
+            for other in self._streams
+            if other is not stream
+        )
+
+    def _give_up_hung(
+        self, stream: live.LiveStream, path: chain.ChainPath
+    ) -> None:
+        counters.COUNTERS.add("relay.hung")
+        reason = f"{path.head.address} holds it and does not work on it"
+        self._context.book.pause(path.head.name, HUNG_PAUSE_SECONDS, reason)
+        stream.abandon(reason)
 
     async def _culprits(
         self, stream: live.LiveStream, path: chain.ChainPath
-    ) -> tuple[list[chain.Upstream], bool]:
-        """Return the engines that hold a stream up, and whether it is sure.
+    ) -> _Finding:
+        """Return the engines that hold a stream up.
 
         The first engine tells which requests wait for whom, all at once,
         but its report is of some moments ago. When it knows of nothing
@@ -159,7 +220,8 @@
         """
         head = await self._prober.ask(path.head)
         if head.report is None:
-            return ([path.head] if head.is_silent else []), head.is_sure
+            silent = [path.head] if head.is_silent else []
+            return _Finding(silent, head.is_sure)
         named = [
             self._context.book.at(stall.address)
             for stall in head.report.stalls
@@ -167,7 +229,7 @@
         ]
         found = [one for one in named if one is not None]
         if found:
-            return found, True
+            return _Finding(found, True, head.report)
         answers: list[probes.Probe] = []
 
         async def ask(upstream: chain.Upstream) -> None:
@@ -177,7 +239,8 @@
             for hop in path.hops[1:]:
                 tasks.start_soon(ask, hop.upstream)
         silent = [one.upstream for one in answers if one.is_silent]
-        return silent, all(one.is_sure for one in answers)
+        is_sure = all(one.is_sure for one in answers)
+        return _Finding(silent, is_sure, head.report)
 
     async def _lead_around(self, culprit: chain.Upstream) -> None:
         """Change the path of every stream that passes a failed engine."""
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -46,6 +46,7 @@
     :ivar rejects: how many of the next requests it refuses as not run.
     :ivar loses: how many of the next answers it loses after running.
     :ivar breaks_after: breaks a stream off after so many events, once.
+    :ivar hangs: how many of the next streams it takes and leaves alone.
     :ivar fails: how many of the next calls it answers with 500.
     :ivar forges: how many of the next answers bear another's id.
     """
@@ -58,6 +59,7 @@
     loses: int = 0
     breaks_after: int = -1
     fails: int = 0
+    hangs: int = 0
     forges: int = 0
     seconds: float = 0.02
     late_orders: list[plan.Move] = attrs.field(factory=list)
@@ -305,6 +307,9 @@
         dispatch: reach.Dispatch,
     ) -> typing.AsyncIterator[bytes]:
         sent = 0
+        if target.hangs:
+            target.hangs -= 1
+            await anyio.sleep_forever()
         for number in range(dispatch.last_event + 1, self.events):
             await anyio.sleep(self.event_seconds)
             await self._await_path(target, request.id)
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -74,6 +74,11 @@
     ]
 
 
+def each_hangs(system: fleet_system.FleetSystem, count: int) -> None:
+    for one in system.listed.values():
+        system.fleet.at(one.address).hangs = count
+
+
 class TestCalmStream:
     """A stream when nothing fails."""
 
@@ -209,6 +214,47 @@
         play(work)
 
 
+class TestHungRequest:
+    """An engine takes a request and never works on it."""
+
+    def test_goes_elsewhere_while_others_move_on(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.fleet.events = 60
+            first = system.request(STREAM)
+            callers: list[fleet_system.Caller] = []
+
+            async def ask(request: requests.CallerRequest) -> None:
+                callers.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(8):
+                    tasks.start_soon(ask, system.request(STREAM))
+                await anyio.sleep(0.2)
+                each_hangs(system, 1)
+                began = anyio.current_time()
+                tasks.start_soon(ask, first)
+                await anyio.sleep(0.1)
+                # Only the engine that took it first leaves it alone.
+                each_hangs(system, 0)
+            caller = callers[-1]
+            assert_whole(caller, first, 60)
+            assert caller.times[0] - began < 0.7
+            assert len(system.fleet.runs_of(first.id)) == 2
+
+        play(work)
+
+    def test_slow_one_is_left_alone_where_nothing_moves(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.fleet.event_seconds = 0.9
+            system.fleet.events = 2
+            request = system.request(STREAM)
+            caller = await system.ask(request)
+            assert_whole(caller, request, 2)
+            assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+
 class TestBusyEntry:
     """An entry whose own loop is late must not blame the engines."""
 
