Nothing is kept for each engine that ever was; commands that inspect have a module

Cause: an entry lives longer than engines, and kept a little for each that was replaced (probes, records of plain services, counts under way).

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,7 @@
 import orjson
 
 from bench.soak import callers as callers_module
+from bench.soak import config
 from bench.soak import proxy as proxies
 
 HOST = "127.0.0.1"
@@ -36,62 +37,6 @@
 
 Spec = dict[str, typing.Any]
 
-CONFIG: Spec = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "stream",
-            "host": "desk.example",
-            "path_prefix": "/stream/",
-            "route_kind": "streaming",
-            "timeout_ms": 6000,
-            "target_latency_ms": 500,
-            "target_gap_ms": 200,
-            "service": "model",
-            "max_attempts": 2,
-            "stream_resumption": True,
-        },
-        {
-            "name": "once",
-            "host": "desk.example",
-            "path_prefix": "/once/",
-            "route_kind": "non_idempotent",
-            "timeout_ms": 1500,
-            "service": "plain",
-            "max_attempts": 1,
-        },
-    ],
-    "services": [
-        {
-            "name": "model",
-            "engine": {
-                "slots": 32,
-                "kv_token_bytes": 1_000_000,
-                "models": [{"name": "m", "load_time_s": 1.0}],
-                "step_ms": 1.0,
-                "per_seq_ms": 0.01,
-                "context_per_k": 0.01,
-                "read_per_s": 100_000.0,
-                "usual": {"prompt": 100, "answer": 40},
-                "layers": 80,
-                "layer_mb": 100.0,
-                "activation_bytes": 1000,
-                "pipeline_mbps": 9000.0,
-                "kinds": [
-                    {
-                        "name": "card",
-                        "size_mb": 5000.0,
-                        "pace": 1.0,
-                        "read_factor": 1.0,
-                    }
-                ],
-            },
-        },
-        {"name": "plain"},
-    ],
-    "tenants": [{"name": "team", "api_keys": ["key-0"]}],
-}
-
 
 @attrs.frozen
 class Options:
@@ -162,7 +107,7 @@
         self._caller_ports = [next(ports) for _ in range(options.entries)]
         self._status_ports = [next(ports) for _ in range(options.entries)]
         self._entries: dict[int, anyio.abc.Process] = {}
-        self._config = copy.deepcopy(CONFIG)
+        self._config = copy.deepcopy(config.CONFIG)
         self._told: list[str] = []
         self._checks = 0
         self._revoked: dict[str, float] = {}
--- a/src/crowdeck/cmd/cli.py
+++ b/src/crowdeck/cmd/cli.py
@@ -18,6 +18,7 @@
 
 from crowdeck.cmd import commands
 from crowdeck.cmd import demo
+from crowdeck.cmd import inspection
 from crowdeck.cmd import operator as operators
 from crowdeck import errors
 from crowdeck.settings import config as configs
@@ -78,7 +79,9 @@
     if options.command == "check":
         return commands.check_file(options.file)
     if options.command == "explain":
-        return commands.explain_request(options.id, options.files, options.gap)
+        return inspection.explain_request(
+            options.id, options.files, options.gap
+        )
     if not options.platform:
         raise errors.ConfigError(
             f"say where the platform is: --platform URL or {PLATFORM_VARIABLE}"
@@ -129,7 +132,7 @@
         case "upstreams":
             return commands.show_upstreams
         case "placement":
-            return lambda one: commands.show_placement(one.store)
+            return lambda one: inspection.show_placement(one.store)
         case "trace":
             return lambda one: commands.show_trace(one, options.id)
         case "drain":
--- a/src/crowdeck/cmd/commands.py
+++ b/src/crowdeck/cmd/commands.py
@@ -5,30 +5,19 @@
 
 """The operators' commands: each returns data and text to show."""
 
-import contextlib
-import itertools
 import json
 import pathlib
-import sys
 import typing
 
 import anyio
 import attrs
 
-from crowdeck import chain
 from crowdeck.cmd import checks
 from crowdeck.cmd import operator as operators
 from crowdeck import errors
-from crowdeck.observe import explain as explaining
-from crowdeck.placement import plan
-from crowdeck.platform import config as platform_config
-from crowdeck.platform import names
-from crowdeck.platform import upstreams as platform_upstreams
-from crowdeck import route as routes
 from crowdeck.settings import config as configs
 from crowdeck.settings import editor as editors
 from crowdeck.settings import tree as trees
-from crowdeck.state import objects as stores
 from crowdeck.wire import messages
 
 EXIT_OK = 0
@@ -71,7 +60,7 @@
     lost = any(answer.error is not None for answer in answers)
     return Result(
         rows,
-        _table(rows, ("instance", "role", "state", "running", "generation")),
+        table(rows, ("instance", "role", "state", "running", "generation")),
         EXIT_UNREACHABLE if lost else EXIT_OK,
     )
 
@@ -102,7 +91,7 @@
                     "running",
                     "step_ms",
                 )
-                return Result(rows, _table(rows, columns))
+                return Result(rows, table(rows, columns))
     raise errors.CrowdeckError(
         errors.Code.LINK_LOST, "no entry answers; see 'crowdeck status'"
     )
@@ -260,113 +249,6 @@
     return await _apply(editor, await editor.read(), text)
 
 
-def explain_request(
-    request: str, files: list[pathlib.Path], gap: float
-) -> Result:
-    """Follow one request through log files, or standard input.
-
-    The exit code tells whether a cause was found, or none was needed.
-    """
-    with contextlib.ExitStack() as stack:
-        texts: list[typing.Iterable[str]] = [
-            stack.enter_context(_open_log(path)) for path in files
-        ]
-        found = explaining.explain(
-            request, itertools.chain.from_iterable(texts or [sys.stdin]), gap
-        )
-    lines = [str(line) for line in found.lines]
-    if found.context:
-        lines += ["", "believed by then:"]
-        lines += [f"  {line}" for line in found.context]
-    if not found.lines:
-        verdict = "the logs hold nothing of it"
-    elif not found.has_failed:
-        verdict = "it was answered in time"
-    else:
-        verdict = found.cause or "the logs do not tell the cause"
-    lines += ["", f"cause: {verdict}"]
-    is_known = bool(found.lines) and bool(found.cause or not found.has_failed)
-    data: Data = {
-        "request": request,
-        "cause": found.cause,
-        "has_failed": found.has_failed,
-        "lines": [str(line) for line in found.lines],
-        "context": [str(line) for line in found.context],
-    }
-    return Result(data, "\n".join(lines), EXIT_OK if is_known else EXIT_FAILED)
-
-
-def _open_log(path: pathlib.Path) -> typing.TextIO:
-    try:
-        return path.open(errors="replace")
-    except OSError as error:
-        raise errors.ConfigError(f"{path}: {error}") from None
-
-
-async def show_placement(store: stores.ObjectStore) -> Result:
-    """Show which engines hold which layers, by service and zone."""
-    listing = await store.list(names.UPSTREAM_KIND)
-    config = await store.get(names.CONFIG_KIND, names.CONFIG_NAME)
-    if config is None:
-        raise errors.CrowdeckError(
-            errors.Code.NOT_FOUND, "the store holds no config yet"
-        )
-    found = [platform_upstreams.decode(one) for one in listing.objects]
-    services = platform_config.decode(config.value).services
-    lines: list[str] = []
-    data: list[Data] = []
-    for service in services:
-        if service.profile is None:
-            continue
-        engines = [one for one in found if one.service == service.name]
-        shown, told = _placement_of(service, service.profile, engines)
-        lines += shown
-        data += told
-    return Result(data, "\n".join(lines))
-
-
-def _placement_of(
-    service: routes.Service,
-    profile: chain.EngineProfile,
-    engines: list[chain.Upstream],
-) -> tuple[list[str], list[Data]]:
-    lines = [f"{service.name}: {profile.layer_count} layers"]
-    data: list[Data] = []
-    for zone in sorted({one.availability_zone for one in engines}):
-        inside = [one for one in engines if one.availability_zone == zone]
-        counts = plan.coverage(inside, profile.layer_count)
-        missing = counts.count(0)
-        lines.append(f"  {zone}  copies of each layer, {missing} missing:")
-        lines.append("    " + "".join(str(min(9, one)) for one in counts))
-        rows: list[dict[str, Data]] = [
-            _engine_row(one, profile)
-            for one in sorted(inside, key=_by_first_layer)
-        ]
-        table = _table(rows, ("engine", "card", "layers", "room", "state"))
-        lines += [f"    {line}" for line in table.splitlines()]
-        data.append({"zone": zone, "missing": missing, "engines": rows})
-    return lines, data
-
-
-def _engine_row(
-    one: chain.Upstream, profile: chain.EngineProfile
-) -> dict[str, Data]:
-    held = one.layers
-    size = held.end - held.first if held else 0
-    room = profile.room(one.card, size)
-    return {
-        "engine": str(one.address),
-        "card": one.card,
-        "layers": f"{held.first}-{held.end}" if held else "-",
-        "room": int(room) if size and room != float("inf") else "-",
-        "state": "leaving" if one.is_leaving else "ready",
-    }
-
-
-def _by_first_layer(one: chain.Upstream) -> tuple[int, str]:
-    return (one.layers.first if one.layers else -1, one.name)
-
-
 def check_file(path: pathlib.Path) -> Result:
     """Check a daemon's configuration, or a settings tree, by its looks."""
     text = _read(path)
@@ -386,7 +268,7 @@
         raise errors.ConfigError(f"{path}: {error}") from None
 
 
-def _table(rows: list[dict[str, Data]], columns: tuple[str, ...]) -> str:
+def table(rows: list[dict[str, Data]], columns: tuple[str, ...]) -> str:
     cells = [[str(row.get(name, "-")) for name in columns] for row in rows]
     widths = [
         max(len(name), *(len(line[at]) for line in cells), 0)
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -115,12 +115,19 @@
         done = self._asking[upstream.name] = anyio.Event()
         try:
             probe = await self._exchange(upstream)
+            self._forget()
             self._known[upstream.name] = probe
             return probe
         finally:
             del self._asking[upstream.name]
             done.set()
 
+    def _forget(self) -> None:
+        """Drop what is no longer fresh: engines come and go all day."""
+        since = anyio.current_time() - FRESH_SECONDS
+        for name in [n for n, one in self._known.items() if one.at < since]:
+            del self._known[name]
+
     async def _exchange(self, upstream: chain.Upstream) -> Probe:
         counters.COUNTERS.add("relay.probed")
         found: list[Probe] = []
--- a/src/crowdeck/routing/balance.py
+++ b/src/crowdeck/routing/balance.py
@@ -28,6 +28,8 @@
 # Failures are forgotten at this rate, so that an instance which got well
 # is tried again: halved in this many seconds.
 FORGET_SECONDS = 2.0
+# Records kept at most; instances that were replaced leave theirs behind.
+RECORDS_MOST = 2_000
 
 
 class LoadTold(typing.Protocol):
@@ -65,7 +67,16 @@
         self, upstreams: typing.Iterable[chain.Upstream]
     ) -> chain.Upstream | None:
         """Return the best instance, or ``None`` where there is none."""
-        return min(upstreams, key=self._cost, default=None)
+        found = min(upstreams, key=self._cost, default=None)
+        if len(self._records) > RECORDS_MOST:
+            self._forget()
+        return found
+
+    def _forget(self) -> None:
+        """Drop the records that were not added to for longest."""
+        by_age = sorted(self._records.items(), key=lambda it: it[1].noted_at)
+        for name, _ in by_age[: RECORDS_MOST // 2]:
+            del self._records[name]
 
     def note_load(self, upstream: chain.Upstream, load: LoadTold) -> None:
         """Take what an instance told of its load."""
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -72,7 +72,10 @@
 
     def note_load(self, head: chain.Upstream, running: int) -> None:
         """Take how many requests a first engine says that it runs."""
-        self._told[head.name] = _Told(running, anyio.current_time())
+        now = anyio.current_time()
+        for name in [n for n, it in self._told.items() if _is_old(it, now)]:
+            del self._told[name]
+        self._told[head.name] = _Told(running, now)
 
     def sequences(self, upstream: chain.Upstream) -> float:
         """Return how many requests pass an upstream instance, of all."""
@@ -120,6 +123,8 @@
     def leave_call(self, upstream: chain.Upstream) -> None:
         """Take back what :meth:`enter_call` counted."""
         self._own[upstream.name] -= 1
+        if not self._own[upstream.name]:
+            del self._own[upstream.name]
 
     def _add(self, path: chain.ChainPath, tokens: float, sign: int) -> None:
         head = path.head.name
@@ -136,6 +141,11 @@
                 # for each that ever was.
                 del passing[head]
                 del cells[head]
+            if not passing:
+                del self._sequences[name]
+                del self._cells[name]
+        if not self._own[head]:
+            del self._own[head]
 
     def _estimate(self, own: collections.Counter[str] | None) -> float:
         if not own:
@@ -151,9 +161,10 @@
 
     def _told_running(self, head: str) -> int:
         told = self._told.get(head)
-        if told is None:
-            return 0
-        if anyio.current_time() - told.at > TOLD_SECONDS:
-            del self._told[head]
+        if told is None or _is_old(told, anyio.current_time()):
             return 0
         return told.running
+
+
+def _is_old(told: _Told, now: float) -> bool:
+    return now - told.at > TOLD_SECONDS
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -13,6 +13,7 @@
 
 from crowdeck.cmd import cli
 from crowdeck.cmd import commands
+from crowdeck.cmd import inspection
 from crowdeck.observe import explain
 from crowdeck.platform import names
 from crowdeck.standin import chain_http
@@ -142,7 +143,7 @@
                     name, "plateau", (first, end), "t4", "huvo11a"
                 )
                 chain_http.write_entry(listed, store)
-            return await commands.show_placement(store)
+            return await inspection.show_placement(store)
 
         result = anyio.run(body)
         assert "71 missing" in result.text
