Newcomers of one model are not forgotten for another's; an upstream's failure is delivered

Cause, found by reading: the duty kept one table of empty engines for all services and dropped those of the others at each look, so that with two models no newcomer ever got layers that others hold. A call that failed at one instance and was lost at the next was answered 504, not with the first one's own failure.

--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -61,12 +61,13 @@
 
 @attrs.define(eq=False)
 class _Pending:
-    """An engine that was ordered, or could not be.
+    """An engine that was ordered, or is busy with an earlier order.
 
-    :ivar layers: what it is going to hold, as far as is known.
+    :ivar expected: the engine with the layers that it is going to hold.
+    :ivar until: the loop's time after which it is looked at again.
     """
 
-    layers: chain.Upstream
+    expected: chain.Upstream
     until: float
 
 
@@ -96,7 +97,7 @@
         self._pending: dict[str, _Pending] = {}
         self._unanswered: collections.Counter[str] = collections.Counter()
         self._arrivals: dict[str, _Arrivals] = {}
-        self._empty_since: dict[str, float] = {}
+        self._empty_since: dict[str, dict[str, float]] = {}
         self._changed = anyio.Event()
         book.subscribe(self._wake)
 
@@ -122,7 +123,7 @@
             if not self._has_gathered(service.name, engines):
                 continue
             moves = plan.next_moves(engines, service.profile, self._is_idle)
-            moves = self._hold_newcomers(engines, service.profile, moves)
+            moves = self._hold_newcomers(service, engines, moves)
             if moves:
                 async with anyio.create_task_group() as tasks:
                     for move in moves:
@@ -148,24 +149,25 @@
 
     def _hold_newcomers(
         self,
+        service: routes.Service,
         engines: list[chain.Upstream],
-        profile: chain.EngineProfile,
         moves: list[plan.Move],
     ) -> list[plan.Move]:
         """Leave out moves of engines that had better wait a little."""
+        profile = service.profile
+        assert profile is not None
         now = anyio.current_time()
         empty = {one.name for one in engines if one.layers is None}
-        for name in set(self._empty_since) - empty:
-            del self._empty_since[name]
-        for name in empty:
-            self._empty_since.setdefault(name, now)
+        known = self._empty_since.get(service.name, {})
+        since = {name: known.get(name, now) for name in empty}
+        self._empty_since[service.name] = since
         if len(empty) == len(engines):
             return moves
         return [
             move
             for move in moves
             if move.upstream.layers is not None
-            or now - self._empty_since[move.upstream.name] >= NEWCOMER_SECONDS
+            or now - since[move.upstream.name] >= NEWCOMER_SECONDS
             or plan.fills_gap(move, engines, profile)
         ]
 
@@ -204,7 +206,7 @@
             if one.is_leaving or self._is_lost(one.name):
                 continue
             pending = self._pending.get(one.name)
-            found.append(pending.layers if pending else one)
+            found.append(pending.expected if pending else one)
         return found
 
     def _is_idle(self, upstream: chain.Upstream) -> bool:
@@ -214,7 +216,9 @@
         now = anyio.current_time()
         for name, pending in list(self._pending.items()):
             listed = self._book.find(name)
-            is_done = listed is None or listed.layers == pending.layers.layers
+            is_done = (
+                listed is None or listed.layers == pending.expected.layers
+            )
             if is_done or pending.until <= now:
                 del self._pending[name]
 
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -113,9 +113,12 @@
                 answer = await self._try(upstream)
             except errors.CrowdeckError as error:
                 self._note(upstream, error)
-                if not self._may_go_on(error.verdict):
-                    raise self._failure(error) from None
-                continue
+                if self._may_go_on(error.verdict):
+                    continue
+                if failed is not None:
+                    # An upstream's own failure says more than ours.
+                    return failed
+                raise self._failure(error) from None
             if not answer.has_failed:
                 return answer
             failed = answer
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -187,12 +187,16 @@
     async def body() -> None:
         system = fleet_system.FleetSystem()
         ledger = _Ledger()
-        service = routes.Service(fleet_system.MODEL, 100, PROFILE)
+        listed = (
+            routes.Service(fleet_system.MODEL, 100, PROFILE),
+            # A second model, whose looks must not disturb the first's.
+            routes.Service("other", 100, PROFILE),
+        )
         duty = duties.PlacementDuty(
             typing.cast(leases.Lease, ledger),
             system.book,
             system.fleet,
-            lambda: (service,),
+            lambda: listed,
         )
         for number in range(count):
             system.add(
@@ -267,6 +271,21 @@
 
         play_duty(work)
 
+    def test_newcomer_does_not_wait_for_ever(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            await anyio.sleep(0.1)
+            new = system.add(
+                fleet_system.upstream("new", "plateau", None, "large")
+            )
+            await anyio.sleep(duties.NEWCOMER_SECONDS + 1.0)
+            assert new.orders_taken == 1
+
+        play_duty(work)
+
     def test_newcomer_waits_for_the_one_that_it_replaces(self) -> None:
         async def work(
             system: fleet_system.FleetSystem, ledger: _Ledger
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -143,6 +143,26 @@
 
         play(work)
 
+    def test_failure_stands_where_the_second_try_is_lost(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            each(system, fails=1, loses=0)
+            request = system.request(IDEMPOTENT)
+
+            async def lose_the_second() -> None:
+                while not system.fleet.runs:
+                    await anyio.sleep(0.001)
+                each(system, loses=1)
+                first = system.fleet.runs[0].upstream
+                system.fleet.at(system.listed[first].address).loses = 0
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lose_the_second)
+                caller = await system.ask(request)
+            assert len(system.fleet.runs_of(request.id)) == 2
+            assert caller.status == 500
+
+        play(work)
+
     def test_runs_at_no_more_instances_than_allowed(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             each(system, loses=9)
