Known red: silence of the entry's own link is taken for the engines'

The test fails for it; the list is printed by every test run, and a test on it that passes fails the run.

--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -122,7 +122,11 @@
 
 
 class ChainFleet:
-    """Upstreams by address, in one process."""
+    """Upstreams by address, in one process.
+
+    While ``is_cut_off`` nothing passes between them and whoever asks, and
+    nothing is lost either: as on a link that is full.
+    """
 
     def __init__(self, layer_count: int = 80) -> None:
         self._layer_count = layer_count
@@ -131,6 +135,7 @@
         self.runs: list[Run] = []
         self.rejected: collections.Counter[str] = collections.Counter()
         self.repaths: list[str] = []
+        self.is_cut_off = False
         self.events = 20
         self.event_seconds = 0.02
 
@@ -254,6 +259,7 @@
         else:
             for _ in range(DIAL_STEPS):
                 await anyio.sleep(DIAL_STEP_SECONDS)
+                await self._await_link()
         if target is None or not target.answers:
             raise _lost(verdicts.Verdict.NOT_RUN)
         return target
@@ -313,6 +319,7 @@
         for number in range(dispatch.last_event + 1, self.events):
             await anyio.sleep(self.event_seconds)
             await self._await_path(target, request.id)
+            await self._await_link()
             if target.breaks_after == sent:
                 target.breaks_after = -1
                 yield event(request.id, number)[:5]
@@ -320,6 +327,10 @@
             yield event(request.id, number)
             sent += 1
 
+    async def _await_link(self) -> None:
+        while self.is_cut_off:
+            await anyio.sleep(POLL_SECONDS)
+
     async def _await_path(
         self, target: StandinUpstream, request_id: str
     ) -> None:
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -214,6 +214,30 @@
         play(work)
 
 
+class TestFullLink:
+    """The entry's own link is full for a moment: nothing comes through."""
+
+    def test_is_no_engines_silence(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+            callers: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                callers.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.15)
+                system.fleet.is_cut_off = True
+                await anyio.sleep(0.3)
+                system.fleet.is_cut_off = False
+            assert_whole(callers[0], request, system.fleet.events)
+            assert system.book.avoided() == ()
+            assert len(system.fleet.runs_of(request.id)) == 1
+
+        play(work)
+
+
 class TestHungRequest:
     """An engine takes a request and never works on it."""
 
