An engine is lost only while others answer

Change: where a question goes unanswered, others on the path and two engines elsewhere are asked; without one answer the silence is taken for our own. A refusal or a reset is an answer, so an engine that crashed is known at once.

--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -43,6 +43,8 @@
 
     :ivar report: what it said, ``None`` if it said nothing.
     :ivar is_sure: whether silence is the engine's and not our own.
+    :ivar was_refused: whether a refusal or a reset came back: no answer,
+        but a sign that the way there is open.
     """
 
     upstream: chain.Upstream
@@ -50,6 +52,7 @@
     reason: str
     is_sure: bool
     at: float
+    was_refused: bool = False
 
     @property
     def is_silent(self) -> bool:
@@ -140,7 +143,9 @@
             except errors.CrowdeckError as error:
                 reason = error.message
             now = anyio.current_time()
-            found.append(Probe(upstream, told, reason, True, now))
+            found.append(
+                Probe(upstream, told, reason, True, now, told is None)
+            )
             scope.cancel()
 
         is_sure = False
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -37,6 +37,8 @@
 # after this share of the pause, and each time after twice as long.
 AGAIN_SHARE = 0.5
 
+# Engines asked beside one that is silent, to tell its silence from ours.
+CONTROLS = 2
 # An engine may take a request and never work on it, while its report and
 # its other streams are well. This share of the objective without a first
 # event, or so many times the allowed pause between events, is taken for
@@ -125,12 +127,53 @@
 
     async def _verify(self, upstream: chain.Upstream) -> None:
         probe = await self._prober.ask(upstream)
-        if probe.is_silent:
+        if await self._is_lost(probe, ()):
             self._context.book.avoid(upstream.name, probe.reason)
             await self._lead_around(upstream)
         elif probe.report is not None:
             self._context.book.trust(upstream.name)
 
+    async def _is_lost(
+        self, probe: probes.Probe, others: tuple[chain.Upstream, ...]
+    ) -> bool:
+        """Whether an engine that did not answer is lost, and not we.
+
+        Silence counts only while others answer: when our own link is full
+        or cut, all engines are silent at once, and leaving them all would
+        end every stream for nothing.
+        """
+        if not probe.is_silent:
+            return False
+        if probe.was_refused:
+            return True
+        controls = [*others, *self._controls(probe.upstream)]
+        answers: list[probes.Probe] = []
+
+        async def ask(upstream: chain.Upstream) -> None:
+            answers.append(await self._prober.ask(upstream))
+
+        async with anyio.create_task_group() as tasks:
+            for control in controls:
+                tasks.start_soon(ask, control)
+        return any(
+            answer.report is not None or answer.was_refused
+            for answer in answers
+        )
+
+    def _controls(self, upstream: chain.Upstream) -> list[chain.Upstream]:
+        """Return engines to ask beside one that is silent.
+
+        Those of other zones first: a zone may be lost as a whole.
+        """
+        zone = upstream.availability_zone
+        usable = [
+            one
+            for one in self._context.book.usable(upstream.service)
+            if one.name != upstream.name
+        ]
+        usable.sort(key=lambda one: (one.availability_zone == zone, one.name))
+        return usable[:CONTROLS]
+
     def _is_silent(self, stream: live.LiveStream, now: float) -> bool:
         if stream.path is None or stream in self._looking:
             return False
@@ -220,8 +263,10 @@
         """
         head = await self._prober.ask(path.head)
         if head.report is None:
-            silent = [path.head] if head.is_silent else []
-            return _Finding(silent, head.is_sure)
+            others = tuple(hop.upstream for hop in path.hops[1:])
+            if await self._is_lost(head, others):
+                return _Finding([path.head], True)
+            return _Finding([], False)
         named = [
             self._context.book.at(stall.address)
             for stall in head.report.stalls
