Room by what requests hold on average; returns spread; all engines asked once one is lost

All refused were told 0.3 s, came back into the burst and were refused again.

Ruled out: reading speed (13 % of it used at the burst's peak) and slots. Tried and taken back: neighbours that stretch over a gap.

Change: a request counts with half of its answer; returns are spread over the time in which as many streams end; a new request waits 75 ms for a path instead of 100; once an engine is lost all are asked, twice, unless over half say nothing; what no zone holds is ordered with what passes stopped.

--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -40,6 +40,14 @@
 # questions, one at each look, went unanswered too: moving layers costs
 # loads, and takes engines out of paths that were well.
 UNANSWERED_QUESTIONS = 2
+# An engine that is lost is seldom the only one: a rack, a switch. All are
+# asked then, so often, instead of each being found by the requests that it
+# fails: thirteen of 39 that died together were known three seconds later,
+# when their entries went.
+SWEEPS = 2
+# Where more than this share of the fleet says nothing the fault is taken
+# for ours: the entries tell, in time, who is gone.
+SWEEP_MOST_SHARE = 0.5
 # An order whose answer was lost may be done up to twelve seconds late.
 # Asking the engine what it holds settles it sooner, not before this.
 UNKNOWN_SECONDS = 0.6
@@ -96,6 +104,7 @@
         self._services = services
         self._pending: dict[str, _Pending] = {}
         self._unanswered: collections.Counter[str] = collections.Counter()
+        self._sweeps_left = 0
         self._arrivals: dict[str, _Arrivals] = {}
         self._empty_since: dict[str, dict[str, float]] = {}
         self._changed = anyio.Event()
@@ -116,6 +125,7 @@
     async def _look(self) -> None:
         self._forget_pending()
         await self._question_avoided()
+        await self._sweep()
         for service in self._services():
             if service.profile is None:
                 continue
@@ -181,6 +191,44 @@
                 if one.card:
                     tasks.start_soon(self._question, one)
 
+    async def _sweep(self) -> None:
+        """Ask all engines, after one was lost."""
+        if not self._sweeps_left:
+            return
+        self._sweeps_left -= 1
+        avoided = {one.name for one in self._book.avoided()}
+        asked = [
+            one
+            for service in self._services()
+            for one in self._book.listed(service.name)
+            if one.card and one.name not in avoided
+        ]
+        silent: list[chain.Upstream] = []
+
+        async def ask(upstream: chain.Upstream) -> None:
+            try:
+                await self._orders.report(upstream)
+            except errors.CrowdeckError as error:
+                counters.COUNTERS.add("placement.sweep.silent")
+                logs.change(
+                    "engine_silent",
+                    upstream=upstream.name,
+                    address=str(upstream.address),
+                    reason=error.message,
+                )
+                silent.append(upstream)
+
+        async with anyio.create_task_group() as tasks:
+            for one in asked:
+                tasks.start_soon(ask, one)
+        if len(silent) > SWEEP_MOST_SHARE * len(asked):
+            logs.change("sweep_ignored", asked=len(asked), silent=len(silent))
+            return
+        for one in silent:
+            # They are asked once more before anything is moved.
+            self._unanswered[one.name] += 1
+            self._book.avoid(one.name, "no report when all were asked")
+
     async def _question(self, upstream: chain.Upstream) -> None:
         try:
             await self._orders.report(upstream)
@@ -193,6 +241,7 @@
                     address=str(upstream.address),
                     reason=error.message,
                 )
+                self._sweeps_left = SWEEPS
             return
         self._book.trust(upstream.name)
 
@@ -249,6 +298,7 @@
             layers=f"{move.layers.first}-{move.layers.end}",
             orders_taken=report.orders_taken,
             term=self._lease.term,
+            is_urgent=move.is_urgent,
             is_taken=is_taken,
         )
 
--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -24,10 +24,16 @@
 
 @attrs.frozen
 class Move:
-    """An engine that is to hold other layers than it does."""
+    """An engine that is to hold other layers than it does.
+
+    :ivar is_urgent: whether to stop what passes the layers that it gives
+        up, instead of waiting for its end. It has to begin again
+        elsewhere; waiting takes as long as the longest stream, seconds.
+    """
 
     upstream: chain.Upstream
     layers: pipeline.LayerRange
+    is_urgent: bool = False
 
 
 @attrs.define(eq=False)
@@ -75,7 +81,20 @@
     moves: list[Move] = []
     for cell in _cells(engines, profile):
         moves += _fill(cell, profile, idle)
-    return moves
+    counts = coverage(engines, profile.layer_count)
+    return [
+        attrs.evolve(move, is_urgent=_is_missing(move.layers, counts))
+        for move in moves
+    ]
+
+
+def _is_missing(layers: pipeline.LayerRange, counts: list[int]) -> bool:
+    """Whether some of the layers are held by no engine of any zone.
+
+    Nothing at all is served then. Where only a zone lacks them, its
+    requests go to others meanwhile, and stopping streams costs more.
+    """
+    return 0 in counts[layers.first : layers.end]
 
 
 def fills_gap(
--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -145,17 +145,24 @@
         layers: pipeline.LayerRange,
         expected_orders: int,
         fencing_token: int,
+        *,
+        stops_streams: bool = False,
     ) -> OrderOutcome:
         """Order an engine to hold ``layers`` and no others.
 
+        :param stops_streams: whether it is to stop what passes layers that
+            it gives up; otherwise it first waits for the end of all.
         :param expected_orders: the engine takes the order only if it has
             taken just so many before; a late copy then no longer fits.
         """
+        method = names.METHOD_QUEUE
+        if stops_streams:
+            method = names.METHOD_TRUNCATE
         order = {
             names.OPERATION: names.PLACE,
             names.FIRST_LAYER: layers.first,
             names.END_LAYER: layers.end,
-            names.METHOD: names.METHOD_QUEUE,
+            names.METHOD: method,
             names.EXPECTED_ORDERS: expected_orders,
             names.FENCING_TOKEN: fencing_token,
         }
--- a/src/crowdeck/platform/names.py
+++ b/src/crowdeck/platform/names.py
@@ -84,7 +84,8 @@
 REPATH = "repath"
 PATH = "path"
 METHOD = "method"
-METHOD_QUEUE = "queue"
+METHOD_QUEUE = "queue"  # what passes given-up layers ends first
+METHOD_TRUNCATE = "truncate"  # it is stopped
 EXPECTED_ORDERS = "expected_revision"
 FENCING_TOKEN = "fencing_token"  # noqa: S105
 
--- a/src/crowdeck/platform/orders.py
+++ b/src/crowdeck/platform/orders.py
@@ -25,7 +25,11 @@
     ) -> bool:
         """Give an order; false when it is not known to have been taken."""
         outcome = await self._client.place(
-            move.upstream, move.layers, expected_orders, fencing_token
+            move.upstream,
+            move.layers,
+            expected_orders,
+            fencing_token,
+            stops_streams=move.is_urgent,
         )
         return outcome in (
             engines.OrderOutcome.BEGUN,
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -11,6 +11,7 @@
 
 from crowdeck.membership import upstreams as books
 from crowdeck.relay import reach
+from crowdeck.relay import returns
 from crowdeck.routing import budget as budgets
 from crowdeck.routing import heads
 from crowdeck.routing import hops
@@ -40,9 +41,13 @@
     planner: hops.HopPlanner
     terms: BudgetTerms
     chance: random.Random = attrs.field(factory=random.Random)
+    return_times: returns.ReturnTimes = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
     _entries: int = 1
 
+    def __attrs_post_init__(self) -> None:
+        self.return_times = returns.ReturnTimes(self.chance)
+
     @property
     def heads(self) -> heads.HeadRecords:
         """How first engines have served this entry's streams."""
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -22,7 +22,7 @@
     """One stream in progress.
 
     :ivar profile: of the engines that serve it.
-    :ivar tokens: what the request is expected to hold in the end.
+    :ivar tokens: what the request is expected to hold while it runs.
     :ivar may_resume: whether it may go on at another first engine from
         its last event, once the attempt under way is given up.
     :ivar last_event: id of the last event passed on, -1 for none.
--- a/src/crowdeck/relay/request.py
+++ b/src/crowdeck/relay/request.py
@@ -28,10 +28,17 @@
     most: int
     guess: int = 0
 
-    def expected(self, usual_answer: float) -> float:
-        """Return the tokens that the request is likely to hold in the end."""
-        answer = max(float(self.guess), usual_answer)
-        return self.prompt + min(float(self.most or answer), answer)
+    def held(self, usual_answer: float) -> float:
+        """Return the tokens that the request holds on average as it runs.
+
+        Half of its answer, not the whole: of the many that an engine runs
+        at once some have begun and some are about to end. Guesses are off
+        by half and more, so each counts as much as the mean answer does.
+        """
+        answer = usual_answer
+        if self.guess:
+            answer = (self.guess + usual_answer) / 2.0
+        return self.prompt + min(float(self.most or answer), answer) / 2.0
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/crowdeck/relay/returns.py
@@ -0,0 +1,56 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""When callers that were refused for want of room should come back."""
+
+import collections
+import random
+
+import anyio
+
+# Over this time refusals and ends are counted: about as long as a stream
+# takes.
+WINDOW_SECONDS = 2.0
+# A lone refusal: room comes with the next stream that ends.
+LEAST_SECONDS = 0.3
+# Callers follow the advice up to a third of the time they have left, which
+# for streams of 20 s is over six seconds.
+MOST_SECONDS = 4.0
+
+
+class ReturnTimes:
+    """Spreads returns over the time in which room comes for them.
+
+    Told the same short time, all that were refused in a burst come back
+    into it together, and are refused again.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+        self._refused: collections.deque[float] = collections.deque()
+        self._ended: collections.deque[float] = collections.deque()
+
+    def note_end(self) -> None:
+        """Note that a stream ended, and what it held is free."""
+        self._ended.append(anyio.current_time())
+        self._forget(self._ended)
+
+    def advise(self) -> float:
+        """Return when one that is refused now should come back, in seconds.
+
+        As many as were refused lately need as many ends to have room.
+        """
+        self._refused.append(anyio.current_time())
+        self._forget(self._refused)
+        self._forget(self._ended)
+        ends = max(1, len(self._ended))
+        seconds = WINDOW_SECONDS * (len(self._refused) - 1) / ends
+        spread = min(seconds, MOST_SECONDS - LEAST_SECONDS)
+        return LEAST_SECONDS + self._chance.uniform(0.0, spread)
+
+    def _forget(self, times: collections.deque[float]) -> None:
+        since = anyio.current_time() - WINDOW_SECONDS
+        while times and times[0] < since:
+            times.popleft()
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -26,12 +26,11 @@
 REFUSED_TRIES = 4
 # Without a path a new request waits this share of its objective. Refusals
 # within a quarter of it cost the caller little: it may come back in time.
-NEW_WAIT_SHARE = 0.2
+NEW_WAIT_SHARE = 0.15
 # A stream that has begun waits longer: its caller gives up only after a
 # silence of two seconds or more.
 BEGUN_WAIT_SECONDS = 1.6
-WAIT_STEP = 0.03
-RETRY_AFTER = 0.3
+WAIT_STEP = 0.02
 ANSWER_MARGIN = 0.05
 LEAST_SECONDS = 0.1
 
@@ -69,7 +68,7 @@
             profile=service.profile,
             gap=admitted.route.gap or admitted.route.objective,
             objective=admitted.route.objective,
-            tokens=size.expected(service.profile.usual_answer),
+            tokens=size.held(service.profile.usual_answer),
             usage=self._context.usage,
             last_event=request.last_event,
         )
@@ -239,6 +238,7 @@
 
     def _note_end(self, path: chain.ChainPath) -> None:
         stream = self._stream
+        self._context.return_times.note_end()
         now = anyio.current_time()
         arrived = self._request.arrived
         first = (stream.first_event_at or now) - arrived
@@ -337,6 +337,7 @@
             error.code,
             error.message,
             verdict=verdict,
-            retry_after=error.retry_after or RETRY_AFTER,
+            retry_after=error.retry_after
+            or self._context.return_times.advise(),
             culprit=error.culprit,
         )
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -72,7 +72,7 @@
 class Wanted:
     """What a path is wanted for.
 
-    :ivar tokens: tokens that the request will hold in the end.
+    :ivar tokens: tokens that the request holds on average as it runs.
     :ivar zone: the availability zone of the entry.
     :ivar objective: seconds in which the first event is in time.
     """
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -151,6 +151,28 @@
             ("e", pipeline.LayerRange(56, 60))
         ]
 
+    def test_only_what_no_zone_holds_is_urgent(self) -> None:
+        # Waiting for the streams that passed took 3.4 s to bring back
+        # three layers, for want of which nothing at all was served.
+        zone = [
+            fleet_system.upstream("a", "plateau", (0, 24), "large"),
+            fleet_system.upstream("b", "plateau", (0, 24), "large"),
+            fleet_system.upstream("c", "plateau", (24, 56), "large"),
+            fleet_system.upstream("d", "plateau", (60, 80), "large"),
+            fleet_system.upstream("e", "plateau", (0, 9), "small"),
+        ]
+        moves = plan.next_moves(zone, PROFILE, lambda _: True)
+        assert [move.is_urgent for move in moves] == [True]
+        other = [
+            fleet_system.upstream("f", "pikine", (0, 30), "large"),
+            fleet_system.upstream("g", "pikine", (30, 56), "large"),
+            fleet_system.upstream("h", "pikine", (56, 80), "large"),
+        ]
+        moves = plan.next_moves(zone + other, PROFILE, lambda _: True)
+        assert [
+            move.is_urgent for move in moves if move.upstream.name == "e"
+        ] == [False]
+
     def test_gap_is_filled_by_one_that_can_be_spared(self) -> None:
         fleet = settle(engines([("small", "plateau")] * 16))
         counts = plan.coverage(fleet, PROFILE.layer_count)
@@ -344,6 +366,45 @@
 
         play_duty(work, count=8)
 
+    def test_those_lost_together_are_found_together(self) -> None:
+        # Only one was hit by a request; the others' entries took three
+        # heartbeats to go, and their layers were missing until then.
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            lost = {"e0", "e1", "e2"}
+            for name in lost:
+                system.fleet.at(system.listed[name].address).is_dead = True
+            system.book.avoid("e0", "refused")
+            await anyio.sleep(0.7)
+            assert {one.name for one in system.book.avoided()} == lost
+
+        play_duty(work, count=8)
+
+    def test_a_fleet_that_is_silent_as_a_whole_is_not_given_up(self) -> None:
+        # Our own link is at fault, and orders would not arrive anyway.
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            await anyio.sleep(3.0)
+            tell_all(system)
+            for one in list(system.listed.values()):
+                system.fleet.at(one.address).is_dark = True
+            system.book.avoid("e0", "refused")
+            await anyio.sleep(3.0)
+            for one in list(system.listed.values()):
+                system.fleet.at(one.address).is_dark = False
+            assert {one.name for one in system.book.avoided()} == {"e0"}
+            await anyio.sleep(1.0)
+            assert all(
+                system.fleet.at(one.address).orders_taken == 1
+                for one in system.listed.values()
+            )
+
+        play_duty(work, count=8)
+
     def test_one_failed_request_moves_nothing(self) -> None:
         async def work(
             system: fleet_system.FleetSystem, ledger: _Ledger
