crowdeck bound: what a placement can serve at most, and what binds

Asked for in the open issues; nothing told whether a zone was short of memory, slots or reading speed. An upper bound by the narrowest layer, as text and JSON, next to crowdeck placement.

--- a/src/crowdeck/cmd/cli.py
+++ b/src/crowdeck/cmd/cli.py
@@ -41,6 +41,7 @@
   crowdeck check etc/entry.ini
   crowdeck explain 9c41d07be2a35f68 entry-*.log
   crowdeck --platform http://127.0.0.1:8000 placement
+  crowdeck --platform http://127.0.0.1:8000 bound
 
 exit codes:
   0 done   1 failed   2 wrong usage or file   3 a racing edit
@@ -133,6 +134,8 @@
             return commands.show_upstreams
         case "placement":
             return lambda one: inspection.show_placement(one.store)
+        case "bound":
+            return lambda one: inspection.show_bound(one.store)
         case "trace":
             return lambda one: commands.show_trace(one, options.id)
         case "drain":
@@ -234,6 +237,11 @@
         parents=[shared],
         help="show which engines hold which layers",
     )
+    chosen.add_parser(
+        "bound",
+        parents=[shared],
+        help="show what the engines can serve at most, and what binds",
+    )
     one = chosen.add_parser(
         "drain", parents=[shared], help="plan an instance's stop"
     )
--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -11,6 +11,8 @@
 import sys
 import typing
 
+import attrs
+
 from crowdeck import chain
 from crowdeck.cmd import commands
 from crowdeck import errors
@@ -20,6 +22,7 @@
 from crowdeck.platform import names
 from crowdeck.platform import upstreams as platform_upstreams
 from crowdeck import route as routes
+from crowdeck.routing import bound as bounds
 from crowdeck.state import objects as stores
 
 
@@ -70,8 +73,23 @@
         raise errors.ConfigError(f"{path}: {error}") from None
 
 
-async def show_placement(store: stores.ObjectStore) -> commands.Result:
-    """Show which engines hold which layers, by service and zone."""
+@attrs.frozen
+class _Model:
+    """A service of model engines, as the store lists it."""
+
+    service: routes.Service
+    profile: chain.EngineProfile
+    engines: list[chain.Upstream]
+
+    def zones(self) -> list[str]:
+        return sorted({one.availability_zone for one in self.engines})
+
+    def inside(self, zone: str) -> list[chain.Upstream]:
+        return [one for one in self.engines if one.availability_zone == zone]
+
+
+async def _models(store: stores.ObjectStore) -> list[_Model]:
+    """Return every service whose engines hold layers of a model."""
     listing = await store.list(names.UPSTREAM_KIND)
     config = await store.get(names.CONFIG_KIND, names.CONFIG_NAME)
     if config is None:
@@ -79,28 +97,64 @@
             errors.Code.NOT_FOUND, "the store holds no config yet"
         )
     found = [platform_upstreams.decode(one) for one in listing.objects]
-    services = platform_config.decode(config.value).services
+    return [
+        _Model(
+            service,
+            service.profile,
+            [one for one in found if one.service == service.name],
+        )
+        for service in platform_config.decode(config.value).services
+        if service.profile is not None
+    ]
+
+
+async def show_placement(store: stores.ObjectStore) -> commands.Result:
+    """Show which engines hold which layers, by service and zone."""
     lines: list[str] = []
     data: list[commands.Data] = []
-    for service in services:
-        if service.profile is None:
-            continue
-        engines = [one for one in found if one.service == service.name]
-        shown, told = _placement_of(service, service.profile, engines)
+    for model in await _models(store):
+        shown, told = _placement_of(model)
         lines += shown
         data += told
     return commands.Result(data, "\n".join(lines))
 
 
-def _placement_of(
-    service: routes.Service,
-    profile: chain.EngineProfile,
-    engines: list[chain.Upstream],
-) -> tuple[list[str], list[commands.Data]]:
-    lines = [f"{service.name}: {profile.layer_count} layers"]
+async def show_bound(store: stores.ObjectStore) -> commands.Result:
+    """Show what engines can serve at most, by service and zone."""
+    rows: list[dict[str, commands.Data]] = []
+    for model in await _models(store):
+        staying = [one for one in model.engines if not one.is_leaving]
+        rows.append(_bound_row(model, "all", staying))
+        for zone in model.zones():
+            inside = [one for one in model.inside(zone) if not one.is_leaving]
+            rows.append(_bound_row(model, zone, inside))
+    columns = ("service", "zone", "at once", "a second", "binds", "layers")
+    return commands.Result(
+        typing.cast(commands.Data, rows), commands.table(rows, columns)
+    )
+
+
+def _bound_row(
+    model: _Model, zone: str, engines: list[chain.Upstream]
+) -> dict[str, commands.Data]:
+    most = bounds.bound(engines, model.profile)
+    return {
+        "service": model.service.name,
+        "zone": zone,
+        "at once": round(most.at_once, 1),
+        "a second": round(most.per_second, 1),
+        "answer_seconds": round(most.answer_seconds, 3),
+        "binds": str(most.binding),
+        "layers": f"{most.narrowest.first}-{most.narrowest.end}",
+    }
+
+
+def _placement_of(model: _Model) -> tuple[list[str], list[commands.Data]]:
+    profile = model.profile
+    lines = [f"{model.service.name}: {profile.layer_count} layers"]
     data: list[commands.Data] = []
-    for zone in sorted({one.availability_zone for one in engines}):
-        inside = [one for one in engines if one.availability_zone == zone]
+    for zone in model.zones():
+        inside = model.inside(zone)
         counts = plan.coverage(inside, profile.layer_count)
         missing = counts.count(0)
         lines.append(f"  {zone}  copies of each layer, {missing} missing:")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -104,7 +104,7 @@
 
 
 class TestCommand:
-    """``crowdeck explain`` and ``crowdeck placement``."""
+    """Commands that read logs and the store."""
 
     def test_exit_code_tells_whether_a_cause_was_found(
         self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
@@ -133,6 +133,29 @@
         assert cli.main(["explain", "r1", str(missing)]) != commands.EXIT_OK
         assert "none.log" in capsys.readouterr().err
 
+    def test_bound_names_what_binds(self) -> None:
+        async def body() -> commands.Result:
+            store = standin_store.StandinStore()
+            config = orjson.dumps(test_platform_formats.CONFIG)
+            store.write(names.CONFIG_KIND, names.CONFIG_NAME, config)
+            ranges = ((0, 40, "x"), (40, 80, "x"), (0, 5, "t4"))
+            for first, end, card in ranges:
+                listed = fleet_system.upstream(
+                    f"{first}-{end}",
+                    "plateau" if card == "x" else "pikine",
+                    (first, end),
+                    card,
+                    "huvo11a",
+                )
+                chain_http.write_entry(listed, store)
+            return await inspection.show_bound(store)
+
+        result = anyio.run(body)
+        by_zone = {row["zone"]: row for row in result.data}  # type: ignore
+        assert by_zone["pikine"]["binds"] == "layers that no engine holds"
+        assert by_zone["pikine"]["layers"] == "5-80"
+        assert by_zone["plateau"]["a second"] > 0
+
     def test_placement_shows_gaps(self) -> None:
         async def body() -> commands.Result:
             store = standin_store.StandinStore()
