An engine is weighed once for each choice of path

Opening a connection takes 1.0 ms with the answering side, and no more beside 200 others: ruled out.

--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -89,6 +89,10 @@
     def __init__(self, usage: Usage) -> None:
         self._usage = usage
         self._heads = head_records.HeadRecords()
+        # Of one choice of path: what is known does not change within it,
+        # and each engine is weighed at many positions.
+        self._fullness: dict[str, float] = {}
+        self._rates: dict[str, float] = {}
 
     @property
     def heads(self) -> head_records.HeadRecords:
@@ -106,6 +110,7 @@
         :param engines: those that may be used.
         :param head: the first part, where it has to stay as it is.
         """
+        self._forget()
         usable = [one for one in engines if self._has_room(one, wanted)]
         best: dict[int, dict[str, _Leg]] = {}
         if head is not None:
@@ -131,6 +136,7 @@
         :param path: the path in use; its first part stays.
         :param refused: names of engines that must not be passed.
         """
+        self._forget()
         kept = {
             hop.upstream.name
             for hop in path.hops
@@ -153,6 +159,10 @@
             return None
         return chain.ChainPath(tuple(found))
 
+    def _forget(self) -> None:
+        self._fullness.clear()
+        self._rates.clear()
+
     def _bridge(
         self,
         engines: list[chain.Upstream],
@@ -223,7 +233,7 @@
         )
         if room == float("inf"):
             return True
-        used = self._usage.fullness(engine, wanted.profile) * room
+        used = self._full(engine, wanted) * room
         return used + wanted.tokens <= room
 
     def _begin(
@@ -250,16 +260,21 @@
         head: chain.Hop | None,
     ) -> chain.ChainPath | None:
         last = wanted.profile.layer_count
+        held = [
+            (one, one.layers.first, one.layers.end)
+            for one in usable
+            if one.layers is not None
+            and (head is None or one != head.upstream)
+        ]
         # Every engine goes to the end of its range: whoever could follow
         # earlier can follow there too, or is not needed.
         for position in range(1, last):
             for leg in tuple(best.pop(position, {}).values()):
                 if leg.count >= HOPS_MOST:
                     continue
-                for engine in usable:
-                    if head is not None and engine == head.upstream:
-                        continue
-                    self._follow(leg, position, engine, wanted, best)
+                for engine, first, end in held:
+                    if first <= position < end:
+                        self._follow(leg, position, engine, wanted, best)
         legs = best.get(last, {}).values()
         cheapest = min(legs, key=lambda leg: leg.cost, default=None)
         return _path(cheapest) if cheapest else None
@@ -273,8 +288,7 @@
         best: dict[int, dict[str, _Leg]],
     ) -> None:
         layers = engine.layers
-        if layers is None or not layers.first <= position < layers.end:
-            return
+        assert layers is not None, "only engines with layers follow"
         cost = leg.cost + HOP_MS + self._cost(engine, position, wanted)
         before = leg.hop.upstream.availability_zone
         cost += self._crossing(before, engine.availability_zone, wanted)
@@ -287,16 +301,30 @@
         self, engine: chain.Upstream, position: int, wanted: Wanted
     ) -> float:
         """Return what a token costs at an engine, in ms."""
+        assert engine.layers is not None
+        share = (engine.layers.end - position) / wanted.profile.layer_count
+        rate = self._rates.get(engine.name)
+        if rate is None:
+            rate = self._rates[engine.name] = self._rate(engine, wanted)
+        return rate * share
+
+    def _rate(self, engine: chain.Upstream, wanted: Wanted) -> float:
+        """Return what a token would cost with all layers, in ms."""
         profile = wanted.profile
         card = profile.cards.get(engine.card)
         factor = card.step_factor if card else 1.0
-        assert engine.layers is not None
-        share = (engine.layers.end - position) / profile.layer_count
         context = wanted.tokens / 1000.0 * profile.context_ms
         sequences = 1.0 + self._usage.sequences(engine)
         step = profile.step_ms + sequences * (profile.sequence_ms + context)
-        full = self._usage.fullness(engine, profile)
-        return step * factor * share * (1.0 + FULL_FACTOR * full * full)
+        full = self._full(engine, wanted)
+        return step * factor * (1.0 + FULL_FACTOR * full * full)
+
+    def _full(self, engine: chain.Upstream, wanted: Wanted) -> float:
+        found = self._fullness.get(engine.name)
+        if found is None:
+            found = self._usage.fullness(engine, wanted.profile)
+            self._fullness[engine.name] = found
+        return found
 
 
 def _crossing(profile: chain.EngineProfile) -> float:
