Records of first engines that say nothing any more are dropped

Each start of an engine has a name of its own, and a record was kept for each that was ever first on a path and ended its streams before ten seconds were over. Beyond 200 records the forgotten ones go. Test with 2,000.

--- a/src/crowdeck/routing/heads.py
+++ b/src/crowdeck/routing/heads.py
@@ -38,6 +38,9 @@
 FAILURE_MS = 20.0
 # A barred engine is chosen only where there is no other.
 BARRED_MS = 10_000.0
+# Records beyond which those that say nothing any more are dropped: engines
+# come and go all day, and each start of one has a name of its own.
+RECORDS_MOST = 200
 
 
 @attrs.define(eq=False)
@@ -65,8 +68,14 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
+    def __len__(self) -> int:
+        """Return how many engines something is known of."""
+        return len(self._records)
+
     def begin(self, name: str, attempt: typing.Hashable) -> None:
         """Note that an attempt at a stream was sent to an engine."""
+        if len(self._records) > RECORDS_MOST:
+            self._drop_forgotten()
         record = self._records.setdefault(name, _Record())
         record.waiting[attempt] = anyio.current_time()
 
@@ -92,8 +101,6 @@
         if record is None:
             return
         record.waiting.pop(attempt, None)
-        if not record.waiting and self._is_forgotten(record):
-            del self._records[name]
 
     def fail(self, name: str) -> bool:
         """Note a stream that failed; returns whether this bars the engine."""
@@ -184,6 +191,11 @@
         age = anyio.current_time() - record.failed_at
         return record.failure * _faded(age)
 
+    def _drop_forgotten(self) -> None:
+        for name, record in list(self._records.items()):
+            if not record.waiting and self._is_forgotten(record):
+                del self._records[name]
+
     def _is_forgotten(self, record: _Record) -> bool:
         """Whether a record says nothing any more."""
         now = anyio.current_time()
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -16,6 +16,7 @@
 from crowdeck.relay import lateness
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
+from crowdeck.routing import heads
 from crowdeck.standin import chain_fleet
 from crowdeck import verdict as verdicts
 from tests import fleet_system
@@ -304,29 +305,41 @@
 
     def test_barred_engine_is_tried_by_one_stream_at_a_time(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
-            heads = system.context.heads
-            heads.bar("h")
-            assert heads.is_barred("h")
+            known = system.context.heads
+            known.bar("h")
+            assert known.is_barred("h")
             await anyio.sleep(1.1)
-            assert not heads.is_barred("h")
-            heads.begin("h", 1)
-            assert heads.is_barred("h")
-            heads.first_event("h", 1)
-            assert not heads.is_barred("h")
+            assert not known.is_barred("h")
+            known.begin("h", 1)
+            assert known.is_barred("h")
+            known.first_event("h", 1)
+            assert not known.is_barred("h")
+
+        play(work)
+
+    def test_nothing_is_kept_for_each_engine_that_ever_was(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            records = heads.HeadRecords()
+            for number in range(10 * heads.RECORDS_MOST):
+                records.begin(f"e{number}", number)
+                await anyio.sleep(0.1)
+                records.first_event(f"e{number}", number)
+                records.end(f"e{number}", number)
+            assert len(records) <= heads.RECORDS_MOST + 1
 
         play(work)
 
     def test_engine_that_fails_its_streams_is_barred(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
-            heads = system.context.heads
-            assert not heads.fail("h")
-            heads.begin("h", 1)
-            heads.first_event("h", 1)
+            known = system.context.heads
+            assert not known.fail("h")
+            known.begin("h", 1)
+            known.first_event("h", 1)
             # One failure now and then bars nobody; several do.
-            assert not heads.is_barred("h")
-            barred = [heads.fail("h") for _ in range(3)]
+            assert not known.is_barred("h")
+            barred = [known.fail("h") for _ in range(3)]
             assert any(barred)
-            assert heads.is_barred("h")
+            assert known.is_barred("h")
 
         play(work)
 
@@ -334,14 +347,14 @@
         # All entries kept to their own zone while its streams took two
         # seconds to begin and those of others 50 ms.
         async def work(system: fleet_system.FleetSystem) -> None:
-            heads = system.context.heads
+            known = system.context.heads
             own = [
                 one.listed.name
                 for one in system.fleet.upstreams
                 if one.listed.availability_zone == fleet_system.ZONES[0]
             ]
             for name in own:
-                heads.begin(name, name)
+                known.begin(name, name)
             await anyio.sleep(0.6)
             request = system.request(STREAM)
             await system.ask(request)
