Detours and the search for lost engines have modules of their own

What leads streams around an engine is relay/detours.py, what asks engines whether they live is placement/losses.py.

--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -5,7 +5,6 @@
 
 """The duty of ordering engines to hold layers, done by one entry."""
 
-import collections
 import typing
 
 import anyio
@@ -17,6 +16,7 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck import pipeline
+from crowdeck.placement import losses
 from crowdeck.placement import plan
 from crowdeck import route as routes
 from crowdeck.state import leases
@@ -37,18 +37,6 @@
 # layers: in a planned replacement the old one leaves soon after, and the
 # new one had better load what that held than be moved again.
 NEWCOMER_SECONDS = 2.0
-# An engine that failed a request is gone for the plan only after so many
-# questions, one at each look, went unanswered too: moving layers costs
-# loads, and takes engines out of paths that were well.
-UNANSWERED_QUESTIONS = 2
-# An engine that is lost is seldom the only one: a rack, a switch. All are
-# asked then, so often, instead of each being found by the requests that it
-# fails: thirteen of 39 that died together were known three seconds later,
-# when their entries went.
-SWEEPS = 2
-# Where more than this share of the fleet says nothing the fault is taken
-# for ours: the entries tell, in time, who is gone.
-SWEEP_MOST_SHARE = 0.5
 # An order whose answer was lost may be done up to twelve seconds late.
 # Asking the engine what it holds settles it sooner, not before this.
 UNKNOWN_SECONDS = 0.6
@@ -124,8 +112,7 @@
         self._pending: dict[str, _Pending] = {}
         self._doubts: dict[str, _Doubt] = {}
         self._term = 0
-        self._unanswered: collections.Counter[str] = collections.Counter()
-        self._sweeps_left = 0
+        self._losses = losses.LossWatch(book, orders, services)
         self._arrivals: dict[str, _Arrivals] = {}
         self._empty_since: dict[str, dict[str, float]] = {}
         self._changed = anyio.Event()
@@ -146,8 +133,7 @@
     async def _look(self) -> None:
         self._take_over()
         self._forget_pending()
-        await self._question_avoided()
-        await self._sweep()
+        await self._losses.look()
         for service in self._services():
             if service.profile is None:
                 continue
@@ -208,78 +194,11 @@
             or plan.fills_gap(move, engines, profile)
         ]
 
-    async def _question_avoided(self) -> None:
-        """Ask the engines that failed a request whether they live."""
-        avoided = self._book.avoided()
-        for name in set(self._unanswered) - {one.name for one in avoided}:
-            del self._unanswered[name]
-        async with anyio.create_task_group() as tasks:
-            for one in avoided:
-                if one.card:
-                    tasks.start_soon(self._question, one)
-
-    async def _sweep(self) -> None:
-        """Ask all engines, after one was lost."""
-        if not self._sweeps_left:
-            return
-        self._sweeps_left -= 1
-        avoided = {one.name for one in self._book.avoided()}
-        asked = [
-            one
-            for service in self._services()
-            for one in self._book.listed(service.name)
-            if one.card and one.name not in avoided
-        ]
-        silent: list[chain.Upstream] = []
-
-        async def ask(upstream: chain.Upstream) -> None:
-            try:
-                await self._orders.report(upstream)
-            except errors.CrowdeckError as error:
-                counters.COUNTERS.add("placement.sweep.silent")
-                logs.change(
-                    "engine_silent",
-                    upstream=upstream.name,
-                    address=str(upstream.address),
-                    reason=error.message,
-                )
-                silent.append(upstream)
-
-        async with anyio.create_task_group() as tasks:
-            for one in asked:
-                tasks.start_soon(ask, one)
-        if len(silent) > SWEEP_MOST_SHARE * len(asked):
-            logs.change("sweep_ignored", asked=len(asked), silent=len(silent))
-            return
-        for one in silent:
-            # They are asked once more before anything is moved.
-            self._unanswered[one.name] += 1
-            self._book.avoid(one.name, "no report when all were asked")
-
-    async def _question(self, upstream: chain.Upstream) -> None:
-        try:
-            await self._orders.report(upstream)
-        except errors.CrowdeckError as error:
-            self._unanswered[upstream.name] += 1
-            if self._unanswered[upstream.name] == UNANSWERED_QUESTIONS:
-                logs.change(
-                    "engine_lost",
-                    upstream=upstream.name,
-                    address=str(upstream.address),
-                    reason=error.message,
-                )
-                self._sweeps_left = SWEEPS
-            return
-        self._book.trust(upstream.name)
-
-    def _is_lost(self, name: str) -> bool:
-        return self._unanswered[name] >= UNANSWERED_QUESTIONS
-
     def _engines(self, service: routes.Service) -> list[chain.Upstream]:
         """Return the engines that live, with what they are going to hold."""
         found = []
         for one in self._book.listed(service.name):
-            if one.is_leaving or self._is_lost(one.name):
+            if one.is_leaving or self._losses.is_lost(one.name):
                 continue
             pending = self._pending.get(one.name)
             found.append(pending.expected if pending else one)
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -19,6 +19,10 @@
 from crowdeck.routing import usage as usages
 
 
+# Beginning anew spends the retry budget; this share of it is kept for
+# requests that cannot be served in another way. As a number, ten, it was
+# more than all that one of 29 entries may repeat.
+BUDGET_KEPT_SHARE = 0.3
 # Far above a connection's half millisecond, and a small part of what is
 # left of an objective of 0.5 s.
 CONNECT_SECONDS = 0.25
@@ -85,6 +89,10 @@
             self._budgets[service] = found
         return found
 
+    def may_begin_anew(self, service: str) -> bool:
+        """Whether the budget allows a stream to begin again elsewhere."""
+        return self.budget(service).left_share >= BUDGET_KEPT_SHARE
+
     def share_among(self, zone: int, whole: int) -> None:
         """Take this entry for one of so many in its zone, and in all."""
         self.usage.share_among(zone, whole)
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -13,10 +13,9 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import context as contexts
+from crowdeck.relay import detours
 from crowdeck.relay import live
 from crowdeck.relay import probes
-from crowdeck.relay import reach
-from crowdeck.routing import hops
 
 # How often streams are looked at: a small part of the pause that is
 # allowed, at little cost for some tens of streams.
@@ -30,10 +29,6 @@
 # A first event takes a prompt's reading as well: this share of its
 # objective.
 FIRST_SHARE = 0.4
-# Beginning anew spends the retry budget; this share of it is kept for
-# requests that cannot be served in another way. As a number, ten, it was
-# more than all that one of 29 entries may repeat.
-BUDGET_KEPT_SHARE = 0.3
 # A stream whose engines all answer is only slow; it is looked into again
 # after this share of the pause, and each time after twice as long.
 AGAIN_SHARE = 0.5
@@ -81,7 +76,7 @@
         self._prober = probes.Prober(context.client)
         self._streams: set[live.LiveStream] = set()
         self._looking: set[live.LiveStream] = set()
-        self._repathing: set[live.LiveStream] = set()
+        self._detours = detours.Detours(context, self._streams)
         self._to_verify: dict[str, chain.Upstream] = {}
         context.book.subscribe_lapses(self.verify)
 
@@ -137,7 +132,7 @@
         probe = await self._prober.ask(upstream)
         if await self._is_lost(probe, ()):
             self._context.book.avoid(upstream.name, probe.reason)
-            await self._lead_around(upstream)
+            await self._detours.lead_around(upstream)
         elif probe.report is not None:
             self._context.book.trust(upstream.name)
 
@@ -226,7 +221,7 @@
         )
         for culprit in found.culprits:
             self._context.book.avoid(culprit.name, "silent in a stream")
-            await self._lead_around(culprit)
+            await self._detours.lead_around(culprit)
         if not found.culprits and self._is_hung(stream, path, found):
             self._give_up_hung(stream, path)
 
@@ -244,7 +239,7 @@
         now = anyio.current_time()
         if now - stream.moved_at < limit:
             return False
-        if not self._has_budget(stream):
+        if not self._context.may_begin_anew(stream.service.name):
             return False
         if stream.begins and self._is_quicker_elsewhere(stream, path):
             return True
@@ -280,10 +275,6 @@
             and not heads.is_another_slow(name, stream.objective)
         )
 
-    def _has_budget(self, stream: live.LiveStream) -> bool:
-        budget = self._context.budget(stream.service.name)
-        return budget.left_share >= BUDGET_KEPT_SHARE
-
     def _give_up_hung(
         self, stream: live.LiveStream, path: chain.ChainPath
     ) -> None:
@@ -349,124 +340,3 @@
             and stream.moved_at >= since
             for hop in stream.path.hops
         }
-
-    async def _lead_around(self, culprit: chain.Upstream) -> None:
-        """Change the path of every stream that passes a failed engine."""
-        async with anyio.create_task_group() as tasks:
-            for stream in tuple(self._streams):
-                path = stream.path
-                if path is None or not path.passes(culprit.name):
-                    continue
-                if stream.abandoned or stream in self._repathing:
-                    continue
-                if path.head.name == culprit.name:
-                    stream.abandon(f"first engine {culprit.address} is silent")
-                    continue
-                self._repathing.add(stream)
-                tasks.start_soon(self._lead, stream, path, culprit)
-
-    async def _lead(
-        self,
-        stream: live.LiveStream,
-        path: chain.ChainPath,
-        culprit: chain.Upstream,
-    ) -> None:
-        try:
-            await self._repath(stream, path, culprit)
-        finally:
-            self._repathing.discard(stream)
-
-    async def _repath(
-        self,
-        stream: live.LiveStream,
-        path: chain.ChainPath,
-        culprit: chain.Upstream,
-    ) -> None:
-        refused: set[str] = {culprit.name}
-        while True:
-            other = self._around(stream, path, refused)
-            if self._is_better_begun_anew(stream, path, other):
-                self._log(stream, path, None, "goes on elsewhere")
-                stream.abandon(f"{culprit.address} is silent")
-                return
-            if other is None:
-                self._log(stream, path, None, "no other engine has room")
-                return
-            outcome = await self._context.client.repath(
-                path.head, stream.request.id, other
-            )
-            if stream.path is not path:
-                return
-            self._log(stream, path, other, _words(outcome))
-            if outcome.is_done:
-                stream.take_path(other)
-                counters.COUNTERS.add("relay.repathed")
-                return
-            named = self._context.book.at(outcome.culprit)
-            if not outcome.is_known or named is None:
-                return
-            if named.name in refused:
-                return
-            refused.add(named.name)
-
-    def _is_better_begun_anew(
-        self,
-        stream: live.LiveStream,
-        path: chain.ChainPath,
-        other: chain.ChainPath | None,
-    ) -> bool:
-        """Whether a stream had better go on from its last event elsewhere.
-
-        A detour through another zone has all tokens so far cross between
-        zones. With tens of streams that fills the pipe which all share
-        for seconds, and stops the streams that cross it as well. Read
-        again in another zone from the beginning, nothing crosses.
-        """
-        if not stream.may_resume:
-            return False
-        if not self._has_budget(stream):
-            return False
-        return other is None or other.crossings > path.crossings
-
-    def _around(
-        self,
-        stream: live.LiveStream,
-        path: chain.ChainPath,
-        refused: set[str],
-    ) -> chain.ChainPath | None:
-        usable = [
-            one
-            for one in self._context.book.usable(stream.service.name)
-            if one.name not in refused
-        ]
-        wanted = hops.Wanted(
-            stream.profile,
-            stream.tokens,
-            self._context.zone,
-            stream.objective,
-        )
-        return self._context.planner.detour(usable, wanted, path, refused)
-
-    def _log(
-        self,
-        stream: live.LiveStream,
-        path: chain.ChainPath,
-        other: chain.ChainPath | None,
-        outcome: str,
-    ) -> None:
-        logs.decision(
-            "path_changed",
-            stream.request.id,
-            before=str(path),
-            path=str(other) if other else "",
-            outcome=outcome,
-            silent=round(anyio.current_time() - stream.moved_at, 3),
-        )
-
-
-def _words(outcome: reach.RepathOutcome) -> str:
-    if outcome.is_done:
-        return "done"
-    if not outcome.is_known:
-        return "unknown to its first engine"
-    return f"refused because of {outcome.culprit or 'itself'}"
