--- a/src/crowdeck/state/contact.py
+++ b/src/crowdeck/state/contact.py
@@ -9,6 +9,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 
 from crowdeck.observe import logs
 
