An engine that was silent for a moment counts as one that ran the request

An engine that left one question unanswered was taken for ended, which leaves a request one run more; lost packets make sound engines silent for some tenths of a second.

Ruled out: engines that were gone (all three ran on afterwards), the budget of repeats itself.

Change: an engine has ended when its entry went, when it refused a connection, or when it was silent again a second or more later. Whether a stream may go on elsewhere is asked at the moment; one that may not is no longer given up when its first engine is silent: it may yet go on.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -22,6 +22,8 @@
 # longest is what one that was cut off may lose after it is back.
 AVOID_SECONDS = 1.0
 AVOID_MOST_SECONDS = 5.0
+# Failures after which it is taken for gone: a second pause has begun.
+ENDED_FAILURES = 2
 # One that refused for want of room has some again when a request ends;
 # twice as long after each refusal that follows soon after another.
 FULL_SECONDS = 0.4
@@ -56,6 +58,7 @@
     failures: int = 0
     refusals: int = 0
     is_asked: bool = False
+    has_refused: bool = False
     leaving_at: float | None = None
     lapsed_at: float | None = None
 
@@ -185,16 +188,27 @@
             and not belief.needs_proof
         )
 
-    def has_failed(self, name: str) -> bool:
-        """Whether an instance is gone, or failed and has not answered since.
+    def has_ended(self, name: str) -> bool:
+        """Whether an instance is known to be gone or cut off.
 
-        One that leaves, or is full, has not failed.
+        Its entry went, it refused a connection, or it was silent again
+        when it was asked a second or more after it was first taken for
+        silent. A link that loses packets makes sound ones silent for some
+        tenths of a second. One that leaves, or is full, has not ended.
         """
         belief = self._beliefs.get(name)
-        return belief is None or belief.failures > 0
+        if belief is None or belief.has_refused:
+            return True
+        return belief.failures >= ENDED_FAILURES
 
-    def avoid(self, name: str, reason: str) -> None:
-        """Give an instance that failed nothing for a while."""
+    def avoid(
+        self, name: str, reason: str, *, has_refused: bool = False
+    ) -> None:
+        """Give an instance that failed nothing for a while.
+
+        :param has_refused: whether it refused a connection: its process
+            is gone.
+        """
         belief = self._beliefs.get(name)
         now = anyio.current_time()
         if belief is None:
@@ -202,6 +216,7 @@
         if belief.avoided_until > now and not belief.is_asked:
             return
         belief.is_asked = False
+        belief.has_refused = has_refused
         belief.failures += 1
         pause = AVOID_SECONDS * 2.0 ** (belief.failures - 1)
         belief.avoided_until = now + min(pause, AVOID_MOST_SECONDS)
@@ -241,6 +256,7 @@
         if belief is None or not belief.failures:
             return
         belief.failures = 0
+        belief.has_refused = False
         belief.avoided_until = 0.0
         logs.change(
             "upstream_trusted",
--- a/src/crowdeck/relay/detours.py
+++ b/src/crowdeck/relay/detours.py
@@ -40,7 +40,11 @@
                 if stream.abandoned or stream in self._repathing:
                     continue
                 if path.head.name == culprit.name:
-                    stream.abandon(f"first engine {culprit.address} is silent")
+                    if stream.may_resume:
+                        reason = f"first engine {culprit.address} is silent"
+                        stream.abandon(reason)
+                    # Otherwise there is nothing to gain by giving it up:
+                    # it may yet go on, or its connection breaks.
                     continue
                 self._repathing.add(stream)
                 tasks.start_soon(self._lead, stream, path, culprit)
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -5,6 +5,8 @@
 
 """Streams in progress, as the watch over them sees them."""
 
+import typing
+
 import anyio
 import attrs
 
@@ -23,8 +25,7 @@
 
     :ivar profile: of the engines that serve it.
     :ivar tokens: what the request is expected to hold while it runs.
-    :ivar may_resume: whether it may go on at another first engine from
-        its last event, once the attempt under way is given up.
+    :ivar resumes: tells whether it may go on at another first engine.
     :ivar last_event: id of the last event passed on, -1 for none.
     :ivar moved_at: the loop's time when it last moved: an event came,
         or an attempt began.
@@ -44,7 +45,7 @@
     objective: float
     tokens: float
     _usage: usages.InFlight
-    may_resume: bool = False
+    resumes: typing.Callable[[], bool] = lambda: False
     last_event: int = -1
     has_events: bool = False
     moved_at: float = 0.0
@@ -59,6 +60,15 @@
     _path: chain.ChainPath | None = None
     _scope: anyio.CancelScope | None = None
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether it may go on elsewhere if this attempt is given up now.
+
+        Asked anew each time: an engine that it ran on may have ended
+        meanwhile, which leaves it one run more.
+        """
+        return self.resumes()
+
     @property
     def path(self) -> chain.ChainPath | None:
         """The path in use, or ``None`` between attempts."""
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -131,7 +131,9 @@
     async def _verify(self, upstream: chain.Upstream) -> None:
         probe = await self._prober.ask(upstream)
         if await self._is_lost(probe, ()):
-            self._context.book.avoid(upstream.name, probe.reason)
+            self._context.book.avoid(
+                upstream.name, probe.reason, has_refused=probe.was_refused
+            )
             await self._detours.lead_around(upstream)
         elif probe.report is not None:
             self._context.book.trust(upstream.name)
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -212,7 +212,7 @@
             with anyio.CancelScope() as scope:
                 self._stream.begin(path, scope)
                 self._context.heads.begin(path.head.name, self._stream)
-                self._stream.may_resume = (
+                self._stream.resumes = lambda: (
                     self._route.is_resumable
                     and self._runs_left(path.head.name) > 0
                 )
@@ -326,12 +326,13 @@
     def _runs_left(self, running_on: str = "") -> int:
         """Return at how many more engines the request may run.
 
-        Engines that failed do not count: they were not left by choice.
-        One that merely leaves, is full or passes a path that broke does.
+        Engines that ended do not count: they were not left by choice.
+        One that merely leaves, is full, passes a path that broke or was
+        silent for a moment does.
         """
         names = self._ran_on | {running_on} if running_on else self._ran_on
         book = self._context.book
-        sound = sum(1 for name in names if not book.has_failed(name))
+        sound = sum(1 for name in names if not book.has_ended(name))
         return self._route.max_attempts - sound
 
     def _failure(self, error: errors.CrowdeckError) -> errors.CrowdeckError:
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -544,6 +544,51 @@
 
         play(work, copies=1)
 
+    def test_silent_for_a_moment_counts_as_one_that_ran_it(self) -> None:
+        # A link that lost packets made sound engines silent one after the
+        # other, and requests ran at three of the two allowed (BUDGET
+        # broken, tlg-dakar mix, seed 127132938107).
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.fleet.events = 60
+            request = system.request(STREAM, patience=6.0)
+            caller: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                caller.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                for _ in range(2):
+                    await anyio.sleep(0.3)
+                    head = path_of(system, request)[0]
+                    head.is_dark = True
+                    await anyio.sleep(0.3)
+                    head.is_dark = False
+                await anyio.sleep(3.0)
+                tasks.cancel_scope.cancel()
+            assert len(system.fleet.runs_of(request.id)) == 2
+
+        play(work, copies=2)
+
+    def test_engine_that_ended_does_not_count(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.fleet.events = 60
+            request = system.request(STREAM)
+            caller: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                caller.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                for _ in range(2):
+                    await anyio.sleep(0.3)
+                    path_of(system, request)[0].is_dead = True
+            assert_whole(caller[0], request, 60)
+            assert len(system.fleet.runs_of(request.id)) == 3
+
+        play(work, copies=2)
+
     def test_full_engine_counts_as_one_that_ran_it(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             for one in system.listed.values():
