--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -494,6 +494,20 @@
 
         play_duty(work)
 
+    def test_layers_on_their_way_are_not_relied_on(self) -> None:
+        system = fleet_system.FleetSystem()
+        listed = fleet_system.upstream("b", "plateau", (0, 24), "large")
+        system.add(listed)
+        duty = duties.PlacementDuty(
+            typing.cast(leases.Lease, _Ledger()),
+            system.book,
+            system.fleet,
+            lambda: (),
+        )
+        expected = attrs.evolve(listed, layers=pipeline.LayerRange(12, 36))
+        relied = duty._relied_on(expected)
+        assert relied.layers == pipeline.LayerRange(12, 24)
+
     def test_next_giver_relies_on_nothing_in_doubt(self) -> None:
         async def work(
             system: fleet_system.FleetSystem, ledger: _Ledger
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -12,6 +12,7 @@
 import attrs
 import pytest
 
+from crowdeck import chain
 from crowdeck import errors
 from crowdeck.relay import lateness
 from crowdeck.relay import request as requests
@@ -303,6 +304,49 @@
 
         play(work, copies=1)
 
+    def test_engines_that_an_event_just_passed_are_not_asked(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.fleet.events = 60
+            report = system.fleet.report
+            asked: set[str] = set()
+
+            async def note(one: chain.Upstream) -> chain.EngineReport:
+                asked.add(one.name)
+                return await report(one)
+
+            system.fleet.report = note  # type: ignore[method-assign]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(system.ask, system.request(STREAM))
+                await anyio.sleep(0.1)
+                each_hangs(system, 1)
+                tasks.start_soon(system.ask, system.request(STREAM))
+                await anyio.sleep(0.28)
+                tasks.cancel_scope.cancel()
+            assert asked == {"plateau-0-0"}
+
+        play(work, copies=1)
+
+    def test_engine_that_begins_others_is_not_left(self) -> None:
+        # A long prompt waits; the engine works on what came after it.
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.fleet.events = 2
+            zone = system.context.zone
+            system.context.zone = fleet_system.ZONES[1]
+            await system.ask(system.request(STREAM))
+            system.context.zone = zone
+            each_hangs(system, 1)
+            waits = system.request(STREAM)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(system.ask, waits)
+                await anyio.sleep(0.02)
+                each_hangs(system, 0)
+                await system.ask(system.request(STREAM))
+                await anyio.sleep(0.7)
+                tasks.cancel_scope.cancel()
+            assert len(system.fleet.runs_of(waits.id)) == 1
+
+        play(work, copies=1)
+
     def test_barred_engine_is_tried_by_one_stream_at_a_time(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             known = system.context.heads
@@ -448,6 +492,27 @@
 
         play(work)
 
+    def test_another_attempt_waits_while_it_lasts(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            for name in ("plateau-0-0", "plateau-1-0"):
+                system.fleet.at(system.listed[name].address).rejects = 1
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, virtual.VirtualLoop)
+            callers: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                callers.append(await system.ask(system.request(STREAM)))
+
+            await anyio.sleep(0.05)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.0005)
+                loop.pass_time(0.3)
+                late_at = anyio.current_time()
+            assert callers[0].times[0] - late_at >= 0.25
+
+        play(work)
+
     def test_connections_get_more_time(self) -> None:
         # 219 sound connections were taken for lost in three seconds, and
         # each time another was made.
@@ -544,6 +609,28 @@
 
         play(work, copies=1)
 
+    def test_stream_with_nothing_to_gain_is_not_given_up(self) -> None:
+        # Its first engine is silent, and it may run nowhere else.
+        async def work(system: fleet_system.FleetSystem) -> None:
+            route = fleet_system.a_route(STREAM, is_resumable=False)
+            system.install(fleet_system.a_config(2, (route,)))
+            system.fleet.events = 60
+            ended: list[fleet_system.Caller] = []
+            request = system.request(STREAM)
+
+            async def ask() -> None:
+                ended.append(await system.ask(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.2)
+                path_of(system, request)[0].is_dark = True
+                await anyio.sleep(1.0)
+                tasks.cancel_scope.cancel()
+            assert ended == []
+
+        play(work)
+
     def test_silent_for_a_moment_counts_as_one_that_ran_it(self) -> None:
         # A link that lost packets made sound engines silent one after the
         # other, and requests ran at three of the two allowed (BUDGET
