Layers are placed by capacity under losses

Ruled out: processor and memory of entries (0.2 of 0.8 of a core, 39 MB).

Change: a placement is valued layer by layer, by the room of all holders and by what is left when one of them is missing; engines that begin together are laid out for the greatest value, later ones go where they add most. A layer that nobody holds comes first.

--- /dev/null
+++ b/src/crowdeck/placement/arrangement.py
@@ -0,0 +1,101 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Which layers engines take that begin together, all of them empty."""
+
+import typing
+
+from crowdeck import chain
+from crowdeck import pipeline
+from crowdeck.placement import capacity
+
+# Rooms, in needs, at which a first layout cuts the cards: from many thin
+# copies to one with most of the memory left. Each is then improved, and
+# the best is taken: on four fleets of mixed cards no single one was best.
+START_ROOMS = (0.0, 0.5, 1.0, 2.0, 4.0)
+# Times that every engine is moved to where it is worth most; the third
+# time changed nothing on three fleets of four.
+SWEEPS = 4
+
+Layout = dict[str, pipeline.LayerRange]
+Limit = typing.Callable[[chain.Upstream, float], int]
+
+
+class Arranger:
+    """Finds layers for engines that serve one model together.
+
+    :param limit: how many layers leave an engine so many tokens of room.
+    :param least: tokens of room that an engine keeps in any case.
+    """
+
+    def __init__(
+        self, profile: chain.EngineProfile, limit: Limit, least: float
+    ) -> None:
+        self._profile = profile
+        self._limit = limit
+        self._least = least
+        self._need = capacity.needed_tokens(profile)
+
+    def arrange(self, engines: typing.Sequence[chain.Upstream]) -> Layout:
+        """Return the layers of each engine that gets some."""
+        # Large cards first: they take the long runs, small ones fill gaps.
+        ordered = sorted(
+            engines,
+            key=lambda one: (-self._limit(one, self._least), one.name),
+        )
+        best: Layout = {}
+        most = float("-inf")
+        for start in START_ROOMS:
+            layout = self._lay_out(ordered, start * self._need)
+            worth = self._improve(ordered, layout)
+            if worth > most + 1e-9:
+                best, most = layout, worth
+        return best
+
+    def _lay_out(self, engines: list[chain.Upstream], room: float) -> Layout:
+        """Lay engines end to end, again from the start at the end."""
+        count = self._profile.layer_count
+        layout: Layout = {}
+        first = 0
+        for engine in engines:
+            size = self._limit(engine, max(room, self._least))
+            if not size:
+                continue
+            end = min(count, first + size)
+            layout[engine.name] = pipeline.LayerRange(first, end)
+            first = end % count
+        return layout
+
+    def _improve(self, engines: list[chain.Upstream], layout: Layout) -> float:
+        """Move one engine after the other to where it is worth most."""
+        rooms = capacity.Rooms(self._profile, self._need)
+        for engine in engines:
+            if engine.name in layout:
+                rooms.add(engine, layout[engine.name])
+        for _ in range(SWEEPS):
+            if not self._sweep(rooms, engines, layout):
+                break
+        return rooms.worth
+
+    def _sweep(
+        self,
+        rooms: capacity.Rooms,
+        engines: list[chain.Upstream],
+        layout: Layout,
+    ) -> bool:
+        """Move each engine once; returns whether any moved."""
+        has_moved = False
+        for engine in engines:
+            held = layout.get(engine.name)
+            if held is not None:
+                rooms.drop(engine, held)
+            most = self._limit(engine, self._least)
+            window = rooms.best_window(engine, most)
+            if window is None:
+                continue
+            rooms.add(engine, window.layers)
+            layout[engine.name] = window.layers
+            has_moved = has_moved or window.layers != held
+        return has_moved
--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -11,14 +11,11 @@
 
 from crowdeck import chain
 from crowdeck import pipeline
+from crowdeck.placement import arrangement
+from crowdeck.placement import capacity
 
-# Requests at once that an engine should have memory for, as a share of
-# its slots. Half of them: a path's engines are all in use together, and
-# more room costs a copy of the model for little more throughput.
-ROOM_SHARE = 0.5
-# Where the cards of a zone cannot hold the model with that much room,
-# less is taken in steps, down to a few requests at once.
-ROOM_STEP = 0.7
+# Requests at once that an engine has memory for in any case. Fewer would
+# have it refuse or preempt with every second request.
 ROOM_LEAST = 4.0
 
 
@@ -36,17 +33,8 @@
     is_urgent: bool = False
 
 
-@attrs.define(eq=False)
-class _Cell:
-    """Engines close to one another that hold the whole model together."""
-
-    engines: list[chain.Upstream]
-    room: float
-
-    def quota(
-        self, engine: chain.Upstream, profile: chain.EngineProfile
-    ) -> int:
-        return quota(engine, profile, self.room)
+# Engines close to one another that hold the whole model together.
+_Cell = list[chain.Upstream]
 
 
 def quota(
@@ -85,8 +73,8 @@
     sure = {one.name: one for one in (engines if relied is None else relied)}
     moves: list[Move] = []
     for cell in _cells(engines, profile):
-        certain = [sure[one.name] for one in cell.engines if one.name in sure]
-        moves += _fill(cell, profile, idle, certain)
+        certain = [sure[one.name] for one in cell if one.name in sure]
+        moves += _cell_moves(cell, profile, idle, certain)
     counts = coverage(engines, profile.layer_count)
     return [
         attrs.evolve(move, is_urgent=_is_missing(move.layers, counts))
@@ -111,8 +99,8 @@
     """Whether a move brings layers that no engine of its cell holds."""
     name = move.upstream.name
     for cell in _cells(engines, profile):
-        if any(one.name == name for one in cell.engines):
-            counts = coverage(cell.engines, profile.layer_count)
+        if any(one.name == name for one in cell):
+            counts = coverage(cell, profile.layer_count)
             return 0 in counts[move.layers.first : move.layers.end]
     return True
 
@@ -136,72 +124,82 @@
     for engine in sorted(engines, key=lambda one: one.name):
         by_zone.setdefault(engine.availability_zone, []).append(engine)
     whole: list[_Cell] = []
-    rest: list[chain.Upstream] = []
+    rest: _Cell = []
     for zone in sorted(by_zone):
-        room = _room(by_zone[zone], profile)
-        if room is None:
-            rest += by_zone[zone]
+        if _holds_model(by_zone[zone], profile):
+            whole.append(by_zone[zone])
         else:
-            whole.append(_Cell(by_zone[zone], room))
-    if not rest:
-        return whole
-    room = _room(rest, profile)
-    if room is not None:
-        whole.append(_Cell(rest, room))
-    elif whole:
+            rest += by_zone[zone]
+    if rest and whole and not _holds_model(rest, profile):
         # Too few for a copy of their own: they strengthen another's.
-        whole[0].engines += rest
-    else:
-        whole.append(_Cell(rest, ROOM_LEAST * _request_tokens(profile)))
+        whole[0] += rest
+    elif rest:
+        whole.append(rest)
     return whole
 
 
-def _request_tokens(profile: chain.EngineProfile) -> float:
-    """Return what a request holds on average while it runs."""
-    return max(1.0, profile.usual_prompt + profile.usual_answer / 2.0)
+def _least_room(profile: chain.EngineProfile) -> float:
+    return ROOM_LEAST * capacity.request_tokens(profile)
 
 
-def _room(
-    engines: list[chain.Upstream], profile: chain.EngineProfile
-) -> float | None:
-    """Return the most room with which the engines hold the whole model."""
-    requests = profile.slots * ROOM_SHARE
-    while requests >= ROOM_LEAST:
-        room = requests * _request_tokens(profile)
-        total = sum(quota(one, profile, room) for one in engines)
-        if total >= profile.layer_count:
-            return room
-        requests *= ROOM_STEP
-    return None
+def _most_layers(engine: chain.Upstream, profile: chain.EngineProfile) -> int:
+    """Return how many layers an engine can hold and still serve."""
+    return quota(engine, profile, _least_room(profile))
 
 
-def _fill(
+def _holds_model(engines: _Cell, profile: chain.EngineProfile) -> bool:
+    total = sum(_most_layers(one, profile) for one in engines)
+    return total >= profile.layer_count
+
+
+def _cell_moves(
     cell: _Cell,
     profile: chain.EngineProfile,
     idle: typing.Callable[[chain.Upstream], bool],
     certain: list[chain.Upstream],
 ) -> list[Move]:
-    counts = coverage(cell.engines, profile.layer_count)
+    free = [one for one in cell if one.layers is None and idle(one)]
+    if all(one.layers is None for one in cell):
+        return _first_moves(free, profile)
+    moves = _fill(cell, free, profile)
+    counts = coverage(cell, profile.layer_count)
+    for move in moves:
+        _count(move.layers, counts, 1)
     sure = coverage(certain, profile.layer_count)
-    empty = [one for one in cell.engines if one.layers is None and idle(one)]
-    # Large cards first: they take the long runs, small ones fill gaps.
-    empty.sort(key=lambda one: (-cell.quota(one, profile), one.name))
-    moves: list[Move] = []
-    for engine in empty:
-        size = cell.quota(engine, profile)
-        if size:
-            moves.append(_assign(engine, size, counts))
-    moves += _change_over(cell, profile, counts, sure, idle)
-    return moves
+    return moves + _change_over(cell, profile, counts, sure, idle)
 
 
-def _assign(engine: chain.Upstream, size: int, counts: list[int]) -> Move:
-    """Give an engine the layers that the fewest others hold."""
-    first = counts.index(min(counts))
-    first = max(0, min(first, len(counts) - size))
-    layers = pipeline.LayerRange(first, min(len(counts), first + size))
-    _count(layers, counts, 1)
-    return Move(engine, layers)
+def _first_moves(engines: _Cell, profile: chain.EngineProfile) -> list[Move]:
+    """Return the moves of engines that begin together."""
+    arranger = arrangement.Arranger(
+        profile,
+        lambda engine, room: quota(engine, profile, room),
+        _least_room(profile),
+    )
+    layout = arranger.arrange(engines)
+    return [
+        Move(one, layout[one.name]) for one in engines if one.name in layout
+    ]
+
+
+def _fill(
+    cell: _Cell, free: _Cell, profile: chain.EngineProfile
+) -> list[Move]:
+    """Return moves of empty engines to where each is worth most."""
+    rooms = capacity.Rooms(profile, capacity.needed_tokens(profile))
+    for engine in cell:
+        if engine.layers is not None:
+            rooms.add(engine, engine.layers)
+    moves: list[Move] = []
+    # Large cards first: they take the long runs, small ones fill gaps.
+    for engine in sorted(
+        free, key=lambda one: (-_most_layers(one, profile), one.name)
+    ):
+        window = rooms.best_window(engine, _most_layers(engine, profile))
+        if window is not None:
+            rooms.add(engine, window.layers)
+            moves.append(Move(engine, window.layers))
+    return moves
 
 
 def _change_over(
@@ -217,12 +215,12 @@
     meanwhile, so the smallest engines, which load least, go first.
     """
     moves: list[Move] = []
-    held = [one for one in cell.engines if one.layers and idle(one)]
-    held.sort(key=lambda one: (cell.quota(one, profile), one.name))
+    held = [one for one in cell if one.layers and idle(one)]
+    held.sort(key=lambda one: (_most_layers(one, profile), one.name))
     for engine in held:
         if 0 not in counts:
             break
-        size = cell.quota(engine, profile)
+        size = _most_layers(engine, profile)
         if not size or not _is_spare(engine, sure):
             continue
         first = counts.index(0)
