An instance whose address another has taken over is gone

Cause: an engine crashed while the store was away and was started again at its address. Its former entry stayed, and was usable; refusals with 421 named the address, which stood for the newer instance, so the former was never paused: 196 attempts of 70 requests in two seconds, each request refused after five. Ruled out: a lagging report (the newer entry was known to all entries).

Change: of instances at one address only the newest stays; a refusal is laid on whom the path has at the address. Two tests fail without it.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -12,6 +12,7 @@
 
 from crowdeck import chain
 from crowdeck import errors
+from crowdeck import instance as instances
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.state import objects as stores
@@ -54,6 +55,7 @@
 @attrs.define
 class _Belief:
     upstream: chain.Upstream
+    version: int = 0
     avoided_until: float = 0.0
     failures: int = 0
     refusals: int = 0
@@ -294,9 +296,11 @@
             return
         belief = self._beliefs.get(stored.name)
         if belief is None:
-            self._beliefs[stored.name] = _Belief(upstream)
+            self._beliefs[stored.name] = _Belief(upstream, stored.version)
             self._log("upstream_listed", upstream, stored.version)
+            self._drop_replaced(upstream.address)
             return
+        belief.version = stored.version
         if belief.lapsed_at is not None:
             belief.lapsed_at = None
             belief.failures = 0
@@ -308,8 +312,26 @@
         belief.upstream = upstream
         self._log("upstream_changed", upstream, stored.version)
 
+    def _drop_replaced(self, address: instances.Address) -> None:
+        """Drop all but the newest instance at an address.
+
+        An address is another's only once its process has ended, but the
+        entry of one that crashed stays for some heartbeats, and longer
+        while the store is away. Until it went, every path through it was
+        refused by the instance that had taken its place: 196 attempts of
+        70 requests within two seconds.
+        """
+        here = [
+            (belief.version, name)
+            for name, belief in self._beliefs.items()
+            if belief.upstream.address == address
+        ]
+        for _, name in sorted(here)[:-1]:
+            replaced = self._beliefs.pop(name).upstream
+            self._log("upstream_replaced", replaced, 0)
+
     def _remove(self, name: str) -> None:
-        belief = self._beliefs[name] if name in self._beliefs else None
+        belief = self._beliefs.get(name)
         if belief is None:
             return
         failed_at = self._store_failed_at()
--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -150,7 +150,7 @@
             stream.last_event = event.id
 
     def _refusal(self, answer: reach.Answer) -> errors.CrowdeckError:
-        culprit = self._context.book.at(answer.culprit) or self._path.head
+        culprit = self._culprit(answer)
         if culprit.name != self._path.head.name:
             self._watch.suspect(culprit)
             # Full, or gone: one that answers is merely full.
@@ -167,6 +167,16 @@
             culprit=culprit.name,
         )
 
+    def _culprit(self, answer: reach.Answer) -> chain.Upstream:
+        """Return the engine that a refusal is due to.
+
+        It names an address; who was meant is whom the path has there.
+        """
+        for hop in self._path.hops:
+            if str(hop.upstream.address) == answer.culprit:
+                return hop.upstream
+        return self._context.book.at(answer.culprit) or self._path.head
+
     async def _pass_failure(self, answer: reach.Answer) -> None:
         body = await answer.read(BODY_LIMIT)
         if self._sink.has_started or answer.status in requests.PROMISES:
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -267,12 +267,18 @@
     return book, listed
 
 
+def entry(name: str, version: int = 1) -> stores.StoredObject:
+    return stores.StoredObject("upstreams", name, version, b"{}")
+
+
 def tell(
-    book: books.UpstreamBook, listed: dict[str, object], name: str
+    book: books.UpstreamBook,
+    listed: dict[str, object],
+    name: str,
+    version: int = 1,
 ) -> None:
     listed[name] = listed.get(name) or fleet_system.upstream(name)
-    stored = stores.StoredObject("upstreams", name, 1, b"{}")
-    book.on_changed((stored,), ())
+    book.on_changed((entry(name, version),), ())
 
 
 def names_of(book: books.UpstreamBook) -> set[str]:
@@ -430,6 +436,34 @@
 
         virtual.run(body)
 
+    def test_one_that_took_an_address_over_replaces_the_former(self) -> None:
+        # An engine crashed while the store was away and was started again:
+        # its former entry stayed, and every path through it was refused.
+        async def body() -> None:
+            book, listed = a_book()
+            tell(book, listed, "former")
+            listed["after"] = attrs.evolve(
+                fleet_system.upstream("former"), name="after"
+            )
+            tell(book, listed, "after", version=2)
+            assert names_of(book) == {"after"}
+            assert book.has_ended("former")
+
+        virtual.run(body)
+
+    def test_the_newest_at_an_address_stays_in_any_order(self) -> None:
+        async def body() -> None:
+            former = fleet_system.upstream("former")
+            after = attrs.evolve(former, name="after")
+            entries = (entry("former", 1), entry("after", 2))
+            for order in (entries, entries[::-1]):
+                book, listed = a_book()
+                listed.update(former=former, after=after)
+                book.on_listed(order)
+                assert names_of(book) == {"after"}
+
+        virtual.run(body)
+
 
 class TestRoster:
     """How many entries share limits."""
