Retry budget starts empty; answers that have begun wait for it

Ruled out: entries that count one another wrongly (they knew 21).

Change: the slack comes back over one window after a start. An answer that has begun waits up to 1.6 s for a repeat, and bears twelve refusals instead of four. Three tests fail without it.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -225,6 +225,7 @@
                 float(fleet["retry_slack"]),
                 float(fleet["retry_window_seconds"]),
             ),
+            began=anyio.current_time(),
         )
 
     async def _listen(
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -44,6 +44,7 @@
     """One entry's knowledge of upstreams and its means to reach them.
 
     :ivar zone: the entry's availability zone.
+    :ivar began: the loop's time at which the process was started.
     :ivar loop: how late the entry's own event loop is.
     """
 
@@ -53,6 +54,7 @@
     usage: usages.InFlight
     planner: hops.HopPlanner
     terms: BudgetTerms
+    began: float = float("-inf")
     loop: lateness.LatenessMeter = attrs.field(factory=lateness.LatenessMeter)
     chance: random.Random = attrs.field(factory=random.Random)
     return_times: returns.ReturnTimes = attrs.field(init=False)
@@ -83,7 +85,7 @@
         if found is None:
             terms = self.terms
             found = budgets.SharedBudget(
-                terms.ratio, terms.slack, terms.window
+                terms.ratio, terms.slack, terms.window, self.began
             )
             found.share_among(self._entries)
             self._budgets[service] = found
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -24,6 +24,9 @@
 # Attempts that an engine refused without running them: each shows some
 # engine that holds other layers or is full, so a few are worth making.
 REFUSED_TRIES = 4
+# An answer that has begun is lost to its caller when it is cut, so more
+# are worth it; each waits for a path with room and for the budget.
+REFUSED_TRIES_BEGUN = 12
 # Without a path a new request waits this share of its objective. Refusals
 # within a quarter of it cost the caller little: it may come back in time.
 NEW_WAIT_SHARE = 0.15
@@ -120,7 +123,7 @@
             if error is None:
                 return
             self._note(path, error)
-            if not self._may_go_on(path, error):
+            if not await self._may_go_on(path, error):
                 raise self._failure(error)
             if self._context.loop.is_overloaded:
                 # Another attempt at once would make us later still.
@@ -291,7 +294,7 @@
                 reason="its streams failed",
             )
 
-    def _may_go_on(
+    async def _may_go_on(
         self, path: chain.ChainPath, error: errors.CrowdeckError
     ) -> bool:
         """Whether another attempt is made."""
@@ -310,10 +313,32 @@
                 return True
         else:
             self._refusals += 1
-            if self._refusals > REFUSED_TRIES:
+            if self._refusals > self._refusals_most:
                 return False
+        return await self._spend()
+
+    @property
+    def _refusals_most(self) -> int:
+        if self._sink.has_started:
+            return REFUSED_TRIES_BEGUN
+        return REFUSED_TRIES
+
+    async def _spend(self) -> bool:
+        """Spend one repeat of the budget; false where none can be had.
+
+        An answer that has begun waits for one: what is cut is lost to its
+        caller, and the budget comes back as its window moves on.
+        """
+        budget = self._context.budget(self._stream.service.name)
+        until = anyio.current_time()
+        if self._sink.has_started:
+            until = min(until + BEGUN_WAIT_SECONDS, self._deadline)
+        while not budget.spend():
+            if anyio.current_time() >= until:
+                return False
+            await anyio.sleep(WAIT_STEP)
         counters.COUNTERS.add("relay.stream.repeated")
-        return self._context.budget(self._stream.service.name).spend()
+        return True
 
     def _may_resume(self) -> bool:
         if not self._route.is_resumable:
--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -24,12 +24,23 @@
     :param ratio: repeats allowed for each request.
     :param slack: repeats allowed on top, by all entries together.
     :param window: length of the sliding window in seconds.
+    :param since: the loop's time from which this process may have spent.
+        What the process before it spent is unknown, and still counts: the
+        slack comes back over one window. Entries that were all started
+        anew at once otherwise spent it twice, 637 repeats of 549.
     """
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window: float,
+        since: float = float("-inf"),
+    ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._since = since
         self._entries = 1
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
@@ -65,7 +76,9 @@
     def _allowed(self) -> float:
         """Return the repeats allowed in the window that ends now."""
         self._forget()
-        share = self._slack / self._entries
+        age = max(0.0, anyio.current_time() - self._since)
+        slack = self._slack * min(1.0, age / self._window)
+        share = slack / self._entries
         return MARGIN * (self._ratio * len(self._requests) + share)
 
     def _forget(self) -> None:
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -211,6 +211,29 @@
 
         virtual.run(body)
 
+    def test_entries_started_anew_do_not_spend_it_a_second_time(self) -> None:
+        # All were stopped and started within a second: 637 repeats came in
+        # ten seconds, and 549 were allowed.
+        async def body() -> None:
+            former = budgets.SharedBudget(0.2, 100.0, 10.0)
+            spent = 0
+            while former.spend():
+                spent += 1
+            await anyio.sleep(1.5)
+            after = budgets.SharedBudget(
+                0.2, 100.0, 10.0, anyio.current_time()
+            )
+            assert not after.spend()
+            for _ in range(80):
+                await anyio.sleep(0.1)
+                while after.spend():
+                    spent += 1
+            assert 80 < spent <= 160
+            await anyio.sleep(10.0)
+            assert after.left == budgets.MARGIN * 100.0
+
+        virtual.run(body)
+
     def test_is_earned_again_as_the_window_slides(self) -> None:
         async def body() -> None:
             one = budgets.SharedBudget(0.2, 10.0, 10.0)
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -16,6 +16,7 @@
 from crowdeck import errors
 from crowdeck.relay import lateness
 from crowdeck.relay import request as requests
+from crowdeck.relay import streams
 from crowdeck import route as routes
 from crowdeck.routing import heads
 from crowdeck.standin import chain_fleet
@@ -544,6 +545,43 @@
 
         play(work)
 
+    def test_stream_that_has_begun_waits_for_the_budget(self) -> None:
+        # Its engine broke it off while the budget was spent, and it was
+        # cut at once: its caller got neither the rest nor a refusal.
+        async def work(system: fleet_system.FleetSystem) -> None:
+            budget = system.context.budget(fleet_system.MODEL)
+            while budget.spend():
+                pass
+            await anyio.sleep(9.2)
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                path_of(system, request)[0].is_dead = True
+
+            caller = await during(system, request, 0.15, strike)
+            assert_whole(caller, request, system.fleet.events)
+            assert caller.longest_pause > 0.5
+
+        play(work)
+
+    def test_stream_that_has_begun_bears_more_refusals(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                head = path_of(system, request)[0]
+                head.is_dead = True
+                for one in system.listed.values():
+                    if one.name.endswith("-0") and one != head.listed:
+                        system.fleet.at(one.address).rejects = 2
+
+            caller = await during(system, request, 0.15, strike)
+            assert_whole(caller, request, system.fleet.events)
+            rejected = sum(system.fleet.rejected.values())
+            assert rejected > streams.REFUSED_TRIES
+
+        play(work)
+
     def test_stream_that_must_not_go_on_is_cut(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             route = fleet_system.a_route(STREAM, is_resumable=False)
