Callers leave an entry that loses the store before it refuses them

The config was proved every 2.1 s, so the refusals began 1.4 to 3.5 s after the store was lost, by chance.

Change: an entry is not ready, and closes callers' connections with their answers, once its config is 1.8 s old; the config is proved every 1.2 s and trusted for 3.9 s; a refusal of this kind says 0.25 s.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -45,12 +45,14 @@
 UPSTREAM_CONNECTIONS = 1_000
 # The config's watch is renewed after this share of the time in which a
 # removed key has to stop working; each renewal proves it current. Every
-# entry pays for its own, so as seldom as leaves room for one lost answer.
-CONFIG_WAIT_SHARE = 0.4
+# entry pays for its own. With 0.4, an entry that lost the store refused
+# after 1.4 to 3.5 s, by chance; now after 2.7 s at the least.
+CONFIG_WAIT_SHARE = 0.22
 # A key works on for so much of the time allowed after the last proof.
 # The rest is for a watch that is silent for up to a second before its
-# history is lost, and for requests already sent.
-TRUST_SHARE = 0.7
+# history is lost. What counts is when a request was sent, and it is
+# admitted later than that, so requests under way need nothing more.
+TRUST_SHARE = 0.78
 UPSTREAM_WAIT = 10.0
 CONFIG_LINGER = 0.1
 # Shorter than the store's history, or each watch would end with a listing.
--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -17,12 +17,17 @@
 from crowdeck.relay import context as contexts
 from crowdeck.relay import lateness
 from crowdeck.relay import request as requests
+from crowdeck.relay import returns
 from crowdeck.relay import streams
 from crowdeck import route as routes
 from crowdeck.routing import routes as tables
 from crowdeck.state import objects as stores
 
-RETRY_AFTER = 1.0
+# Beyond this share of the time for which a config is trusted, callers are
+# sent elsewhere, before their requests have to be refused. A config is
+# proved current every 1.2 of 3.9 s; whoever passes new connections on
+# stops one to two seconds after the first bad answer about readiness.
+WELCOME_SHARE = 0.46
 # A process that has just started knows its config within a few calls.
 START_RETRY_AFTER = 0.3
 
@@ -123,18 +128,22 @@
         return limits.body_bytes
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether a planned stop has begun."""
-        return self._is_leaving
+    def sends_callers_away(self) -> bool:
+        """Whether callers are to use other connections from now on.
+
+        A planned stop has begun, or requests will soon be refused because
+        the config is not known to be current.
+        """
+        return self._is_leaving or not self._is_current
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
-        return (
-            not self._is_leaving
-            and self._holder.table is not None
-            and self._age() <= self._trust_seconds
-        )
+        return self._holder.table is not None and not self.sends_callers_away
+
+    @property
+    def _is_current(self) -> bool:
+        return self._age() <= WELCOME_SHARE * self._trust_seconds
 
     @property
     def in_progress(self) -> int:
@@ -225,5 +234,5 @@
         return errors.CrowdeckError(
             errors.Code.STORE_DOWN,
             f"the config was last known to be current {age:.1f} s ago",
-            retry_after=RETRY_AFTER,
+            retry_after=returns.ELSEWHERE_SECONDS,
         )
--- a/src/crowdeck/relay/returns.py
+++ b/src/crowdeck/relay/returns.py
@@ -18,6 +18,10 @@
 # Callers follow the advice up to a third of the time they have left, which
 # for streams of 20 s is over six seconds.
 MOST_SECONDS = 4.0
+# What one entry cannot serve for a reason of its own another may serve now.
+# Callers that come back so soon can still be answered in time; the entry
+# stopped welcoming connections a second before, so that they reach another.
+ELSEWHERE_SECONDS = 0.25
 
 
 class ReturnTimes:
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -233,6 +233,33 @@
 
         play(work)
 
+    def test_callers_are_sent_away_before_they_are_refused(self) -> None:
+        # Whoever passes connections on takes up to two seconds to stop; an
+        # entry that the store turned away refused all that came meanwhile.
+        async def work(system: fleet_system.FleetSystem) -> None:
+            assert system.relay.is_ready
+            assert not system.relay.sends_callers_away
+            system.age = 1.9
+            assert not system.relay.is_ready
+            assert system.relay.sends_callers_away
+            caller = await system.ask(system.request(ONCE))
+            assert caller.status == 200
+
+        play(work)
+
+    def test_refused_for_the_entrys_own_reason_comes_back_in_time(
+        self,
+    ) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            system.age = 3.6
+            caller = await system.ask(system.request(ONCE))
+            assert caller.error is not None
+            assert caller.error.retry_after is not None
+            objective = fleet_system.a_route(ONCE).objective
+            assert caller.error.retry_after <= objective / 2
+
+        play(work)
+
     def test_anonymous_route_goes_on_with_an_old_config(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             route = fleet_system.a_route(ONCE, is_anonymous=True)
