New streams wait in one line for room; a starting entry asks what engines hold

After the final fault engines still held the streams of the dead entries; new entries took them for empty: engines refused 54 of the first 100 streams brought back, and those were their callers' last tries. Ruled out: paths (38 of 38 engines usable, no layer missing).

Change: one line for each service; only its first looks for a path, every 80 ms; where the ends seen lately say that the turn comes too late, or a layer is held by nobody, it is refused at once. An entry that starts asks the engines that hold layers once for their memory in use, which counts for 2.5 s, less and less.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -32,6 +32,7 @@
 from crowdeck.relay import relay as relays
 from crowdeck.relay import stalls
 from crowdeck.relay import status as statuses
+from crowdeck.relay import survey as surveys
 from crowdeck.routing import hops
 from crowdeck.routing import usage as usages
 from crowdeck.settings import config as configs
@@ -200,8 +201,15 @@
             watch.run,
         ):
             tasks.start_soon(part)
+        tasks.start_soon(self._survey, context, holder)
         await self._listen(tasks, self._relay)
 
+    async def _survey(
+        self, context: contexts.RelayContext, holder: relays.ConfigHolder
+    ) -> None:
+        await holder.wait_known()
+        await surveys.Survey(context).run(holder.services)
+
     def _open_upstreams(
         self, stack: contextlib.AsyncExitStack
     ) -> engines.UpstreamClient:
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -13,6 +13,7 @@
 from crowdeck.relay import lateness
 from crowdeck.relay import reach
 from crowdeck.relay import returns
+from crowdeck.relay import waiting
 from crowdeck.routing import budget as budgets
 from crowdeck.routing import heads
 from crowdeck.routing import hops
@@ -59,6 +60,7 @@
     chance: random.Random = attrs.field(factory=random.Random)
     return_times: returns.ReturnTimes = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
+    _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
     _entries: int = 1
 
     def __attrs_post_init__(self) -> None:
@@ -91,6 +93,10 @@
             self._budgets[service] = found
         return found
 
+    def line(self, service: str) -> waiting.WaitingLine:
+        """Return the line of requests that wait for a service's engines."""
+        return self._lines.setdefault(service, waiting.WaitingLine())
+
     def may_begin_anew(self, service: str) -> bool:
         """Whether the budget allows a stream to begin again elsewhere."""
         return self.budget(service).left_share >= BUDGET_KEPT_SHARE
--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -48,6 +48,7 @@
         self._decode = decode
         self._name = name
         self._table: tables.RouteTable | None = None
+        self._known = anyio.Event()
 
     @property
     def table(self) -> tables.RouteTable | None:
@@ -59,6 +60,10 @@
         """The services of the config in force."""
         return self._table.config.services if self._table else ()
 
+    async def wait_known(self) -> None:
+        """Wait for the first config."""
+        await self._known.wait()
+
     def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
         """Take all configs."""
         self.on_changed(objects, ())
@@ -83,6 +88,7 @@
         if config.version <= held:
             return
         self._table = tables.RouteTable(config)
+        self._known.set()
         counters.COUNTERS.add("config.taken")
         logs.change(
             "config_in_force",
--- a/src/crowdeck/relay/returns.py
+++ b/src/crowdeck/relay/returns.py
@@ -41,6 +41,16 @@
         self._ended.append(anyio.current_time())
         self._forget(self._ended)
 
+    def seconds_for(self, count: int) -> float:
+        """Return in how long room comes for ``count`` more, in seconds.
+
+        0 where no stream was seen to end lately: nothing is known then.
+        """
+        self._forget(self._ended)
+        if not self._ended:
+            return 0.0
+        return WINDOW_SECONDS * count / len(self._ended)
+
     def advise(self) -> float:
         """Return when one that is refused now should come back, in seconds.
 
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -16,6 +16,7 @@
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
 from crowdeck.relay import request as requests
+from crowdeck.relay import waiting
 from crowdeck import route as routes
 from crowdeck.routing import hops
 from crowdeck.routing import routes as tables
@@ -27,13 +28,21 @@
 # An answer that has begun is lost to its caller when it is cut, so more
 # are worth it; each waits for a path with room and for the budget.
 REFUSED_TRIES_BEGUN = 12
-# Without a path a new request waits this share of its objective. Refusals
-# within a quarter of it cost the caller little: it may come back in time.
-NEW_WAIT_SHARE = 0.15
+# Without a path a new request waits for streams to end and leave room.
+# Callers give up what shows nothing for two seconds; with what is left of
+# them after this, a sound engine begins even while it is crowded.
+NEW_WAIT_SECONDS = 1.2
+# Where a layer is held by no engine that is listed, waiting does not help
+# within that time: loading takes longer. A watch may lag by so much.
+MISSING_WAIT_SECONDS = 0.1
 # A stream that has begun waits longer: its caller gives up only after a
 # silence of two seconds or more.
 BEGUN_WAIT_SECONDS = 1.6
 WAIT_STEP = 0.02
+# In a line each look is in vain but one, and a look in vain at a full fleet
+# of 38 engines takes 30 ms of a small entry's time: every 20 ms it left no
+# time for the streams under way.
+LINE_STEP = 0.08
 ANSWER_MARGIN = 0.05
 LEAST_SECONDS = 0.1
 
@@ -131,21 +140,57 @@
 
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting a little where there is none yet."""
-        waits_until = self._wait_limit()
-        while True:
-            path = self._plan()
-            if path is not None:
-                return path
-            now = anyio.current_time()
-            if now >= min(waits_until, self._deadline - LEAST_SECONDS):
-                self._note_no_path()
-                raise self._failure(
-                    errors.CrowdeckError(
-                        errors.Code.NO_PATH,
-                        "no path through the model has room",
-                    )
-                )
-            await anyio.sleep(WAIT_STEP)
+        line = self._context.line(self._stream.service.name)
+        if self._sink.has_started:
+            path = await self._poll(anyio.current_time() + BEGUN_WAIT_SECONDS)
+        elif len(line) or (path := self._plan()) is None:
+            path = await self._wait_in(line)
+        if path is not None:
+            return path
+        self._note_no_path()
+        raise self._failure(
+            errors.CrowdeckError(
+                errors.Code.NO_PATH, "no path through the model has room"
+            )
+        )
+
+    async def _wait_in(
+        self, line: waiting.WaitingLine
+    ) -> chain.ChainPath | None:
+        """Return a path once it is this request's turn and there is one.
+
+        Where the turn cannot be expected in time, nothing is waited for.
+        """
+        now = anyio.current_time()
+        until = self._request.arrived + NEW_WAIT_SECONDS
+        if self._is_layer_missing():
+            until = self._request.arrived + MISSING_WAIT_SECONDS
+        until = min(until, self._deadline - LEAST_SECONDS)
+        expected = self._context.return_times.seconds_for(len(line) + 1)
+        if line.is_full or now + expected > until:
+            return None
+        async with line.turn(until) as is_first:
+            if not is_first:
+                return None
+            return await self._poll(until, LINE_STEP)
+
+    async def _poll(
+        self, until: float, step: float = WAIT_STEP
+    ) -> chain.ChainPath | None:
+        """Look for a path again and again."""
+        until = min(until, self._deadline - LEAST_SECONDS)
+        while (path := self._plan()) is None:
+            if anyio.current_time() >= until:
+                return None
+            await anyio.sleep(step)
+        return path
+
+    def _is_layer_missing(self) -> bool:
+        """Whether no engine that stays holds some layer."""
+        listed = self._context.book.listed(self._stream.service.name)
+        staying = [one for one in listed if not one.is_leaving]
+        count = self._stream.profile.layer_count
+        return 0 in plan.coverage(staying, count)
 
     def _note_no_path(self) -> None:
         book = self._context.book
@@ -165,11 +210,6 @@
             waited=round(anyio.current_time() - self._request.arrived, 3),
         )
 
-    def _wait_limit(self) -> float:
-        if self._sink.has_started:
-            return anyio.current_time() + BEGUN_WAIT_SECONDS
-        return self._request.arrived + NEW_WAIT_SHARE * self._route.objective
-
     def _plan(self) -> chain.ChainPath | None:
         book = self._context.book
         service = self._stream.service.name
--- /dev/null
+++ b/src/crowdeck/relay/survey.py
@@ -0,0 +1,75 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What a starting entry asks of engines before it sends them anything."""
+
+import anyio
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.relay import context as contexts
+from crowdeck import route as routes
+
+# How often a starting entry looks whether engines are listed, and for how
+# long: they are within some tenths of a second after its config.
+LOOK_SECONDS = 0.02
+LOOKS_MOST = 100
+# Questions under way at once: a round of them takes about 3 ms.
+AT_ONCE = 32
+
+
+class Survey:
+    """Asks engines, once, what they hold for other entries' streams.
+
+    When all entries lose power at once, engines go on with the streams of
+    the dead until they notice, two seconds and more. Entries that start
+    then know of none of it: they took full engines for empty, and engines
+    refused 54 of the first 100 streams that callers brought back.
+    """
+
+    def __init__(self, context: contexts.RelayContext) -> None:
+        self._context = context
+
+    async def run(self, services: tuple[routes.Service, ...]) -> None:
+        """Ask the engines of ``services`` that hold layers."""
+        engines = await self._listed(services)
+        limiter = anyio.CapacityLimiter(AT_ONCE)
+        async with anyio.create_task_group() as tasks:
+            for one in engines:
+                tasks.start_soon(self._ask, one, limiter)
+        logs.change("surveyed", engines=len(engines))
+
+    async def _listed(
+        self, services: tuple[routes.Service, ...]
+    ) -> list[chain.Upstream]:
+        for _ in range(LOOKS_MOST):
+            found = [
+                one
+                for service in services
+                for one in self._context.book.listed(service.name)
+            ]
+            if found:
+                return [one for one in found if one.layers is not None]
+            await anyio.sleep(LOOK_SECONDS)
+        return []
+
+    async def _ask(
+        self, upstream: chain.Upstream, limiter: anyio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            try:
+                report = await self._context.client.report(upstream)
+            except errors.CrowdeckError as error:
+                counters.COUNTERS.add("relay.survey.silent")
+                logs.change(
+                    "engine_silent",
+                    upstream=upstream.name,
+                    address=str(upstream.address),
+                    reason=error.message,
+                )
+                return
+        self._context.usage.inherit(upstream, report.cache_used)
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -18,6 +18,15 @@
 # Crossings between zones are counted over this time: about that in which
 # a prompt crosses a pipe that several others use as well.
 PIPE_SECONDS = 1.0
+# What an engine held for others when this entry started is taken to end
+# evenly over this time: about as long as a stream takes.
+INHERITED_SECONDS = 2.5
+
+
+@attrs.frozen
+class _Inherited:
+    cells: float
+    at: float
 
 
 @attrs.frozen
@@ -41,6 +50,7 @@
         self._cells: dict[str, collections.Counter[str]] = {}
         self._own: collections.Counter[str] = collections.Counter()
         self._told: dict[str, _Told] = {}
+        self._inherited: dict[str, _Inherited] = {}
         self._crossed: dict[
             frozenset[str], collections.deque[tuple[float, float]]
         ] = {}
@@ -77,6 +87,14 @@
             del self._told[name]
         self._told[head.name] = _Told(running, now)
 
+    def inherit(self, upstream: chain.Upstream, cells: float) -> None:
+        """Take what an engine holds that this entry did not send.
+
+        :param cells: tokens times layers.
+        """
+        now = anyio.current_time()
+        self._inherited[upstream.name] = _Inherited(cells, now)
+
     def sequences(self, upstream: chain.Upstream) -> float:
         """Return how many requests pass an upstream instance, of all."""
         return self._estimate(self._sequences.get(upstream.name))
@@ -98,8 +116,20 @@
             # None of ours is there to multiply; the others' number tells.
             usual = profile.usual_prompt + profile.usual_answer / 2.0
             used = self._told_running(upstream.name) * usual * count
+        used += self._inherited_cells(upstream.name)
         return used / max(1.0, room)
 
+    def _inherited_cells(self, name: str) -> float:
+        """Return what is left of the cells that an engine held before."""
+        found = self._inherited.get(name)
+        if found is None:
+            return 0.0
+        age = anyio.current_time() - found.at
+        if age >= INHERITED_SECONDS:
+            del self._inherited[name]
+            return 0.0
+        return found.cells * (1.0 - age / INHERITED_SECONDS)
+
     def enter(self, path: chain.ChainPath, tokens: float) -> None:
         """Count a request on a path."""
         self._add(path, tokens, 1)
