crowdeck losses: what was not served in time, and why, from logs

Ruled out: a mode of explain, which follows one request and keeps no sums. Change: a command that counts every request of all entries' logs once, by how it ended and when, and the attempts that failed, by reason; text and JSON. Log files are opened in one place.

--- a/src/crowdeck/cmd/cli.py
+++ b/src/crowdeck/cmd/cli.py
@@ -21,6 +21,7 @@
 from crowdeck.cmd import inspection
 from crowdeck.cmd import operator as operators
 from crowdeck import errors
+from crowdeck.observe import losses
 from crowdeck.settings import config as configs
 from crowdeck.settings import tree as trees
 
@@ -40,6 +41,7 @@
   crowdeck trace 4bf92f3577b34da6a3ce929d0e0e4736
   crowdeck check etc/entry.ini
   crowdeck explain 9c41d07be2a35f68 entry-*.log
+  crowdeck losses entry-*.log --every 5 --json
   crowdeck --platform http://127.0.0.1:8000 placement
   crowdeck --platform http://127.0.0.1:8000 bound
 
@@ -83,6 +85,12 @@
         return inspection.explain_request(
             options.id, options.files, options.gap
         )
+    if options.command == "losses":
+        return inspection.account_losses(
+            options.files,
+            losses.Aims(options.first, options.gap),
+            options.every,
+        )
     if not options.platform:
         raise errors.ConfigError(
             f"say where the platform is: --platform URL or {PLATFORM_VARIABLE}"
@@ -219,18 +227,26 @@
         help="follow one request through logs to its cause",
     )
     one.add_argument("id", help="the request's id")
+    _add_log_options(one)
+    one = chosen.add_parser(
+        "losses",
+        parents=[shared],
+        help="tell from logs what was not served in time, and why",
+    )
+    _add_log_options(one)
     one.add_argument(
-        "files",
-        type=pathlib.Path,
-        nargs="*",
-        help="log files; standard input where none is named",
+        "--first",
+        type=float,
+        default=0.5,
+        metavar="SECONDS",
+        help="time to a stream's first event that is in time",
     )
     one.add_argument(
-        "--gap",
+        "--every",
         type=float,
-        default=0.2,
+        default=2.0,
         metavar="SECONDS",
-        help="pause from which a stream counts as late",
+        help="length of the spans that are told apart",
     )
     chosen.add_parser(
         "placement",
@@ -273,6 +289,23 @@
         )
 
 
+def _add_log_options(parser: argparse.ArgumentParser) -> None:
+    """Add which logs are read, and from when on a stream is late."""
+    parser.add_argument(
+        "files",
+        type=pathlib.Path,
+        nargs="*",
+        help="log files; standard input where none is named",
+    )
+    parser.add_argument(
+        "--gap",
+        type=float,
+        default=0.2,
+        metavar="SECONDS",
+        help="pause from which a stream counts as late",
+    )
+
+
 def _add_settings(
     chosen: "argparse._SubParsersAction[argparse.ArgumentParser]",
     shared: argparse.ArgumentParser,
--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -17,6 +17,7 @@
 from crowdeck.cmd import commands
 from crowdeck import errors
 from crowdeck.observe import explain as explaining
+from crowdeck.observe import losses
 from crowdeck.placement import plan
 from crowdeck.platform import config as platform_config
 from crowdeck.platform import names
@@ -26,6 +27,45 @@
 from crowdeck.state import objects as stores
 
 
+def account_losses(
+    files: list[pathlib.Path], aims: losses.Aims, span: float
+) -> commands.Result:
+    """Tell what was not served in time in log files, and why."""
+    with _open_logs(files) as texts:
+        found = losses.account(texts, aims, span)
+    lines = [f"{found.requests} requests ended"]
+    lines += _table(found.causes, found.requests)
+    if found.turned_away:
+        lines += ["", "attempts that failed:"]
+        lines += _table(found.turned_away, sum(found.turned_away.values()))
+    for one in found.spans:
+        lost = {k: n for k, n in one.causes.items() if k != losses.IN_TIME}
+        if lost:
+            ended = sum(one.causes.values())
+            lines += ["", f"from second {one.since:g}, {ended} ended:"]
+            lines += _table(lost, ended)
+    return commands.Result(attrs.asdict(found), "\n".join(lines))
+
+
+def _table(counts: dict[str, int], whole: int) -> list[str]:
+    return [
+        f"{count:7d} {count / max(1, whole):6.1%}  {name}"
+        for name, count in counts.items()
+    ]
+
+
+@contextlib.contextmanager
+def _open_logs(
+    files: list[pathlib.Path],
+) -> typing.Iterator[typing.Iterable[str]]:
+    """Open log files one after the other, or standard input."""
+    with contextlib.ExitStack() as stack:
+        texts: list[typing.Iterable[str]] = [
+            stack.enter_context(_open_log(path)) for path in files
+        ]
+        yield itertools.chain.from_iterable(texts or [sys.stdin])
+
+
 def explain_request(
     request: str, files: list[pathlib.Path], gap: float
 ) -> commands.Result:
@@ -33,13 +73,8 @@
 
     The exit code tells whether a cause was found, or none was needed.
     """
-    with contextlib.ExitStack() as stack:
-        texts: list[typing.Iterable[str]] = [
-            stack.enter_context(_open_log(path)) for path in files
-        ]
-        found = explaining.explain(
-            request, itertools.chain.from_iterable(texts or [sys.stdin]), gap
-        )
+    with _open_logs(files) as texts:
+        found = explaining.explain(request, texts, gap)
     lines = [str(line) for line in found.lines]
     if found.context:
         lines += ["", "believed by then:"]
--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -51,7 +51,8 @@
         "upstream_paused",
     }
 )
-_ENDS = frozenset(
+# Lines that end a request.
+ENDS = frozenset(
     {
         "answer_cut",
         "call_answered",
@@ -174,7 +175,7 @@
 
 
 def _judge(own: list[Line], gap: float) -> tuple[str, bool]:
-    ends = [line for line in own if line.kind in _ENDS]
+    ends = [line for line in own if line.kind in ENDS]
     if not ends:
         return "", bool(own)
     end = ends[-1]
--- /dev/null
+++ b/src/crowdeck/observe/losses.py
@@ -0,0 +1,177 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""From all entries' logs to what was not served in time, and why."""
+
+import collections
+import typing
+
+import attrs
+
+from crowdeck.observe import explain
+
+# Ends that a caller asked for: a wrong key or path, a status of its own.
+_CALLERS_OWN = frozenset({"UNAUTHORIZED", "NOT_FOUND", "BAD_REQUEST"})
+# What was done about a stream that paused, told beside its lateness.
+_MENDED = {
+    "path_changed": "its path was changed",
+    "attempt_failed": "it began anew",
+    "stream_silent": "nothing was found at fault",
+}
+IN_TIME = "in time"
+
+
+@attrs.frozen
+class Aims:
+    """What counts as in time, in seconds.
+
+    :ivar first: to a stream's first event.
+    :ivar pause: between events of a stream.
+    """
+
+    first: float
+    pause: float
+
+
+@attrs.frozen
+class Span:
+    """What ended within one span of time.
+
+    :ivar since: its begin, seconds after the first line of the logs.
+    :ivar causes: how many requests ended in which way.
+    """
+
+    since: float
+    causes: dict[str, int]
+
+
+@attrs.frozen
+class Account:
+    """Every request in the logs, counted once.
+
+    :ivar causes: how many ended in which way, the commonest first.
+    :ivar turned_away: attempts that engines refused, by their reason.
+    """
+
+    requests: int
+    causes: dict[str, int]
+    turned_away: dict[str, int]
+    spans: tuple[Span, ...]
+
+
+@attrs.define(eq=False)
+class _Request:
+    """What is known of one request so far."""
+
+    end: explain.Line | None = None
+    lack: explain.Line | None = None
+    mends: set[str] = attrs.field(factory=set)
+
+
+class Ledger:
+    """Takes log lines one by one, of any processes, in any order."""
+
+    def __init__(self, aims: Aims) -> None:
+        self._aims = aims
+        self._requests: dict[str, _Request] = {}
+        self._refusals: collections.Counter[str] = collections.Counter()
+        self._began = float("inf")
+
+    def take(self, line: explain.Line) -> None:
+        """Count one line."""
+        self._began = min(self._began, line.at)
+        name = line.fields.get("request")
+        if not name:
+            return
+        request = self._requests.setdefault(str(name), _Request())
+        if line.kind in explain.ENDS:
+            if request.end is None or request.end.at <= line.at:
+                request.end = line
+        elif line.kind == "no_path":
+            request.lack = line
+        elif line.kind in _MENDED:
+            request.mends.add(line.kind)
+        if line.kind == "attempt_failed":
+            self._refusals[_general(str(line.fields.get("reason", "")))] += 1
+
+    def account(self, span: float) -> Account:
+        """Return the sums, and those of each ``span`` seconds."""
+        causes: collections.Counter[str] = collections.Counter()
+        spans: dict[int, collections.Counter[str]] = {}
+        for request in self._requests.values():
+            if request.end is None:
+                continue
+            cause = self._cause(request, request.end)
+            causes[cause] += 1
+            at = int((request.end.at - self._began) / span)
+            spans.setdefault(at, collections.Counter())[cause] += 1
+        return Account(
+            requests=sum(causes.values()),
+            causes=dict(causes.most_common()),
+            turned_away=dict(self._refusals.most_common()),
+            spans=tuple(
+                Span(at * span, dict(found.most_common()))
+                for at, found in sorted(spans.items())
+            ),
+        )
+
+    def _cause(self, request: _Request, end: explain.Line) -> str:
+        match end.kind:
+            case "stream_ended":
+                return self._stream_cause(request, end)
+            case "call_answered":
+                status = int(end.fields.get("status") or 0)
+                if status >= 500:
+                    return f"the upstream itself answered {status}"
+                return IN_TIME
+            case "caller_left":
+                return "the caller left"
+            case _:
+                return self._refusal_cause(request, end)
+
+    def _stream_cause(self, request: _Request, end: explain.Line) -> str:
+        first = float(end.fields.get("first_event") or 0.0)
+        pause = float(end.fields.get("longest_pause") or 0.0)
+        if first > self._aims.first:
+            what = "late: its first event"
+        elif pause > self._aims.pause:
+            what = "late: a pause"
+        else:
+            return IN_TIME
+        mends = [
+            text for kind, text in _MENDED.items() if kind in request.mends
+        ]
+        return f"{what}; {mends[0]}" if mends else what
+
+    def _refusal_cause(self, request: _Request, end: explain.Line) -> str:
+        code = str(end.fields.get("code", ""))
+        what = "cut" if end.kind == "answer_cut" else "refused"
+        if code in _CALLERS_OWN:
+            return f"{what} by right: {code}"
+        if code == "NO_PATH" and request.lack is not None:
+            missing = request.lack.fields.get("missing_layers")
+            lack = "layers were missing" if missing else "no room"
+            return f"{what}: {code}, {lack}"
+        return f"{what}: {code}, {_general(str(end.fields.get('reason', '')))}"
+
+
+def account(texts: typing.Iterable[str], aims: Aims, span: float) -> Account:
+    """Return the account of log lines; others are passed over."""
+    ledger = Ledger(aims)
+    for text in texts:
+        line = explain.parse(text)
+        if line is not None:
+            ledger.take(line)
+    return ledger.account(span)
+
+
+def _general(reason: str) -> str:
+    """Return a reason without the numbers and names of one case."""
+    words = [
+        word
+        for word in reason.split()
+        if not any(letter.isdigit() for letter in word) or word.isdigit()
+    ]
+    return " ".join(words)
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,108 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What was not served in time, told from logs alone."""
+
+import pathlib
+
+import orjson
+import pytest
+
+from crowdeck.cmd import cli
+from crowdeck.cmd import commands
+from crowdeck.observe import losses
+from tests import test_explain
+
+AIMS = losses.Aims(first=0.5, pause=0.25)
+line = test_explain.line
+
+
+def ended(at: float, request: str, first: float, pause: float) -> str:
+    return line(
+        at,
+        "stream_ended",
+        request=request,
+        first_event=first,
+        longest_pause=pause,
+    )
+
+
+def refused(at: float, request: str, code: str, reason: str) -> str:
+    return line(at, "refused", request=request, code=code, reason=reason)
+
+
+LOG = [
+    ended(10.0, "r1", 0.1, 0.1),
+    ended(10.5, "r2", 0.7, 0.1),
+    line(11.0, "path_changed", request="r3", outcome="done"),
+    ended(11.5, "r3", 0.1, 0.4),
+    line(12.5, "no_path", request="r4", missing_layers=0),
+    refused(12.5, "r4", "NO_PATH", "no path through the model has room"),
+    line(12.6, "no_path", "b", request="r5", missing_layers=3),
+    refused(12.6, "r5", "NO_PATH", "no path through the model has room"),
+    refused(12.7, "r6", "UNAUTHORIZED", "send a key that a team holds"),
+    line(13.0, "attempt_failed", request="r7", reason="10.0.0.1:1 refused"),
+    line(13.0, "attempt_failed", request="r7", reason="10.0.0.2:1 refused"),
+    refused(13.1, "r7", "OVERLOADED", "10.0.0.2:1 refused with 503"),
+    line(13.2, "call_answered", request="r8", status=200),
+    line(13.3, "call_answered", request="r9", status=500),
+    line(13.4, "caller_left", request="r10"),
+    "not a log line\n",
+]
+
+
+class TestAccount:
+    """Sums that add up, by cause and by time."""
+
+    def test_each_request_is_counted_once(self) -> None:
+        found = losses.account(LOG, AIMS, 2.0)
+        assert found.requests == 10
+        assert sum(found.causes.values()) == 10
+        assert sum(sum(s.causes.values()) for s in found.spans) == 10
+
+    def test_causes_are_told_apart(self) -> None:
+        assert losses.account(LOG, AIMS, 2.0).causes == {
+            "in time": 2,
+            "late: its first event": 1,
+            "late: a pause; its path was changed": 1,
+            "refused: NO_PATH, no room": 1,
+            "refused: NO_PATH, layers were missing": 1,
+            "refused by right: UNAUTHORIZED": 1,
+            "refused: OVERLOADED, refused with 503": 1,
+            "the upstream itself answered 500": 1,
+            "the caller left": 1,
+        }
+
+    def test_attempts_that_failed_are_summed_by_reason(self) -> None:
+        found = losses.account(LOG, AIMS, 2.0)
+        assert found.turned_away == {"refused": 2}
+
+    def test_spans_begin_with_the_logs(self) -> None:
+        spans = losses.account(LOG, AIMS, 2.0).spans
+        assert [one.since for one in spans] == [0.0, 2.0]
+        assert sum(spans[0].causes.values()) == 3
+
+    def test_the_last_end_of_a_request_counts(self) -> None:
+        # Lines of two processes come in any order.
+        log = [ended(20.0, "r1", 0.1, 0.1), refused(19.0, "r1", "X", "why")]
+        assert losses.account(log, AIMS, 2.0).causes == {"in time": 1}
+
+
+class TestCommand:
+    """``crowdeck losses``."""
+
+    def test_prints_text_and_json(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = tmp_path / "entry.log"
+        path.write_text("".join(LOG))
+        arguments = ["losses", str(path), "--gap", "0.25"]
+        assert cli.main(arguments) == commands.EXIT_OK
+        text = capsys.readouterr().out
+        assert "10 requests ended" in text
+        assert "refused: NO_PATH, layers were missing" in text
+        assert cli.main([*arguments, "--json"]) == commands.EXIT_OK
+        data = orjson.loads(capsys.readouterr().out)
+        assert data["causes"]["in time"] == 2
