--- /dev/null
+++ b/src/crowdeck/relay/paths.py
@@ -0,0 +1,154 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Finding a path for one stream, now or after a wait for room."""
+
+import anyio
+
+from crowdeck import chain
+from crowdeck.observe import logs
+from crowdeck.placement import plan
+from crowdeck.relay import context as contexts
+from crowdeck.relay import live
+from crowdeck.relay import waiting
+from crowdeck.routing import hops
+
+# Without a path a new request waits for streams to end and leave room.
+# Callers give up what shows nothing for two seconds; with what is left of
+# them after this, a sound engine begins even while it is crowded.
+NEW_WAIT_SECONDS = 1.2
+# Where a layer is held by no engine that is listed, waiting does not help
+# within that time: loading takes longer. A watch may lag by so much.
+MISSING_WAIT_SECONDS = 0.1
+# A stream that has begun waits longer: its caller gives up only after a
+# silence of two seconds or more.
+BEGUN_WAIT_SECONDS = 1.6
+WAIT_STEP = 0.02
+# In a line each look is in vain but one, and a look in vain at a full fleet
+# of 38 engines takes 30 ms of a small entry's time: every 20 ms it left no
+# time for the streams under way.
+LINE_STEP = 0.08
+
+
+class PathSearch:
+    """Looks for paths for one stream, whatever became of earlier ones.
+
+    :param deadline: the loop's time after which no path is of use.
+    """
+
+    def __init__(
+        self,
+        context: contexts.RelayContext,
+        stream: live.LiveStream,
+        deadline: float,
+    ) -> None:
+        self._context = context
+        self._stream = stream
+        self._service = stream.service.name
+        self._arrived = stream.request.arrived
+        self._deadline = deadline
+        self._excluded: set[str] = set()
+
+    def exclude(self, name: str) -> None:
+        """Use an engine no more, unless there is no path without it."""
+        self._excluded.add(name)
+
+    async def find(self, *, has_begun: bool) -> chain.ChainPath | None:
+        """Return a path, or ``None`` where none can be had in time.
+
+        :param has_begun: whether the caller has a part of the answer; such
+            streams pass by the line, and wait longer.
+        """
+        line = self._context.line(self._service)
+        path = None
+        if has_begun:
+            path = await self._poll(anyio.current_time() + BEGUN_WAIT_SECONDS)
+        elif len(line) or (path := self._plan()) is None:
+            path = await self._wait_in(line)
+        if path is None:
+            self._note_no_path()
+        return path
+
+    async def _wait_in(
+        self, line: waiting.WaitingLine
+    ) -> chain.ChainPath | None:
+        """Return a path once it is this request's turn and there is one.
+
+        Where the turn cannot be expected in time, nothing is waited for.
+        """
+        now = anyio.current_time()
+        until = self._arrived + NEW_WAIT_SECONDS
+        if self._is_layer_missing():
+            until = self._arrived + MISSING_WAIT_SECONDS
+        until = min(until, self._deadline)
+        expected = self._context.return_times.seconds_for(len(line) + 1)
+        if line.is_full or now + expected > until:
+            return None
+        async with line.turn(until) as is_first:
+            if not is_first:
+                return None
+            return await self._poll(until, LINE_STEP)
+
+    async def _poll(
+        self, until: float, step: float = WAIT_STEP
+    ) -> chain.ChainPath | None:
+        """Look for a path again and again."""
+        until = min(until, self._deadline)
+        while (path := self._plan()) is None:
+            if anyio.current_time() >= until:
+                return None
+            await anyio.sleep(step)
+        return path
+
+    def _is_layer_missing(self) -> bool:
+        """Whether no engine that stays holds some layer."""
+        listed = self._context.book.listed(self._service)
+        staying = [one for one in listed if not one.is_leaving]
+        count = self._stream.profile.layer_count
+        return 0 in plan.coverage(staying, count)
+
+    def _note_no_path(self) -> None:
+        book = self._context.book
+        usable = book.usable(self._service)
+        count = self._stream.profile.layer_count
+        held = plan.coverage(usable, count)
+        missing = [layer for layer, copies in enumerate(held) if not copies]
+        logs.decision(
+            "no_path",
+            self._stream.request.id,
+            listed=len(book.listed(self._service)),
+            usable=len(usable),
+            missing_layers=len(missing),
+            first_missing=missing[0] if missing else None,
+            tokens=int(self._stream.tokens),
+            waited=round(anyio.current_time() - self._arrived, 3),
+        )
+
+    def _plan(self) -> chain.ChainPath | None:
+        book = self._context.book
+        wanted = hops.Wanted(
+            self._stream.profile,
+            self._stream.tokens,
+            self._context.zone,
+            self._stream.objective,
+        )
+        usable = [
+            one
+            for one in book.usable(self._service)
+            if one.name not in self._excluded
+        ]
+        path = self._context.planner.plan(usable, wanted)
+        if path is None or path.crossings:
+            last = [
+                one
+                for one in book.last_resort(self._service)
+                if one.name not in self._excluded
+            ]
+            if last:
+                path = self._context.planner.plan(usable + last, wanted)
+        if path is None and self._excluded:
+            # What refused a moment ago may serve by now.
+            self._excluded.clear()
+        return path
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -11,14 +11,12 @@
 from crowdeck import errors
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.placement import plan
 from crowdeck.relay import attempt as attempts
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
+from crowdeck.relay import paths
 from crowdeck.relay import request as requests
-from crowdeck.relay import waiting
 from crowdeck import route as routes
-from crowdeck.routing import hops
 from crowdeck.routing import routes as tables
 from crowdeck import verdict as verdicts
 
@@ -28,21 +26,6 @@
 # An answer that has begun is lost to its caller when it is cut, so more
 # are worth it; each waits for a path with room and for the budget.
 REFUSED_TRIES_BEGUN = 12
-# Without a path a new request waits for streams to end and leave room.
-# Callers give up what shows nothing for two seconds; with what is left of
-# them after this, a sound engine begins even while it is crowded.
-NEW_WAIT_SECONDS = 1.2
-# Where a layer is held by no engine that is listed, waiting does not help
-# within that time: loading takes longer. A watch may lag by so much.
-MISSING_WAIT_SECONDS = 0.1
-# A stream that has begun waits longer: its caller gives up only after a
-# silence of two seconds or more.
-BEGUN_WAIT_SECONDS = 1.6
-WAIT_STEP = 0.02
-# In a line each look is in vain but one, and a look in vain at a full fleet
-# of 38 engines takes 30 ms of a small entry's time: every 20 ms it left no
-# time for the streams under way.
-LINE_STEP = 0.08
 ANSWER_MARGIN = 0.05
 LEAST_SECONDS = 0.1
 
@@ -123,7 +106,9 @@
         self._deadline = self._request.arrived + limit - ANSWER_MARGIN
         self._ran_on: set[str] = set()
         self._refusals = 0
-        self._excluded: set[str] = set()
+        self._paths = paths.PathSearch(
+            context, stream, self._deadline - LEAST_SECONDS
+        )
 
     async def run(self) -> None:
         while True:
@@ -140,104 +125,15 @@
 
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting a little where there is none yet."""
-        line = self._context.line(self._stream.service.name)
-        if self._sink.has_started:
-            path = await self._poll(anyio.current_time() + BEGUN_WAIT_SECONDS)
-        elif len(line) or (path := self._plan()) is None:
-            path = await self._wait_in(line)
+        path = await self._paths.find(has_begun=self._sink.has_started)
         if path is not None:
             return path
-        self._note_no_path()
         raise self._failure(
             errors.CrowdeckError(
                 errors.Code.NO_PATH, "no path through the model has room"
             )
         )
 
-    async def _wait_in(
-        self, line: waiting.WaitingLine
-    ) -> chain.ChainPath | None:
-        """Return a path once it is this request's turn and there is one.
-
-        Where the turn cannot be expected in time, nothing is waited for.
-        """
-        now = anyio.current_time()
-        until = self._request.arrived + NEW_WAIT_SECONDS
-        if self._is_layer_missing():
-            until = self._request.arrived + MISSING_WAIT_SECONDS
-        until = min(until, self._deadline - LEAST_SECONDS)
-        expected = self._context.return_times.seconds_for(len(line) + 1)
-        if line.is_full or now + expected > until:
-            return None
-        async with line.turn(until) as is_first:
-            if not is_first:
-                return None
-            return await self._poll(until, LINE_STEP)
-
-    async def _poll(
-        self, until: float, step: float = WAIT_STEP
-    ) -> chain.ChainPath | None:
-        """Look for a path again and again."""
-        until = min(until, self._deadline - LEAST_SECONDS)
-        while (path := self._plan()) is None:
-            if anyio.current_time() >= until:
-                return None
-            await anyio.sleep(step)
-        return path
-
-    def _is_layer_missing(self) -> bool:
-        """Whether no engine that stays holds some layer."""
-        listed = self._context.book.listed(self._stream.service.name)
-        staying = [one for one in listed if not one.is_leaving]
-        count = self._stream.profile.layer_count
-        return 0 in plan.coverage(staying, count)
-
-    def _note_no_path(self) -> None:
-        book = self._context.book
-        service = self._stream.service.name
-        usable = book.usable(service)
-        count = self._stream.profile.layer_count
-        held = plan.coverage(usable, count)
-        missing = [layer for layer, copies in enumerate(held) if not copies]
-        logs.decision(
-            "no_path",
-            self._request.id,
-            listed=len(book.listed(service)),
-            usable=len(usable),
-            missing_layers=len(missing),
-            first_missing=missing[0] if missing else None,
-            tokens=int(self._stream.tokens),
-            waited=round(anyio.current_time() - self._request.arrived, 3),
-        )
-
-    def _plan(self) -> chain.ChainPath | None:
-        book = self._context.book
-        service = self._stream.service.name
-        wanted = hops.Wanted(
-            self._stream.profile,
-            self._stream.tokens,
-            self._context.zone,
-            self._route.objective,
-        )
-        usable = [
-            one
-            for one in book.usable(service)
-            if one.name not in self._excluded
-        ]
-        path = self._context.planner.plan(usable, wanted)
-        if path is None or path.crossings:
-            last = [
-                one
-                for one in book.last_resort(service)
-                if one.name not in self._excluded
-            ]
-            if last:
-                path = self._context.planner.plan(usable + last, wanted)
-        if path is None and self._excluded:
-            # What refused a moment ago may serve by now.
-            self._excluded.clear()
-        return path
-
     async def _attempt(
         self, path: chain.ChainPath
     ) -> errors.CrowdeckError | None:
@@ -311,9 +207,9 @@
             self._note_failed(path.head)
         if error.verdict is _MAY_HAVE_RUN:
             self._ran_on.add(path.head.name)
-            self._excluded.add(path.head.name)
+            self._paths.exclude(path.head.name)
         elif error.culprit:
-            self._excluded.add(error.culprit)
+            self._paths.exclude(error.culprit)
         logs.decision(
             "attempt_failed",
             self._request.id,
@@ -346,7 +242,7 @@
             if not self._may_resume():
                 return False
         elif error.code is errors.Code.UPSTREAM_LOST:
-            self._excluded.add(path.head.name)
+            self._paths.exclude(path.head.name)
             if not self._ran_on:
                 # No connection was had: nothing arrived anywhere, so
                 # nothing is repeated and no budget is spent.
@@ -372,11 +268,11 @@
         budget = self._context.budget(self._stream.service.name)
         until = anyio.current_time()
         if self._sink.has_started:
-            until = min(until + BEGUN_WAIT_SECONDS, self._deadline)
+            until = min(until + paths.BEGUN_WAIT_SECONDS, self._deadline)
         while not budget.spend():
             if anyio.current_time() >= until:
                 return False
-            await anyio.sleep(WAIT_STEP)
+            await anyio.sleep(paths.WAIT_STEP)
         counters.COUNTERS.add("relay.stream.repeated")
         return True
 
