A cancelled try of the store leaves the others their turn

The log kept of one: the entry lost the store, was frozen for 2.5 s, and made no call to the store after that, nor logged a failed one, for the 9 s that were left. Its mirrors all waited for their turn, so the one try was owned by nobody. Ruled out: the store and its proxy (the other entry regained it), time-outs of calls (they would be logged). Not shown by a run: which cancellation took the owner; a caller cancelled in its try leaves just this, and a test does.

Change: a try ends with its block, whatever ends that. The test hangs without it.

--- a/src/crowdeck/state/contact.py
+++ b/src/crowdeck/state/contact.py
@@ -35,6 +35,7 @@
         self._lost_at: float | None = None
         self._failures = 0
         self._is_tried = False
+        self._tries = 0
         self._changed = anyio.Event()
         self._watches: set[anyio.CancelScope] = set()
 
@@ -61,6 +62,22 @@
             await self._changed.wait()
         return False
 
+    @contextlib.asynccontextmanager
+    async def turn(self) -> typing.AsyncIterator[bool]:
+        """Wait as :meth:`enter` does; a try ends with the block at the latest.
+
+        A caller that is cancelled in its try tells neither success nor
+        failure. All others then waited for it for ever, and the process
+        never called the store again.
+        """
+        is_try = await self.enter()
+        mine = self._tries = self._tries + is_try
+        try:
+            yield is_try
+        finally:
+            if is_try and self._is_tried and self._tries == mine:
+                self._let_on()
+
     @contextlib.contextmanager
     def watching(self) -> typing.Iterator[anyio.CancelScope]:
         """Give a scope for a watch; it is cancelled when contact is lost."""
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -85,11 +85,11 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            is_try = await self._contact.enter()
-            try:
-                await self._step()
-            except errors.CrowdeckError as error:
-                await self._note(error, is_try)
+            async with self._contact.turn() as is_try:
+                try:
+                    await self._step()
+                except errors.CrowdeckError as error:
+                    await self._note(error, is_try)
 
     async def _step(self) -> None:
         """Make one call and take what it tells."""
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -231,6 +231,42 @@
 
         self.play(work)
 
+    def test_a_try_that_is_cancelled_leaves_the_others_their_turn(
+        self,
+    ) -> None:
+        # An entry never called the store again after an outage: whoever
+        # had the one try was gone, and all others waited for it.
+        async def body() -> None:
+            contact = contacts.StoreContact()
+            await contact.fail("lost", was_try=False)
+            had_turn: list[bool] = []
+
+            async def hang(scope: anyio.CancelScope) -> None:
+                with scope:
+                    async with contact.turn():
+                        await anyio.sleep_forever()
+
+            async def wait() -> None:
+                async with contact.turn() as is_try:
+                    had_turn.append(is_try)
+                    contact.succeed()
+
+            scope = anyio.CancelScope()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(hang, scope)
+                await anyio.sleep(0.1)
+                tasks.start_soon(wait)
+                await anyio.sleep(0.1)
+                assert had_turn == []
+                scope.cancel()
+                with anyio.fail_after(1.0):
+                    while not had_turn:
+                        await anyio.sleep(0.01)
+            assert had_turn == [True]
+            assert not contact.is_lost
+
+        virtual.run(body)
+
     def test_a_kind_that_always_fails_leaves_the_others_their_turn(
         self,
     ) -> None:
