A test for the ninth protection: whom a refusal is laid on

Cause: of nine protections removed one at a time, one failed no test: that a refusal's address is looked up on the path first. Change: one test, no source.

--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -774,6 +774,24 @@
 
         play(work)
 
+    def test_refusal_is_laid_on_whom_the_path_has_at_the_address(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Its entry went, or another took its address, before the refusal
+        # came: the first engine of the path is not to blame for that.
+        async def work(system: fleet_system.FleetSystem) -> None:
+            stale = system.fleet.at(system.listed["plateau-0-2"].address)
+            stale.listed = attrs.evolve(stale.listed, layers=None)
+            monkeypatch.setattr(system.book, "at", lambda _: None)
+            for _ in range(3):
+                caller = await system.ask(system.request(STREAM))
+                assert caller.is_whole
+            assert not system.book.is_usable("plateau-0-2")
+            assert system.book.is_usable("plateau-0-0")
+            assert system.book.is_usable("plateau-1-0")
+
+        play(work)
+
     def test_what_refused_is_left_alone_by_the_next(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             stale = system.fleet.at(system.listed["plateau-0-2"].address)
