--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -15,6 +15,8 @@
 from crowdeck.cmd import http_server
 from crowdeck import http
 from crowdeck import instance as instances
+from crowdeck.membership import peer_http
+from crowdeck.membership import readers
 from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as books
 from crowdeck.observe import counters
@@ -45,10 +47,12 @@
 # orders; the descriptors of an entry allow four times as many.
 UPSTREAM_CONNECTIONS = 1_000
 # The config's watch is renewed after this share of the time in which a
-# removed key has to stop working; each renewal proves it current. Every
-# entry pays for its own. With 0.4 an entry that lost the store refused
-# after 1.4 to 3.5 s, by chance; with 0.22 after 2.7 s at the least.
-CONFIG_WAIT_SHARE = 0.22
+# removed key has to stop working; each renewal proves it current. One
+# entry of each zone pays for it. With 0.4 an entry that lost the store
+# refused after 1.4 to 3.5 s, by chance; with 0.22 after 2.7 s at the least.
+# With 0.16 a peer that falls silent is left after 1.3 s, before the age of
+# the last proof sends callers away.
+CONFIG_WAIT_SHARE = 0.16
 # A key works on for so much of the time allowed after the last proof.
 # The rest is for a watch that is silent for up to a second before its
 # history is lost. What counts is when a request was sent, and it is
@@ -137,14 +141,13 @@
         tasks: anyio.abc.TaskGroup,
         store: platform_store.HttpStore,
     ) -> None:
-        fleet = self._config.fleet
         book = books.UpstreamBook(platform_upstreams.decode)
         holder = relays.ConfigHolder(platform_config.decode, names.CONFIG_NAME)
-        roster = rosters.Roster(
-            store, self._config.name, self._config.availability_zone
-        )
-        revocation = float(fleet["revocation_ms"]) / 1000.0
+        roster = rosters.Roster(store, self._config.name, self._note())
+        revocation = float(self._config.fleet["revocation_ms"]) / 1000.0
         contact = contacts.StoreContact()
+        choice = self._open_peers(stack, roster, contact)
+        contact.pace_tries(choice.pause)
         config_mirror = mirrors.Mirror(
             store,
             names.CONFIG_KIND,
@@ -152,6 +155,7 @@
             CONFIG_WAIT_SHARE * revocation,
             lambda: CONFIG_LINGER,
             contact,
+            choice,
         )
         book_mirror = mirrors.Mirror(
             store,
@@ -160,6 +164,7 @@
             UPSTREAM_WAIT,
             roster.linger,
             contact,
+            choice,
         )
         roster_mirror = mirrors.Mirror(
             store,
@@ -168,6 +173,7 @@
             ROSTER_WAIT,
             lambda: ROSTER_LINGER,
             contact,
+            choice,
         )
         book.watch_store(lambda: contact.failed_at)
         upstreams = self._open_upstreams(stack)
@@ -181,7 +187,9 @@
             TRUST_SHARE * revocation,
         )
         holder_name = f"{self._config.name}/{secrets.token_hex(8)}"
-        lease = leases.Lease(store, PLACEMENT, holder_name)
+        lease = leases.Lease(
+            store, PLACEMENT, holder_name, lambda: choice.reads_store
+        )
         self._lease = lease
         duty = duties.PlacementDuty(
             lease,
@@ -202,8 +210,47 @@
         ):
             tasks.start_soon(part)
         tasks.start_soon(self._survey, context, holder)
+        copies = (config_mirror, book_mirror, roster_mirror)
+        await self._listen_to_peers(tasks, copies, choice)
         await self._listen(tasks, self._relay)
 
+    def _note(self) -> rosters.Note:
+        fleet = self._config.fleet
+        peers = str(fleet["peers"])
+        return rosters.Note(
+            self._config.availability_zone,
+            _address(peers) if peers else None,
+            float(fleet["link_mbps"]),
+        )
+
+    def _open_peers(
+        self,
+        stack: contextlib.AsyncExitStack,
+        roster: rosters.Roster,
+        contact: contacts.StoreContact,
+    ) -> readers.Readers:
+        client = self._open_client(stack, "")
+        return readers.Readers(
+            self._config.name,
+            roster.ranking,
+            peer_http.HttpPeers(client),
+            contact,
+        )
+
+    async def _listen_to_peers(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        copies: tuple[mirrors.Mirror, ...],
+        choice: readers.Readers,
+    ) -> None:
+        peers = str(self._config.fleet["peers"])
+        if not peers:
+            return
+        address = _address(peers)
+        app = peer_http.PeerApp({one.kind: one for one in copies}, choice)
+        server = http_server.build(app, address.host, address.port)
+        await tasks.start(_run_server, server)
+
     async def _survey(
         self, context: contexts.RelayContext, holder: relays.ConfigHolder
     ) -> None:
--- a/src/crowdeck/cmd/http_server.py
+++ b/src/crowdeck/cmd/http_server.py
@@ -18,6 +18,10 @@
 
 STOP_SECONDS = 2
 START_STEP = 0.005
+# How often a server looks whether it is to end. The library's tenth of a
+# second woke an entry with three servers 30 times a second all day.
+TICK_SECONDS = 0.25
+TICKS_A_HEADER = 4
 
 
 class _ToOurLogs(logging.Handler):
@@ -51,6 +55,14 @@
         """Leave signals alone."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait until told to exit; renew the date header every second."""
+        tick = 0
+        # The library renews its headers where the count ends in zero.
+        while not await self.on_tick(min(1, tick % TICKS_A_HEADER)):
+            tick += 1
+            await anyio.sleep(TICK_SECONDS)
+
 
 def build(
     app: typing.Any, host: str, port: int, **options: typing.Any
--- /dev/null
+++ b/src/crowdeck/membership/peer_http.py
@@ -0,0 +1,173 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What entries ask one another of the store, over HTTP.
+
+Not over Cap'n Proto as between sidecars: an entry in front of engines that
+chain themselves does not load it, and these are a few questions a second.
+"""
+
+import urllib.parse
+
+import orjson
+
+from crowdeck import errors
+from crowdeck import http
+from crowdeck.membership import readers
+from crowdeck.relay import ingress
+from crowdeck.state import mirror as mirrors
+from crowdeck.state import objects as stores
+
+WATCH_PATH = "/watch/"
+_JSON = (b"content-type", b"application/json")
+# A new connection within a zone takes a millisecond.
+CONNECT_SECONDS = 0.25
+# Beyond its wait a question takes the way there and back, and the time that
+# a small, busy entry needs to turn to it.
+ANSWER_SLACK = 0.4
+# Larger changes are read from the store. A zone's other entries, 14 at the
+# most seen, would fill the link of the one they ask: 400 KB for each take
+# 4.5 s at 10 Mbit/s, this takes 0.7.
+ANSWER_BYTES_MOST = 64 * 1024
+
+_STATUS = {
+    errors.Code.STORE_HISTORY: 410,
+    errors.Code.TOO_LARGE: 413,
+    errors.Code.STORE_DOWN: 503,
+}
+_CODES = {status: code for code, status in _STATUS.items()}
+
+
+class PeerApp:
+    """Answers other entries' questions, as an ASGI application.
+
+    :param mirrors: this entry's copies, by kind.
+    """
+
+    def __init__(
+        self,
+        copies: dict[str, mirrors.Mirror],
+        choice: readers.Readers,
+    ) -> None:
+        self._copies = copies
+        self._choice = choice
+
+    async def __call__(
+        self,
+        scope: ingress.Scope,
+        receive: ingress.Receive,
+        send: ingress.Send,
+    ) -> None:
+        """Answer one question."""
+        kind = str(scope["path"]).removeprefix(WATCH_PATH)
+        copy = self._copies.get(kind)
+        if copy is None:
+            await _answer(send, 404, b"")
+            return
+        self._choice.note_asked()
+        try:
+            after, wait = _question(scope["query_string"])
+            body = await ask(copy, after, wait)
+        except errors.CrowdeckError as error:
+            await _answer(send, _STATUS.get(error.code, 400), b"")
+            return
+        await _answer(send, 200, body)
+
+
+class HttpPeers:
+    """Implements ``PeerStore``."""
+
+    def __init__(self, client: http.HttpClient) -> None:
+        self._client = client
+
+    async def watch(
+        self, peer: readers.Peer, kind: str, after: int, wait: float
+    ) -> stores.Sighting:
+        """Ask a peer what changed after a version."""
+        query = urllib.parse.urlencode(
+            {"after": after, "wait_ms": int(wait * 1000)}
+        )
+        url = f"http://{peer.address}{WATCH_PATH}{kind}?{query}"
+        timeouts = http.Timeouts(CONNECT_SECONDS, wait + ANSWER_SLACK)
+        async with self._client.open(
+            "GET", url, [], b"", timeouts
+        ) as response:
+            body = await response.read(http.RESPONSE_LIMIT)
+            status = response.status
+        if status != 200:
+            raise errors.CrowdeckError(
+                _CODES.get(status, errors.Code.UPSTREAM_FAILED),
+                f"{peer.name} answered {status}",
+            )
+        return _decode(kind, body)
+
+
+def _question(query: bytes) -> tuple[int, float]:
+    fields = urllib.parse.parse_qs(query.decode("latin-1"))
+    try:
+        return int(fields["after"][0]), int(fields["wait_ms"][0]) / 1000.0
+    except (KeyError, ValueError) as error:
+        raise errors.CrowdeckError(
+            errors.Code.BAD_REQUEST, f"the question is malformed ({error!r})"
+        ) from None
+
+
+async def ask(copy: mirrors.Mirror, after: int, wait: float) -> bytes:
+    """Return the encoded answer to a question.
+
+    :raises CrowdeckError: as ``PeerStore.watch`` tells.
+    """
+    sighting = await copy.tell(after, wait)
+    size = sum(len(one.value) for one in sighting.changes.objects)
+    if size > ANSWER_BYTES_MOST:
+        raise errors.CrowdeckError(
+            errors.Code.TOO_LARGE, f"{size} bytes have changed"
+        )
+    return _encode(sighting)
+
+
+def _encode(sighting: stores.Sighting) -> bytes:
+    changes = sighting.changes
+    return orjson.dumps(
+        {
+            "version": changes.version,
+            "age": sighting.age,
+            "objects": [
+                [one.name, one.version, orjson.Fragment(one.value)]
+                for one in changes.objects
+            ],
+            "removed": changes.removed,
+        }
+    )
+
+
+def _decode(kind: str, content: bytes) -> stores.Sighting:
+    try:
+        body = orjson.loads(content)
+        objects = tuple(
+            stores.StoredObject(
+                kind, str(name), int(version), orjson.dumps(value)
+            )
+            for name, version, value in body["objects"]
+        )
+        removed = tuple(str(name) for name in body["removed"])
+        changes = stores.Changes(int(body["version"]), objects, removed)
+        return stores.Sighting(changes, float(body["age"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.CrowdeckError(
+            errors.Code.MALFORMED, f"a peer's answer is malformed ({error!r})"
+        ) from None
+
+
+async def _answer(send: ingress.Send, status: int, body: bytes) -> None:
+    headers = [_JSON, (b"content-length", str(len(body)).encode())]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -3,17 +3,24 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""How many entries there are, from what each notes in the store."""
+"""Which entries there are, from what each notes in the store."""
 
 import anyio
+import attrs
 import orjson
 
 from crowdeck import errors
+from crowdeck import instance as instances
+from crowdeck.membership import readers
 from crowdeck.observe import logs
+from crowdeck.routing import rendezvous
 from crowdeck.state import objects as stores
 
 KIND = "crowdeck-entries"
 RETRY_SECONDS = 1.0
+# A listing takes some milliseconds; where the store is away, an entry does
+# not wait for it with a note that it has to write anyway.
+LIST_SECONDS = 2.0
 # Every entry watches the upstreams' entries, and each change wakes all of
 # them. They let changes gather for longer the more they are, which bounds
 # the calls of all together. An upstream that leaves may get work for two
@@ -23,30 +30,57 @@
 LINGER_MOST = 0.6
 
 
+@attrs.frozen
+class Note:
+    """What an entry tells of itself.
+
+    :ivar address: where its peers reach it, ``None`` where they cannot.
+    :ivar capacity: how much it can do for its peers; larger is more.
+    """
+
+    availability_zone: str
+    address: instances.Address | None = None
+    capacity: float = 0.0
+
+
 class Roster:
     """The entries that were ever started, as a follower of their mirror.
 
     Entries that left for good stay listed: a share computed from too many
     entries is too small, which is safe.
+
+    :param name: this entry's name.
+    :param note: what it tells of itself.
     """
 
     def __init__(
-        self, store: stores.ObjectStore, name: str, zone: str
+        self, store: stores.ObjectStore, name: str, note: Note
     ) -> None:
         self._store = store
         self._name = name
-        self._zone = zone
-        self._zones: dict[str, str] = {name: zone}
+        self._note = note
+        self._notes: dict[str, Note] = {name: note}
+        self._versions: dict[str, int] = {}
+        self._ranking: tuple[readers.Peer, ...] = ()
+        self._listed = anyio.Event()
+        self._rank()
 
     @property
     def count(self) -> int:
         """Entries in all."""
-        return len(self._zones)
+        return len(self._notes)
 
     @property
     def zone_count(self) -> int:
         """Entries in this entry's availability zone."""
-        return sum(1 for zone in self._zones.values() if zone == self._zone)
+        zone = self._note.availability_zone
+        return sum(
+            1 for one in self._notes.values() if one.availability_zone == zone
+        )
+
+    def ranking(self) -> tuple[readers.Peer, ...]:
+        """Return this zone's entries in the order in which they read."""
+        return self._ranking
 
     def linger(self) -> float:
         """Return for how many seconds changes of upstreams gather."""
@@ -54,20 +88,30 @@
         return min(LINGER_MOST, max(LINGER_LEAST, seconds))
 
     async def enrol(self) -> None:
-        """Note this entry in the store, however long that takes."""
-        value = orjson.dumps({"availability_zone": self._zone})
-        while True:
+        """Note this entry in the store, however long that takes.
+
+        One that was noted already, as all are after a restart, costs no
+        call.
+        """
+        value = _encode(self._note)
+        with anyio.move_on_after(LIST_SECONDS):
+            await self._listed.wait()
+        while not self._is_noted():
+            version = self._versions.get(self._name, stores.CREATE)
             try:
-                await self._store.put(KIND, self._name, value, stores.CREATE)
+                self._versions[self._name] = await self._store.put(
+                    KIND, self._name, value, version
+                )
                 return
             except errors.CrowdeckError as error:
                 if error.code is errors.Code.STORE_CONFLICT:
-                    # An earlier run of this entry noted it.
-                    return
+                    await self._read_own()
+                    continue
             await anyio.sleep(RETRY_SECONDS)
 
     def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
         """Take all entries."""
+        self._listed.set()
         self.on_changed(objects, ())
 
     def on_changed(
@@ -78,18 +122,73 @@
         """Take entries that were noted."""
         before = self.count
         for one in objects:
-            self._zones[one.name] = _zone(one)
+            self._versions[one.name] = one.version
+            self._notes[one.name] = _decode(one)
+        self._rank()
         if self.count != before:
             logs.change(
                 "entries_known",
                 entries=self.count,
                 in_zone=self.zone_count,
+                first=self._ranking[0].name if self._ranking else "",
             )
 
+    def _is_noted(self) -> bool:
+        noted = self._name in self._versions
+        return noted and self._notes[self._name] == self._note
 
-def _zone(stored: stores.StoredObject) -> str:
+    async def _read_own(self) -> None:
+        """Find out what another run of this entry noted."""
+        try:
+            found = await self._store.get(KIND, self._name)
+        except errors.CrowdeckError as error:
+            logs.change("entry_unread", name=self._name, reason=error.message)
+            await anyio.sleep(RETRY_SECONDS)
+            return
+        if found is not None:
+            self.on_changed((found,), ())
+        else:
+            self._versions.pop(self._name, None)
+
+    def _rank(self) -> None:
+        """Put those that can do most for others first.
+
+        Among equals a hash decides, so that names in a row do not make one
+        rack read for a whole zone.
+        """
+        here = [
+            (-note.capacity, -rendezvous.score(KIND, name), name, note.address)
+            for name, note in self._notes.items()
+            if note.address is not None
+            and note.availability_zone == self._note.availability_zone
+        ]
+        self._ranking = tuple(
+            readers.Peer(name, address)
+            for _, _, name, address in sorted(here, key=lambda one: one[:3])
+            if address is not None
+        )
+
+
+def _encode(note: Note) -> bytes:
+    address = str(note.address) if note.address else ""
+    return orjson.dumps(
+        {
+            "availability_zone": note.availability_zone,
+            "address": address,
+            "capacity": note.capacity,
+        }
+    )
+
+
+def _decode(stored: stores.StoredObject) -> Note:
     try:
-        return str(orjson.loads(stored.value)["availability_zone"])
-    except (KeyError, TypeError, ValueError) as error:
+        body = orjson.loads(stored.value)
+        host, _, port = str(body.get("address") or "").rpartition(":")
+        return Note(
+            str(body["availability_zone"]),
+            instances.Address(host, int(port)) if host else None,
+            float(body.get("capacity") or 0.0),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         logs.change("entry_unread", name=stored.name, reason=repr(error))
-        return ""
+        return Note("")
--- a/src/crowdeck/relay/lateness.py
+++ b/src/crowdeck/relay/lateness.py
@@ -10,7 +10,12 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 
+# A beat of those that a silent engine is waited out with.
 BEAT_SECONDS = 0.009
+# A beat of the meter that runs all day. What holds the loop up for longer
+# is always noticed; shorter than a quarter of the shortest pause after which
+# a stream is looked into, it does no harm unnoticed.
+METER_SECONDS = 0.02
 # Only beats count that came on time. While our own loop was late, by its
 # share of the processor or a long task, answers lay unread and questions
 # unsent: entries with 0.4 of a core took five sound engines for silent at
@@ -40,8 +45,8 @@
     async def run(self) -> None:
         """Measure until cancelled."""
         while True:
-            self._due = anyio.current_time() + BEAT_SECONDS
-            late = await beat()
+            self._due = anyio.current_time() + METER_SECONDS
+            late = await beat(METER_SECONDS)
             if late <= LATE_SECONDS:
                 continue
             now = self._late_at = anyio.current_time()
@@ -69,8 +74,8 @@
         return anyio.current_time() - self._late_at < SETTLE_SECONDS
 
 
-async def beat() -> float:
+async def beat(seconds: float = BEAT_SECONDS) -> float:
     """Sleep for one beat; returns by how much it was late, in seconds."""
-    due = anyio.current_time() + BEAT_SECONDS
-    await anyio.sleep(BEAT_SECONDS)
+    due = anyio.current_time() + seconds
+    await anyio.sleep(seconds)
     return anyio.current_time() - due
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -17,9 +17,14 @@
 from crowdeck.relay import live
 from crowdeck.relay import probes
 
-# How often streams are looked at: a small part of the pause that is
-# allowed, at little cost for some tens of streams.
+# The shortest time between two looks at the streams: a small part of the
+# pause that is allowed, at little cost for some tens of streams.
 LOOK_SECONDS = 0.02
+# Without streams only engines that were avoided are looked after; their
+# pauses are a second and more. With a look every 0.02 s all day, and beats
+# of 0.009 s, an entry with nothing to do was woken 200 times a second and
+# took 2 % of a core.
+IDLE_LOOK_SECONDS = 0.2
 # A stream is looked into when it was silent for this many times its own
 # usual pause, but neither before the first nor after the second share of
 # the longest pause that is in time; the rest is for asking and acting.
@@ -78,6 +83,7 @@
         self._looking: set[live.LiveStream] = set()
         self._detours = detours.Detours(context, self._streams)
         self._to_verify: dict[str, chain.Upstream] = {}
+        self._woken = anyio.Event()
         context.book.subscribe_lapses(self.verify)
 
     @property
@@ -96,6 +102,7 @@
     def verify(self, upstream: chain.Upstream) -> None:
         """Ask an engine whether it lives; if not, act on it."""
         self._to_verify[upstream.name] = upstream
+        self._woken.set()
 
     def suspect(self, upstream: chain.Upstream) -> None:
         """Look at once into all streams that pass an engine.
@@ -108,13 +115,14 @@
             if path is not None and path.passes(upstream.name):
                 stream.next_look = 0.0
                 stream.is_suspect = True
+                self._woken.set()
 
     async def run(self) -> None:
         """Look at all streams again and again, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._lateness.run)
             while True:
-                await anyio.sleep(LOOK_SECONDS)
+                await self._wait_for_look()
                 for upstream in self._to_verify.values():
                     tasks.start_soon(self._verify, upstream)
                 self._to_verify.clear()
@@ -128,6 +136,31 @@
                         self._looking.add(stream)
                         tasks.start_soon(self._look_into, stream)
 
+    async def _wait_for_look(self) -> None:
+        """Sleep until a stream may have been silent for too long."""
+        await anyio.sleep(LOOK_SECONDS)
+        with anyio.move_on_at(self._next_look()):
+            await self._woken.wait()
+        self._woken = anyio.Event()
+
+    def _next_look(self) -> float:
+        """Return the loop's time before which no stream is silent.
+
+        A stream that begins may be silent sooner than one that has not
+        begun, but never sooner than the earliest share of its pause.
+        """
+        now = anyio.current_time()
+        if self._lateness.is_settling():
+            return now
+        soonest = IDLE_LOOK_SECONDS
+        for stream in self._streams:
+            if stream in self._looking:
+                continue
+            soonest = min(soonest, EARLIEST_SHARE * stream.gap)
+            if stream.path is not None:
+                soonest = min(soonest, self._silent_at(stream) - now)
+        return now + soonest
+
     async def _verify(self, upstream: chain.Upstream) -> None:
         probe = await self._prober.ask(upstream)
         if await self._is_lost(probe, ()):
@@ -185,13 +218,17 @@
         if stream.is_suspect:
             stream.is_suspect = False
             return True
+        return now >= self._silent_at(stream)
+
+    def _silent_at(self, stream: live.LiveStream) -> float:
+        """Return when a stream is to be looked into unless it moves."""
         if stream.has_events:
             limit = RHYTHM_FACTOR * stream.usual_pause
             limit = max(limit, EARLIEST_SHARE * stream.gap)
             limit = min(limit, LATEST_SHARE * stream.gap)
         else:
             limit = FIRST_SHARE * stream.objective
-        return now >= max(stream.moved_at + limit, stream.next_look)
+        return max(stream.moved_at + limit, stream.next_look)
 
     async def _look_into(self, stream: live.LiveStream) -> None:
         try:
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -253,24 +253,27 @@
 
 def _read_fleet(section: Section) -> Section:
     for name in ("callers", "status"):
-        value = str(section[name])
-        if not value:
-            if section["callers"]:
-                raise errors.ConfigError(
-                    f"[{fleet_options.FLEET}] {name}: it must be given; "
-                    "it takes IP:PORT"
-                )
-            continue
-        host, _, port = value.rpartition(":")
-        _require_ip(fleet_options.FLEET, name, host)
-        if not port.isdigit():
+        if section["callers"] and not section[name]:
             raise errors.ConfigError(
-                f"[{fleet_options.FLEET}] {name}: {value!r} is not allowed; "
+                f"[{fleet_options.FLEET}] {name}: it must be given; "
                 "it takes IP:PORT"
             )
+    for name in ("callers", "status", "peers"):
+        if section[name]:
+            _require_address(name, str(section[name]))
     return section
 
 
+def _require_address(name: str, value: str) -> None:
+    host, _, port = value.rpartition(":")
+    _require_ip(fleet_options.FLEET, name, host)
+    if not port.isdigit():
+        raise errors.ConfigError(
+            f"[{fleet_options.FLEET}] {name}: {value!r} is not allowed; "
+            "it takes IP:PORT"
+        )
+
+
 def _require(
     section: str, known: options.Options, values: Section, *names: str
 ) -> None:
--- a/src/crowdeck/settings/fleet_options.py
+++ b/src/crowdeck/settings/fleet_options.py
@@ -13,6 +13,20 @@
     (
         options.Text("callers", "", "IP:PORT where callers connect"),
         options.Text("status", "", "IP:PORT of readiness and metrics"),
+        options.Text(
+            "peers",
+            "",
+            "IP:PORT where other entries ask; without it each entry asks "
+            "the platform's store for itself",
+        ),
+        options.Number(
+            "link_mbps",
+            0.0,
+            "width of the instance's link; of an availability zone's "
+            "entries the widest answers the others",
+            0.0,
+            1e6,
+        ),
         options.Number(
             "revocation_ms",
             5_000.0,
--- a/src/crowdeck/state/contact.py
+++ b/src/crowdeck/state/contact.py
@@ -5,7 +5,9 @@
 
 """Whether the store can be reached, found out once for a whole process."""
 
+import collections
 import contextlib
+import enum
 import typing
 
 import anyio
@@ -20,6 +22,20 @@
 RETRY_SECONDS = 0.3
 
 
+Pause = typing.Callable[[], float]
+
+
+class Turn(enum.Enum):
+    """What a caller of the store may do.
+
+    ``TRY`` is the one question that is asked while the store is lost.
+    """
+
+    NONE = enum.auto()
+    CALL = enum.auto()
+    TRY = enum.auto()
+
+
 class StoreContact:
     """What a process's callers of the store know of it together.
 
@@ -36,6 +52,9 @@
         self._failures = 0
         self._is_tried = False
         self._tries = 0
+        self._next_try_at = 0.0
+        self._pause: Pause = lambda: RETRY_SECONDS
+        self._line: collections.deque[object] = collections.deque()
         self._changed = anyio.Event()
         self._watches: set[anyio.CancelScope] = set()
 
@@ -49,31 +68,44 @@
         """The loop's time of the last call that failed."""
         return self._failed_at
 
-    async def enter(self) -> bool:
+    async def enter(self) -> Turn:
         """Wait until the store may be called.
 
-        Returns whether the call is a try: the one question that is asked
-        while the store is lost. :meth:`succeed` or :meth:`fail` ends it.
+        A try, the one question that is asked while the store is lost, is
+        ended by :meth:`succeed` or :meth:`fail`.
         """
-        while self.is_lost:
-            if not self._is_tried:
-                self._is_tried = True
-                return True
-            await self._changed.wait()
-        return False
+        mine = object()
+        self._line.append(mine)
+        try:
+            while self.is_lost:
+                if self._may_try(mine):
+                    self._is_tried = True
+                    return Turn.TRY
+                await self._wait(mine)
+            return Turn.CALL
+        finally:
+            self._line.remove(mine)
+            self._tell()
 
     @contextlib.asynccontextmanager
-    async def turn(self) -> typing.AsyncIterator[bool]:
+    async def turn(
+        self, patience: float = float("inf")
+    ) -> typing.AsyncIterator[Turn]:
         """Wait as :meth:`enter` does; a try ends with the block at the latest.
 
         A caller that is cancelled in its try tells neither success nor
         failure. All others then waited for it for ever, and the process
         never called the store again.
+
+        :param patience: seconds to wait at most; then the turn is none.
         """
-        is_try = await self.enter()
+        turn = Turn.NONE
+        with anyio.move_on_after(patience):
+            turn = await self.enter()
+        is_try = turn is Turn.TRY
         mine = self._tries = self._tries + is_try
         try:
-            yield is_try
+            yield turn
         finally:
             if is_try and self._is_tried and self._tries == mine:
                 self._let_on()
@@ -88,6 +120,18 @@
             finally:
                 self._watches.discard(scope)
 
+    def pace_tries(self, pause: Pause) -> None:
+        """Ask ``pause`` for the seconds between two tries, at each try."""
+        self._pause = pause
+
+    def hear_of_failure(self) -> None:
+        """Note that a peer has lost the store.
+
+        This process's own way there may be well. What is missing from the
+        store soon after may have lapsed all the same.
+        """
+        self._failed_at = anyio.current_time()
+
     def succeed(self) -> None:
         """Note that a call was answered."""
         if self._lost_at is None:
@@ -112,20 +156,30 @@
         self._failed_at = now
         self._failures += 1
         if self._lost_at is None:
-            self._lost_at = now
+            self._lost_at = self._next_try_at = now
             logs.change("store_lost", reason=reason)
             for scope in self._watches:
                 scope.cancel()
         if was_try:
-            try:
-                await anyio.sleep(RETRY_SECONDS)
-            finally:
-                self._let_on()
-            # Whoever waited is woken first, so that a kind whose answers
-            # are never right does not keep the others from trying.
-            await anyio.lowlevel.checkpoint()
+            self._next_try_at = now + self._pause()
+            self._let_on()
+        # Whoever waited comes first, so that a kind whose answers are never
+        # right does not keep the others from trying.
+        await anyio.lowlevel.checkpoint()
+
+    def _may_try(self, mine: object) -> bool:
+        is_next = self._line[0] is mine and not self._is_tried
+        return is_next and anyio.current_time() >= self._next_try_at
+
+    async def _wait(self, mine: object) -> None:
+        is_next = self._line[0] is mine and not self._is_tried
+        with anyio.move_on_at(self._next_try_at if is_next else float("inf")):
+            await self._changed.wait()
 
-    def _let_on(self) -> None:
-        self._is_tried = False
+    def _tell(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
+
+    def _let_on(self) -> None:
+        self._is_tried = False
+        self._tell()
--- a/src/crowdeck/state/leases.py
+++ b/src/crowdeck/state/leases.py
@@ -5,6 +5,8 @@
 
 """A lease in the platform's store: one holder of a duty at a time."""
 
+import typing
+
 import anyio
 import attrs
 import orjson
@@ -47,14 +49,22 @@
 
     :param holder: unique to this run of the process, so that a restarted
         process does not take itself for the holder.
+    :param may_stand: whether this process is to look after the lease. The
+        looks of a few are enough to find it free, and each is charged for.
+        Whoever holds it keeps it all the same.
     """
 
     def __init__(
-        self, store: stores.ObjectStore, duty: str, holder: str
+        self,
+        store: stores.ObjectStore,
+        duty: str,
+        holder: str,
+        may_stand: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._duty = duty
         self._holder = holder
+        self._may_stand = may_stand
         self._version = stores.CREATE
         self._seen: Holding | None = None
         self._seen_at = 0.0
@@ -93,7 +103,8 @@
         """Take, keep or await the lease until cancelled."""
         while not self._is_over:
             try:
-                await self._step()
+                if self._is_mine or self._may_stand():
+                    await self._step()
             except errors.CrowdeckError as error:
                 counters.COUNTERS.add("lease.failed")
                 if error.code is errors.Code.STORE_CONFLICT:
@@ -125,8 +136,12 @@
         self._held_until = 0.0
         self._note_change()
 
+    @property
+    def _is_mine(self) -> bool:
+        return self._seen is not None and self._seen.holder == self._holder
+
     async def _step(self) -> None:
-        if self._seen is not None and self._seen.holder == self._holder:
+        if self._seen is not None and self._is_mine:
             await self._write(attrs.evolve(self._seen, memo=self._memo))
             return
         # An old answer only makes a take-over fail at its conditional
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -14,9 +14,18 @@
 from crowdeck.observe import logs
 from crowdeck.state import contact as contacts
 from crowdeck.state import objects as stores
+from crowdeck.state import replica as replicas
 
 
 Linger = typing.Callable[[], float]
+# Between two questions to other processes after one that was of no help:
+# a twentieth of what a proof's age may become, in seconds.
+ASK_PAUSE = 0.05
+# Another process's copy is proved anew once in each of its watches. Whoever
+# waits just as long goes away a moment before, with a proof of that age:
+# copies were 1.6 s old at the most with a watch of 0.8 s, and 0.8 s with
+# this added.
+HELPER_SLACK = 0.2
 
 
 class Follower(typing.Protocol):
@@ -35,6 +44,43 @@
         ...
 
 
+class Helper(typing.Protocol):
+    """Another process's copy, asked instead of the store."""
+
+    async def watch(
+        self, kind: str, after: int, wait: float
+    ) -> stores.Sighting | None:
+        """Return what changed after a version, ``None`` for no help.
+
+        :raises CrowdeckError: when only the store can tell.
+        """
+        ...
+
+
+class Helpers(typing.Protocol):
+    """Knows whether another process may be asked instead of the store."""
+
+    def choose(self) -> Helper | None:
+        """Return whom to ask, or ``None`` to ask the store."""
+        ...
+
+    def seconds_to_next(self) -> float:
+        """Return after how long :meth:`choose` may find one again."""
+        ...
+
+
+class NoHelpers:
+    """Implements ``Helpers`` for a process that is alone."""
+
+    def choose(self) -> Helper | None:
+        """Return nobody."""
+        return None
+
+    def seconds_to_next(self) -> float:
+        """Return infinity."""
+        return float("inf")
+
+
 class Mirror:
     """Lists a kind once, then follows its changes until cancelled.
 
@@ -45,6 +91,7 @@
         watch proves that the copy was current when the watch was sent,
         so this also decides how old the proof may become.
     :param contact: what all mirrors of a process know of the store.
+    :param helpers: other processes that may be asked instead.
     """
 
     def __init__(
@@ -55,6 +102,7 @@
         wait: float,
         linger: Linger = lambda: 0.0,
         contact: contacts.StoreContact | None = None,
+        helpers: Helpers | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -62,14 +110,23 @@
         self._wait = wait
         self._linger = linger
         self._contact = contact or contacts.StoreContact()
-        self._version: int | None = None
+        self._helpers = helpers or NoHelpers()
+        self._replica = replicas.Replica()
         self._current_at: float | None = None
+        self._must_list = True
+        self._must_ask_store = False
         self._has_failed = False
+        self._moved_on = anyio.Event()
+
+    @property
+    def kind(self) -> str:
+        """The kind that is followed."""
+        return self._kind
 
     @property
     def version(self) -> int:
         """The store's version up to which changes are known."""
-        return self._version or 0
+        return self._replica.version
 
     @property
     def has_listed(self) -> bool:
@@ -85,49 +142,130 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            async with self._contact.turn() as is_try:
+            helper = self._choose()
+            if helper is not None:
+                await self._ask(helper)
+                continue
+            patience = self._helpers.seconds_to_next()
+            async with self._contact.turn(patience) as turn:
+                if turn is contacts.Turn.NONE:
+                    continue
                 try:
                     await self._step()
                 except errors.CrowdeckError as error:
-                    await self._note(error, is_try)
+                    await self._note(error, turn is contacts.Turn.TRY)
+
+    async def tell(self, after: int, wait: float) -> stores.Sighting:
+        """Return what changed after a version, for another process.
+
+        Answers once something has changed, or once the copy was proved
+        current after the question came, or when the wait is over.
+
+        :raises CrowdeckError: ``STORE_DOWN`` while the store is lost,
+            ``STORE_HISTORY`` when it is not known what changed.
+        """
+        came_at = anyio.current_time()
+        with (
+            self._contact.watching(),
+            anyio.move_on_after(wait),
+        ):
+            while not self._has_news(after, came_at):
+                await self._moved_on.wait()
+        if self._contact.is_lost or self._current_at is None:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN, "the store is lost from here as well"
+            )
+        changes = self._replica.since(after)
+        if changes is None:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_HISTORY,
+                f"what happened after {after} is not known",
+            )
+        return stores.Sighting(changes, came_at - self._current_at)
+
+    def _has_news(self, after: int, came_at: float) -> bool:
+        if self._contact.is_lost:
+            return True
+        if self._current_at is None:
+            return False
+        if self._current_at >= came_at:
+            return True
+        changes = self._replica.since(after)
+        return changes is None or bool(changes.objects or changes.removed)
+
+    def _choose(self) -> Helper | None:
+        if self._must_list or self._must_ask_store:
+            return None
+        return self._helpers.choose()
+
+    async def _ask(self, helper: Helper) -> None:
+        """Ask another process and take what it tells."""
+        wait = 0.0 if self._has_failed else self._wait + HELPER_SLACK
+        sent_at = anyio.current_time()
+        try:
+            sighting = await helper.watch(self._kind, self.version, wait)
+        except errors.CrowdeckError as error:
+            logs.change(
+                "store_asked_instead", kind=self._kind, reason=error.message
+            )
+            self._must_ask_store = True
+            return
+        if sighting is not None:
+            self._take(sighting.changes, sent_at - sighting.age)
+        # All copies of a zone are old when the one that they were read from
+        # fell silent; the next in line has a proof within a moment.
+        self._has_failed = sighting is None or sighting.age > self._wait
+        if self._has_failed:
+            await anyio.sleep(ASK_PAUSE)
 
     async def _step(self) -> None:
-        """Make one call and take what it tells."""
+        """Make one call of the store and take what it tells."""
         # After a failure the first question is one that is answered at
         # once: it shows that the store is back, and proves the copy.
         wait = 0.0 if self._has_failed else self._wait
         sent_at = anyio.current_time()
-        if self._version is None:
+        if self._must_list:
             listing = await self._store.list(self._kind)
             self._contact.succeed()
-            self._version = listing.version
-            self._current_at = sent_at
+            self._must_list = self._must_ask_store = self._has_failed = False
+            self._replica.list(listing)
+            self._note_current(sent_at)
             self._follower.on_listed(listing.objects)
             return
         changes: stores.Changes | None = None
         with self._contact.watching():
-            changes = await self._store.watch(self._kind, self._version, wait)
+            changes = await self._store.watch(self._kind, self.version, wait)
         if changes is None:
             # Contact was lost meanwhile: the watch is sent anew.
             self._has_failed = True
             return
-        self._has_failed = False
+        self._has_failed = self._must_ask_store = False
         self._contact.succeed()
-        self._version = max(self._version, changes.version)
         if not changes.objects and not changes.removed:
             # The store waited to the end and still knew of no change.
-            took = anyio.current_time() - sent_at
-            self._current_at = sent_at + min(took, wait)
+            sent_at += min(anyio.current_time() - sent_at, wait)
+            self._take(changes, sent_at)
             return
-        self._current_at = sent_at
-        self._follower.on_changed(changes.objects, changes.removed)
+        self._take(changes, sent_at)
         await anyio.sleep(self._linger())
 
+    def _take(self, changes: stores.Changes, current_at: float) -> None:
+        self._replica.apply(changes)
+        self._note_current(current_at)
+        if changes.objects or changes.removed:
+            self._follower.on_changed(changes.objects, changes.removed)
+
+    def _note_current(self, at: float) -> None:
+        known = self._current_at
+        self._current_at = at if known is None else max(known, at)
+        self._moved_on.set()
+        self._moved_on = anyio.Event()
+
     async def _note(self, error: errors.CrowdeckError, is_try: bool) -> None:
         counters.COUNTERS.add(f"store.{self._kind}.failed")
         if error.code is errors.Code.STORE_HISTORY:
             logs.change("store_history_lost", kind=self._kind)
-            self._version = None
+            self._must_list = True
             self._contact.succeed()
             return
         logs.change(
@@ -135,7 +273,7 @@
             kind=self._kind,
             reason=error.message,
             age=round(self.age(), 3),
-            version=self._version,
+            version=self.version,
         )
         self._has_failed = True
         await self._contact.fail(error.message, is_try)
--- a/src/crowdeck/state/objects.py
+++ b/src/crowdeck/state/objects.py
@@ -42,6 +42,21 @@
     removed: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class Sighting:
+    """What another process saw of the store, and how long before.
+
+    :ivar age: seconds before the question reached it at which its copy was
+        known to be current; below zero where it became so while the question
+        waited. Whoever asked may take its own time of asking less this for
+        the time at which it is current itself: the question was sent no
+        later than it arrived, and no two clocks are compared.
+    """
+
+    changes: Changes
+    age: float
+
+
 class ObjectStore(typing.Protocol):
     """Objects with versions, conditional updates and watches.
 
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -239,7 +239,7 @@
         async def body() -> None:
             contact = contacts.StoreContact()
             await contact.fail("lost", was_try=False)
-            had_turn: list[bool] = []
+            had_turn: list[contacts.Turn] = []
 
             async def hang(scope: anyio.CancelScope) -> None:
                 with scope:
@@ -247,8 +247,8 @@
                         await anyio.sleep_forever()
 
             async def wait() -> None:
-                async with contact.turn() as is_try:
-                    had_turn.append(is_try)
+                async with contact.turn() as turn:
+                    had_turn.append(turn)
                     contact.succeed()
 
             scope = anyio.CancelScope()
@@ -262,7 +262,7 @@
                 with anyio.fail_after(1.0):
                     while not had_turn:
                         await anyio.sleep(0.01)
-            assert had_turn == [True]
+            assert had_turn == [contacts.Turn.TRY]
             assert not contact.is_lost
 
         virtual.run(body)
@@ -508,7 +508,7 @@
         async def body() -> None:
             store = standin_store.StandinStore()
             rosters_made = [
-                rosters.Roster(store, f"entry-{number}", zone)
+                rosters.Roster(store, f"entry-{number}", rosters.Note(zone))
                 for number, zone in enumerate(("a", "a", "b"))
             ]
             for one in rosters_made:
@@ -523,11 +523,11 @@
     def test_many_entries_watch_less_often_within_bounds(self) -> None:
         async def body() -> None:
             store = standin_store.StandinStore()
-            one = rosters.Roster(store, "entry-0", "a")
+            one = rosters.Roster(store, "entry-0", rosters.Note("a"))
             alone = one.linger()
             for number in range(400):
                 name = f"entry-{number}"
-                await rosters.Roster(store, name, "a").enrol()
+                await rosters.Roster(store, name, rosters.Note("a")).enrol()
             changes = await store.list(rosters.KIND)
             one.on_listed(changes.objects)
             assert alone < one.linger() <= 0.6
@@ -538,12 +538,12 @@
         async def body() -> None:
             store = standin_store.StandinStore()
             store.is_down = True
-            one = rosters.Roster(store, "entry-0", "a")
+            one = rosters.Roster(store, "entry-0", rosters.Note("a"))
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(one.enrol)
                 await anyio.sleep(3.0)
                 store.is_down = False
-            await rosters.Roster(store, "entry-0", "a").enrol()
+            await rosters.Roster(store, "entry-0", rosters.Note("a")).enrol()
             changes = await store.list(rosters.KIND)
             assert len(changes.objects) == 1
 
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -38,6 +38,8 @@
     "node_name": "entry-0",
     "zone": "plateau",
     "ip_address": HOST,
+    "internal_port_range.0": "7340",
+    "limits.link_mbps": "100.0",
     "bounds.revocation_ms": "5000",
     "bounds.grace_period_s": "8",
     "bounds.retry_budget_ratio": "0.2",
@@ -130,6 +132,7 @@
             {
                 **SETTINGS,
                 "platform.address": f"{HOST}:{port}",
+                "internal_port_range.0": str(free_port()),
                 "listen_addresses.frontend": f"{HOST}:{callers}",
                 "listen_addresses.readiness": f"{HOST}:{status}",
             },
--- /dev/null
+++ b/tests/test_readers.py
@@ -0,0 +1,536 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Entries of a zone that read the store through one of them."""
+
+import random
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from crowdeck.cmd import http_server
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import peer_http
+from crowdeck.membership import readers
+from crowdeck.membership import roster as rosters
+from crowdeck.standin import store as standin_store
+from crowdeck.state import contact as contacts
+from crowdeck.state import mirror as mirrors
+from crowdeck.state import objects as stores
+from crowdeck.state import replica as replicas
+from tests import virtual
+
+ZONE = "plateau"
+KIND = "config"
+WAIT = 0.8
+# A silent peer is noticed after the wait and this.
+PATIENCE = 0.4
+HOST = "127.0.0.1"
+
+
+class _Sight:
+    """A follower that notes when it learned of each version."""
+
+    def __init__(self) -> None:
+        self.seen: dict[int, float] = {}
+
+    def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        self.on_changed(objects, ())
+
+    def on_changed(
+        self,
+        objects: tuple[stores.StoredObject, ...],
+        removed: tuple[str, ...],
+    ) -> None:
+        for one in objects:
+            self.seen.setdefault(one.version, anyio.current_time())
+
+
+class _Way:
+    """One entry's own way to the store, which may be cut."""
+
+    def __init__(self, store: standin_store.StandinStore) -> None:
+        self._store = store
+        self.is_cut = False
+        self.calls = 0
+
+    async def watch(
+        self, kind: str, after: int, wait: float
+    ) -> stores.Changes:
+        self._pass()
+        changes = await self._store.watch(kind, after, wait)
+        self._require()
+        return changes
+
+    async def list(self, kind: str) -> stores.Changes:
+        self._pass()
+        return await self._store.list(kind)
+
+    async def get(
+        self, kind: str, name: str, *, may_be_old: bool = False
+    ) -> stores.StoredObject | None:
+        self._pass()
+        return await self._store.get(kind, name)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: int
+    ) -> int:
+        self._pass()
+        return await self._store.put(kind, name, value, expected)
+
+    def _pass(self) -> None:
+        self.calls += 1
+        self._require()
+
+    def _require(self) -> None:
+        if self.is_cut:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN, "the store answered 503"
+            )
+
+
+@attrs.define(eq=False)
+class _Entry:
+    """One entry: its copy of one kind, and its choice of a reader."""
+
+    name: str
+    way: _Way
+    contact: contacts.StoreContact
+    choice: readers.Readers
+    sight: _Sight
+    mirror: mirrors.Mirror
+    is_silent: bool = False
+    is_down: bool = False
+
+
+class _Zone:
+    """Entries of one zone over one store; implements ``PeerStore``."""
+
+    def __init__(self, count: int) -> None:
+        self.store = standin_store.StandinStore()
+        names = [f"entry-{number}" for number in range(count)]
+        ranking = tuple(
+            readers.Peer(name, instances.Address("10.0.0.1", 7340))
+            for name in names
+        )
+        self.entries = {name: self._entry(name, ranking) for name in names}
+
+    def _entry(self, name: str, ranking: tuple[readers.Peer, ...]) -> _Entry:
+        way = _Way(self.store)
+        contact = contacts.StoreContact()
+        choice = readers.Readers(name, lambda: ranking, self, contact)
+        contact.pace_tries(choice.pause)
+        sight = _Sight()
+        mirror = mirrors.Mirror(
+            way, KIND, sight, WAIT, lambda: 0.0, contact, choice
+        )
+        return _Entry(name, way, contact, choice, sight, mirror)
+
+    def __getitem__(self, number: int) -> _Entry:
+        return self.entries[f"entry-{number}"]
+
+    @property
+    def calls(self) -> int:
+        return sum(one.way.calls for one in self.entries.values())
+
+    async def watch(
+        self, peer: readers.Peer, kind: str, after: int, wait: float
+    ) -> stores.Sighting:
+        """Ask an entry, as its HTTP side would."""
+        entry = self.entries[peer.name]
+        await anyio.sleep(0.001)
+        if entry.is_down:
+            raise _lost()
+        if entry.is_silent:
+            await anyio.sleep(wait + PATIENCE)
+            raise _lost()
+        entry.choice.note_asked()
+        sighting = await entry.mirror.tell(after, wait)
+        if entry.is_silent:
+            await anyio.sleep(PATIENCE)
+            raise _lost()
+        await anyio.sleep(0.001)
+        return sighting
+
+    def write(self) -> int:
+        return self.store.write(KIND, "main", b"{}")
+
+    def oldest(self) -> float:
+        """Return the greatest age of a copy of those that can be asked."""
+        return max(
+            one.mirror.age()
+            for one in self.entries.values()
+            if not (one.is_down or one.is_silent)
+        )
+
+
+def _lost() -> errors.CrowdeckError:
+    return errors.CrowdeckError(errors.Code.UPSTREAM_LOST, "no answer")
+
+
+Work = typing.Callable[[_Zone], typing.Awaitable[None]]
+
+
+def play(count: int, work: Work) -> None:
+    async def body() -> None:
+        zone = _Zone(count)
+        zone.write()
+        async with anyio.create_task_group() as tasks:
+            for entry in zone.entries.values():
+                tasks.start_soon(entry.mirror.run)
+            await anyio.sleep(3.0)
+            await work(zone)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+async def oldest_over(zone: _Zone, seconds: float) -> float:
+    """Return the greatest age of any copy within some time."""
+    ends = anyio.current_time() + seconds
+    oldest = 0.0
+    while anyio.current_time() < ends:
+        oldest = max(oldest, zone.oldest())
+        await anyio.sleep(0.01)
+    return oldest
+
+
+class TestCalls:
+    """What the store is asked."""
+
+    def test_one_entry_of_a_zone_asks_for_all(self) -> None:
+        # Fourteen entries that each watched made 17.5 calls a second.
+        async def work(zone: _Zone) -> None:
+            before = zone.calls
+            await anyio.sleep(10.0)
+            assert zone.calls - before <= 10.0 / WAIT + 1
+            assert zone[0].way.calls > 10
+            assert zone[5].way.calls <= 2
+
+        play(14, work)
+
+    def test_an_outage_is_met_by_few_tries(self) -> None:
+        # Each entry tried every 0.3 s: 46 calls a second.
+        async def work(zone: _Zone) -> None:
+            zone.store.is_down = True
+            await anyio.sleep(2.0)
+            before = zone.calls
+            await anyio.sleep(3.0)
+            assert (zone.calls - before) / 3.0 < 14
+
+        play(14, work)
+
+
+class TestFreshness:
+    """How current the copies are, whatever fails."""
+
+    def test_changes_reach_all_at_once(self) -> None:
+        async def work(zone: _Zone) -> None:
+            version = zone.write()
+            now = anyio.current_time()
+            await anyio.sleep(0.5)
+            for entry in zone.entries.values():
+                assert entry.sight.seen[version] - now < 0.02
+
+        play(14, work)
+
+    def test_copies_are_proved_as_often_as_the_readers(self) -> None:
+        async def work(zone: _Zone) -> None:
+            assert await oldest_over(zone, 5.0) < WAIT + 0.1
+
+        play(14, work)
+
+    def test_a_killed_reader_is_stood_in_for_at_once(self) -> None:
+        async def work(zone: _Zone) -> None:
+            zone[0].is_down = True
+            assert await oldest_over(zone, 4.0) < 2 * WAIT
+            version = zone.write()
+            now = anyio.current_time()
+            await anyio.sleep(0.2)
+            for entry in list(zone.entries.values())[1:]:
+                assert entry.sight.seen[version] - now < 0.1
+
+        play(14, work)
+
+    def test_a_silent_reader_is_stood_in_for_within_a_watch(self) -> None:
+        async def work(zone: _Zone) -> None:
+            zone[0].is_silent = True
+            assert await oldest_over(zone, 8.0) < WAIT + PATIENCE + 0.5
+
+        play(14, work)
+
+    def test_a_reader_without_the_store_sends_the_others_elsewhere(
+        self,
+    ) -> None:
+        async def work(zone: _Zone) -> None:
+            zone[0].way.is_cut = True
+            assert await oldest_over(zone, 6.0) < 2.2 * WAIT
+            # The one that lost its way knows by its peers.
+            assert zone[0].contact.is_lost
+            assert zone[0].mirror.age() < 2 * WAIT
+            zone[0].way.is_cut = False
+            await anyio.sleep(3.0)
+            assert not zone[0].contact.is_lost
+
+        play(5, work)
+
+    def test_all_know_soon_after_an_outage(self) -> None:
+        async def work(zone: _Zone) -> None:
+            zone.store.is_down = True
+            await anyio.sleep(5.0)
+            zone.store.is_down = False
+            await anyio.sleep(1.2)
+            assert zone.oldest() < WAIT + 0.1
+
+        play(14, work)
+
+    def test_an_entry_alone_reads_for_itself(self) -> None:
+        async def work(zone: _Zone) -> None:
+            for entry in list(zone.entries.values())[:-1]:
+                entry.is_silent = True
+            await anyio.sleep(12.0)
+            assert zone[4].choice.reads_store
+            assert zone[4].mirror.age() < WAIT + 0.1
+
+        play(5, work)
+
+    @hypothesis.given(strategies.integers(0, 2**32))
+    @hypothesis.settings(max_examples=25, deadline=None, derandomize=True)
+    def test_no_copy_is_newer_than_it_claims(self, seed: int) -> None:
+        # A key that was taken away works on at an entry whose copy claims
+        # to be current and is not.
+        async def work(zone: _Zone) -> None:
+            chance = random.Random(seed)
+            written: dict[int, float] = {}
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_disturb, zone, chance)
+                for _ in range(1_500):
+                    if chance.random() < 0.02:
+                        written[zone.write()] = anyio.current_time()
+                    _require_truth(zone, written)
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+        play(4, work)
+
+
+async def _disturb(zone: _Zone, chance: random.Random) -> None:
+    while True:
+        entry = chance.choice(list(zone.entries.values()))
+        what = chance.choice(("is_silent", "is_down", "cut", "store"))
+        target = {"cut": entry.way, "store": zone.store}.get(what, entry)
+        name = {"cut": "is_cut", "store": "is_down"}.get(what, what)
+        setattr(target, name, True)
+        await anyio.sleep(chance.uniform(0.1, 2.5))
+        setattr(target, name, False)
+        await anyio.sleep(chance.uniform(0.0, 1.0))
+
+
+def _require_truth(zone: _Zone, written: dict[int, float]) -> None:
+    now = anyio.current_time()
+    newest = max(written, default=0)
+    for entry in zone.entries.values():
+        current_at = now - entry.mirror.age()
+        if newest and written[newest] < current_at - 1e-9:
+            assert entry.mirror.version >= newest
+
+
+class TestReplica:
+    """What a copy can tell others."""
+
+    def test_tells_what_came_after_a_version(self) -> None:
+        replica = replicas.Replica()
+        replica.list(stores.Changes(5, (_object("a", 3), _object("b", 5))))
+        replica.apply(stores.Changes(8, (_object("c", 7),), ("a",)))
+        told = replica.since(5)
+        assert told is not None
+        assert [one.name for one in told.objects] == ["c"]
+        assert told.removed == ("a",)
+        assert replica.since(8) == stores.Changes(8, (), ())
+
+    def test_does_not_know_what_was_before_its_listing(self) -> None:
+        replica = replicas.Replica()
+        replica.list(stores.Changes(5, ()))
+        assert replica.since(4) is None
+
+    def test_objects_newer_than_their_listing_are_told_once(self) -> None:
+        # The second page of a listing is read later than the first. With
+        # the object's own version as the mark it was told for ever.
+        replica = replicas.Replica()
+        replica.list(stores.Changes(5, (_object("late", 9),)))
+        assert replica.since(5) == stores.Changes(5, (), ())
+        replica.apply(stores.Changes(9, (_object("late", 9),)))
+        told = replica.since(5)
+        assert told is not None and told.objects
+        assert replica.since(told.version) == stores.Changes(9, (), ())
+
+    def test_forgets_the_oldest_removals(self) -> None:
+        replica = replicas.Replica()
+        replica.list(stores.Changes(1, ()))
+        for number in range(replicas.REMOVALS_MOST + 1):
+            replica.apply(stores.Changes(number + 2, (), (f"gone-{number}",)))
+        assert replica.since(1) is None
+        told = replica.since(2)
+        assert told is not None
+        assert len(told.removed) == replicas.REMOVALS_MOST
+
+
+def _object(name: str, version: int) -> stores.StoredObject:
+    return stores.StoredObject(KIND, name, version, b"{}")
+
+
+class TestRanking:
+    """Which entries read for their zone."""
+
+    def test_the_widest_comes_first_and_all_agree(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            made = [
+                rosters.Roster(
+                    store,
+                    f"entry-{number}",
+                    rosters.Note(
+                        zone,
+                        instances.Address(HOST, 7000 + number),
+                        capacity,
+                    ),
+                )
+                for number, (zone, capacity) in enumerate(
+                    ((ZONE, 10), (ZONE, 100), ("other", 100), (ZONE, 10))
+                )
+            ]
+            for one in made:
+                await one.enrol()
+            listing = await store.list(rosters.KIND)
+            for one in made:
+                one.on_listed(listing.objects)
+            order = [one.name for one in made[0].ranking()]
+            assert order[0] == "entry-1"
+            assert set(order) == {"entry-0", "entry-1", "entry-3"}
+            assert made[3].ranking() == made[0].ranking()
+
+        virtual.run(body)
+
+    def test_a_restart_at_another_address_is_noted(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            for port in (7000, 7001):
+                note = rosters.Note(ZONE, instances.Address(HOST, port), 10.0)
+                one = rosters.Roster(store, "entry-0", note)
+                await one.enrol()
+            other = rosters.Roster(store, "entry-1", rosters.Note(ZONE))
+            other.on_listed((await store.list(rosters.KIND)).objects)
+            assert other.ranking()[0].address.port == 7001
+
+        virtual.run(body)
+
+    def test_a_restart_costs_no_call_of_its_own(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            note = rosters.Note(ZONE, instances.Address(HOST, 7000), 10.0)
+            await rosters.Roster(store, "entry-0", note).enrol()
+            again = rosters.Roster(store, "entry-0", note)
+            again.on_listed((await store.list(rosters.KIND)).objects)
+            before = store.calls.total()
+            await again.enrol()
+            assert store.calls.total() == before
+
+        virtual.run(body)
+
+
+class TestHttp:
+    """The question and its answer, over real connections."""
+
+    def ask(
+        self, store: standin_store.StandinStore, after: int, wait: float
+    ) -> stores.Sighting:
+        told: list[stores.Sighting | errors.CrowdeckError] = []
+
+        async def body() -> None:
+            contact = contacts.StoreContact()
+            mirror = mirrors.Mirror(
+                store, KIND, _Sight(), 0.2, lambda: 0.0, contact
+            )
+            client = http.HttpClient("")
+            peers = peer_http.HttpPeers(client)
+            choice = readers.Readers("a", lambda: (), peers, contact)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(mirror.run)
+                port = await tasks.start(
+                    http_server.serve_http,
+                    peer_http.PeerApp({KIND: mirror}, choice),
+                    HOST,
+                    0,
+                )
+                await anyio.sleep(0.1)
+                peer = readers.Peer("a", instances.Address(HOST, port))
+                try:
+                    told.append(await peers.watch(peer, KIND, after, wait))
+                except errors.CrowdeckError as error:
+                    told.append(error)
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(body)
+        if isinstance(told[0], errors.CrowdeckError):
+            raise told[0]
+        return told[0]
+
+    def test_changes_come_whole(self) -> None:
+        store = standin_store.StandinStore()
+        before = store.write(KIND, "old", b'{"a":1}')
+        sighting = self.ask(store, before, 1.0)
+        assert sighting.changes.objects == ()
+        assert sighting.age <= 0.0
+        assert sighting.changes.version == before
+
+    def test_what_is_not_known_is_said(self) -> None:
+        store = standin_store.StandinStore()
+        store.write(KIND, "old", b"{}")
+        with pytest.raises(errors.CrowdeckError) as caught:
+            self.ask(store, 0, 0.2)
+        assert caught.value.code is errors.Code.STORE_HISTORY
+
+    def test_a_lost_store_is_said_at_once(self) -> None:
+        store = standin_store.StandinStore()
+        store.is_down = True
+        with pytest.raises(errors.CrowdeckError) as caught:
+            self.ask(store, 0, 5.0)
+        assert caught.value.code is errors.Code.STORE_DOWN
+
+    def test_large_changes_are_left_to_the_store(self) -> None:
+        sighting = stores.Sighting(
+            stores.Changes(
+                2,
+                (
+                    stores.StoredObject(
+                        KIND,
+                        "main",
+                        2,
+                        b'"' + b"x" * peer_http.ANSWER_BYTES_MOST + b'"',
+                    ),
+                ),
+            ),
+            0.0,
+        )
+
+        class Copy:
+            async def tell(self, after: int, wait: float) -> stores.Sighting:
+                return sighting
+
+        async def body() -> None:
+            copy = typing.cast(mirrors.Mirror, Copy())
+            await peer_http.ask(copy, 1, 1.0)
+
+        with pytest.raises(errors.CrowdeckError) as caught:
+            anyio.run(body)
+        assert caught.value.code is errors.Code.TOO_LARGE
