A peer without the store is told of once, and three are asked before an entry reads itself

Change: three peers are asked before an entry tries for itself; a line is written when a peer becomes of no help and when it helps again.

--- a/src/crowdeck/membership/readers.py
+++ b/src/crowdeck/membership/readers.py
@@ -43,8 +43,10 @@
 # a millisecond; it tries the store about as often itself.
 LOST_SECONDS = 0.5
 # Beyond so many peers that have lost the store it is the store that is
-# away, and not their way to it: an entry then tries for itself.
-LOST_PEERS_MOST = 2
+# away, and not their way to it: an entry then tries for itself. A store may
+# turn a third of all away for ten seconds; with two, all 13 others of a zone
+# whose first two were turned away called it themselves.
+LOST_PEERS_MOST = 3
 # An entry that would be the first of its zone, and has lost the store,
 # tries its own way again this long after its last failure.
 OWN_TRY_SECONDS = 1.5
@@ -125,6 +127,7 @@
         self._silent_until: dict[str, float] = {}
         self._silences: dict[str, int] = {}
         self._lost_until: dict[str, float] = {}
+        self._helpless: set[str] = set()
         self._watches: dict[str, set[anyio.CancelScope]] = {}
 
     @property
@@ -196,6 +199,9 @@
                 self._note_failure(peer, kind, error)
                 return None
             self._silences.pop(peer.name, None)
+            if peer.name in self._helpless:
+                self._helpless.discard(peer.name)
+                logs.change("peer_helps", peer=peer.name)
             return sighting
         return None
 
@@ -234,12 +240,14 @@
             seconds = SILENT_SECONDS * 2.0 ** min(silences, 10)
             pause = min(seconds, SILENT_MOST_SECONDS)
             self._silent_until[peer.name] = now + pause
-        logs.change(
-            "peer_of_no_help",
-            peer=peer.name,
-            address=str(peer.address),
-            kind=kind,
-            reason=error.message,
-        )
+        if peer.name not in self._helpless:
+            self._helpless.add(peer.name)
+            logs.change(
+                "peer_of_no_help",
+                peer=peer.name,
+                address=str(peer.address),
+                kind=kind,
+                reason=error.message,
+            )
         for scope in self._watches.get(peer.name, ()):
             scope.cancel()
