Readers that hear of each other's loss try their own ways again

Ruled out: the store's turning them away (others of the zone called it).

Change: what a peer tells counts for entries that may have lapsed, and no longer for when an entry tries its own way.

Measured: the new test, with three entries cut off for 4 s, fails without the change and passes with it.

--- a/src/crowdeck/membership/readers.py
+++ b/src/crowdeck/membership/readers.py
@@ -206,10 +206,11 @@
         return None
 
     def _may_try_itself(self, now: float) -> bool:
-        failed_at = self._contact.failed_at
-        if not self._contact.is_lost or failed_at is None:
+        if not self._contact.is_lost:
             return True
-        return now - failed_at >= OWN_TRY_SECONDS
+        # Not what peers told of: two that each heard of the other's loss
+        # never tried their own ways again.
+        return now - self._contact.tried_at >= OWN_TRY_SECONDS
 
     @contextlib.contextmanager
     def _watching(self, peer: Peer) -> typing.Iterator[None]:
--- a/src/crowdeck/state/contact.py
+++ b/src/crowdeck/state/contact.py
@@ -48,6 +48,7 @@
 
     def __init__(self) -> None:
         self._failed_at: float | None = None
+        self._tried_at = float("-inf")
         self._lost_at: float | None = None
         self._failures = 0
         self._is_tried = False
@@ -65,9 +66,14 @@
 
     @property
     def failed_at(self) -> float | None:
-        """The loop's time of the last call that failed."""
+        """The loop's time of the last call that failed, here or at a peer."""
         return self._failed_at
 
+    @property
+    def tried_at(self) -> float:
+        """The loop's time at which this process's own call last failed."""
+        return self._tried_at
+
     async def enter(self) -> Turn:
         """Wait until the store may be called.
 
@@ -153,7 +159,7 @@
         that was cut, and no outage.
         """
         now = anyio.current_time()
-        self._failed_at = now
+        self._failed_at = self._tried_at = now
         self._failures += 1
         if self._lost_at is None:
             self._lost_at = self._next_try_at = now
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -283,6 +283,22 @@
 
         play(5, work)
 
+    def test_readers_that_hear_of_each_others_loss_try_again(self) -> None:
+        # On a played day the first two of a zone were turned away for some
+        # seconds. Each asked the other, heard of its loss, and put off its
+        # own try again: twelve seconds later both were still without.
+        async def work(zone: _Zone) -> None:
+            for number in range(3):
+                zone[number].way.is_cut = True
+            await anyio.sleep(4.0)
+            for number in range(3):
+                zone[number].way.is_cut = False
+            await anyio.sleep(4.0)
+            assert not any(zone[number].contact.is_lost for number in range(3))
+            assert zone.oldest() < WAIT + 0.1
+
+        play(5, work)
+
     def test_all_know_soon_after_an_outage(self) -> None:
         async def work(zone: _Zone) -> None:
             zone.store.is_down = True
