A stream that is allowed no other path begins anew

Ruled out: asking for the same path again (refused each time); waiting (the part that is missing is lost).

Change: such a stream goes on from its last event elsewhere, where the budget of repeats allows it.

--- a/src/crowdeck/relay/detours.py
+++ b/src/crowdeck/relay/detours.py
@@ -121,12 +121,27 @@
                 counters.COUNTERS.add("relay.repathed")
                 return
             named = self._context.book.at(outcome.culprit)
-            if not outcome.is_known or named is None:
+            if not outcome.is_known:
                 return
-            if named.name in refused:
+            if named is None or named.name in refused:
+                self._give_up(stream, path)
                 return
             refused.add(named.name)
 
+    def _give_up(self, stream: live.LiveStream, path: chain.ChainPath) -> None:
+        """Begin a stream anew that no other path was allowed for.
+
+        Its first engine names nobody, or again one that was left already:
+        asking it once more gets the same answer. Streams were led around
+        five times a second that way and paused for 1.0 to 1.4 s.
+        """
+        if not stream.may_resume:
+            return
+        if not self._context.may_begin_anew(stream.service.name):
+            return
+        self._log(stream, path, None, "goes on elsewhere")
+        stream.abandon(f"{path.head.address} allows no other path")
+
     async def _silent_parts(
         self, path: chain.ChainPath, other: chain.ChainPath
     ) -> set[str]:
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -52,6 +52,7 @@
     :ivar hangs: how many of the next streams it takes and leaves alone.
     :ivar fails: how many of the next calls it answers with 500.
     :ivar forges: how many of the next answers bear another's id.
+    :ivar keeps_paths: refuses every other path, and does not say why.
     """
 
     listed: chain.Upstream
@@ -64,6 +65,7 @@
     fails: int = 0
     hangs: int = 0
     forges: int = 0
+    keeps_paths: bool = False
     seconds: float = 0.02
     late_orders: list[plan.Move] = attrs.field(factory=list)
 
@@ -229,6 +231,8 @@
         await self._dial(head, 0.25)
         if request_id not in self._paths:
             return reach.RepathOutcome(is_done=False, is_known=False)
+        if self.at(head.address).keeps_paths:
+            return reach.RepathOutcome(is_done=False, is_known=True)
         for hop in path.hops:
             part = self._upstreams.get(str(hop.upstream.address))
             if part is not None and part.is_dark:
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -252,6 +252,26 @@
 
         play(work, copies=4)
 
+    def test_a_stream_whose_engine_allows_no_other_path_begins_anew(
+        self,
+    ) -> None:
+        # It was led around again and again, each time refused, and its
+        # caller waited until the engine cut it, two seconds later.
+        async def work(system: fleet_system.FleetSystem) -> None:
+            request = system.request(STREAM)
+
+            def strike() -> None:
+                path = path_of(system, request)
+                path[0].keeps_paths = True
+                path[2].is_dark = True
+
+            caller = await during(system, request, 0.15, strike)
+            assert_whole(caller, request, system.fleet.events)
+            assert caller.longest_pause < 0.3
+            assert len(system.fleet.runs_of(request.id)) == 2
+
+        play(work, copies=2)
+
     def test_all_streams_are_led_around_at_once(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             asked = [system.request(STREAM) for _ in range(8)]
