The search for a path and the view of the store have modules of their own

Change: moved without a change of behaviour: routing/cheapest.py holds the search, cmd/store_view.py the mirrors, roster and readers; IP:PORT is read in one place.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -14,20 +14,18 @@
 import anyio.abc
 
 from crowdeck.cmd import http_server
+from crowdeck.cmd import store_view
 from crowdeck import http
 from crowdeck import instance as instances
 from crowdeck.membership import peer_http
-from crowdeck.membership import readers
 from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as books
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.platform import callers
-from crowdeck.platform import config as platform_config
 from crowdeck.platform import engines
 from crowdeck.platform import names
 from crowdeck.platform import store as platform_store
-from crowdeck.platform import upstreams as platform_upstreams
 from crowdeck.relay import context as contexts
 from crowdeck.relay import ingress
 from crowdeck.relay import relay as relays
@@ -37,31 +35,17 @@
 from crowdeck.routing import hops
 from crowdeck.routing import usage as usages
 from crowdeck.settings import config as configs
-from crowdeck.state import contact as contacts
 from crowdeck.state import leases
-from crowdeck.state import mirror as mirrors
 
 PLACEMENT = "placement"
 # One connection for each request under way, and those of reports and
 # orders; the descriptors of an entry allow four times as many.
 UPSTREAM_CONNECTIONS = 1_000
-# The config's watch is renewed after this share of the time in which a
-# removed key has to stop working; each renewal proves it current. One
-# entry of each zone pays for it. With 0.4 an entry that lost the store
-# refused after 1.4 to 3.5 s, by chance; with 0.22 after 2.7 s at the least.
-# With 0.16 a peer that falls silent is left after 1.3 s, before the age of
-# the last proof sends callers away.
-CONFIG_WAIT_SHARE = 0.16
 # A key works on for so much of the time allowed after the last proof.
 # The rest is for a watch that is silent for up to a second before its
 # history is lost. What counts is when a request was sent, and it is
 # admitted later than that, so requests under way need nothing more.
 TRUST_SHARE = 0.78
-UPSTREAM_WAIT = 10.0
-CONFIG_LINGER = 0.1
-# Shorter than the store's history, or each watch would end with a listing.
-ROSTER_WAIT = 10.0
-ROSTER_LINGER = 3.0
 # Balancers ask once a second and take an instance out after two answers
 # that do not welcome them; until then new connections still come.
 UNREADY_SECONDS = 2.3
@@ -155,107 +139,44 @@
         tasks: anyio.abc.TaskGroup,
         store: platform_store.HttpStore,
     ) -> None:
-        book = books.UpstreamBook(platform_upstreams.decode)
-        holder = relays.ConfigHolder(platform_config.decode, names.CONFIG_NAME)
-        roster = rosters.Roster(store, self._config.name, self._note())
-        revocation = float(self._config.fleet["revocation_ms"]) / 1000.0
-        contact = contacts.StoreContact()
-        choice = self._open_peers(stack, roster, contact)
-        contact.pace_tries(choice.pause)
-        config_mirror = mirrors.Mirror(
-            store,
-            names.CONFIG_KIND,
-            holder,
-            CONFIG_WAIT_SHARE * revocation,
-            lambda: CONFIG_LINGER,
-            contact,
-            choice,
-        )
-        book_mirror = mirrors.Mirror(
-            store,
-            names.UPSTREAM_KIND,
-            book,
-            UPSTREAM_WAIT,
-            roster.linger,
-            contact,
-            choice,
-        )
-        roster_mirror = mirrors.Mirror(
-            store,
-            rosters.KIND,
-            roster,
-            ROSTER_WAIT,
-            lambda: ROSTER_LINGER,
-            contact,
-            choice,
-        )
-        book.watch_store(lambda: contact.failed_at)
+        fleet = self._config.fleet
+        revocation = float(fleet["revocation_ms"]) / 1000.0
+        peers = peer_http.HttpPeers(self._open_client(stack, ""))
+        view = store_view.StoreView(store, self._config, peers)
         upstreams = self._open_upstreams(stack)
-        context = self._context(upstreams, book)
+        context = self._context(upstreams, view.book)
         watch = stalls.StallWatch(context)
         self._relay = relays.Relay(
             context,
-            holder,
+            view.holder,
             watch,
-            config_mirror.age,
+            view.config_age,
             TRUST_SHARE * revocation,
         )
         holder_name = f"{self._config.name}/{secrets.token_hex(8)}"
         lease = leases.Lease(
-            store, PLACEMENT, holder_name, lambda: choice.reads_store
+            store, PLACEMENT, holder_name, lambda: view.readers.reads_store
         )
         self._lease = lease
-        share = _Sharing(context, roster)
-        for part in (
-            config_mirror.run,
-            book_mirror.run,
-            roster_mirror.run,
-            roster.enrol,
-            share.run,
-            lease.run,
-            watch.run,
-        ):
+        share = _Sharing(context, view.roster)
+        for part in (*view.parts, share.run, lease.run, watch.run):
             tasks.start_soon(part)
-        tasks.start_soon(_place, lease, book, upstreams, holder)
-        tasks.start_soon(self._survey, context, holder)
-        copies = (config_mirror, book_mirror, roster_mirror)
-        await self._listen_to_peers(tasks, copies, choice)
+        tasks.start_soon(_place, lease, view.book, upstreams, view.holder)
+        tasks.start_soon(self._survey, context, view.holder)
+        await self._listen_to_peers(tasks, view)
         await self._listen(tasks, self._relay)
 
-    def _note(self) -> rosters.Note:
-        fleet = self._config.fleet
-        peers = str(fleet["peers"])
-        return rosters.Note(
-            self._config.availability_zone,
-            _address(peers) if peers else None,
-            float(fleet["link_mbps"]),
-        )
-
-    def _open_peers(
-        self,
-        stack: contextlib.AsyncExitStack,
-        roster: rosters.Roster,
-        contact: contacts.StoreContact,
-    ) -> readers.Readers:
-        client = self._open_client(stack, "")
-        return readers.Readers(
-            self._config.name,
-            roster.ranking,
-            peer_http.HttpPeers(client),
-            contact,
-        )
-
     async def _listen_to_peers(
         self,
         tasks: anyio.abc.TaskGroup,
-        copies: tuple[mirrors.Mirror, ...],
-        choice: readers.Readers,
+        view: store_view.StoreView,
     ) -> None:
         peers = str(self._config.fleet["peers"])
         if not peers:
             return
-        address = _address(peers)
-        app = peer_http.PeerApp({one.kind: one for one in copies}, choice)
+        address = instances.Address.parse(peers)
+        copies = {one.kind: one for one in view.mirrors}
+        app = peer_http.PeerApp(copies, view.readers)
         server = http_server.build(app, address.host, address.port)
         await tasks.start(_run_server, server)
 
@@ -298,7 +219,7 @@
         self, tasks: anyio.abc.TaskGroup, relay: relays.Relay
     ) -> None:
         fleet = self._config.fleet
-        status = _address(str(fleet["status"]))
+        status = instances.Address.parse(str(fleet["status"]))
         app = statuses.StatusApp(
             relay, counters.COUNTERS, names.READINESS_PATH
         )
@@ -308,7 +229,7 @@
         # entry that can serve them, and no refusal.
         with anyio.move_on_after(ABLE_SECONDS):
             await self._surveyed.wait()
-        address = _address(str(fleet["callers"]))
+        address = instances.Address.parse(str(fleet["callers"]))
         self._server = http_server.build(
             ingress.Ingress(relay, callers),
             address.host,
@@ -372,8 +293,3 @@
     task_status: anyio.abc.TaskStatus[int],
 ) -> None:
     await http_server.run(server, listener, task_status=task_status)
-
-
-def _address(text: str) -> instances.Address:
-    host, _, port = text.rpartition(":")
-    return instances.Address(host, int(port))
--- /dev/null
+++ b/src/crowdeck/cmd/store_view.py
@@ -0,0 +1,119 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What an entry keeps of the platform's store, read itself or by a peer."""
+
+import typing
+
+from crowdeck import instance as instances
+from crowdeck.membership import readers
+from crowdeck.membership import roster as rosters
+from crowdeck.membership import upstreams as books
+from crowdeck.platform import config as platform_config
+from crowdeck.platform import names
+from crowdeck.platform import upstreams as platform_upstreams
+from crowdeck.relay import relay as relays
+from crowdeck.settings import config as configs
+from crowdeck.state import contact as contacts
+from crowdeck.state import mirror as mirrors
+from crowdeck.state import objects as stores
+
+# The config's watch is renewed after this share of the time in which a
+# removed key has to stop working; each renewal proves it current. One
+# entry of each zone pays for it. With 0.4 an entry that lost the store
+# refused after 1.4 to 3.5 s, by chance; with 0.22 after 2.7 s at the least.
+# With 0.16 a peer that falls silent is left after 1.3 s, before the age of
+# the last proof sends callers away.
+CONFIG_WAIT_SHARE = 0.16
+UPSTREAM_WAIT = 10.0
+CONFIG_LINGER = 0.1
+# Shorter than the store's history, or each watch would end with a listing.
+ROSTER_WAIT = 10.0
+ROSTER_LINGER = 3.0
+
+Part = typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]]
+
+
+class StoreView:
+    """Copies of the config, the upstreams' entries and the entries' notes.
+
+    :param peers: reaches the copies of this zone's other entries.
+    """
+
+    def __init__(
+        self,
+        store: stores.ObjectStore,
+        config: configs.Config,
+        peers: readers.PeerStore,
+    ) -> None:
+        self.book = books.UpstreamBook(platform_upstreams.decode)
+        self.holder = relays.ConfigHolder(
+            platform_config.decode, names.CONFIG_NAME
+        )
+        self.roster = rosters.Roster(store, config.name, _note(config))
+        self._contact = contacts.StoreContact()
+        self.readers = readers.Readers(
+            config.name, self.roster.ranking, peers, self._contact
+        )
+        self._contact.pace_tries(self.readers.pause)
+        self.book.watch_store(lambda: self._contact.failed_at)
+        self._store = store
+        revocation = float(config.fleet["revocation_ms"]) / 1000.0
+        self._config_mirror = self._mirror(
+            names.CONFIG_KIND,
+            self.holder,
+            CONFIG_WAIT_SHARE * revocation,
+            lambda: CONFIG_LINGER,
+        )
+        self.mirrors = (
+            self._config_mirror,
+            self._mirror(
+                names.UPSTREAM_KIND,
+                self.book,
+                UPSTREAM_WAIT,
+                self.roster.linger,
+            ),
+            self._mirror(
+                rosters.KIND,
+                self.roster,
+                ROSTER_WAIT,
+                lambda: ROSTER_LINGER,
+            ),
+        )
+
+    @property
+    def parts(self) -> tuple[Part, ...]:
+        """What has to run to keep it up."""
+        return (*(one.run for one in self.mirrors), self.roster.enrol)
+
+    def config_age(self) -> float:
+        """Return for how many seconds the config is not proved current."""
+        return self._config_mirror.age()
+
+    def _mirror(
+        self,
+        kind: str,
+        follower: mirrors.Follower,
+        wait: float,
+        linger: mirrors.Linger,
+    ) -> mirrors.Mirror:
+        return mirrors.Mirror(
+            self._store,
+            kind,
+            follower,
+            wait,
+            linger,
+            self._contact,
+            self.readers,
+        )
+
+
+def _note(config: configs.Config) -> rosters.Note:
+    peers = str(config.fleet["peers"])
+    return rosters.Note(
+        config.availability_zone,
+        instances.Address.parse(peers) if peers else None,
+        float(config.fleet["link_mbps"]),
+    )
--- a/src/crowdeck/instance.py
+++ b/src/crowdeck/instance.py
@@ -28,6 +28,15 @@
     host: str
     port: int
 
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address that ``IP:PORT`` names.
+
+        :raises ValueError: where the port is no number.
+        """
+        host, _, port = text.rpartition(":")
+        return cls(host, int(port))
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -183,10 +183,10 @@
 def _decode(stored: stores.StoredObject) -> Note:
     try:
         body = orjson.loads(stored.value)
-        host, _, port = str(body.get("address") or "").rpartition(":")
+        address = str(body.get("address") or "")
         return Note(
             str(body["availability_zone"]),
-            instances.Address(host, int(port)) if host else None,
+            instances.Address.parse(address) if address else None,
             float(body.get("capacity") or 0.0),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
--- a/src/crowdeck/platform/upstreams.py
+++ b/src/crowdeck/platform/upstreams.py
@@ -30,7 +30,7 @@
         return chain.Upstream(
             name=stored.name,
             service=str(body[names.SERVICE]),
-            address=_address(body[names.ADDRESS]),
+            address=instances.Address.parse(body[names.ADDRESS]),
             availability_zone=str(body.get(names.ZONE, "")),
             slots=int(body.get(names.SLOTS) or 1),
             is_leaving=body.get(names.STATE) == names.STATE_DRAINING,
@@ -66,11 +66,6 @@
         raise _malformed("an engine's report", error) from None
 
 
-def _address(text: str) -> instances.Address:
-    host, _, port = text.rpartition(":")
-    return instances.Address(host, int(port))
-
-
 def _layers(body: Json | None) -> pipeline.LayerRange | None:
     if not body:
         return None
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -5,23 +5,19 @@
 
 """Choice of a path over engines that each hold a range of layers."""
 
-import heapq
-import itertools
 import typing
 
 import attrs
 
 from crowdeck import chain
 from crowdeck import pipeline
+from crowdeck.routing import cheapest
 from crowdeck.routing import heads as head_records
 
 # What an engine charges for being nearly full: its cost grows by up to
 # this factor as its memory for requests fills, so that load spreads
 # before anything is refused.
 FULL_FACTOR = 2.0
-# One more engine is one more thing to fail and one more hand-over: the
-# engines' own measure of a hand-over within a zone, in ms a token.
-HOP_MS = 0.3
 # A crossing between zones costs its delay at each token, and the time
 # that the prompt holds the shared pipe, during which others wait: the
 # pipe serves one request after the other, so its time counts many fold.
@@ -36,8 +32,6 @@
 # small, but such bytes are dear, and its engines are nearer to others:
 # taken when the own zone's engines are about half full, or broken.
 FOREIGN_HEAD_MS = 8.0
-# Engines refuse longer paths.
-HOPS_MOST = 32
 
 
 class Usage(typing.Protocol):
@@ -60,30 +54,6 @@
         ...
 
 
-@attrs.frozen
-class _Leg:
-    """The cheapest way found to the end of one engine's part."""
-
-    cost: float
-    count: int
-    hop: chain.Hop
-    previous: "_Leg | None"
-
-
-@attrs.frozen
-class _Holder:
-    """The cheapest of the engines of one zone that hold the same layers.
-
-    :ivar token_ms: what a token costs there for each layer.
-    """
-
-    engine: chain.Upstream
-    first: int
-    end: int
-    zone: str
-    token_ms: float
-
-
 @attrs.frozen
 class Wanted:
     """What a path is wanted for.
@@ -99,93 +69,6 @@
     objective: float = 0.5
 
 
-Crossing = typing.Callable[[str, str, Wanted], float]
-_NEVER = float("inf")
-
-
-class _Search:
-    """The cheapest way over the holders of layers, the likeliest first.
-
-    Ways are gone on with in the order of what they cost so far and must
-    cost at least from there on: each layer left at the cheapest of all that
-    hold it, without hand-overs. Most of a large fleet is never looked at:
-    with every way weighed, a choice over 130 engines of five zones took
-    10.5 ms of a full core instead of 2.1 (``python -m bench.paths``), in
-    which an entry relays nothing, a small one for three times as long.
-    """
-
-    def __init__(
-        self, holders: list[_Holder], wanted: Wanted, crossing: Crossing
-    ) -> None:
-        self._holders = holders
-        self._wanted = wanted
-        self._crossing = crossing
-        self._last = wanted.profile.layer_count
-        self._rest = _least_rest(holders, self._last)
-        self._heap: list[tuple[float, int, _Leg]] = []
-        self._best: dict[tuple[int, str], float] = {}
-        self._fitting: dict[int, list[_Holder]] = {}
-        self._order = itertools.count()
-        self._zones = {one.zone for one in holders}
-        # What the cheapest whole path found so far costs.
-        self._bound = _NEVER
-
-    def offer(self, leg: _Leg) -> None:
-        """Take a way for one to go on with, unless a cheaper one is known."""
-        end = leg.hop.layers.end
-        state = (end, leg.hop.upstream.availability_zone)
-        least = leg.cost + self._rest[end]
-        if least >= self._bound or leg.cost >= self._best.get(state, _NEVER):
-            return
-        self._best[state] = leg.cost
-        if end == self._last:
-            self._bound = leg.cost
-        heapq.heappush(self._heap, (least, next(self._order), leg))
-
-    def run(self) -> chain.ChainPath | None:
-        """Return the cheapest path to the last layer, if there is one."""
-        while self._heap:
-            _, _, leg = heapq.heappop(self._heap)
-            end = leg.hop.layers.end
-            zone = leg.hop.upstream.availability_zone
-            if leg.cost > self._best[end, zone]:
-                continue
-            if end == self._last:
-                return _path(leg)
-            if leg.count < HOPS_MOST:
-                self._go_on(leg, end, zone)
-        return None
-
-    def _go_on(self, leg: _Leg, position: int, zone: str) -> None:
-        # Every engine goes to the end of its range: whoever could follow
-        # earlier can follow there too, or is not needed.
-        ways_in = {
-            after: leg.cost
-            + HOP_MS
-            + self._crossing(zone, after, self._wanted)
-            for after in self._zones
-        }
-        best, rest = self._best, self._rest
-        for holder in self._at(position):
-            end = holder.end
-            cost = ways_in[holder.zone] + holder.token_ms * (end - position)
-            if cost + rest[end] >= self._bound:
-                continue
-            if cost < best.get((end, holder.zone), _NEVER):
-                hop = chain.Hop(
-                    holder.engine, pipeline.LayerRange(position, end)
-                )
-                self.offer(_Leg(cost, leg.count + 1, hop, leg))
-
-    def _at(self, position: int) -> list[_Holder]:
-        found = self._fitting.get(position)
-        if found is None:
-            found = self._fitting[position] = [
-                one for one in self._holders if one.first <= position < one.end
-            ]
-        return found
-
-
 class HopPlanner:
     """Finds the cheapest path that runs each layer once, in order."""
 
@@ -218,9 +101,13 @@
         self._forget()
         usable = [one for one in engines if self._has_room(one, wanted)]
         holders = self._holders(usable, wanted, head)
-        search = _Search(holders, wanted, self._crossing)
+        search = cheapest.CheapestPath(
+            holders,
+            wanted.profile.layer_count,
+            lambda before, after: self._crossing(before, after, wanted),
+        )
         if head is not None:
-            search.offer(_Leg(0.0, 1, head, None))
+            search.offer(cheapest.Leg(0.0, 1, head, None))
         else:
             for leg in self._beginnings(usable, wanted):
                 search.offer(leg)
@@ -236,7 +123,7 @@
                 before.upstream.availability_zone,
                 hop.upstream.availability_zone,
             )
-            total += HOP_MS + self._crossing(*zones, wanted)
+            total += cheapest.HOP_MS + self._crossing(*zones, wanted)
             total += self._cost(hop.upstream, hop.layers.first, wanted)
         return total
 
@@ -274,7 +161,7 @@
             if part is None:
                 return self.plan(engines, wanted, path.hops[0])
             found += part
-        if len(found) > HOPS_MOST:
+        if len(found) > cheapest.HOPS_MOST:
             return None
         return chain.ChainPath(tuple(found))
 
@@ -319,7 +206,11 @@
             assert engine.layers is not None
             crossing = self._crossing(zone, engine.availability_zone, wanted)
             length = engine.layers.end - position
-            total = self._cost(engine, position, wanted) + HOP_MS + crossing
+            total = (
+                self._cost(engine, position, wanted)
+                + cheapest.HOP_MS
+                + crossing
+            )
             return total / length
 
         fitting = [
@@ -364,7 +255,7 @@
 
     def _beginnings(
         self, usable: list[chain.Upstream], wanted: Wanted
-    ) -> typing.Iterator[_Leg]:
+    ) -> typing.Iterator[cheapest.Leg]:
         """Yield the parts that a path may begin with."""
         for engine in usable:
             layers = engine.layers
@@ -373,7 +264,7 @@
             if layers.end > wanted.profile.layer_count:
                 continue
             cost = self._beginning(engine, wanted)
-            yield _Leg(cost, 1, chain.Hop(engine, layers), None)
+            yield cheapest.Leg(cost, 1, chain.Hop(engine, layers), None)
 
     def _beginning(self, engine: chain.Upstream, wanted: Wanted) -> float:
         """Return what a token costs at an engine that is the first."""
@@ -387,14 +278,14 @@
         usable: list[chain.Upstream],
         wanted: Wanted,
         head: chain.Hop | None,
-    ) -> list[_Holder]:
+    ) -> list[cheapest.Holder]:
         """Return for each zone and range of layers whom to pass there.
 
         What an engine costs grows evenly with the layers it runs, and the
         way to it depends on its zone alone. So of those that hold the same
         layers in a zone one is the cheapest wherever a path joins it.
         """
-        found: dict[tuple[int, int, str], _Holder] = {}
+        found: dict[tuple[int, int, str], cheapest.Holder] = {}
         for engine in usable:
             layers = engine.layers
             if layers is None or (head and engine == head.upstream):
@@ -406,7 +297,7 @@
             token_ms = self._layer_ms(engine, wanted)
             held = found.get(key)
             if held is None or token_ms < held.token_ms:
-                found[key] = _Holder(engine, *key, token_ms)
+                found[key] = cheapest.Holder(engine, *key, token_ms)
         return list(found.values())
 
     def _cost(
@@ -455,26 +346,3 @@
     answer = max(1.0, profile.usual_answer)
     tokens = 1.0 + profile.usual_prompt / answer
     return CROSSING_MS + PIPE_FACTOR * token_ms * tokens
-
-
-def _least_rest(holders: list[_Holder], last: int) -> list[float]:
-    """Return what the layers from each one on cost at the least, in ms."""
-    least = [float("inf")] * last
-    for holder in holders:
-        token_ms = holder.token_ms
-        for layer in range(holder.first, min(holder.end, last)):
-            if token_ms < least[layer]:
-                least[layer] = token_ms
-    rest = [0.0] * (last + 1)
-    for layer in reversed(range(last)):
-        rest[layer] = rest[layer + 1] + least[layer]
-    return rest
-
-
-def _path(leg: _Leg) -> chain.ChainPath:
-    hops: list[chain.Hop] = []
-    step: _Leg | None = leg
-    while step is not None:
-        hops.append(step.hop)
-        step = step.previous
-    return chain.ChainPath(tuple(reversed(hops)))
