--- a/src/crowdeck/cmd/commands.py
+++ b/src/crowdeck/cmd/commands.py
@@ -18,7 +18,7 @@
 from crowdeck.settings import config as configs
 from crowdeck.settings import editor as editors
 from crowdeck.settings import tree as trees
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -55,7 +55,7 @@
 
 async def show_status(operator: operators.Operator) -> Result:
     """Show every instance and how it is."""
-    answers = await operator.ask_all(messages.ReadStatus(""))
+    answers = await operator.ask_all(questions.ReadStatus(""))
     rows = [_status_row(answer) for answer in answers]
     lost = any(answer.error is not None for answer in answers)
     return Result(
@@ -66,7 +66,7 @@
 
 
 def _status_row(answer: operators.Answered) -> dict[str, Data]:
-    if not isinstance(answer.reply, messages.Status):
+    if not isinstance(answer.reply, questions.Status):
         why = answer.error.message if answer.error else "no status"
         return {"instance": answer.name, "state": "lost", "error": why}
     status: dict[str, Data] = json.loads(answer.reply.text)
@@ -76,8 +76,8 @@
 
 async def show_upstreams(operator: operators.Operator) -> Result:
     """Show upstreams as the first entry that answers sees them."""
-    for answer in await operator.ask_all(messages.ReadStatus("")):
-        if isinstance(answer.reply, messages.Status):
+    for answer in await operator.ask_all(questions.ReadStatus("")):
+        if isinstance(answer.reply, questions.Status):
             status = json.loads(answer.reply.text)
             if "sidecars" in status:
                 rows = status["sidecars"]
@@ -100,8 +100,8 @@
 async def show_trace(operator: operators.Operator, trace: str) -> Result:
     """Show the spans of one trace, from every instance."""
     spans: list[dict[str, Data]] = []
-    for answer in await operator.ask_all(messages.ReadSpans(trace)):
-        if isinstance(answer.reply, messages.Spans):
+    for answer in await operator.ask_all(questions.ReadSpans(trace)):
+        if isinstance(answer.reply, questions.Spans):
             spans.extend(json.loads(span) for span in answer.reply.spans)
     spans.sort(key=lambda span: int(span["start_ns"]))
     if not spans:
@@ -124,7 +124,7 @@
     is_waiting: bool,
 ) -> Result:
     """Begin a planned stop of an instance, and wait until it is idle."""
-    await operator.ask(name, messages.Drain(limit))
+    await operator.ask(name, questions.Drain(limit))
     if not is_waiting:
         return Result({"instance": name}, f"{name} is leaving")
     running = -1
@@ -144,11 +144,11 @@
 async def _wait_idle(operator: operators.Operator, name: str) -> int:
     while True:
         try:
-            reply = await operator.ask(name, messages.ReadStatus(""))
+            reply = await operator.ask(name, questions.ReadStatus(""))
         except errors.LinkLost:
             # It ends by itself once it is idle.
             return 0
-        assert isinstance(reply, messages.Status)
+        assert isinstance(reply, questions.Status)
         if json.loads(reply.text)["running"] == 0:
             return 0
         await anyio.sleep(DRAIN_POLL_SECONDS)
--- a/src/crowdeck/cmd/operator.py
+++ b/src/crowdeck/cmd/operator.py
@@ -19,6 +19,7 @@
 from crowdeck.platform import store as platform_store
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 from crowdeck.wire import rpc
 
 
@@ -27,7 +28,7 @@
     """What one instance said, or why it did not."""
 
     name: str
-    reply: messages.Reply | None
+    reply: questions.Reply | None
     error: errors.CrowdeckError | None
 
 
@@ -44,8 +45,8 @@
         """There is nothing to do."""
 
     async def on_question(
-        self, peer: link.Peer, question: messages.Question
-    ) -> messages.Reply:
+        self, peer: link.Peer, question: questions.Question
+    ) -> questions.Reply:
         """Refuse."""
         raise errors.CrowdeckError(
             errors.Code.MALFORMED, "an operator answers no questions"
@@ -99,19 +100,19 @@
         return listing.instances if listing is not None else ()
 
     async def ask(
-        self, name: str, question: messages.Question
-    ) -> messages.Reply:
+        self, name: str, question: questions.Question
+    ) -> questions.Reply:
         """Ask one instance.
 
         :raises CrowdeckError: when it is lost, or refuses.
         """
         peer = await self._links.get(name)
         reply = await peer.ask(question, self._timeout)
-        if isinstance(reply, messages.Refused):
+        if isinstance(reply, questions.Refused):
             raise reply.as_error()
         return reply
 
-    async def ask_all(self, question: messages.Question) -> list[Answered]:
+    async def ask_all(self, question: questions.Question) -> list[Answered]:
         """Ask every listed instance at once; the lost ones are said so."""
         answers: list[Answered] = []
 
--- a/src/crowdeck/entry/answers.py
+++ b/src/crowdeck/entry/answers.py
@@ -16,6 +16,7 @@
 from crowdeck import verdict as verdicts
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 
 @attrs.frozen
@@ -122,8 +123,8 @@
             peer.close()
 
     async def on_question(
-        self, peer: link.Peer, question: messages.Question
-    ) -> messages.Reply:
+        self, peer: link.Peer, question: questions.Question
+    ) -> questions.Reply:
         """Refuse: entries answer no sidecar's questions."""
         raise errors.CrowdeckError(
             errors.Code.MALFORMED,
--- a/src/crowdeck/entry/drive.py
+++ b/src/crowdeck/entry/drive.py
@@ -32,6 +32,7 @@
 from crowdeck import verdict as verdicts
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 FINISH_LENGTH = "length"
 OPEN_TIMEOUT = 2.0
@@ -311,8 +312,8 @@
         head = self._require_head(opening.path)
         self._head = head
         self._inbox.source = head
-        reply = await head.ask(messages.Open(opening), OPEN_TIMEOUT)
-        if isinstance(reply, messages.Refused):
+        reply = await head.ask(questions.Open(opening), OPEN_TIMEOUT)
+        if isinstance(reply, questions.Refused):
             raise reply.as_error()
         self._release_former()
         path = opening.path
@@ -358,7 +359,7 @@
     async def _resume(self, resume: Resume) -> str:
         """Take up an answer that another entry began."""
         self._shown = resume.position
-        attached: messages.Attached | None = None
+        attached: questions.Attached | None = None
         for name in dict.fromkeys((resume.head, resume.tail)):
             attached = await self._attach(name)
             if attached is not None:
@@ -384,13 +385,13 @@
             verdict=_MAY_HAVE_RUN,
         )
 
-    async def _attach(self, name: str) -> messages.Attached | None:
+    async def _attach(self, name: str) -> questions.Attached | None:
         view = self._parts.fleet.find(name)
         if view is None or view.peer is None:
             return None
         assert self._inbox is not None
         self._inbox.source = view.peer
-        question = messages.Attach(
+        question = questions.Attach(
             request=self._request.request,
             team=self._request.team,
             position=0,
@@ -400,7 +401,7 @@
             reply = await view.peer.ask(question, OPEN_TIMEOUT)
         except errors.LinkLost:
             return None
-        if not isinstance(reply, messages.Attached):
+        if not isinstance(reply, questions.Attached):
             return None
         self._head = view.peer
         return reply
@@ -581,13 +582,13 @@
         if path is None or view is None or view.peer is None:
             return None
         index = [one.instance for one in self._path.stages].index(leaving)
-        question = messages.MoveOut(
+        question = questions.MoveOut(
             request=self._request.request,
             epoch=self._epoch,
             target=path.stages[index],
         )
         reply = await view.peer.ask(question, MOVE_TIMEOUT)
-        if not isinstance(reply, messages.MovedOut):
+        if not isinstance(reply, questions.MovedOut):
             counters.COUNTERS.add("drive.move_refused")
             # It may have stopped already: go on cold, without the stage.
             raise errors.CrowdeckError(
--- a/src/crowdeck/entry/entry.py
+++ b/src/crowdeck/entry/entry.py
@@ -39,6 +39,7 @@
 from crowdeck import timers
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 FOLLOW_SECONDS = 1.0
 IDLE_POLL_SECONDS = 0.05
@@ -84,21 +85,21 @@
         self._answers.on_record(peer, record)
 
     async def on_question(
-        self, peer: link.Peer, question: messages.Question
-    ) -> messages.Reply:
+        self, peer: link.Peer, question: questions.Question
+    ) -> questions.Reply:
         """Answer an operator."""
         if self.entry is None:
             raise errors.CrowdeckError(
                 errors.Code.NO_PATH, "this entry is starting", retry_after=1.0
             )
         match question:
-            case messages.ReadStatus():
-                return messages.Status(json.dumps(self.entry.status()))
-            case messages.ReadSpans():
-                return messages.Spans(self.entry.spans(question.trace))
-            case messages.Drain():
+            case questions.ReadStatus():
+                return questions.Status(json.dumps(self.entry.status()))
+            case questions.ReadSpans():
+                return questions.Spans(self.entry.spans(question.trace))
+            case questions.Drain():
                 self.entry.begin_drain(question.limit)
-                return messages.Done()
+                return questions.Done()
             case _:
                 return await self._answers.on_question(peer, question)
 
--- a/src/crowdeck/entry/http.py
+++ b/src/crowdeck/entry/http.py
@@ -32,7 +32,7 @@
 from crowdeck.observe import traces
 from crowdeck.settings import holder as settings_holder
 from crowdeck import team as teams
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 HEADER_LIMIT = 100
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"]
@@ -219,7 +219,7 @@
         order: service_calls.ServiceOrder,
         session: str,
         context: context_module.RequestContext,
-    ) -> messages.Called:
+    ) -> questions.Called:
         async with self._turns.hold(
             session, order.request, context.sequence, order.deadline
         ):
--- a/src/crowdeck/entry/replies.py
+++ b/src/crowdeck/entry/replies.py
@@ -15,7 +15,7 @@
 from crowdeck.entry import openai
 from crowdeck import errors
 from crowdeck import verdict as verdicts
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 MULTIPART = "multipart/mixed"
 
@@ -43,7 +43,7 @@
     return response
 
 
-def service_response(called: messages.Called) -> responses.Response:
+def service_response(called: questions.Called) -> responses.Response:
     """Return a plain service's answer, with its companions if any."""
     if called.companions:
         return _multipart(called)
@@ -54,7 +54,7 @@
     return response
 
 
-def _multipart(called: messages.Called) -> responses.Response:
+def _multipart(called: questions.Called) -> responses.Response:
     """Put an answer and its companions into one body, whole or not."""
     body_digest = digest.digest_answer(
         "companions", [(len(one.body), one.path) for one in called.companions]
--- a/src/crowdeck/entry/service_calls.py
+++ b/src/crowdeck/entry/service_calls.py
@@ -26,7 +26,7 @@
 from crowdeck import timers
 from crowdeck import verdict as verdicts
 from crowdeck.wire import link
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 ASK_TIMEOUT = 1.0
 RECONNECT_SECONDS = 0.1
@@ -100,7 +100,7 @@
         self._wall_clock = wall_clock
         self._random = randomness
 
-    async def call(self, order: ServiceOrder) -> messages.Called:
+    async def call(self, order: ServiceOrder) -> questions.Called:
         """Make a call and return its answer.
 
         :raises CrowdeckError: with a true verdict.
@@ -109,7 +109,7 @@
             return await self._call_keyed(order)
         return await self._call_unkeyed(order)
 
-    async def _call_unkeyed(self, order: ServiceOrder) -> messages.Called:
+    async def _call_unkeyed(self, order: ServiceOrder) -> questions.Called:
         budget = self._budgets.get(order.team, order.service)
         budget.earn()
         backoff = retry.Backoff(self._random)
@@ -157,7 +157,7 @@
 
     async def _send(
         self, order: ServiceOrder, target: _Target, epoch: int
-    ) -> messages.Called:
+    ) -> questions.Called:
         """Send a call to one run of one sidecar and learn what became."""
         call = self._message(order, target, epoch)
         peer = await self._links.get(target.name)
@@ -181,8 +181,8 @@
 
     def _message(
         self, order: ServiceOrder, target: _Target, epoch: int
-    ) -> messages.Call:
-        return messages.Call(
+    ) -> questions.Call:
+        return questions.Call(
             request=order.request,
             epoch=epoch,
             incarnation=target.incarnation,
@@ -212,7 +212,7 @@
 
     async def _find_out(
         self, order: ServiceOrder, target: _Target, epoch: int
-    ) -> messages.Reply:
+    ) -> questions.Reply:
         """Seal a call whose reply was lost, or collect its answer."""
         counters.COUNTERS.add("calls.reply_lost")
         until = min(order.deadline, self._clock.now() + FIND_OUT_SECONDS)
@@ -236,26 +236,26 @@
     ) -> verdicts.Verdict:
         peer = await self._links.get(target.name)
         self._require_run(peer, target, _MAY_HAVE_RUN)
-        question = messages.Seal(request, epoch, target.incarnation)
+        question = questions.Seal(request, epoch, target.incarnation)
         reply = await peer.ask(question, ASK_TIMEOUT)
-        if isinstance(reply, messages.Sealed):
+        if isinstance(reply, questions.Sealed):
             return reply.outcome
         return _MAY_HAVE_RUN
 
     async def _collect(
         self, order: ServiceOrder, target: _Target
-    ) -> messages.Reply:
+    ) -> questions.Reply:
         peer = await self._links.get(target.name)
         self._require_run(peer, target, _MAY_HAVE_RUN)
         seconds_left = order.deadline - self._clock.now()
-        question = messages.Collect(order.request, order.team)
+        question = questions.Collect(order.request, order.team)
         return await self._fleet.ask_watched(
             peer, question, max(0.0, seconds_left)
         )
 
     # Keyed calls.
 
-    async def _call_keyed(self, order: ServiceOrder) -> messages.Called:
+    async def _call_keyed(self, order: ServiceOrder) -> questions.Called:
         own = self._make_claim(order)
         holder = await self._claims.claim(own)
         while holder.nonce != own.nonce:
@@ -293,7 +293,7 @@
 
     async def _run_claimed(
         self, order: ServiceOrder, claim: claims_module.Claim
-    ) -> messages.Called:
+    ) -> questions.Called:
         """Run our claimed call at the first claimed sidecar that can."""
         refusal: errors.CrowdeckError | None = None
         for target in _targets(claim):
@@ -308,7 +308,7 @@
 
     async def _collect_claimed(
         self, order: ServiceOrder, claim: claims_module.Claim
-    ) -> messages.Called | None:
+    ) -> questions.Called | None:
         """Return the answer of another's claimed call.
 
         Returns ``None`` once the call is known never to run.
@@ -331,7 +331,7 @@
 
     async def _collect_or_seal(
         self, order: ServiceOrder, target: _Target
-    ) -> messages.Reply:
+    ) -> questions.Reply:
         begin_by = self._clock.now() + BEGIN_SECONDS
         while True:
             reply = await self._collect(order, target)
@@ -348,17 +348,17 @@
     return [_Target(name, incarnation) for name, incarnation in pairs]
 
 
-def _is_gone(reply: messages.Reply) -> bool:
+def _is_gone(reply: questions.Reply) -> bool:
     return (
-        isinstance(reply, messages.Refused)
+        isinstance(reply, questions.Refused)
         and reply.code == errors.Code.ANSWER_GONE
     )
 
 
-def _called(reply: messages.Reply) -> messages.Called:
-    if isinstance(reply, messages.Called):
+def _called(reply: questions.Reply) -> questions.Called:
+    if isinstance(reply, questions.Called):
         return reply
-    if isinstance(reply, messages.Refused):
+    if isinstance(reply, questions.Refused):
         raise reply.as_error()
     raise errors.CrowdeckError(
         errors.Code.MALFORMED,
--- a/src/crowdeck/entry/turns.py
+++ b/src/crowdeck/entry/turns.py
@@ -17,7 +17,7 @@
 from crowdeck.observe import counters
 from crowdeck.routing import rendezvous
 from crowdeck import timers
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 END_TIMEOUT = 1.0
 # Sidecars that changed this recently may disagree with us, or with other
@@ -111,7 +111,7 @@
                     "the session has no home to take a turn at",
                     retry_after=1.0,
                 )
-            question = messages.TakeTurn(
+            question = questions.TakeTurn(
                 session=held.session,
                 request=held.request,
                 sequence=held.sequence,
@@ -127,7 +127,7 @@
             except errors.LinkLost:
                 await anyio.sleep(RETRY_SECONDS)
                 continue
-            if isinstance(reply, messages.Refused):
+            if isinstance(reply, questions.Refused):
                 if reply.code == errors.Code.LEAVING:
                     await anyio.sleep(RETRY_SECONDS)
                     continue
@@ -149,7 +149,7 @@
         view = self._fleet.find(held.home)
         if view is None or view.peer is None:
             return
-        question = messages.EndTurn(held.session, held.request)
+        question = questions.EndTurn(held.session, held.request)
         try:
             await view.peer.ask(question, END_TIMEOUT)
         except errors.LinkLost:
--- a/src/crowdeck/membership/fleet.py
+++ b/src/crowdeck/membership/fleet.py
@@ -29,6 +29,7 @@
 from crowdeck import timers
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 # Heartbeats a second, to all sidecars together: what control costs must
 # not grow with the fleet. One exchange is about 700 bytes with TCP's part,
@@ -200,7 +201,7 @@
         try:
             while peer.is_open:
                 reply = await peer.ask(
-                    messages.Heartbeat(HEARTBEAT_TIMEOUT), HEARTBEAT_TIMEOUT
+                    questions.Heartbeat(HEARTBEAT_TIMEOUT), HEARTBEAT_TIMEOUT
                 )
                 self._take_report(view, reply)
                 with anyio.move_on_after(self._pause()):
@@ -218,13 +219,13 @@
         )
 
     async def ask_watched(
-        self, peer: link.Peer, question: messages.Question, timeout: float
-    ) -> messages.Reply:
+        self, peer: link.Peer, question: questions.Question, timeout: float
+    ) -> questions.Reply:
         """Ask what may rightly take long, noticing when the peer dies.
 
         :raises LinkLost: as soon as the peer no longer answers probes.
         """
-        outcome: messages.Reply | errors.LinkLost
+        outcome: questions.Reply | errors.LinkLost
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._probe_often, peer.greeting.instance)
             try:
@@ -265,7 +266,7 @@
         counters.COUNTERS.add("fleet.probed")
         try:
             reply = await peer.ask(
-                messages.Heartbeat(PROBE_TIMEOUT), PROBE_TIMEOUT
+                questions.Heartbeat(PROBE_TIMEOUT), PROBE_TIMEOUT
             )
             self._take_report(view, reply)
         except errors.CrowdeckError:
@@ -280,7 +281,7 @@
         if view is not None and view.peer is peer:
             self._take_report(view, load)
 
-    def _take_report(self, view: SidecarView, reply: messages.Reply) -> None:
+    def _take_report(self, view: SidecarView, reply: questions.Reply) -> None:
         if not isinstance(reply, messages.Load):
             raise errors.CrowdeckError(
                 errors.Code.MALFORMED, "a heartbeat was not answered by one"
--- a/src/crowdeck/sidecar/calls.py
+++ b/src/crowdeck/sidecar/calls.py
@@ -24,7 +24,7 @@
 from crowdeck import timers
 from crowdeck import upstream
 from crowdeck import verdict as verdicts
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 # Longer than any caller waits before it asks again with the same key.
 KEEP_SECONDS = 300.0
@@ -41,12 +41,12 @@
     epoch: int
     time: float
     done: anyio.Event = attrs.field(factory=anyio.Event)
-    reply: messages.Called | errors.CrowdeckError | None = None
+    reply: questions.Called | errors.CrowdeckError | None = None
 
     @property
     def size(self) -> int:
         """Bytes that the kept answer takes, roughly."""
-        if not isinstance(self.reply, messages.Called):
+        if not isinstance(self.reply, questions.Called):
             return 0
         companions = sum(len(one.body) for one in self.reply.companions)
         return len(self.reply.body) + companions
@@ -83,7 +83,7 @@
         """Names of the services beside this sidecar."""
         return tuple(sorted(self._services))
 
-    async def call(self, call: messages.Call) -> messages.Called:
+    async def call(self, call: questions.Call) -> questions.Called:
         """Run a call, or join the run of an earlier arrival of it.
 
         :raises CrowdeckError: with the verdict of the gate or the call.
@@ -93,7 +93,7 @@
             kept = self._begin(call)
         return await self._wait(kept, call.team, call.seconds_left)
 
-    async def collect(self, question: messages.Collect) -> messages.Called:
+    async def collect(self, question: questions.Collect) -> questions.Called:
         """Return the answer of an earlier call, waiting while it runs."""
         kept = self._kept.get(question.request)
         if kept is None:
@@ -111,7 +111,7 @@
             total -= kept.size
             del self._kept[request]
 
-    def _is_retry(self, call: messages.Call, kept: _Kept) -> bool:
+    def _is_retry(self, call: questions.Call, kept: _Kept) -> bool:
         """Whether a call is a further try of one that ended in an error.
 
         An entry makes one only where the first did not run, or where the
@@ -121,7 +121,7 @@
         is_own = kept.team == call.team
         return has_failed and is_own and call.epoch > kept.epoch
 
-    def _begin(self, call: messages.Call) -> _Kept:
+    def _begin(self, call: questions.Call) -> _Kept:
         if call.incarnation != self._gate.incarnation:
             raise errors.CrowdeckError(
                 errors.Code.WRONG_INCARNATION,
@@ -143,7 +143,7 @@
 
     async def _wait(
         self, kept: _Kept, team: str, timeout: float
-    ) -> messages.Called:
+    ) -> questions.Called:
         if kept.team != team:
             raise _gone()
         with anyio.move_on_after(timeout):
@@ -160,7 +160,7 @@
 
     async def _run(
         self,
-        call: messages.Call,
+        call: questions.Call,
         service: upstream.PlainService,
         kept: _Kept,
     ) -> None:
@@ -187,10 +187,10 @@
 
     async def _call_service(
         self,
-        call: messages.Call,
+        call: questions.Call,
         service: upstream.PlainService,
         span: traces.OpenSpan,
-    ) -> messages.Called:
+    ) -> questions.Called:
         headers = (
             *call.headers,
             http_header.Header("traceparent", span.traceparent),
@@ -204,10 +204,10 @@
                 timeout=call.seconds_left,
             )
         )
-        companions: tuple[messages.Companion, ...] = ()
+        companions: tuple[questions.Companion, ...] = ()
         if call.has_companions:
             companions = await self._fetch_companions(call, service, response)
-        return messages.Called(
+        return questions.Called(
             status=response.status,
             headers=response.headers,
             body=response.body,
@@ -216,10 +216,10 @@
 
     async def _fetch_companions(
         self,
-        call: messages.Call,
+        call: questions.Call,
         service: upstream.PlainService,
         response: upstream.ServiceResponse,
-    ) -> tuple[messages.Companion, ...]:
+    ) -> tuple[questions.Companion, ...]:
         paths = _companion_paths(response.headers)
         if len(paths) > COMPANION_LIMIT:
             raise _missing(f"more than {COMPANION_LIMIT} companions")
@@ -229,8 +229,8 @@
         return tuple(found)
 
     async def _fetch_companion(
-        self, call: messages.Call, service: upstream.PlainService, path: str
-    ) -> messages.Companion:
+        self, call: questions.Call, service: upstream.PlainService, path: str
+    ) -> questions.Companion:
         request = upstream.ServiceRequest(
             method="GET",
             path=path,
@@ -244,7 +244,7 @@
             raise _missing(f"{path}: {error.code}") from error
         if response.status != 200:
             raise _missing(f"{path}: status {response.status}")
-        return messages.Companion(
+        return questions.Companion(
             path=path,
             content_type=_header(response.headers, "content-type"),
             body=response.body,
--- /dev/null
+++ b/src/crowdeck/sidecar/head.py
@@ -0,0 +1,206 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The first stage's part: it collects tokens, keeps the answer, drives on."""
+
+import typing
+
+import anyio
+import anyio.abc
+
+from crowdeck import digest
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.sidecar import attempt as attempts
+from crowdeck.sidecar import gate as gates
+from crowdeck.sidecar import kept as kept_attempts
+from crowdeck import timers
+from crowdeck import upstream
+from crowdeck import verdict as verdicts
+from crowdeck.wire import link
+from crowdeck.wire import messages
+from crowdeck.wire import questions
+
+FINISH_LENGTH = "length"
+
+_MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+
+Decode = typing.Callable[[attempts.Attempt, upstream.EngineStep], None]
+
+
+class Head:
+    """Drives the answers that begin at one sidecar.
+
+    :param decode: has the engine run an attempt's next position.
+    """
+
+    def __init__(
+        self,
+        gate: gates.Gate,
+        kept: kept_attempts.KeptAttempts,
+        clock: timers.Clock,
+        tasks: anyio.abc.TaskGroup,
+        decode: Decode,
+    ) -> None:
+        self._gate = gate
+        self._kept = kept
+        self._clock = clock
+        self._tasks = tasks
+        self._decode = decode
+
+    def take_token(
+        self, attempt: attempts.Attempt, record: messages.Token
+    ) -> None:
+        """Take the next token of an answer, and begin the one after it."""
+        position = len(attempt.pieces)
+        if record.position < position:
+            counters.COUNTERS.add("stage.refused.repeated_record")
+            return
+        path = attempt.opening.path
+        if record.position > position or record.context != attempt.context:
+            self._kept.fail(attempt, _wrong_token(record.position, position))
+            return
+        if record.next_layer != path.layer_count:
+            self._kept.fail(attempt, _unfinished_token(record.next_layer))
+            return
+        attempt.pieces.append(messages.Piece(record.token, record.text))
+        attempt.touched = self._clock.now()
+        counters.COUNTERS.add("head.tokens")
+        finish = record.finish
+        if not finish and len(attempt.pieces) >= attempt.opening.max_tokens:
+            finish = FINISH_LENGTH
+        self._kept.send_source(
+            attempt,
+            messages.Answer(
+                request=attempt.request,
+                epoch=attempt.epoch,
+                position=position,
+                token=record.token,
+                text=record.text,
+                finish=finish,
+            ),
+        )
+        self._drive_on(attempt, finish)
+
+    def _drive_on(self, attempt: attempts.Attempt, finish: str) -> None:
+        if finish:
+            self._finish(attempt, finish)
+        elif attempt.is_moved:
+            pass
+        elif attempt.next_position >= attempt.upto:
+            attempt.is_held = True
+        else:
+            self._next_position(attempt)
+
+    def _next_position(self, attempt: attempts.Attempt) -> None:
+        attempt.is_held = False
+        self._decode(
+            attempt,
+            upstream.EngineStep(
+                sequence=attempt.sequence,
+                context=attempt.context,
+                tokens=(attempt.pieces[-1].token,),
+            ),
+        )
+
+    def _finish(self, attempt: attempts.Attempt, finish: str) -> None:
+        attempt.finish = finish
+        attempt.span.note("tokens", len(attempt.pieces))
+        attempt.span.end("finished")
+        self._gate.finish(attempt.request)
+        self._send_end(attempt)
+        self._kept.send_forward(
+            attempt, messages.Cancel(attempt.request, attempt.epoch)
+        )
+        self._tasks.start_soon(self._kept.cancel_engine, attempt.sequence)
+
+    def _send_end(self, attempt: attempts.Attempt) -> None:
+        pairs = [(piece.token, piece.text) for piece in attempt.pieces]
+        self._kept.send_source(
+            attempt,
+            messages.AnswerEnd(
+                request=attempt.request,
+                epoch=attempt.epoch,
+                count=len(pairs),
+                digest=digest.digest_answer(attempt.request, pairs),
+                finish=attempt.finish,
+            ),
+        )
+
+    def on_credit(self, peer: link.Peer, record: messages.Credit) -> None:
+        """Let the head go on as far as the caller has room."""
+        attempt = self._kept.current(record.request, record.epoch)
+        if attempt is None or attempt.source is not peer:
+            return
+        attempt.upto = max(attempt.upto, record.upto)
+        can_go_on = attempt.is_held and attempt.next_position < attempt.upto
+        if can_go_on and attempt.is_running and not attempt.is_moved:
+            self._next_position(attempt)
+
+    def attach(
+        self, peer: link.Peer, question: questions.Attach
+    ) -> questions.Attached:
+        """Give an answer to an entry that asks for the rest of it.
+
+        :raises CrowdeckError: ``ANSWER_GONE`` when it is not kept here,
+            and just the same when it is another team's.
+        """
+        attempt = self._kept.find(question.request)
+        if attempt is None or attempt.opening.team != question.team:
+            raise errors.CrowdeckError(
+                errors.Code.ANSWER_GONE,
+                "no such answer is kept here",
+                verdict=_MAY_HAVE_RUN,
+            )
+        if attempt.is_head:
+            self._change_source(attempt, peer)
+            attempt.upto = question.position + question.window
+            self._tasks.start_soon(self._resume_soon, attempt)
+        return questions.Attached(
+            epoch=attempt.epoch,
+            pieces=tuple(attempt.pieces[question.position :]),
+            is_running=attempt.is_head and attempt.is_running,
+            finish=attempt.finish,
+        )
+
+    def _change_source(
+        self, attempt: attempts.Attempt, peer: link.Peer
+    ) -> None:
+        former = attempt.source
+        attempt.source = peer
+        attempt.touched = self._clock.now()
+        if former is not None and former is not peer:
+            former.send(
+                self._kept.failure(
+                    attempt.request,
+                    attempt.epoch,
+                    errors.CrowdeckError(
+                        errors.Code.SUPERSEDED,
+                        "the answer went on to another entry",
+                        verdict=_MAY_HAVE_RUN,
+                    ),
+                )
+            )
+
+    async def _resume_soon(self, attempt: attempts.Attempt) -> None:
+        can_go_on = attempt.is_held and attempt.next_position < attempt.upto
+        if can_go_on and attempt.is_running:
+            self._next_position(attempt)
+
+
+def _wrong_token(got: int, expected: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.WRONG_POSITION,
+        f"token {got} came, not {expected}",
+        verdict=_MAY_HAVE_RUN,
+    )
+
+
+def _unfinished_token(next_layer: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.WRONG_LAYER,
+        f"a token came out before layer {next_layer} had run",
+        verdict=_MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/src/crowdeck/sidecar/kept.py
@@ -0,0 +1,230 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The attempts that a sidecar keeps, running and ended ones.
+
+An answer outlives its attempt for a while, for a caller whose entry died;
+so does the KV cache of a stage whose predecessor was lost.
+"""
+
+import anyio
+import anyio.abc
+
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.sidecar import attempt as attempts
+from crowdeck.sidecar import gate as gates
+from crowdeck import timers
+from crowdeck import upstream
+from crowdeck import verdict as verdicts
+from crowdeck.wire import link
+from crowdeck.wire import messages
+from crowdeck.wire import questions
+
+# A stage whose predecessor is gone keeps its KV cache this long for the
+# attempt that replaces the broken one; detection takes about 1.5 s.
+ORPHAN_SECONDS = 5.0
+# A caller whose entry died has this long to come back for its answer.
+KEEP_SECONDS = 60.0
+KEPT_LIMIT = 10_000
+
+_MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class KeptAttempts:
+    """The attempts of one sidecar, by request."""
+
+    def __init__(
+        self,
+        instance: str,
+        gate: gates.Gate,
+        engine: upstream.Engine,
+        clock: timers.Clock,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self._instance = instance
+        self._gate = gate
+        self._engine = engine
+        self._clock = clock
+        self._tasks = tasks
+        self._attempts: dict[str, attempts.Attempt] = {}
+        self._imports: dict[str, attempts.HeldImport] = {}
+
+    @property
+    def running(self) -> int:
+        """How many attempts are in progress here."""
+        return sum(one.is_running for one in self._attempts.values())
+
+    @property
+    def all(self) -> tuple[attempts.Attempt, ...]:
+        """Every attempt that is kept here, ended ones too."""
+        return tuple(self._attempts.values())
+
+    def find(self, request: str) -> attempts.Attempt | None:
+        """Return the latest attempt of a request, if it is kept here."""
+        return self._attempts.get(request)
+
+    def forget(self, attempt: attempts.Attempt) -> None:
+        """Drop an attempt and its KV cache."""
+        self.drop(attempt, "forgotten")
+
+    def put(self, attempt: attempts.Attempt) -> None:
+        """Keep an attempt as the latest of its request."""
+        self._imports.pop(attempt.request, None)
+        self._attempts[attempt.request] = attempt
+
+    def find_import(self, request: str) -> attempts.HeldImport | None:
+        """Return the imported KV cache that waits for a request."""
+        return self._imports.get(request)
+
+    def hold_import(self, question: questions.ImportKv, sequence: str) -> None:
+        """Keep an imported KV cache for the warm opening to come."""
+        self._imports[question.request] = attempts.HeldImport(
+            sequence=sequence,
+            team=question.team,
+            context=question.context,
+            time=self._clock.now(),
+        )
+
+    def current(self, request: str, epoch: int) -> attempts.Attempt | None:
+        """Return an attempt if this is its latest epoch."""
+        attempt = self._attempts.get(request)
+        if attempt is None or attempt.epoch != epoch:
+            return None
+        return attempt
+
+    def fail(
+        self, attempt: attempts.Attempt, error: errors.CrowdeckError
+    ) -> None:
+        """End an attempt that broke, and tell whoever sent it."""
+        if not attempt.is_running:
+            return
+        if self._attempts.get(attempt.request) is not attempt:
+            return
+        attempt.is_failed = True
+        attempt.touched = self._clock.now()
+        attempt.span.end(error.code)
+        counters.COUNTERS.add(f"stage.failed.{error.code.lower()}")
+        self.send_source(
+            attempt, self.failure(attempt.request, attempt.epoch, error)
+        )
+
+    def failure(
+        self, request: str, epoch: int, error: errors.CrowdeckError
+    ) -> messages.Failure:
+        """Put an error into the record that tells of it."""
+        return messages.Failure(
+            request=request,
+            epoch=epoch,
+            verdict=error.verdict,
+            code=error.code,
+            message=error.message,
+            culprit=error.culprit or self._instance,
+        )
+
+    def send_source(
+        self, attempt: attempts.Attempt, record: messages.Record
+    ) -> None:
+        """Send a record towards the entry, while its link stands."""
+        if attempt.source is not None:
+            attempt.source.send(record)
+
+    def send_forward(
+        self, attempt: attempts.Attempt, record: messages.Record
+    ) -> None:
+        """Send a record to the next stage, if there is one."""
+        # A tail's forward link leads back to the head, not to a stage.
+        if attempt.forward is not None and not attempt.is_tail:
+            attempt.forward.send(record)
+
+    def drop(self, attempt: attempts.Attempt, outcome: str) -> None:
+        """Keep an attempt no longer, nor its KV cache."""
+        if self._attempts.get(attempt.request) is attempt:
+            del self._attempts[attempt.request]
+        attempt.span.end(outcome)
+        self._gate.finish(attempt.request)
+        self._tasks.start_soon(self.cancel_engine, attempt.sequence)
+
+    async def cancel_engine(self, sequence: str) -> None:
+        """Have the engine forget a KV cache."""
+        try:
+            await self._engine.cancel(sequence)
+        except errors.CrowdeckError:
+            # The engine forgets by itself in time; there is nobody who
+            # could do anything about it now.
+            counters.COUNTERS.add("engine.cancel_failed")
+
+    def on_closed(self, peer: link.Peer) -> None:
+        """Fail what went out on a lost link, keep what came in on it."""
+        for attempt in tuple(self._attempts.values()):
+            if attempt.forward is peer:
+                attempt.forward = None
+                if attempt.is_running:
+                    lost = peer.greeting.instance
+                    self.fail(
+                        attempt,
+                        errors.LinkLost(
+                            f"the link to {lost} was lost",
+                            was_sent=True,
+                            culprit=lost,
+                        ),
+                    )
+            if attempt.source is peer:
+                attempt.source = None
+                attempt.touched = self._clock.now()
+
+    async def sweep(self) -> None:
+        """End attempts past their deadline, drop those nobody will ask."""
+        now = self._clock.now()
+        for attempt in tuple(self._attempts.values()):
+            if attempt.is_head:
+                self._sweep_head(attempt, now)
+            else:
+                self._sweep_later(attempt, now)
+        self._drop_imports(now)
+        self._drop_surplus()
+
+    def _drop_imports(self, now: float) -> None:
+        for request, held in tuple(self._imports.items()):
+            if now - held.time > ORPHAN_SECONDS:
+                del self._imports[request]
+                self._tasks.start_soon(self.cancel_engine, held.sequence)
+
+    def _sweep_head(self, attempt: attempts.Attempt, now: float) -> None:
+        if attempt.is_running and now > attempt.deadline:
+            self.send_forward(
+                attempt, messages.Cancel(attempt.request, attempt.epoch)
+            )
+            self.fail(
+                attempt,
+                errors.CrowdeckError(
+                    errors.Code.DEADLINE,
+                    "the answer was not whole by its deadline",
+                    verdict=_MAY_HAVE_RUN,
+                ),
+            )
+        is_old = now - attempt.touched > KEEP_SECONDS
+        if is_old and (attempt.source is None or not attempt.is_running):
+            self.send_forward(
+                attempt, messages.Cancel(attempt.request, attempt.epoch)
+            )
+            self.drop(attempt, "expired")
+
+    def _sweep_later(self, attempt: attempts.Attempt, now: float) -> None:
+        is_orphan = (
+            attempt.source is None or attempt.is_failed or attempt.is_moved
+        )
+        is_old = now - attempt.touched > ORPHAN_SECONDS
+        is_late = now > attempt.deadline + ORPHAN_SECONDS
+        if (is_orphan and is_old) or is_late:
+            self.drop(attempt, "expired")
+
+    def _drop_surplus(self) -> None:
+        surplus = len(self._attempts) - KEPT_LIMIT
+        if surplus <= 0:
+            return
+        ended = [one for one in self._attempts.values() if not one.is_running]
+        for attempt in ended[:surplus]:
+            self.drop(attempt, "surplus")
--- a/src/crowdeck/sidecar/kv_moves.py
+++ b/src/crowdeck/sidecar/kv_moves.py
@@ -17,7 +17,7 @@
 from crowdeck.sidecar import attempt as attempts
 from crowdeck.sidecar import stage as stages
 from crowdeck import upstream
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 IMPORT_TIMEOUT = 5.0
 
@@ -35,13 +35,15 @@
         self._engine = engine
         self._links = links
 
-    async def move_out(self, question: messages.MoveOut) -> messages.MovedOut:
+    async def move_out(
+        self, question: questions.MoveOut
+    ) -> questions.MovedOut:
         """Hand a request's KV cache to the stage that will replace us.
 
         :raises CrowdeckError: when it could not be; the attempt is then
             to be opened anew, cold.
         """
-        attempt = self._stage.find(question.request)
+        attempt = self._stage.kept.find(question.request)
         if attempt is None or attempt.epoch != question.epoch:
             raise errors.CrowdeckError(
                 errors.Code.CACHE_GONE, "no such attempt runs here"
@@ -50,7 +52,7 @@
         await self._stage.wait_boundary(question.request)
         self._require_boundary(attempt)
         kv = await self._engine.export_kv(attempt.sequence)
-        moved = messages.MovedOut(
+        moved = questions.MovedOut(
             position=attempt.next_position, context=attempt.context
         )
         await self._hand_over(question.target, attempt, kv)
@@ -68,7 +70,7 @@
     ) -> None:
         peer = await self._links.get(target.instance)
         reply = await peer.ask(
-            messages.ImportKv(
+            questions.ImportKv(
                 request=attempt.request,
                 team=attempt.opening.team,
                 context=attempt.context,
@@ -76,13 +78,13 @@
             ),
             IMPORT_TIMEOUT,
         )
-        if isinstance(reply, messages.Refused):
+        if isinstance(reply, questions.Refused):
             raise reply.as_error()
 
-    async def import_kv(self, question: messages.ImportKv) -> messages.Done:
+    async def import_kv(self, question: questions.ImportKv) -> questions.Done:
         """Take a KV cache, for a warm opening that will follow soon."""
         sequence = f"{question.request}.import"
         await self._engine.import_kv(sequence, question.kv)
-        self._stage.hold_import(question, sequence)
+        self._stage.kept.hold_import(question, sequence)
         counters.COUNTERS.add("stage.moved_in")
-        return messages.Done()
+        return questions.Done()
--- /dev/null
+++ b/src/crowdeck/sidecar/opening.py
@@ -0,0 +1,167 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""How an attempt begins at one stage: checked, let in once, and kept.
+
+A cold opening reads everything again. A warm one goes on with a KV cache
+that is here, left by the attempt before it or imported from another stage.
+"""
+
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.observe import traces
+from crowdeck import pipeline
+from crowdeck.sidecar import attempt as attempts
+from crowdeck.sidecar import gate as gates
+from crowdeck.sidecar import kept as kept_attempts
+from crowdeck import timers
+from crowdeck import upstream
+from crowdeck.wire import link
+from crowdeck.wire import messages
+
+
+class Openings:
+    """Begins the attempts of one sidecar."""
+
+    def __init__(
+        self,
+        instance: str,
+        gate: gates.Gate,
+        kept: kept_attempts.KeptAttempts,
+        clock: timers.Clock,
+        tracer: traces.Tracer,
+    ) -> None:
+        self._instance = instance
+        self._gate = gate
+        self._kept = kept
+        self._clock = clock
+        self._tracer = tracer
+
+    def begin(
+        self, peer: link.Peer, opening: messages.Opening
+    ) -> attempts.Attempt:
+        """Let an attempt in and keep it, in place of an earlier one.
+
+        :raises CrowdeckError: with the gate's verdict when refused.
+        """
+        index = self._own_index(opening.path)
+        is_warm = opening.warm_position >= 0
+        earlier = self._kept.find(opening.request)
+        warm_sequence = ""
+        if earlier is not None and earlier.opening.team != opening.team:
+            raise errors.CrowdeckError(
+                errors.Code.FORBIDDEN, "this request is another team's"
+            )
+        if is_warm:
+            warm_sequence = self._require_warm(earlier, opening)
+        self._gate.enter(
+            opening.request, opening.epoch, is_new_work=not is_warm
+        )
+        attempt = self._make(peer, opening, index)
+        if earlier is not None:
+            self._replace(earlier, opening, keeps_kv=is_warm)
+        if is_warm:
+            attempt.sequence = warm_sequence
+            attempt.context = opening.warm_context
+        attempt.is_in_engine = True
+        self._kept.put(attempt)
+        counters.COUNTERS.add("stage.opened")
+        return attempt
+
+    def _replace(
+        self,
+        earlier: attempts.Attempt,
+        opening: messages.Opening,
+        keeps_kv: bool,
+    ) -> None:
+        """End an earlier attempt, at stages the new path leaves out too.
+
+        Stages of both paths get the new opening; a ``Cancel`` there would
+        race it and throw away the KV cache that a warm one counts on.
+        """
+        kept = {one.instance for one in opening.path.stages}
+        forward = earlier.forward
+        if forward is not None and forward.greeting.instance not in kept:
+            self._kept.send_forward(
+                earlier, messages.Cancel(earlier.request, earlier.epoch)
+            )
+        if keeps_kv:
+            earlier.span.end("moved")
+        else:
+            self._kept.drop(earlier, "replaced")
+
+    def _make(
+        self, peer: link.Peer, opening: messages.Opening, index: int
+    ) -> attempts.Attempt:
+        now = self._clock.now()
+        return attempts.Attempt(
+            opening=opening,
+            index=index,
+            sequence=f"{opening.request}.{opening.epoch}",
+            source=peer,
+            deadline=now + opening.seconds_left,
+            span=self._tracer.begin(
+                "stage",
+                opening.traceparent,
+                {
+                    "request": opening.request,
+                    "epoch": opening.epoch,
+                    "stage": index,
+                },
+            ),
+            touched=now,
+            next_position=len(opening.delivered),
+            pieces=list(opening.delivered),
+        )
+
+    def _own_index(self, path: pipeline.Path) -> int:
+        try:
+            return path.index_of(self._instance, self._gate.incarnation)
+        except LookupError:
+            raise errors.CrowdeckError(
+                errors.Code.WRONG_INCARNATION,
+                f"the path was chosen for another run of {self._instance}",
+                culprit=self._instance,
+            ) from None
+
+    def _require_warm(
+        self, earlier: attempts.Attempt | None, opening: messages.Opening
+    ) -> str:
+        """Return the engine sequence that a warm opening goes on with."""
+        held = self._kept.find_import(opening.request)
+        if held is not None and held.team == opening.team:
+            if held.context == opening.warm_context:
+                return held.sequence
+        is_held = (
+            earlier is not None
+            and not earlier.is_in_engine
+            and earlier.context >= opening.warm_context
+            and earlier.opening.team == opening.team
+        )
+        if earlier is None or not is_held:
+            raise errors.CrowdeckError(
+                errors.Code.CACHE_GONE,
+                f"{self._instance} does not hold this KV cache",
+                culprit=self._instance,
+            )
+        return earlier.sequence
+
+
+def first_step(attempt: attempts.Attempt) -> upstream.EngineStep:
+    """Return what a head's engine is to run first."""
+    opening = attempt.opening
+    tokens = tuple(piece.token for piece in opening.delivered)
+    if opening.warm_position >= 0:
+        return upstream.EngineStep(
+            sequence=attempt.sequence,
+            context=opening.warm_context,
+            tokens=tokens[-1:],
+        )
+    return upstream.EngineStep(
+        sequence=attempt.sequence,
+        context=0,
+        prompt=opening.prompt,
+        tokens=tokens,
+    )
--- a/src/crowdeck/sidecar/sidecar.py
+++ b/src/crowdeck/sidecar/sidecar.py
@@ -27,6 +27,7 @@
 from crowdeck import upstream
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 IDLE_POLL_SECONDS = 0.05
 # One report to one entry at each tick: at most 4 a second, and none while
@@ -82,7 +83,7 @@
     @property
     def running(self) -> int:
         """Attempts and calls in progress."""
-        in_stage = self._stage.running if self._stage is not None else 0
+        in_stage = self._stage.kept.running if self._stage is not None else 0
         return in_stage + self._calls.running
 
     @property
@@ -115,7 +116,7 @@
         )
         self._moves = kv_moves.KvMoves(self._stage, self._engine, links)
         self._timers.subscribe(
-            "stage", stages.SWEEP_SECONDS, self._stage.sweep
+            "stage", stages.SWEEP_SECONDS, self._stage.kept.sweep
         )
 
     # The link handler.
@@ -131,7 +132,7 @@
         self._peers.discard(peer)
         self._turns.on_closed(peer)
         if self._stage is not None:
-            self._stage.on_closed(peer)
+            self._stage.kept.on_closed(peer)
 
     def on_record(self, peer: link.Peer, record: messages.Record) -> None:
         """Hand a record to the stage."""
@@ -147,7 +148,7 @@
             case messages.Prefill():
                 stage.on_prefill(peer, record)
             case messages.Credit():
-                stage.on_credit(peer, record)
+                stage.head.on_credit(peer, record)
             case messages.Failure():
                 stage.on_failure(peer, record)
             case messages.Cancel():
@@ -156,54 +157,54 @@
                 counters.COUNTERS.add("sidecar.record_not_for_us")
 
     async def on_question(
-        self, peer: link.Peer, question: messages.Question
-    ) -> messages.Reply:
+        self, peer: link.Peer, question: questions.Question
+    ) -> questions.Reply:
         """Answer a question; errors become ``Refused`` at the link."""
         match question:
-            case messages.Heartbeat():
+            case questions.Heartbeat():
                 return self._load()
-            case messages.Open():
+            case questions.Open():
                 stage = self._require_stage()
                 if question.opening.warm_position >= 0:
                     await stage.wait_boundary(question.opening.request)
                 stage.open(peer, question.opening)
-                return messages.Done()
-            case messages.Attach():
-                return self._require_stage().attach(peer, question)
-            case messages.Call():
+                return questions.Done()
+            case questions.Attach():
+                return self._require_stage().head.attach(peer, question)
+            case questions.Call():
                 return await self._calls.call(question)
-            case messages.Collect():
+            case questions.Collect():
                 return await self._calls.collect(question)
-            case messages.Seal():
-                return messages.Sealed(
+            case questions.Seal():
+                return questions.Sealed(
                     self._gate.seal(
                         question.request, question.epoch, question.incarnation
                     )
                 )
-            case messages.TakeTurn():
+            case questions.TakeTurn():
                 await self._turns.take(peer, question)
-                return messages.Done()
-            case messages.EndTurn():
+                return questions.Done()
+            case questions.EndTurn():
                 self._turns.end(question)
-                return messages.Done()
+                return questions.Done()
             case _:
                 return await self._on_rare_question(question)
 
     async def _on_rare_question(
-        self, question: messages.Question
-    ) -> messages.Reply:
+        self, question: questions.Question
+    ) -> questions.Reply:
         match question:
-            case messages.MoveOut():
+            case questions.MoveOut():
                 return await self._require_moves().move_out(question)
-            case messages.ImportKv():
+            case questions.ImportKv():
                 return await self._require_moves().import_kv(question)
-            case messages.Drain():
+            case questions.Drain():
                 self.begin_drain(question.limit)
-                return messages.Done()
-            case messages.ReadStatus():
-                return messages.Status(json.dumps(self.status()))
-            case messages.ReadSpans():
-                return messages.Spans(self._tracer.find(question.trace))
+                return questions.Done()
+            case questions.ReadStatus():
+                return questions.Status(json.dumps(self.status()))
+            case questions.ReadSpans():
+                return questions.Spans(self._tracer.find(question.trace))
             case _:
                 raise errors.CrowdeckError(
                     errors.Code.MALFORMED, "a sidecar does not answer this"
--- a/src/crowdeck/sidecar/turns.py
+++ b/src/crowdeck/sidecar/turns.py
@@ -20,7 +20,7 @@
 from crowdeck.observe import counters
 from crowdeck import timers
 from crowdeck.wire import link
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 # An entry notices a lost home within its heartbeat time-out (1.5 s) and
 # comes forward at once; twice that covers a late one.
@@ -34,7 +34,7 @@
 
 @attrs.define(eq=False)
 class _Waiting:
-    question: messages.TakeTurn
+    question: questions.TakeTurn
     peer: link.Peer
     granted: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -74,7 +74,9 @@
             for asked in session.waiting:
                 asked.granted.set()
 
-    async def take(self, peer: link.Peer, question: messages.TakeTurn) -> None:
+    async def take(
+        self, peer: link.Peer, question: questions.TakeTurn
+    ) -> None:
         """Return once the turn is granted.
 
         :raises CrowdeckError: ``ORDER``, with ``NOT_RUN``: the turn did
@@ -106,7 +108,7 @@
                 retry_after=1.0,
             )
 
-    def end(self, question: messages.EndTurn) -> None:
+    def end(self, question: questions.EndTurn) -> None:
         """Take a turn back and grant the next one."""
         session = self._sessions.get(question.session)
         if session is None:
@@ -143,7 +145,7 @@
             if is_idle and now - session.touched > IDLE_SECONDS:
                 del self._sessions[name]
 
-    def _session(self, question: messages.TakeTurn) -> _Session:
+    def _session(self, question: questions.TakeTurn) -> _Session:
         now = self._clock.now()
         session = self._sessions.get(question.session)
         if session is None:
@@ -170,7 +172,7 @@
         return False
 
     def _require_fresh(
-        self, session: _Session, question: messages.TakeTurn
+        self, session: _Session, question: questions.TakeTurn
     ) -> None:
         is_used = 0 <= question.sequence <= session.last_sequence
         if is_used:
--- a/src/crowdeck/standin/network.py
+++ b/src/crowdeck/standin/network.py
@@ -20,6 +20,7 @@
 from crowdeck import instance as instances
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 DEFAULT_DELAY = 0.0005
 
@@ -158,8 +159,8 @@
             self._sender.send_nowait((record, extra))
 
     async def ask(
-        self, question: messages.Question, timeout: float
-    ) -> messages.Reply:
+        self, question: questions.Question, timeout: float
+    ) -> questions.Reply:
         """Ask a question; each way of the exchange can be lost."""
         source, target = self._names
         lost = errors.LinkLost(
@@ -167,7 +168,7 @@
         )
         if not self.is_open:
             raise lost
-        replies: list[messages.Reply] = []
+        replies: list[questions.Reply] = []
         with anyio.move_on_after(timeout):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._ask, question, replies, tasks)
@@ -210,8 +211,8 @@
 
     async def _ask(
         self,
-        question: messages.Question,
-        replies: list[messages.Reply],
+        question: questions.Question,
+        replies: list[questions.Reply],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         source, target = self._names
@@ -221,7 +222,7 @@
             await self._network.travel(source, target, delay)
             # The far end works on even if the asker is gone by then.
             done = anyio.Event()
-            box: list[messages.Reply] = []
+            box: list[questions.Reply] = []
             self._far.tasks.start_soon(self._serve, question, box, done)
             arrived = True
         if not arrived:
@@ -235,8 +236,8 @@
 
     async def _serve(
         self,
-        question: messages.Question,
-        box: list[messages.Reply],
+        question: questions.Question,
+        box: list[questions.Reply],
         done: anyio.Event,
     ) -> None:
         if self.twin is None or not self.twin.is_open:
@@ -247,7 +248,7 @@
                 await self._far.handler.on_question(self.twin, question)
             )
         except errors.CrowdeckError as error:
-            box.append(messages.Refused.of(error))
+            box.append(questions.Refused.of(error))
         done.set()
 
 
--- a/src/crowdeck/wire/codec.py
+++ b/src/crowdeck/wire/codec.py
@@ -22,6 +22,7 @@
 
 from crowdeck import errors
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 # The schema is loaded when the process starts: no generator is needed.
 SCHEMA: typing.Any = capnp.load(
@@ -148,8 +149,8 @@
     messages.Token: "tokens",
     messages.Answer: "answers",
 }
-QUESTIONS = UnionCodec(messages.Question)
-REPLIES = UnionCodec(messages.Reply)
+QUESTIONS = UnionCodec(questions.Question)
+REPLIES = UnionCodec(questions.Reply)
 
 
 def encode_runs(records: abc.Iterable[messages.Record]) -> list[_Struct]:
--- a/src/crowdeck/wire/link.py
+++ b/src/crowdeck/wire/link.py
@@ -13,6 +13,7 @@
 
 from crowdeck import instance as instances
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 
 
 class Peer(typing.Protocol):
@@ -38,8 +39,8 @@
         ...
 
     async def ask(
-        self, question: messages.Question, timeout: float
-    ) -> messages.Reply:
+        self, question: questions.Question, timeout: float
+    ) -> questions.Reply:
         """Ask a question and wait for its reply.
 
         :param timeout: seconds to wait.
@@ -69,8 +70,8 @@
         ...
 
     async def on_question(
-        self, peer: Peer, question: messages.Question
-    ) -> messages.Reply:
+        self, peer: Peer, question: questions.Question
+    ) -> questions.Reply:
         """Answer one question."""
         ...
 
--- a/src/crowdeck/wire/rpc.py
+++ b/src/crowdeck/wire/rpc.py
@@ -28,6 +28,7 @@
 from crowdeck.wire import codec
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 from crowdeck.wire import security
 
 DIAL_TIMEOUT = 2.0
@@ -82,8 +83,8 @@
         self._wake.set()
 
     async def ask(
-        self, question: messages.Question, timeout: float
-    ) -> messages.Reply:
+        self, question: questions.Question, timeout: float
+    ) -> questions.Reply:
         """Ask a question and wait for its reply."""
         name = self._greeting.instance
         if not self.is_open:
@@ -104,7 +105,7 @@
             raise errors.LinkLost(
                 f"the link to {name} was lost", was_sent=True, culprit=name
             ) from None
-        reply: messages.Reply = codec.REPLIES.decode(answer.reply)
+        reply: questions.Reply = codec.REPLIES.decode(answer.reply)
         return reply
 
     async def wait_closed(self) -> None:
@@ -200,10 +201,10 @@
             asked = codec.QUESTIONS.decode(question)
             reply = await self._handler.on_question(peer, asked)
         except errors.CrowdeckError as error:
-            reply = messages.Refused.of(error)
+            reply = questions.Refused.of(error)
         except Exception as error:
             _note_internal(error)
-            reply = messages.Refused.of(_internal(error))
+            reply = questions.Refused.of(_internal(error))
         return codec.REPLIES.encode(reply)
 
     async def wait_greeted(self) -> RpcPeer | None:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -275,7 +275,7 @@
 
                 def intrude() -> None:
                     head = _stage_of(system, 0)
-                    own = next(one for one in head.kept if one.is_running)
+                    own = next(one for one in head.kept.all if one.is_running)
                     foreign = attrs.evolve(own.opening, epoch=5, team="x")
                     try:
                         head.open(_NO_PEER, foreign)
@@ -405,7 +405,7 @@
                     await system.drive(request, caller).run()
                 head = system.sidecar(caller.location[0])
                 assert head._stage is not None
-                made = max(len(one.pieces) for one in head._stage.kept)
+                made = max(len(one.pieces) for one in head._stage.kept.all)
                 assert len(caller.pieces) < made <= len(caller.pieces) + 16
 
         virtual.run(check)
@@ -638,7 +638,7 @@
     for name in system.engines:
         stage = system.sidecar(name)._stage
         assert stage is not None
-        for attempt in stage.kept:
+        for attempt in stage.kept.all:
             if attempt.is_tail and attempt.epoch == epoch:
                 return stage, attempt
     raise AssertionError(f"no tail runs epoch {epoch}")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -12,7 +12,7 @@
 
 from crowdeck import errors
 from crowdeck import verdict as verdicts
-from crowdeck.wire import messages
+from crowdeck.wire import questions
 from tests import system as systems
 from tests import virtual
 
@@ -78,7 +78,7 @@
             async with systems.System() as system:
                 system.service.seconds = 0.5
                 order = system.order("a", is_repeatable=True)
-                replies: list[messages.Called] = []
+                replies: list[questions.Called] = []
 
                 async def call() -> None:
                     replies.append(await system.entry().calls.call(order))
@@ -143,7 +143,7 @@
     def test_lost_call_is_sealed_and_tried_elsewhere(self) -> None:
         async def check() -> None:
             async with systems.System() as system:
-                system.network.fault = lose_first(messages.Call)
+                system.network.fault = lose_first(questions.Call)
                 order = system.order("a", seconds=1.0)
                 raised: list[errors.CrowdeckError] = []
                 try:
@@ -160,9 +160,9 @@
     def test_cut_link_is_sealed_as_not_run(self) -> None:
         async def check() -> None:
             async with systems.System(services=1) as system:
-                system.network.fault = lose_first(messages.Call)
+                system.network.fault = lose_first(questions.Call)
                 order = system.order("a")
-                replies: list[messages.Called] = []
+                replies: list[questions.Called] = []
 
                 async def call() -> None:
                     replies.append(await system.entry().calls.call(order))
@@ -180,9 +180,9 @@
     def test_lost_answer_is_collected(self) -> None:
         async def check() -> None:
             async with systems.System(services=1) as system:
-                system.network.fault = lose_first(messages.Called)
+                system.network.fault = lose_first(questions.Called)
                 order = system.order("a")
-                replies: list[messages.Called] = []
+                replies: list[questions.Called] = []
 
                 async def call() -> None:
                     replies.append(await system.entry().calls.call(order))
@@ -206,7 +206,7 @@
                 def delay(
                     source: str, target: str, message: typing.Any
                 ) -> tuple[float, ...]:
-                    if isinstance(message, messages.Call) and not delayed:
+                    if isinstance(message, questions.Call) and not delayed:
                         delayed.append(message)
                         return (5.0,)
                     return (0.0,)
@@ -216,7 +216,7 @@
                 listed = system.store.listed("r0")
                 assert listed is not None
                 peer = await system.network.nodes[0].dial(listed.address)
-                call = messages.Call(
+                call = questions.Call(
                     request="x",
                     epoch=0,
                     incarnation=sidecar.incarnation,
@@ -229,8 +229,8 @@
                     seconds_left=60.0,
                     traceparent="",
                 )
-                seal = messages.Seal("x", 0, sidecar.incarnation)
-                replies: list[messages.Reply] = []
+                seal = questions.Seal("x", 0, sidecar.incarnation)
+                replies: list[questions.Reply] = []
 
                 async def ask() -> None:
                     replies.append(await peer.ask(call, 30.0))
@@ -239,8 +239,8 @@
                     tasks.start_soon(ask)
                     await anyio.sleep(1.0)
                     sealed = await peer.ask(seal, 1.0)
-                assert sealed == messages.Sealed(verdicts.Verdict.NOT_RUN)
-                assert isinstance(replies[0], messages.Refused)
+                assert sealed == questions.Sealed(verdicts.Verdict.NOT_RUN)
+                assert isinstance(replies[0], questions.Refused)
                 assert replies[0].code == errors.Code.SEALED
                 assert not system.service.runs
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -26,6 +26,7 @@
 from crowdeck.wire import codec
 from crowdeck.wire import link
 from crowdeck.wire import messages
+from crowdeck.wire import questions
 from crowdeck.wire import rpc
 
 PATH = pipeline.Path("m", "1", "", 4, (pipeline.StageRef("a", 9, 0, 4),))
@@ -45,10 +46,10 @@
     messages.Credit("r", 1, 9),
     messages.Cancel("r", 1),
 ]
-QUESTIONS: list[messages.Question] = [
-    messages.Open(OPENING),
-    messages.Seal("r", 1, 2**62),
-    messages.Call(
+QUESTIONS: list[questions.Question] = [
+    questions.Open(OPENING),
+    questions.Seal("r", 1, 2**62),
+    questions.Call(
         "r",
         0,
         1,
@@ -61,8 +62,8 @@
         1.0,
         "",
     ),
-    messages.TakeTurn("s", "r", -1, True, False, 2.0),
-    messages.Heartbeat(1.0),
+    questions.TakeTurn("s", "r", -1, True, False, 2.0),
+    questions.Heartbeat(1.0),
 ]
 
 
@@ -77,7 +78,7 @@
     @pytest.mark.parametrize(
         "question", QUESTIONS, ids=lambda q: type(q).__name__
     )
-    def test_questions(self, question: messages.Question) -> None:
+    def test_questions(self, question: questions.Question) -> None:
         struct = codec.SCHEMA.Question.new_message(
             **codec.QUESTIONS.encode(question)
         )
@@ -90,7 +91,7 @@
         assert caught.value.code == errors.Code.MALFORMED
 
     def test_impossible_path_is_malformed(self) -> None:
-        encoded = codec.QUESTIONS.encode(messages.Open(OPENING))
+        encoded = codec.QUESTIONS.encode(questions.Open(OPENING))
         stages = encoded["open"]["opening"]["path"]["stages"]
         stages[0]["endLayer"] = 3
         struct = codec.SCHEMA.Question.new_message(**encoded)
@@ -129,11 +130,11 @@
         self.records.append(record)
 
     async def on_question(
-        self, peer: link.Peer, question: messages.Question
-    ) -> messages.Reply:
-        if isinstance(question, messages.Drain):
+        self, peer: link.Peer, question: questions.Question
+    ) -> questions.Reply:
+        if isinstance(question, questions.Drain):
             raise RuntimeError("secret detail")
-        return messages.Done(peer.greeting.instance)
+        return questions.Done(peer.greeting.instance)
 
 
 def _greeting(name: str, cluster: str = "c") -> messages.Greeting:
@@ -174,7 +175,7 @@
         ) -> None:
             peer = await client.dial(address)
             assert peer.greeting.instance == "far"
-            assert await peer.ask(messages.Heartbeat(1), 5) == messages.Done(
+            assert await peer.ask(questions.Heartbeat(1), 5) == questions.Done(
                 "near"
             )
             for sample in SAMPLES:
@@ -190,8 +191,8 @@
             client: rpc.RpcTransport, address: instances.Address, far: _Echo
         ) -> None:
             peer = await client.dial(address)
-            reply = await peer.ask(messages.Drain(1.0), 5)
-            assert isinstance(reply, messages.Refused)
+            reply = await peer.ask(questions.Drain(1.0), 5)
+            assert isinstance(reply, questions.Refused)
             assert reply.code == errors.Code.INTERNAL
             assert "secret" not in reply.message
             assert peer.is_open
@@ -230,7 +231,7 @@
             peer.close()
             await far.closed.wait()
             with pytest.raises(errors.LinkLost) as caught:
-                await peer.ask(messages.Heartbeat(1), 5)
+                await peer.ask(questions.Heartbeat(1), 5)
             assert not caught.value.was_sent
 
         _with_link(check)
@@ -282,7 +283,7 @@
 
 def test_every_message_has_its_struct() -> None:
     """A class without a struct of the same fields fails here, not later."""
-    for cls in vars(messages).values():
+    for cls in (*vars(messages).values(), *vars(questions).values()):
         if isinstance(cls, type) and attrs.has(cls):
             name = "Offer" if cls is messages.OfferNote else cls.__name__
             fields = getattr(codec.SCHEMA, name).schema.non_union_fields
