The drive of an answer split: what was delivered, silence, the request

Measured: test_answers, test_schedules, test_end_to_end, test_calls pass (128), tests changed in names only; lint and strict types clean.

--- a/src/crowdeck/entry/drive.py
+++ b/src/crowdeck/entry/drive.py
@@ -18,8 +18,10 @@
 import anyio.abc
 import attrs
 
-from crowdeck import digest as digests
 from crowdeck.entry import answers as answers_module
+from crowdeck.entry import delivery as deliveries
+from crowdeck.entry import model_request as model_requests
+from crowdeck.entry import silence
 from crowdeck.entry import sink as sinks
 from crowdeck import errors
 from crowdeck.membership import fleet as fleets
@@ -47,15 +49,6 @@
 # What is taken up is running, or broken; its path is not known here, so
 # that probes cannot tell.
 RESUME_TIMEOUT = 4.0
-# Silence after which a path's stages are probed: ten times the aim between
-# two tokens, or five times this answer's own pace where that is slower, so
-# that probing is rare while all is well. A loaded system that probed at
-# 0.4 s regardless sent a thousand probes in half a minute, and lost live
-# sidecars to them.
-SUSPECT_SECONDS = 0.4
-SUSPECT_GAPS = 5.0
-SLOWEST_SUSPECT_SECONDS = 2.0
-GAP_SMOOTHING = 0.2
 # How long an answer waits for a caller whose connection has broken.
 LEAVE_SECONDS = 5.0
 # Beyond the window: an end, a failure and a lost link may come as well.
@@ -77,42 +70,6 @@
 _NOT_RUN = verdicts.Verdict.NOT_RUN
 
 
-@attrs.frozen
-class ModelRequest:
-    """One request for a model's answer.
-
-    :ivar seconds_left: time to its deadline, when it was received.
-    :ivar gap_limit: seconds between tokens above which a new answer is
-        refused rather than begun; 0 for never.
-    """
-
-    request: str
-    team: str
-    session: str
-    model: str
-    adapter: str
-    prompt: str
-    max_tokens: int
-    seconds_left: float
-    priority: int
-    window: int
-    gap_limit: float = 0.0
-
-
-@attrs.frozen
-class Resume:
-    """Where an answer is to be taken up again.
-
-    :ivar position: the first position that the caller does not have.
-    :ivar head: instance that keeps the answer.
-    :ivar tail: instance that has its tokens too.
-    """
-
-    position: int
-    head: str
-    tail: str
-
-
 class _Superseded(Exception):
     """The attempt goes on as another one; carries its opening."""
 
@@ -140,7 +97,7 @@
     def __init__(
         self,
         parts: DriveParts,
-        request: ModelRequest,
+        request: model_requests.ModelRequest,
         sink: sinks.Sink,
         span: traces.OpenSpan,
     ) -> None:
@@ -152,32 +109,22 @@
         self._budget = parts.budgets.get(request.team, request.model)
         self._backoff = retry.Backoff(parts.randomness)
         self._avoid: set[str] = set()
-        self._pieces: list[messages.Piece] = []
-        self._digest = digests.AnswerDigest(request.request)
-        self._shown = 0
+        self._delivery = deliveries.Delivery(request, sink)
         self._epoch = -1
         self._path: pipeline.Path | None = None
         self._head: link.Peer | None = None
-        self._finish = ""
-        self._gap_seconds = 0.0
-        self._token_at = 0.0
         self._former: tuple[link.Peer, int] | None = None
         self._inbox: answers_module.Inbox | None = None
+        self._arrivals: silence.ArrivalWatch | None = None
 
     @property
     def pieces(self) -> tuple[messages.Piece, ...]:
         """The answer so far."""
-        return tuple(self._pieces)
-
-    @property
-    def _is_whole(self) -> bool:
-        """Whether the last token is here, though perhaps not the end."""
-        is_longest = len(self._pieces) >= self._request.max_tokens
-        return bool(self._finish) or is_longest
+        return self._delivery.pieces
 
     async def run(
         self,
-        resume: Resume | None = None,
+        resume: model_requests.Resume | None = None,
         path: pipeline.Path | None = None,
     ) -> str:
         """Deliver the whole answer and return why it ended.
@@ -224,10 +171,13 @@
             )
         limit = self._request.window + INBOX_SLACK
         self._inbox = self._parts.answers.open(request, limit)
+        self._arrivals = silence.ArrivalWatch(
+            self._parts.fleet, self._parts.clock, self._inbox
+        )
         stack.callback(self._parts.answers.close, request)
 
     async def _run_attempts(
-        self, resume: Resume | None, path: pipeline.Path | None
+        self, resume: model_requests.Resume | None, path: pipeline.Path | None
     ) -> str:
         opening = self._opening(path) if path is not None else None
         while True:
@@ -239,11 +189,11 @@
             except _Superseded as superseded:
                 opening = superseded.opening
             except errors.CrowdeckError as error:
-                if self._is_whole and error.code not in _FINAL:
+                if self._delivery.is_whole and error.code not in _FINAL:
                     # Only its end got lost. Another attempt would go on
                     # past the end and give tokens that nobody asked for.
                     self._cancel()
-                    return self._finish or FINISH_LENGTH
+                    return self._delivery.finish or FINISH_LENGTH
                 opening = None
                 await self._recover(error)
 
@@ -268,7 +218,7 @@
             session=request.session,
             path=path,
             prompt=request.prompt,
-            delivered=tuple(self._pieces),
+            delivered=self._delivery.pieces,
             max_tokens=request.max_tokens,
             seconds_left=self._deadline - self._parts.clock.now(),
             priority=request.priority,
@@ -321,7 +271,7 @@
             opening.epoch, path.head.instance, path.tail.instance
         )
         counters.COUNTERS.add("drive.attempts")
-        if self._pieces:
+        if len(self._delivery):
             return await self._consume(REPLAY_TIMEOUT)
         return await self._consume(FIRST_TOKEN_TIMEOUT)
 
@@ -356,9 +306,9 @@
             )
         return view.peer
 
-    async def _resume(self, resume: Resume) -> str:
+    async def _resume(self, resume: model_requests.Resume) -> str:
         """Take up an answer that another entry began."""
-        self._shown = resume.position
+        self._delivery.shown = resume.position
         attached: questions.Attached | None = None
         for name in dict.fromkeys((resume.head, resume.tail)):
             attached = await self._attach(name)
@@ -374,7 +324,8 @@
         self._epoch = attached.epoch
         self._sink.locate(attached.epoch, resume.head, resume.tail)
         for piece in attached.pieces:
-            await self._deliver(piece)
+            await self._delivery.put(piece)
+            self._give_credit()
         if attached.finish:
             return attached.finish
         if attached.is_running:
@@ -395,7 +346,7 @@
             request=self._request.request,
             team=self._request.team,
             position=0,
-            window=self._shown + self._request.window,
+            window=self._delivery.shown + self._request.window,
         )
         try:
             reply = await view.peer.ask(question, OPEN_TIMEOUT)
@@ -409,14 +360,14 @@
     async def _consume(self, timeout: float) -> str:
         """Take records until the answer ends."""
         while True:
-            arrival = await self._next_arrival(timeout)
+            arrival = await self._next(timeout)
             match arrival:
                 case messages.Answer():
-                    if await self._take_answer(arrival):
+                    if await self._take(arrival):
                         timeout = TOKEN_TIMEOUT
                 case messages.AnswerEnd():
                     if arrival.epoch == self._epoch:
-                        return self._check_end(arrival)
+                        return self._take_end(arrival)
                 case messages.Failure():
                     if arrival.epoch == self._epoch:
                         raise _as_error(arrival)
@@ -429,80 +380,30 @@
                 case answers_module.StageChanged():
                     await self._on_stage_changed(arrival)
 
-    async def _next_arrival(self, timeout: float) -> answers_module.Arrival:
-        assert self._inbox is not None
-        started = self._parts.clock.now()
-        suspect = self._suspect_seconds()
-        while self._parts.clock.now() - started < timeout:
-            with anyio.move_on_after(suspect):
-                return await self._inbox.get()
-            await self._probe_path()
-        raise errors.CrowdeckError(
-            errors.Code.STALLED,
-            f"the path was silent for {timeout:g} s",
-            verdict=_MAY_HAVE_RUN,
-            culprit=self._suspect(),
-        )
-
-    def _suspect_seconds(self) -> float:
-        own_pace = SUSPECT_GAPS * self._gap_seconds
-        return min(SLOWEST_SUSPECT_SECONDS, max(SUSPECT_SECONDS, own_pace))
-
-    def _learn_gap(self) -> None:
-        now = self._parts.clock.now()
-        if self._token_at:
-            gap = now - self._token_at
-            self._gap_seconds += GAP_SMOOTHING * (gap - self._gap_seconds)
-        self._token_at = now
-
-    async def _probe_path(self) -> None:
-        """Find out whether a silence is a stage's death.
+    async def _next(self, timeout: float) -> answers_module.Arrival:
+        assert self._arrivals is not None
+        return await self._arrivals.next(self._path, timeout)
 
-        A lost stage comes back to us as an arrival.
-        """
-        if self._path is not None:
-            await self._parts.fleet.probe(
-                stage.instance for stage in self._path.stages
-            )
-
-    def _suspect(self) -> str:
-        """Return the stage that a silence is most likely due to."""
-        if self._path is None:
-            return ""
-        for stage in self._path.stages:
-            view = self._parts.fleet.find(stage.instance)
-            if view is None or not view.is_usable:
-                return stage.instance
-        return ""
-
-    async def _take_answer(self, answer: messages.Answer) -> bool:
+    async def _take(self, answer: messages.Answer) -> bool:
         """Deliver a token if it is the next one of this attempt."""
-        position = len(self._pieces)
-        if answer.epoch != self._epoch or answer.position < position:
-            counters.COUNTERS.add("entry.answer_refused")
+        came_at = self._parts.clock.now()
+        if not await self._delivery.take(answer, self._epoch):
             return False
-        if answer.position > position:
-            raise errors.CrowdeckError(
-                errors.Code.WRONG_POSITION,
-                f"token {answer.position} came, not {position}",
-                verdict=_MAY_HAVE_RUN,
-            )
-        self._learn_gap()
-        self._finish = answer.finish
-        await self._deliver(messages.Piece(answer.token, answer.text))
+        assert self._arrivals is not None
+        self._arrivals.note_token(came_at)
+        self._give_credit()
         return True
 
-    async def _deliver(self, piece: messages.Piece) -> None:
-        position = len(self._pieces)
-        self._pieces.append(piece)
-        self._digest.add(piece.token, piece.text)
-        if position >= self._shown:
-            await self._sink.put(position, piece)
-        self._give_credit()
+    def _take_end(self, end: messages.AnswerEnd) -> str:
+        """Return why the answer ended, if this is its true end."""
+        self._delivery.check_end(end)
+        self._head = None
+        self._span.note("tokens", end.count)
+        return end.finish
 
     def _give_credit(self) -> None:
         window = self._request.window
-        count = len(self._pieces)
+        count = len(self._delivery)
         is_due = count % max(1, window // 2) == 0
         if is_due and self._head is not None and self._epoch >= 0:
             self._head.send(
@@ -511,23 +412,6 @@
                 )
             )
 
-    def _check_end(self, end: messages.AnswerEnd) -> str:
-        is_whole = (
-            end.count == self._digest.count
-            and end.digest == self._digest.value
-        )
-        if not is_whole:
-            counters.COUNTERS.add("entry.answer_not_whole")
-            raise errors.CrowdeckError(
-                errors.Code.WRONG_ANSWER,
-                f"the answer's end speaks of {end.count} tokens, or others "
-                f"than the {self._digest.count} that came",
-                verdict=_MAY_HAVE_RUN,
-            )
-        self._head = None
-        self._span.note("tokens", self._digest.count)
-        return end.finish
-
     def _leave_soon(self) -> None:
         """Give the answer up a little after its caller has gone.
 
@@ -575,7 +459,7 @@
         Returns ``None`` where that cannot be; the stage then finishes
         the answer itself, as a planned stop lets it.
         """
-        if self._path is None or not self._pieces:
+        if self._path is None or not len(self._delivery):
             return None
         path = self._parts.planner.replace(self._path, leaving)
         view = self._parts.fleet.find(leaving)
@@ -608,11 +492,11 @@
 
     async def _catch_up(self, position: int) -> None:
         """Take the tokens that were under way when the stage stopped."""
-        while len(self._pieces) < position:
-            arrival = await self._next_arrival(TOKEN_TIMEOUT)
+        while len(self._delivery) < position:
+            arrival = await self._next(TOKEN_TIMEOUT)
             match arrival:
                 case messages.Answer():
-                    await self._take_answer(arrival)
+                    await self._take(arrival)
                 case answers_module.StageChanged():
                     continue
                 case _:
--- a/src/crowdeck/entry/http.py
+++ b/src/crowdeck/entry/http.py
@@ -22,6 +22,7 @@
 from crowdeck.entry import drive as drives
 from crowdeck.entry import keys
 from crowdeck.entry import model_answer
+from crowdeck.entry import model_request as model_requests
 from crowdeck.entry import openai
 from crowdeck.entry import replies
 from crowdeck.entry import service_calls
@@ -172,7 +173,7 @@
         context: context_module.RequestContext,
         body: openai.CompletionBody,
         resume: openai.EventId | None,
-    ) -> drives.ModelRequest:
+    ) -> model_requests.ModelRequest:
         place = context.caller.place(body.model)
         tree = context.tree
         if not tree.allows_model(place, body.model):
@@ -185,7 +186,7 @@
             name = resume.request
         else:
             name = uuid.uuid4().hex
-        return drives.ModelRequest(
+        return model_requests.ModelRequest(
             request=name,
             team=context.caller.team,
             session=context.caller.session,
--- a/src/crowdeck/entry/keys.py
+++ b/src/crowdeck/entry/keys.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from crowdeck.entry import drive as drives
+from crowdeck.entry import model_request as model_requests
 from crowdeck import pipeline
 from crowdeck.routing import planner as planners
 from crowdeck.state import claims as claims_module
@@ -29,7 +29,7 @@
     request: str
     nonce: str
     path: pipeline.Path | None = None
-    resume: drives.Resume | None = None
+    resume: model_requests.Resume | None = None
 
 
 class AnswerKeys:
@@ -46,7 +46,7 @@
         self._wall_clock = wall_clock
 
     async def claim(
-        self, wanted: drives.ModelRequest, key: str, replaces: str = ""
+        self, wanted: model_requests.ModelRequest, key: str, replaces: str = ""
     ) -> ClaimedAnswer:
         """Claim a key, or find who holds it.
 
@@ -73,5 +73,5 @@
         return ClaimedAnswer(
             holder.request,
             holder.nonce,
-            resume=drives.Resume(position=0, head=head, tail=tail),
+            resume=model_requests.Resume(position=0, head=head, tail=tail),
         )
--- a/src/crowdeck/entry/model_answer.py
+++ b/src/crowdeck/entry/model_answer.py
@@ -16,6 +16,7 @@
 from crowdeck.entry import context as context_module
 from crowdeck.entry import drive as drives
 from crowdeck.entry import keys
+from crowdeck.entry import model_request as model_requests
 from crowdeck.entry import openai
 from crowdeck.entry import replies
 from crowdeck.entry import turns
@@ -35,7 +36,7 @@
         admission: admissions.Admission,
         context: context_module.RequestContext,
         body: openai.CompletionBody,
-        wanted: drives.ModelRequest,
+        wanted: model_requests.ModelRequest,
         resume: openai.EventId | None,
     ) -> None:
         self._parts = parts
--- /dev/null
+++ b/src/crowdeck/entry/model_request.py
@@ -0,0 +1,44 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What is known of a model request, and of an answer taken up again."""
+
+import attrs
+
+
+@attrs.frozen
+class ModelRequest:
+    """One request for a model's answer.
+
+    :ivar seconds_left: time to its deadline, when it was received.
+    :ivar gap_limit: seconds between tokens above which a new answer is
+        refused rather than begun; 0 for never.
+    """
+
+    request: str
+    team: str
+    session: str
+    model: str
+    adapter: str
+    prompt: str
+    max_tokens: int
+    seconds_left: float
+    priority: int
+    window: int
+    gap_limit: float = 0.0
+
+
+@attrs.frozen
+class Resume:
+    """Where an answer is to be taken up again.
+
+    :ivar position: the first position that the caller does not have.
+    :ivar head: instance that keeps the answer.
+    :ivar tail: instance that has its tokens too.
+    """
+
+    position: int
+    head: str
+    tail: str
--- a/src/crowdeck/entry/openai.py
+++ b/src/crowdeck/entry/openai.py
@@ -11,7 +11,7 @@
 import attrs
 import orjson
 
-from crowdeck.entry import drive
+from crowdeck.entry import model_request as model_requests
 from crowdeck import errors
 
 EVENT_ID_SEPARATOR = "~"
@@ -134,9 +134,9 @@
             raise _bad("'Last-Event-ID' is not one that was given out")
         return cls(parts[0], parts[1], parts[2], int(parts[3]))
 
-    def as_resume(self) -> drive.Resume:
+    def as_resume(self) -> model_requests.Resume:
         """Return where to take the answer up: after this event."""
-        return drive.Resume(
+        return model_requests.Resume(
             position=self.position + 1, head=self.head, tail=self.tail
         )
 
--- a/tests/system.py
+++ b/tests/system.py
@@ -17,6 +17,7 @@
 from crowdeck.entry import answers as answers_module
 from crowdeck.entry import drive as drives
 from crowdeck.entry import entry as entries
+from crowdeck.entry import model_request as model_requests
 from crowdeck.entry import service_calls
 from crowdeck import errors
 from crowdeck import instance as instances
@@ -193,9 +194,9 @@
 
     def request(
         self, prompt: str, count: int = 20, **changes: typing.Any
-    ) -> drives.ModelRequest:
+    ) -> model_requests.ModelRequest:
         self.requests += 1
-        request = drives.ModelRequest(
+        request = model_requests.ModelRequest(
             request=f"req{self.requests}",
             team="kiosks",
             session="",
@@ -210,7 +211,10 @@
         return attrs.evolve(request, **changes)
 
     def drive(
-        self, request: drives.ModelRequest, caller: Caller, entry: int = 0
+        self,
+        request: model_requests.ModelRequest,
+        caller: Caller,
+        entry: int = 0,
     ) -> drives.Drive:
         return drives.Drive(
             self.entry(entry).drive_parts,
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,6 +12,7 @@
 import pytest
 
 from crowdeck.entry import drive as drives
+from crowdeck.entry import model_request as model_requests
 from crowdeck import errors
 from crowdeck.sidecar import attempt as attempts
 from crowdeck.sidecar import stage as stages
@@ -224,7 +225,9 @@
                 first, second = systems.Caller(), systems.Caller()
                 request = system.request(PROMPT)
                 await _break_at(system, request, first, position)
-                resume = drives.Resume(len(first.pieces), *first.location)
+                resume = model_requests.Resume(
+                    len(first.pieces), *first.location
+                )
                 await system.drive(request, second, entry=1).run(resume)
                 together = first.texts + (
                     second.texts if second.pieces else []
@@ -240,7 +243,9 @@
                 request = system.request(PROMPT)
                 await _break_at(system, request, first, 6)
                 system.kill(first.location[0])
-                resume = drives.Resume(len(first.pieces), *first.location)
+                resume = model_requests.Resume(
+                    len(first.pieces), *first.location
+                )
                 await system.drive(request, second, entry=1).run(resume)
                 assert first.texts + second.texts == system.expected(
                     PROMPT, 20
@@ -257,7 +262,7 @@
                 foreign = system.request(
                     PROMPT, request=request.request, team="others"
                 )
-                resume = drives.Resume(0, *first.location)
+                resume = model_requests.Resume(0, *first.location)
                 with pytest.raises(errors.CrowdeckError) as caught:
                     await system.drive(foreign, second, entry=1).run(resume)
                 assert caught.value.code == errors.Code.ANSWER_GONE
@@ -305,7 +310,9 @@
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(run_first)
                     await anyio.sleep(1.0)
-                    resume = drives.Resume(len(first.pieces), *first.location)
+                    resume = model_requests.Resume(
+                        len(first.pieces), *first.location
+                    )
                     await system.drive(request, second, entry=1).run(resume)
                 assert outcome == [errors.Code.SUPERSEDED]
                 assert second.texts[-1] == system.expected(PROMPT, 200)[-1]
@@ -421,7 +428,9 @@
                 with anyio.move_on_after(1.0):
                     await system.drive(request, first).run()
                 await anyio.sleep(2.0)
-                resume = drives.Resume(len(first.pieces), *first.location)
+                resume = model_requests.Resume(
+                    len(first.pieces), *first.location
+                )
                 await system.drive(request, second, entry).run(resume)
                 assert first.texts + second.texts == system.expected(
                     PROMPT, 100
@@ -669,7 +678,7 @@
 
 async def _break_at(
     system: systems.System,
-    request: drives.ModelRequest,
+    request: model_requests.ModelRequest,
     caller: systems.Caller,
     position: int,
 ) -> None:
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -17,7 +17,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from crowdeck.entry import drive as drives
+from crowdeck.entry import model_request as model_requests
 from crowdeck import errors
 from crowdeck import verdict as verdicts
 from tests import system as systems
@@ -255,7 +255,7 @@
 
 def test_resume_names_are_not_addresses() -> None:
     """What a caller sends back can never be dialled as an address."""
-    resume = drives.Resume(0, "127.0.0.1:1", "127.0.0.1:2")
+    resume = model_requests.Resume(0, "127.0.0.1:1", "127.0.0.1:2")
 
     async def check() -> None:
         async with systems.System(replicas=1) as system:
