--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -14,7 +14,6 @@
 import pytest
 
 from crowdeck import chain
-from crowdeck import pipeline
 from crowdeck.placement import arrangement
 from crowdeck.placement import capacity
 from crowdeck.placement import plan
@@ -191,22 +190,32 @@
         assert in_tiers(fleet) == together(fleet)
 
     def test_one_that_comes_back_joins_its_own_tier(self) -> None:
-        # Slow cards leave less room at some layers than the quick ones
-        # have anywhere: by room alone it would be laid beside them.
-        fleet = in_tiers(a_fleet(MIXED))
-        lost = next(one for one in fleet if one.name == "almadies-quick-1")
-        back = attrs.evolve(lost, name="almadies-quick-9", layers=None)
-        fleet = [one for one in fleet if one.name != lost.name]
-        fleet = in_tiers([*fleet, back])
-        assert min(held_by(fleet, "almadies", "quick")) >= 1
+        # Slow cards leave much room where a quick one was lost, and none
+        # elsewhere: by room alone it would be laid beside a quick one, and
+        # every path would pass slow cards.
+        slow = [(27, 36), (36, 45), (45, 54)] * 4
+        fleet = [
+            fleet_system.upstream("a", "plateau", (0, 27), "quick"),
+            fleet_system.upstream("b", "plateau", None, "quick"),
+            fleet_system.upstream("c", "plateau", (54, 80), "quick"),
+            *(
+                fleet_system.upstream(f"s{at}", "plateau", held, "slow")
+                for at, held in enumerate(slow)
+            ),
+        ]
+        (move,) = plan.next_moves(fleet, PROFILE, lambda _: True)
+        assert move.upstream.name == "b"
+        assert move.layers.first <= 27
+        assert move.layers.end >= 54
 
     def test_what_the_whole_zone_lacks_comes_first(self) -> None:
-        held = pipeline.LayerRange
+        # Its tier lacks as many layers elsewhere, which slow cards hold.
         fleet = [
             fleet_system.upstream("a", "plateau", (0, 20), "middle"),
-            fleet_system.upstream("b", "plateau", (20, 40), "middle"),
             fleet_system.upstream("c", "plateau", (40, 60), "middle"),
             fleet_system.upstream("d", "plateau", None, "middle"),
+            fleet_system.upstream("e", "plateau", (0, 20), "middle"),
+            fleet_system.upstream("f", "plateau", (40, 60), "middle"),
             *(
                 fleet_system.upstream(
                     f"s{at}", "plateau", (at * 8, at * 8 + 8), "slow"
@@ -216,8 +225,8 @@
         ]
         moves = plan.next_moves(fleet, PROFILE, lambda _: True)
         placed = {move.upstream.name: move.layers for move in moves}
+        assert placed["d"].first <= 72
         assert placed["d"].end == 80
-        assert placed["d"].first <= held(72, 80).first
 
     @hypothesis.given(
         strategies.lists(
