crowdeck losses tells by entry, and where a changed path's time went

Cause: that reroutes queue behind one another had to be worked out by hand from logs; which entries lose most was not told.

Change: observe/reroutes.py sums how long streams took to be noticed, agreed and gone on; `losses` prints it, and what was lost by entry.

Ruled out: a new log line; all is in those of today.

--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -18,6 +18,7 @@
 from crowdeck import errors
 from crowdeck.observe import explain as explaining
 from crowdeck.observe import losses
+from crowdeck.observe import reroutes
 from crowdeck.platform import config as platform_config
 from crowdeck.platform import names
 from crowdeck.platform import upstreams as platform_upstreams
@@ -37,6 +38,12 @@
     if found.turned_away:
         lines += ["", "attempts that failed:"]
         lines += _table(found.turned_away, sum(found.turned_away.values()))
+    if found.lost_by_source:
+        lines += ["", "lost, by entry:"]
+        whole = sum(found.lost_by_source.values())
+        lines += _table(found.lost_by_source, whole)
+    if found.reroutes.streams:
+        lines += ["", *_reroute_lines(found.reroutes)]
     for one in found.spans:
         lost = {k: n for k, n in one.causes.items() if k != losses.IN_TIME}
         if lost:
@@ -46,6 +53,23 @@
     return commands.Result(attrs.asdict(found), "\n".join(lines))
 
 
+def _reroute_lines(found: reroutes.Reroutes) -> list[str]:
+    steps = (
+        ("engine found at fault", found.noticed),
+        ("new path agreed", found.agreed),
+        ("next event", found.pause),
+    )
+    return [
+        f"{found.streams} streams led around an engine, "
+        f"{found.in_time} in time; ms after the last event:",
+        *(
+            f"{1000 * spread.median:7.0f} (nine in ten: "
+            f"{1000 * spread.nine_in_ten:.0f})  {name}"
+            for name, spread in steps
+        ),
+    ]
+
+
 def _table(counts: dict[str, int], whole: int) -> list[str]:
     return [
         f"{count:7d} {count / max(1, whole):6.1%}  {name}"
--- a/src/crowdeck/observe/losses.py
+++ b/src/crowdeck/observe/losses.py
@@ -11,6 +11,7 @@
 import attrs
 
 from crowdeck.observe import explain
+from crowdeck.observe import reroutes
 
 # Ends that a caller asked for: a wrong key or path, a status of its own.
 _CALLERS_OWN = frozenset({"UNAUTHORIZED", "NOT_FOUND", "BAD_REQUEST"})
@@ -21,6 +22,9 @@
     "stream_silent": "nothing was found at fault",
 }
 IN_TIME = "in time"
+CALLER_LEFT = "the caller left"
+_BY_RIGHT = "by right"
+_NOT_LOST = frozenset({IN_TIME, CALLER_LEFT})
 
 
 @attrs.frozen
@@ -53,12 +57,17 @@
 
     :ivar causes: how many ended in which way, the commonest first.
     :ivar turned_away: attempts that engines refused, by their reason.
+    :ivar lost_by_source: how many ended otherwise than in time or by the
+        caller's own wish, by the entry whose line told of it.
+    :ivar reroutes: streams that were led around an engine.
     """
 
     requests: int
     causes: dict[str, int]
     turned_away: dict[str, int]
     spans: tuple[Span, ...]
+    lost_by_source: dict[str, int]
+    reroutes: reroutes.Reroutes
 
 
 @attrs.define(eq=False)
@@ -77,11 +86,13 @@
         self._aims = aims
         self._requests: dict[str, _Request] = {}
         self._refusals: collections.Counter[str] = collections.Counter()
+        self._reroutes = reroutes.RerouteLedger(aims.pause)
         self._began = float("inf")
 
     def take(self, line: explain.Line) -> None:
         """Count one line."""
         self._began = min(self._began, line.at)
+        self._reroutes.take(line)
         name = line.fields.get("request")
         if not name:
             return
@@ -99,12 +110,15 @@
     def account(self, span: float) -> Account:
         """Return the sums, and those of each ``span`` seconds."""
         causes: collections.Counter[str] = collections.Counter()
+        sources: collections.Counter[str] = collections.Counter()
         spans: dict[int, collections.Counter[str]] = {}
         for request in self._requests.values():
             if request.end is None:
                 continue
             cause = self._cause(request, request.end)
             causes[cause] += 1
+            if cause not in _NOT_LOST and _BY_RIGHT not in cause:
+                sources[_instance(request.end.source)] += 1
             at = int((request.end.at - self._began) / span)
             spans.setdefault(at, collections.Counter())[cause] += 1
         return Account(
@@ -115,6 +129,8 @@
                 Span(at * span, dict(found.most_common()))
                 for at, found in sorted(spans.items())
             ),
+            lost_by_source=dict(sources.most_common()),
+            reroutes=self._reroutes.sums(),
         )
 
     def _cause(self, request: _Request, end: explain.Line) -> str:
@@ -127,7 +143,7 @@
                     return f"the upstream itself answered {status}"
                 return IN_TIME
             case "caller_left":
-                return "the caller left"
+                return CALLER_LEFT
             case _:
                 return self._refusal_cause(request, end)
 
@@ -149,7 +165,7 @@
         code = str(end.fields.get("code", ""))
         what = "cut" if end.kind == "answer_cut" else "refused"
         if code in _CALLERS_OWN:
-            return f"{what} by right: {code}"
+            return f"{what} {_BY_RIGHT}: {code}"
         if code == "NO_PATH" and request.lack is not None:
             missing = request.lack.fields.get("missing_layers")
             lack = "layers were missing" if missing else "no room"
@@ -167,6 +183,12 @@
     return ledger.account(span)
 
 
+def _instance(source: str) -> str:
+    """Return the process that a collector names, without its time."""
+    words = source.split()
+    return words[-1] if words else ""
+
+
 def _general(reason: str) -> str:
     """Return a reason without the numbers and names of one case."""
     words = [
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -90,6 +90,50 @@
         assert losses.account(log, AIMS, 2.0).causes == {"in time": 1}
 
 
+class TestReroutes:
+    """Where the time of a changed path went."""
+
+    LOG = [
+        line(1.0, "stream_silent", request="r1", silent=0.12, culprits=["x"]),
+        line(1.0, "stream_silent", request="r9", silent=0.30, culprits=[]),
+        line(1.1, "path_changed", request="r1", outcome="done", silent=0.16),
+        line(1.1, "path_changed", request="r2", outcome="done", silent=0.18),
+        line(1.1, "path_changed", request="r3", outcome="refused", silent=0.2),
+        line(1.1, "path_changed", request="r4", outcome="done", silent=0.2),
+        ended(2.0, "r1", 0.1, 0.2),
+        ended(2.0, "r2", 0.1, 0.3),
+        ended(2.0, "r3", 0.1, 0.9),
+    ]
+
+    def test_only_agreed_changes_of_whole_streams_count(self) -> None:
+        found = losses.account(self.LOG, AIMS, 2.0).reroutes
+        assert found.streams == 2
+        assert found.in_time == 1
+        assert found.noticed.median == pytest.approx(0.12)
+        assert found.agreed.median == pytest.approx(0.17)
+        assert found.pause.median == pytest.approx(0.25)
+
+    def test_without_any_nothing_is_told(self) -> None:
+        found = losses.account([ended(1.0, "r1", 0.1, 0.1)], AIMS, 2.0)
+        assert found.reroutes.streams == 0
+        assert found.reroutes.pause.median == 0.0
+
+
+class TestSources:
+    """Which entry lost how many."""
+
+    def test_what_was_lost_is_counted_by_entry(self) -> None:
+        log = [
+            ended(1.0, "r1", 0.7, 0.1),
+            f"  12.5 {ended(1.0, 'r2', 0.1, 0.4)}",
+            line(1.0, "call_answered", "b", request="r3", status=500),
+            line(1.0, "call_answered", "b", request="r4", status=200),
+            line(1.0, "caller_left", "b", request="r5"),
+        ]
+        found = losses.account(log, AIMS, 2.0)
+        assert found.lost_by_source == {"a": 2, "b": 1}
+
+
 class TestCommand:
     """``crowdeck losses``."""
 
@@ -103,6 +147,8 @@
         text = capsys.readouterr().out
         assert "10 requests ended" in text
         assert "refused: NO_PATH, layers were missing" in text
+        assert "lost, by entry:" in text
+        assert "1 streams led around an engine, 0 in time" in text
         assert cli.main([*arguments, "--json"]) == commands.EXIT_OK
         data = orjson.loads(capsys.readouterr().out)
         assert data["causes"]["in time"] == 2
