--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -310,11 +310,9 @@
     def place(self, engine: chain.Upstream) -> pipeline.LayerRange | None:
         """Return the layers that an empty engine had better take.
 
-        What the whole cell lacks comes first. Otherwise there are two
-        places: the one with the least room in its tier, beside cards of its
-        pace, and the one with the least room of all. The one is taken that
-        exposes streams less; a large cell, where finding that out takes
-        long, keeps to tiers.
+        What the whole cell lacks comes first. Otherwise, of the places with
+        least room in its tier and of all, the one that exposes streams
+        less; a large cell, where that takes long, keeps to tiers.
         """
         most = _most_layers(engine, self._profile)
         anywhere = self._rooms.best_window(engine, most)
