A sequence is asked for where it is read twice; a comment in its place

Cause: exposure.predict takes its engines twice, so an iterator would be empty the second time. Ruled out: a caller that gives one, there is none. Change: the annotation, and a comment moved back. Measured: strict types clean. Conclusion: kept, no behaviour.

--- a/src/crowdeck/placement/exposure.py
+++ b/src/crowdeck/placement/exposure.py
@@ -18,7 +18,7 @@
 
 
 def predict(
-    engines: typing.Iterable[chain.Upstream],
+    engines: typing.Sequence[chain.Upstream],
     profile: chain.EngineProfile,
     need: float,
 ) -> float:
--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -277,12 +277,10 @@
 def _fill(
     cell: _Cell, free: _Cell, profile: chain.EngineProfile
 ) -> list[Move]:
-    """Return moves of empty engines to where each is worth most.
-
-    Large cards first: they take the long runs, small ones fill gaps.
-    """
+    """Return moves of empty engines to where each is worth most."""
     filling = _Filling(cell, profile)
     moves: list[Move] = []
+    # Large cards first: they take the long runs, small ones fill gaps.
     for engine in sorted(
         free, key=lambda one: (-_most_layers(one, profile), one.name)
     ):
