--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -335,6 +335,20 @@
 
         anyio.run(body)
 
+    @pytest.mark.parametrize(
+        ("status", "is_gone"), [(421, True), (503, False), (500, False)]
+    )
+    def test_only_another_instance_proves_that_one_is_gone(
+        self, status: int, is_gone: bool
+    ) -> None:
+        async def body() -> None:
+            client = client_of(reply(status))
+            with pytest.raises(errors.CrowdeckError) as caught:
+                await client.report(fleet_system.upstream("i-9"))
+            assert isinstance(caught.value, errors.InstanceGone) is is_gone
+
+        anyio.run(body)
+
     def test_refused_change_of_path_names_the_cause(self) -> None:
         async def body() -> None:
             client = client_of(reply(409, "", b'{"address":"10.0.0.1:7"}'))
