Tests that fail: changes after the store came back from a copy are missed

Cause: a version of the store is taken for a moment in its one history. Change: the stand-in store can be restored from a copy, as the changed term says; zones of entries in tests/zone_system.py, moved from test_readers. No logic of the system changes.

--- a/src/crowdeck/standin/store.py
+++ b/src/crowdeck/standin/store.py
@@ -8,6 +8,7 @@
 import collections
 
 import anyio
+import attrs
 
 from crowdeck import errors
 from crowdeck import instance as instances
@@ -19,6 +20,16 @@
 DEFAULT_DELAY = 0.002
 
 
+@attrs.frozen
+class Backup:
+    """What a store held at one moment."""
+
+    objects: dict[tuple[str, str], stores.StoredObject]
+    removals: tuple[tuple[int, str, str], ...]
+    forgotten: int
+    version: int
+
+
 class StandinStore:
     """Implements ``ObjectStore`` and ``InstanceList`` in memory.
 
@@ -152,6 +163,26 @@
         self._removals.clear()
         self._tell()
 
+    def back_up(self) -> Backup:
+        """Return a copy of all objects, to :meth:`restore` later."""
+        return Backup(
+            dict(self._objects),
+            tuple(self._removals),
+            self._forgotten,
+            self._version,
+        )
+
+    def restore(self, backup: Backup) -> None:
+        """Go back to a copy: what was written since then is lost.
+
+        Versions go back as well and are given out again.
+        """
+        self._objects = dict(backup.objects)
+        self._removals = list(backup.removals)
+        self._forgotten = backup.forgotten
+        self._version = backup.version
+        self._tell()
+
     def fall_silent(self) -> None:
         """Answer nothing any more, watches under way included."""
         self._is_silent = True
@@ -195,7 +226,7 @@
         self._raise_if_down()
 
     def _raise_if_forgotten(self, after: int) -> None:
-        if after < self._forgotten:
+        if not self._forgotten <= after <= self._version:
             raise errors.CrowdeckError(
                 errors.Code.STORE_HISTORY, "the history is gone"
             )
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -10,7 +10,6 @@
 
 import anyio
 import anyio.abc
-import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -28,226 +27,53 @@
 from crowdeck.state import objects as stores
 from crowdeck.state import replica as replicas
 from tests import virtual
+from tests import zone_system
 
 ZONE = "plateau"
-KIND = "config"
-WAIT = 0.8
-# A silent peer is noticed after the wait and this.
-PATIENCE = 0.4
 HOST = "127.0.0.1"
 
 
-class _Sight:
-    """A follower that notes when it learned of each version."""
-
-    def __init__(self) -> None:
-        self.seen: dict[int, float] = {}
-
-    def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
-        self.on_changed(objects, ())
-
-    def on_changed(
-        self,
-        objects: tuple[stores.StoredObject, ...],
-        removed: tuple[str, ...],
-    ) -> None:
-        for one in objects:
-            self.seen.setdefault(one.version, anyio.current_time())
-
-
-class _Way:
-    """One entry's own way to the store, which may be cut."""
-
-    def __init__(self, store: standin_store.StandinStore) -> None:
-        self._store = store
-        self.is_cut = False
-        self.calls = 0
-
-    async def watch(
-        self, kind: str, after: int, wait: float
-    ) -> stores.Changes:
-        self._pass()
-        changes = await self._store.watch(kind, after, wait)
-        self._require()
-        return changes
-
-    async def list(self, kind: str) -> stores.Changes:
-        self._pass()
-        return await self._store.list(kind)
-
-    async def get(
-        self, kind: str, name: str, *, may_be_old: bool = False
-    ) -> stores.StoredObject | None:
-        self._pass()
-        return await self._store.get(kind, name)
-
-    async def put(
-        self, kind: str, name: str, value: bytes, expected: int
-    ) -> int:
-        self._pass()
-        return await self._store.put(kind, name, value, expected)
-
-    def _pass(self) -> None:
-        self.calls += 1
-        self._require()
-
-    def _require(self) -> None:
-        if self.is_cut:
-            raise errors.CrowdeckError(
-                errors.Code.STORE_DOWN, "the store answered 503"
-            )
-
-
-@attrs.define(eq=False)
-class _Entry:
-    """One entry: its copy of one kind, and its choice of a reader."""
-
-    name: str
-    way: _Way
-    contact: contacts.StoreContact
-    choice: readers.Readers
-    sight: _Sight
-    mirror: mirrors.Mirror
-    is_silent: bool = False
-    is_down: bool = False
-    is_too_large: bool = False
-
-
-class _Zone:
-    """Entries of one zone over one store; implements ``PeerStore``."""
-
-    def __init__(self, count: int) -> None:
-        self.store = standin_store.StandinStore()
-        names = [f"entry-{number}" for number in range(count)]
-        ranking = tuple(
-            readers.Peer(name, instances.Address("10.0.0.1", 7340))
-            for name in names
-        )
-        self.entries = {name: self._entry(name, ranking) for name in names}
-
-    def _entry(self, name: str, ranking: tuple[readers.Peer, ...]) -> _Entry:
-        way = _Way(self.store)
-        contact = contacts.StoreContact()
-        choice = readers.Readers(name, lambda: ranking, self, contact)
-        contact.pace_tries(choice.pause)
-        sight = _Sight()
-        mirror = mirrors.Mirror(
-            way, KIND, sight, WAIT, lambda: 0.0, contact, choice
-        )
-        return _Entry(name, way, contact, choice, sight, mirror)
-
-    def __getitem__(self, number: int) -> _Entry:
-        return self.entries[f"entry-{number}"]
-
-    @property
-    def calls(self) -> int:
-        return sum(one.way.calls for one in self.entries.values())
-
-    async def watch(
-        self, peer: readers.Peer, kind: str, after: int, wait: float
-    ) -> stores.Sighting:
-        """Ask an entry, as its HTTP side would."""
-        entry = self.entries[peer.name]
-        await anyio.sleep(0.001)
-        if entry.is_down:
-            raise _lost()
-        if entry.is_silent:
-            await anyio.sleep(wait + PATIENCE)
-            raise _lost()
-        entry.choice.note_asked()
-        sighting = await entry.mirror.tell(after, wait)
-        if entry.is_too_large and sighting.changes.objects:
-            raise errors.CrowdeckError(errors.Code.TOO_LARGE, "400 KB")
-        if entry.is_silent:
-            await anyio.sleep(PATIENCE)
-            raise _lost()
-        await anyio.sleep(0.001)
-        return sighting
-
-    def write(self) -> int:
-        return self.store.write(KIND, "main", b"{}")
-
-    def oldest(self) -> float:
-        """Return the greatest age of a copy of those that can be asked."""
-        return max(
-            one.mirror.age()
-            for one in self.entries.values()
-            if not (one.is_down or one.is_silent)
-        )
-
-
-def _lost() -> errors.CrowdeckError:
-    return errors.CrowdeckError(errors.Code.UPSTREAM_LOST, "no answer")
-
-
-Work = typing.Callable[[_Zone], typing.Awaitable[None]]
-
-
-def play(count: int, work: Work) -> None:
-    async def body() -> None:
-        zone = _Zone(count)
-        zone.write()
-        async with anyio.create_task_group() as tasks:
-            for entry in zone.entries.values():
-                tasks.start_soon(entry.mirror.run)
-            await anyio.sleep(3.0)
-            await work(zone)
-            tasks.cancel_scope.cancel()
-
-    virtual.run(body)
-
-
-async def oldest_over(zone: _Zone, seconds: float) -> float:
-    """Return the greatest age of any copy within some time."""
-    ends = anyio.current_time() + seconds
-    oldest = 0.0
-    while anyio.current_time() < ends:
-        oldest = max(oldest, zone.oldest())
-        await anyio.sleep(0.01)
-    return oldest
-
-
 class TestCalls:
     """What the store is asked."""
 
     def test_one_entry_of_a_zone_asks_for_all(self) -> None:
         # Fourteen entries that each watched made 17.5 calls a second.
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             before = zone.calls
             await anyio.sleep(10.0)
-            assert zone.calls - before <= 10.0 / WAIT + 1
+            assert zone.calls - before <= 10.0 / zone_system.WAIT + 1
             assert zone[0].way.calls > 10
             assert zone[5].way.calls <= 2
 
-        play(14, work)
+        zone_system.play(14, work)
 
     def test_an_outage_is_met_by_few_tries(self) -> None:
         # Each entry tried every 0.3 s: 46 calls a second.
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             zone.store.is_down = True
             await anyio.sleep(2.0)
             before = zone.calls
             await anyio.sleep(3.0)
             assert (zone.calls - before) / 3.0 < 14
 
-        play(14, work)
+        zone_system.play(14, work)
 
 
 class TestFreshness:
     """How current the copies are, whatever fails."""
 
     def test_changes_reach_all_at_once(self) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             version = zone.write()
             now = anyio.current_time()
             await anyio.sleep(0.5)
             for entry in zone.entries.values():
                 assert entry.sight.seen[version] - now < 0.02
 
-        play(14, work)
+        zone_system.play(14, work)
 
     def test_what_is_too_large_for_a_peer_is_read_from_the_store(self) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             zone[0].is_too_large = True
             before = zone[3].way.calls
             version = zone.write()
@@ -256,65 +82,76 @@
             assert zone[3].sight.seen[version] - now < 0.05
             assert zone[3].way.calls == before + 1
 
-        play(5, work)
+        zone_system.play(5, work)
 
     def test_one_that_is_asked_reads_the_store_itself(self) -> None:
         # Else two that each found the first one silent for a moment would
         # wait for each other's proof.
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             assert not zone[3].choice.reads_store
             zone[3].choice.note_asked()
             assert zone[3].choice.reads_store
             await anyio.sleep(readers.ASKED_SECONDS + 0.1)
             assert not zone[3].choice.reads_store
 
-        play(5, work)
+        zone_system.play(5, work)
 
     def test_copies_are_proved_as_often_as_the_readers(self) -> None:
-        async def work(zone: _Zone) -> None:
-            assert await oldest_over(zone, 5.0) < WAIT + 0.1
+        async def work(zone: zone_system.Zone) -> None:
+            assert (
+                await zone_system.oldest_over(zone, 5.0)
+                < zone_system.WAIT + 0.1
+            )
 
-        play(14, work)
+        zone_system.play(14, work)
 
     def test_a_killed_reader_is_stood_in_for_at_once(self) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             zone[0].is_down = True
-            assert await oldest_over(zone, 4.0) < 2 * WAIT
+            assert (
+                await zone_system.oldest_over(zone, 4.0) < 2 * zone_system.WAIT
+            )
             version = zone.write()
             now = anyio.current_time()
             await anyio.sleep(0.2)
             for entry in list(zone.entries.values())[1:]:
                 assert entry.sight.seen[version] - now < 0.1
 
-        play(14, work)
+        zone_system.play(14, work)
 
     def test_a_silent_reader_is_stood_in_for_within_a_watch(self) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             zone[0].is_silent = True
-            assert await oldest_over(zone, 8.0) < WAIT + PATIENCE + 0.5
+            assert (
+                await zone_system.oldest_over(zone, 8.0)
+                < zone_system.WAIT + zone_system.PATIENCE + 0.5
+            )
 
-        play(14, work)
+        zone_system.play(14, work)
 
     def test_a_reader_without_the_store_sends_the_others_elsewhere(
         self,
     ) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             zone[0].way.is_cut = True
-            assert await oldest_over(zone, 6.0) < 2.2 * WAIT
+            assert (
+                await zone_system.oldest_over(zone, 6.0)
+                < 2.2 * zone_system.WAIT
+            )
             # The one that lost its way knows by its peers.
             assert zone[0].contact.is_lost
-            assert zone[0].mirror.age() < 2 * WAIT
+            assert zone[0].mirror.age() < 2 * zone_system.WAIT
             zone[0].way.is_cut = False
             await anyio.sleep(3.0)
             assert not zone[0].contact.is_lost
 
-        play(5, work)
+        zone_system.play(5, work)
 
     def test_readers_that_hear_of_each_others_loss_try_again(self) -> None:
         # On a played day the first two of a zone were turned away for some
         # seconds. Each asked the other, heard of its loss, and put off its
         # own try again: twelve seconds later both were still without.
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             for number in range(3):
                 zone[number].way.is_cut = True
             await anyio.sleep(4.0)
@@ -322,36 +159,36 @@
                 zone[number].way.is_cut = False
             await anyio.sleep(4.0)
             assert not any(zone[number].contact.is_lost for number in range(3))
-            assert zone.oldest() < WAIT + 0.1
+            assert zone.oldest() < zone_system.WAIT + 0.1
 
-        play(5, work)
+        zone_system.play(5, work)
 
     def test_all_know_soon_after_an_outage(self) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             zone.store.is_down = True
             await anyio.sleep(5.0)
             zone.store.is_down = False
             await anyio.sleep(1.2)
-            assert zone.oldest() < WAIT + 0.1
+            assert zone.oldest() < zone_system.WAIT + 0.1
 
-        play(14, work)
+        zone_system.play(14, work)
 
     def test_an_entry_alone_reads_for_itself(self) -> None:
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             for entry in list(zone.entries.values())[:-1]:
                 entry.is_silent = True
             await anyio.sleep(12.0)
             assert zone[4].choice.reads_store
-            assert zone[4].mirror.age() < WAIT + 0.1
+            assert zone[4].mirror.age() < zone_system.WAIT + 0.1
 
-        play(5, work)
+        zone_system.play(5, work)
 
     @hypothesis.given(strategies.integers(0, 2**32))
     @hypothesis.settings(max_examples=25, deadline=None, derandomize=True)
     def test_no_copy_is_newer_than_it_claims(self, seed: int) -> None:
         # A key that was taken away works on at an entry whose copy claims
         # to be current and is not.
-        async def work(zone: _Zone) -> None:
+        async def work(zone: zone_system.Zone) -> None:
             chance = random.Random(seed)
             written: dict[int, float] = {}
             async with anyio.create_task_group() as tasks:
@@ -363,10 +200,10 @@
                     await anyio.sleep(0.01)
                 tasks.cancel_scope.cancel()
 
-        play(4, work)
+        zone_system.play(4, work)
 
 
-async def _disturb(zone: _Zone, chance: random.Random) -> None:
+async def _disturb(zone: zone_system.Zone, chance: random.Random) -> None:
     while True:
         entry = chance.choice(list(zone.entries.values()))
         what = chance.choice(("is_silent", "is_down", "cut", "store"))
@@ -378,7 +215,7 @@
         await anyio.sleep(chance.uniform(0.0, 1.0))
 
 
-def _require_truth(zone: _Zone, written: dict[int, float]) -> None:
+def _require_truth(zone: zone_system.Zone, written: dict[int, float]) -> None:
     now = anyio.current_time()
     newest = max(written, default=0)
     for entry in zone.entries.values():
@@ -428,7 +265,7 @@
 
 
 def _object(name: str, version: int) -> stores.StoredObject:
-    return stores.StoredObject(KIND, name, version, b"{}")
+    return stores.StoredObject(zone_system.KIND, name, version, b"{}")
 
 
 class TestRanking:
@@ -501,7 +338,12 @@
         async def body() -> None:
             contact = contacts.StoreContact()
             mirror = mirrors.Mirror(
-                store, KIND, _Sight(), 0.2, lambda: 0.0, contact
+                store,
+                zone_system.KIND,
+                zone_system.Sight(),
+                0.2,
+                lambda: 0.0,
+                contact,
             )
             client = http.HttpClient("")
             peers = peer_http.HttpPeers(client)
@@ -510,14 +352,16 @@
                 tasks.start_soon(mirror.run)
                 port = await tasks.start(
                     http_server.serve_http,
-                    peer_http.PeerApp({KIND: mirror}, choice),
+                    peer_http.PeerApp({zone_system.KIND: mirror}, choice),
                     HOST,
                     0,
                 )
                 await anyio.sleep(0.1)
                 peer = readers.Peer("a", instances.Address(HOST, port))
                 try:
-                    told.append(await peers.watch(peer, KIND, after, wait))
+                    told.append(
+                        await peers.watch(peer, zone_system.KIND, after, wait)
+                    )
                 except errors.CrowdeckError as error:
                     told.append(error)
                 await client.close()
@@ -530,7 +374,7 @@
 
     def test_changes_come_whole(self) -> None:
         store = standin_store.StandinStore()
-        before = store.write(KIND, "old", b'{"a":1}')
+        before = store.write(zone_system.KIND, "old", b'{"a":1}')
         sighting = self.ask(store, before, 1.0)
         assert sighting.changes.objects == ()
         assert sighting.age <= 0.0
@@ -538,7 +382,7 @@
 
     def test_what_is_not_known_is_said(self) -> None:
         store = standin_store.StandinStore()
-        store.write(KIND, "old", b"{}")
+        store.write(zone_system.KIND, "old", b"{}")
         with pytest.raises(errors.CrowdeckError) as caught:
             self.ask(store, 0, 0.2)
         assert caught.value.code is errors.Code.STORE_HISTORY
@@ -556,7 +400,7 @@
                 2,
                 (
                     stores.StoredObject(
-                        KIND,
+                        zone_system.KIND,
                         "main",
                         2,
                         b'"' + b"x" * peer_http.ANSWER_BYTES_MOST + b'"',
--- /dev/null
+++ b/tests/zone_system.py
@@ -0,0 +1,200 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Entries of one zone over one store, in virtual time."""
+
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import errors
+from crowdeck import instance as instances
+from crowdeck.membership import readers
+from crowdeck.standin import store as standin_store
+from crowdeck.state import contact as contacts
+from crowdeck.state import mirror as mirrors
+from crowdeck.state import objects as stores
+from tests import virtual
+
+KIND = "config"
+WAIT = 0.8
+# A silent peer is noticed after the wait and this.
+PATIENCE = 0.4
+
+
+class Sight:
+    """A follower that notes what it knows, and since when."""
+
+    def __init__(self) -> None:
+        self.seen: dict[int, float] = {}
+        self.values: dict[str, bytes] = {}
+
+    def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        self.values.clear()
+        self.on_changed(objects, ())
+
+    def on_changed(
+        self,
+        objects: tuple[stores.StoredObject, ...],
+        removed: tuple[str, ...],
+    ) -> None:
+        for one in objects:
+            self.seen.setdefault(one.version, anyio.current_time())
+            self.values[one.name] = one.value
+        for name in removed:
+            self.values.pop(name, None)
+
+
+class Way:
+    """One entry's own way to the store, which may be cut."""
+
+    def __init__(self, store: standin_store.StandinStore) -> None:
+        self._store = store
+        self.is_cut = False
+        self.calls = 0
+
+    async def watch(
+        self, kind: str, after: int, wait: float
+    ) -> stores.Changes:
+        self._pass()
+        changes = await self._store.watch(kind, after, wait)
+        self._require()
+        return changes
+
+    async def list(self, kind: str) -> stores.Changes:
+        self._pass()
+        return await self._store.list(kind)
+
+    async def get(
+        self, kind: str, name: str, *, may_be_old: bool = False
+    ) -> stores.StoredObject | None:
+        self._pass()
+        return await self._store.get(kind, name)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: int
+    ) -> int:
+        self._pass()
+        return await self._store.put(kind, name, value, expected)
+
+    def _pass(self) -> None:
+        self.calls += 1
+        self._require()
+
+    def _require(self) -> None:
+        if self.is_cut:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN, "the store answered 503"
+            )
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry: its copy of one kind, and its choice of a reader."""
+
+    name: str
+    way: Way
+    contact: contacts.StoreContact
+    choice: readers.Readers
+    sight: Sight
+    mirror: mirrors.Mirror
+    is_silent: bool = False
+    is_down: bool = False
+    is_too_large: bool = False
+
+
+class Zone:
+    """Entries of one zone over one store; implements ``PeerStore``."""
+
+    def __init__(self, count: int) -> None:
+        self.store = standin_store.StandinStore()
+        names = [f"entry-{number}" for number in range(count)]
+        ranking = tuple(
+            readers.Peer(name, instances.Address("10.0.0.1", 7340))
+            for name in names
+        )
+        self.entries = {name: self._entry(name, ranking) for name in names}
+
+    def _entry(self, name: str, ranking: tuple[readers.Peer, ...]) -> Entry:
+        way = Way(self.store)
+        contact = contacts.StoreContact()
+        choice = readers.Readers(name, lambda: ranking, self, contact)
+        contact.pace_tries(choice.pause)
+        sight = Sight()
+        mirror = mirrors.Mirror(
+            way, KIND, sight, WAIT, lambda: 0.0, contact, choice
+        )
+        return Entry(name, way, contact, choice, sight, mirror)
+
+    def __getitem__(self, number: int) -> Entry:
+        return self.entries[f"entry-{number}"]
+
+    @property
+    def calls(self) -> int:
+        return sum(one.way.calls for one in self.entries.values())
+
+    async def watch(
+        self, peer: readers.Peer, kind: str, after: int, wait: float
+    ) -> stores.Sighting:
+        """Ask an entry, as its HTTP side would."""
+        entry = self.entries[peer.name]
+        await anyio.sleep(0.001)
+        if entry.is_down:
+            raise _lost()
+        if entry.is_silent:
+            await anyio.sleep(wait + PATIENCE)
+            raise _lost()
+        entry.choice.note_asked()
+        sighting = await entry.mirror.tell(after, wait)
+        if entry.is_too_large and sighting.changes.objects:
+            raise errors.CrowdeckError(errors.Code.TOO_LARGE, "400 KB")
+        if entry.is_silent:
+            await anyio.sleep(PATIENCE)
+            raise _lost()
+        await anyio.sleep(0.001)
+        return sighting
+
+    def write(self) -> int:
+        return self.store.write(KIND, "main", b"{}")
+
+    def oldest(self) -> float:
+        """Return the greatest age of a copy of those that can be asked."""
+        return max(
+            one.mirror.age()
+            for one in self.entries.values()
+            if not (one.is_down or one.is_silent)
+        )
+
+
+def _lost() -> errors.CrowdeckError:
+    return errors.CrowdeckError(errors.Code.UPSTREAM_LOST, "no answer")
+
+
+Work = typing.Callable[[Zone], typing.Awaitable[None]]
+
+
+def play(count: int, work: Work) -> None:
+    async def body() -> None:
+        zone = Zone(count)
+        zone.write()
+        async with anyio.create_task_group() as tasks:
+            for entry in zone.entries.values():
+                tasks.start_soon(entry.mirror.run)
+            await anyio.sleep(3.0)
+            await work(zone)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+async def oldest_over(zone: Zone, seconds: float) -> float:
+    """Return the greatest age of any copy within some time."""
+    ends = anyio.current_time() + seconds
+    oldest = 0.0
+    while anyio.current_time() < ends:
+        oldest = max(oldest, zone.oldest())
+        await anyio.sleep(0.01)
+    return oldest
