A version of the store counts within one epoch of it only

Cause: entries, their peers and the store's own watch compared versions of two lives of the store. Peers that had listed anew said 'nothing new' to those that had not, until the new versions passed the old. Ruled out: a listing by every entry whenever its own contact was lost; an entry that sleeps or is cut off through a short return never sees one. Change: the store's epoch is read from each answer (adapter), positions are version and epoch, a copy answers only for its own epoch, a watch answered from another epoch has lost its history, and whoever meets an epoch takes all watches of its process back. Peers ask with the epoch. Settings are followed by a mirror like all else: their own loop never listed anew after a lost history.

--- a/src/crowdeck/membership/peer_http.py
+++ b/src/crowdeck/membership/peer_http.py
@@ -11,6 +11,7 @@
 
 import urllib.parse
 
+import attrs
 import orjson
 
 from crowdeck import errors
@@ -68,8 +69,8 @@
             return
         self._choice.note_asked()
         try:
-            after, wait = _question(scope["query_string"])
-            body = await ask(copy, after, wait)
+            question = _question(scope["query_string"])
+            body = await ask(copy, question.after, question.wait)
         except errors.CrowdeckError as error:
             await _answer(send, _STATUS.get(error.code, 400), b"")
             return
@@ -83,10 +84,16 @@
         self._client = client
 
     async def watch(
-        self, peer: readers.Peer, kind: str, after: int, wait: float
+        self,
+        peer: readers.Peer,
+        kind: str,
+        after: stores.Position,
+        wait: float,
     ) -> stores.Sighting:
-        """Ask a peer what changed after a version."""
-        query = urllib.parse.urlencode({"after": after, "seconds": wait})
+        """Ask a peer what changed after a position."""
+        query = urllib.parse.urlencode(
+            {"after": after.version, "epoch": after.epoch, "seconds": wait}
+        )
         url = f"http://{peer.address}{WATCH_PATH}{kind}?{query}"
         timeouts = http.Timeouts(CONNECT_SECONDS, wait + ANSWER_SLACK)
         async with self._client.open(
@@ -99,20 +106,40 @@
                 _CODES.get(status, errors.Code.UPSTREAM_FAILED),
                 f"{peer.name} answered {status}",
             )
-        return _decode(kind, body)
+        sighting = _decode(kind, body)
+        if sighting.changes.epoch != after.epoch:
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN,
+                f"{peer.name} answered of epoch {sighting.changes.epoch} "
+                f"and not of {after.epoch}",
+            )
+        return sighting
 
 
-def _question(query: bytes) -> tuple[int, float]:
+@attrs.frozen
+class _Question:
+    after: stores.Position
+    wait: float
+
+
+def _question(query: bytes) -> _Question:
     fields = urllib.parse.parse_qs(query.decode("latin-1"))
     try:
-        return int(fields["after"][0]), float(fields["seconds"][0])
+        return _Question(
+            stores.Position(
+                int(fields["after"][0]), int(fields.get("epoch", "0")[0])
+            ),
+            float(fields["seconds"][0]),
+        )
     except (KeyError, ValueError) as error:
         raise errors.CrowdeckError(
             errors.Code.BAD_REQUEST, f"the question is malformed ({error!r})"
         ) from None
 
 
-async def ask(copy: mirrors.Mirror, after: int, wait: float) -> bytes:
+async def ask(
+    copy: mirrors.Mirror, after: stores.Position, wait: float
+) -> bytes:
     """Return the encoded answer to a question.
 
     :raises CrowdeckError: as ``PeerStore.watch`` tells.
@@ -131,6 +158,7 @@
     return orjson.dumps(
         {
             "version": changes.version,
+            "epoch": changes.epoch,
             "age": sighting.age,
             "objects": [
                 [one.name, one.version, orjson.Fragment(one.value)]
@@ -151,7 +179,9 @@
             for name, version, value in body["objects"]
         )
         removed = tuple(str(name) for name in body["removed"])
-        changes = stores.Changes(int(body["version"]), objects, removed)
+        changes = stores.Changes(
+            int(body["version"]), objects, removed, int(body.get("epoch", 0))
+        )
         return stores.Sighting(changes, float(body["age"]))
     except (KeyError, OverflowError, TypeError, ValueError) as error:
         raise errors.CrowdeckError(
--- a/src/crowdeck/membership/readers.py
+++ b/src/crowdeck/membership/readers.py
@@ -69,14 +69,15 @@
     """Reaches the copies that other entries keep."""
 
     async def watch(
-        self, peer: Peer, kind: str, after: int, wait: float
+        self, peer: Peer, kind: str, after: stores.Position, wait: float
     ) -> stores.Sighting:
-        """Return what a peer knows to have changed after a version.
+        """Return what a peer knows to have changed after a position.
 
         :raises CrowdeckError: ``STORE_DOWN`` when the peer has lost the
-            store, ``STORE_HISTORY`` when it does not know what changed,
-            ``TOO_LARGE`` when the changes had better be read from the
-            store, anything else when the peer did not answer.
+            store or knows it in an earlier epoch, ``STORE_HISTORY`` when it
+            does not know what changed, ``TOO_LARGE`` when the changes had
+            better be read from the store, anything else when the peer did
+            not answer.
         """
         ...
 
@@ -95,7 +96,7 @@
     _readers: "Readers"
 
     async def watch(
-        self, kind: str, after: int, wait: float
+        self, kind: str, after: stores.Position, wait: float
     ) -> stores.Sighting | None:
         """Return what the peer knows, ``None`` where it cannot help now.
 
@@ -183,7 +184,7 @@
         self._asked_at = anyio.current_time()
 
     async def watch(
-        self, peer: Peer, kind: str, after: int, wait: float
+        self, peer: Peer, kind: str, after: stores.Position, wait: float
     ) -> stores.Sighting | None:
         """Return what a peer knows, ``None`` where it cannot help now.
 
--- a/src/crowdeck/platform/names.py
+++ b/src/crowdeck/platform/names.py
@@ -25,6 +25,7 @@
 LENGTH_HINT = b"x-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
+EPOCH = b"store-era"  # how often the store came back from a copy
 AUTHORIZATION = b"authorization"
 KEY_SCHEME = "token "
 
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -34,6 +34,7 @@
 _NOT_RUN = verdicts.Verdict.NOT_RUN
 _MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 _JSON_TYPE = (b"content-type", b"application/json")
+_EPOCH = names.EPOCH.decode()
 
 Json = dict[str, typing.Any]
 Query = dict[str, str | int]
@@ -44,6 +45,12 @@
 
     def __init__(self, client: http.HttpClient) -> None:
         self._client = client
+        self._epoch = 0
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the latest answer."""
+        return self._epoch
 
     async def get(
         self, kind: str, name: str, *, may_be_old: bool = False
@@ -78,28 +85,39 @@
         return _stored(kind, _parsed_write(response)).version
 
     async def watch(
-        self, kind: str, after: int, wait: float
+        self, kind: str, after: stores.Position, wait: float
     ) -> stores.Changes:
-        """Return what changed after a version."""
-        query: Query = {names.WATCH: after, names.WAIT_MS: int(wait * 1000)}
+        """Return what changed after a position."""
+        query: Query = {
+            names.WATCH: after.version,
+            names.WAIT_MS: int(wait * 1000),
+        }
         response = await self._read(
             _path(kind, query=query), wait + WATCH_SLACK
         )
-        if response.status == 410:
+        epoch = self._epoch_of(response)
+        # The store refuses a version that it does not have. One that it has
+        # given out again it takes for its own.
+        if response.status == 410 or epoch != after.epoch:
             raise errors.CrowdeckError(
                 errors.Code.STORE_HISTORY,
-                f"the store has forgotten what happened after {after}",
+                f"the store, in epoch {epoch}, does not know what happened "
+                f"after {after.version} of epoch {after.epoch}",
             )
-        body = _parsed(response)
-        return _changes(kind, body)
+        return _changes(kind, _parsed(response), epoch)
 
     async def list(self, kind: str) -> stores.Changes:
         """Return every object of a kind, page by page."""
         found: list[stores.StoredObject] = []
         query: Query = {}
         version: int | None = None
+        epoch: int | None = None
         for _ in range(PAGE_LIMIT):
-            body = _parsed(await self._read(_path(kind, query=query)))
+            response = await self._read(_path(kind, query=query))
+            body = _parsed(response)
+            if epoch not in (None, self._epoch_of(response)):
+                raise _down("the store was restored between two pages")
+            epoch = self._epoch_of(response)
             found += _readable(kind, body.get(names.ITEMS))
             if version is None:
                 # Objects of later pages may be newer than this, never
@@ -108,14 +126,14 @@
             if not body.get(names.MORE) or not found:
                 break
             query = {names.AFTER_NAME: found[-1].name}
-        return stores.Changes(version or 0, tuple(found))
+        return stores.Changes(version or 0, tuple(found), epoch=epoch or 0)
 
     async def list_instances(self, known: str = "") -> stores.Listing | None:
         """Return the listed instances, unless nothing changed."""
         changes = await self.list(names.INSTANCE_KIND)
         # Not the store's version: that rises with every other write too.
         mark = str(max((one.version for one in changes.objects), default=0))
-        mark = f"{len(changes.objects)}-{mark}"
+        mark = f"{changes.epoch}-{len(changes.objects)}-{mark}"
         if mark == known:
             return None
         try:
@@ -133,6 +151,7 @@
             raise _down(error.message) from None
         if response.status not in (200, 404, 410):
             raise _down(f"the store answered {response.status}")
+        self._epoch = self._epoch_of(response)
         return response
 
     async def _write(
@@ -148,8 +167,20 @@
             raise _write_lost(_NOT_RUN)
         if response.status not in (200, 201, 404, 409):
             raise _write_lost(_MAY_HAVE_RUN)
+        self._epoch = self._epoch_of(response)
         return response
 
+    def _epoch_of(self, response: upstream.ServiceResponse) -> int:
+        """Return the epoch that an answer tells, 0 where it tells none."""
+        told = response.find(_EPOCH)
+        if not told:
+            return 0
+        try:
+            return int(told)
+        except ValueError:
+            logs.change("epoch_unread", told=told[:40])
+            return self._epoch
+
 
 def _path(kind: str, name: str = "", query: Query | None = None) -> str:
     path = f"{names.OBJECTS_PATH}/{kind}"
@@ -190,7 +221,7 @@
     return found
 
 
-def _changes(kind: str, body: Json) -> stores.Changes:
+def _changes(kind: str, body: Json, epoch: int) -> stores.Changes:
     """Return what the events come to: each object's last state."""
     events = body.get(names.EVENTS) or []
     if not isinstance(events, list):
@@ -209,7 +240,7 @@
             else:
                 written[one.name] = one
     return stores.Changes(
-        _version(body), tuple(written.values()), tuple(removed)
+        _version(body), tuple(written.values()), tuple(removed), epoch
     )
 
 
--- a/src/crowdeck/settings/holder.py
+++ b/src/crowdeck/settings/holder.py
@@ -5,20 +5,19 @@
 
 """The settings in force in this process."""
 
-import anyio
 import orjson
 
 from crowdeck import errors
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.settings import tree as trees
+from crowdeck.state import mirror as mirrors
 from crowdeck.state import objects as stores
 
 KIND = "settings"
 NAME = "tree"
 # One waiting watch per process, renewed this often.
 WATCH_SECONDS = 20.0
-RETRY_SECONDS = 0.5
 
 
 def encode(generation: int, change: str, text: str) -> bytes:
@@ -45,12 +44,14 @@
 
 
 class SettingsHolder:
-    """Holds the newest generation seen, and never an older one."""
+    """Holds the newest generation seen, and never an older one.
+
+    A follower of the mirror of settings.
+    """
 
     def __init__(self, store: stores.ObjectStore) -> None:
         self._store = store
         self._tree: trees.Tree | None = None
-        self._version = 0
 
     @property
     def has_tree(self) -> bool:
@@ -94,22 +95,25 @@
         """
         found = await self._store.get(KIND, NAME)
         if found is not None:
-            self._version = max(self._version, found.version)
             self.apply(decode(found.value))
 
     async def follow(self) -> None:
         """Apply each new generation until cancelled."""
-        while True:
-            try:
-                changes = await self._store.watch(
-                    KIND, self._version, WATCH_SECONDS
-                )
-                for changed in changes.objects:
-                    self._take(changed)
-                self._version = changes.version
-            except errors.CrowdeckError:
-                counters.COUNTERS.add("settings.watch_failed")
-                await anyio.sleep(RETRY_SECONDS)
+        mirror = mirrors.Mirror(self._store, KIND, self, WATCH_SECONDS)
+        await mirror.run()
+
+    def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        """Take all trees."""
+        self.on_changed(objects, ())
+
+    def on_changed(
+        self,
+        objects: tuple[stores.StoredObject, ...],
+        removed: tuple[str, ...],
+    ) -> None:
+        """Take trees that were written; a removed one stays in force."""
+        for one in objects:
+            self._take(one)
 
     def _take(self, changed: stores.StoredObject) -> None:
         if changed.name != NAME:
--- a/src/crowdeck/standin/store.py
+++ b/src/crowdeck/standin/store.py
@@ -46,6 +46,7 @@
         self._removals: list[tuple[int, str, str]] = []
         self._forgotten = 0
         self._version = 0
+        self._epoch = 0
         self._list_version = 0
         self._changed = anyio.Event()
         self.delay = delay
@@ -55,6 +56,11 @@
         self.lost_replies = 0
         self.calls: collections.Counter[str] = collections.Counter()
 
+    @property
+    def epoch(self) -> int:
+        """How often the store came back from a copy."""
+        return self._epoch
+
     async def get(
         self, kind: str, name: str, *, may_be_old: bool = False
     ) -> stores.StoredObject | None:
@@ -85,15 +91,15 @@
         return version
 
     async def watch(
-        self, kind: str, after: int, wait: float
+        self, kind: str, after: stores.Position, wait: float
     ) -> stores.Changes:
-        """Return what was written after a version."""
+        """Return what was written after a position."""
         silences = self._silences
         began = anyio.current_time()
         await self._travel("watch", wait)
         self._raise_if_forgotten(after)
         with anyio.move_on_after(wait):
-            while not self._has_changed(kind, after):
+            while not self._has_changed(kind, after.version):
                 await self._changed.wait()
                 self._raise_if_down()
         if silences != self._silences:
@@ -103,14 +109,17 @@
         self._raise_if_forgotten(after)
         return stores.Changes(
             self._version,
-            self._written(kind, after),
-            self._removed(kind, after),
+            self._written(kind, after.version),
+            self._removed(kind, after.version),
+            self._epoch,
         )
 
     async def list(self, kind: str) -> stores.Changes:
         """Return every object of a kind."""
         await self._travel("list")
-        return stores.Changes(self._version, self._written(kind, 0))
+        return stores.Changes(
+            self._version, self._written(kind, 0), epoch=self._epoch
+        )
 
     async def list_instances(self, known: str = "") -> stores.Listing | None:
         """Return the listed instances, unless nothing changed."""
@@ -181,6 +190,7 @@
         self._removals = list(backup.removals)
         self._forgotten = backup.forgotten
         self._version = backup.version
+        self._epoch += 1
         self._tell()
 
     def fall_silent(self) -> None:
@@ -225,8 +235,9 @@
         await anyio.sleep(self.delay)
         self._raise_if_down()
 
-    def _raise_if_forgotten(self, after: int) -> None:
-        if not self._forgotten <= after <= self._version:
+    def _raise_if_forgotten(self, after: stores.Position) -> None:
+        is_kept = self._forgotten <= after.version <= self._version
+        if after.epoch != self._epoch or not is_kept:
             raise errors.CrowdeckError(
                 errors.Code.STORE_HISTORY, "the history is gone"
             )
--- a/src/crowdeck/standin/store_http.py
+++ b/src/crowdeck/standin/store_http.py
@@ -10,9 +10,11 @@
 import attrs
 import orjson
 from starlette import applications
+from starlette import middleware
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from crowdeck import errors
 from crowdeck import instance as instances
@@ -55,6 +57,7 @@
                 routing.Route(listed_path, self._remove, methods=["DELETE"]),
             ],
             exception_handlers={errors.CrowdeckError: _refuse},
+            middleware=[middleware.Middleware(_TellEpoch, self._store)],
         )
 
     async def _get(self, request: requests.Request) -> responses.Response:
@@ -93,7 +96,9 @@
         query = request.query_params
         if names.WATCH in query:
             wait = int(query.get(names.WAIT_MS, "0")) / 1000.0
-            after = int(query[names.WATCH])
+            # As the platform's, it takes any version that it has for one
+            # of its present epoch.
+            after = stores.Position(int(query[names.WATCH]), self._store.epoch)
             changes = await self._store.watch(kind, after, wait)
             return _json(_events(changes))
         if kind == names.INSTANCE_KIND:
@@ -137,6 +142,27 @@
         return responses.Response(status_code=204)
 
 
+class _TellEpoch:
+    """Names the store's epoch in each answer, refusals included."""
+
+    def __init__(
+        self, app: types.ASGIApp, store: standin_store.StandinStore
+    ) -> None:
+        self._app = app
+        self._store = store
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        async def tell(message: types.Message) -> None:
+            if message["type"] == "http.response.start":
+                told = str(self._store.epoch).encode()
+                message["headers"].append((names.EPOCH, told))
+            await send(message)
+
+        await self._app(scope, receive, tell)
+
+
 def _object(stored: stores.StoredObject) -> Json:
     return {
         names.METADATA: {
--- a/src/crowdeck/state/contact.py
+++ b/src/crowdeck/state/contact.py
@@ -55,6 +55,7 @@
         self._tries = 0
         self._next_try_at = 0.0
         self._pause: Pause = lambda: RETRY_SECONDS
+        self._epoch: int | None = None
         self._line: collections.deque[object] = collections.deque()
         self._changed = anyio.Event()
         self._watches: set[anyio.CancelScope] = set()
@@ -138,6 +139,23 @@
         """
         self._failed_at = anyio.current_time()
 
+    def meet_epoch(self, epoch: int) -> None:
+        """Note an epoch of the store, told by itself or by a peer.
+
+        A later one than any before takes the watches of all back. Each is
+        sent anew and answered at once, from the new epoch: a watch that was
+        sent before may wait on for ten seconds, for versions that the store
+        gives out again.
+        """
+        known, self._epoch = self._epoch, max(epoch, self._epoch or 0)
+        if known is None or epoch <= known:
+            return
+        logs.change("store_restored", epoch=epoch, before=known)
+        # What instances wrote last may be missing until they write again.
+        self._failed_at = anyio.current_time()
+        for scope in self._watches:
+            scope.cancel()
+
     def succeed(self) -> None:
         """Note that a call was answered."""
         if self._lost_at is None:
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -51,9 +51,9 @@
     """Another process's copy, asked instead of the store."""
 
     async def watch(
-        self, kind: str, after: int, wait: float
+        self, kind: str, after: stores.Position, wait: float
     ) -> stores.Sighting | None:
-        """Return what changed after a version, ``None`` for no help.
+        """Return what changed after a position, ``None`` for no help.
 
         :raises CrowdeckError: when only the store can tell.
         """
@@ -127,9 +127,9 @@
         return self._kind
 
     @property
-    def version(self) -> int:
-        """The store's version up to which changes are known."""
-        return self._replica.version
+    def position(self) -> stores.Position:
+        """The store's position up to which changes are known."""
+        return self._replica.position
 
     @property
     def has_listed(self) -> bool:
@@ -158,14 +158,17 @@
                 except errors.CrowdeckError as error:
                     await self._note(error, turn is contacts.Turn.TRY)
 
-    async def tell(self, after: int, wait: float) -> stores.Sighting:
-        """Return what changed after a version, for another process.
+    async def tell(
+        self, after: stores.Position, wait: float
+    ) -> stores.Sighting:
+        """Return what changed after a position, for another process.
 
         Answers once something has changed, or once the copy was proved
         current after the question came, or when the wait is over.
 
-        :raises CrowdeckError: ``STORE_DOWN`` while the store is lost,
-            ``STORE_HISTORY`` when it is not known what changed.
+        :raises CrowdeckError: ``STORE_DOWN`` while the store is lost or its
+            present epoch not known here, ``STORE_HISTORY`` when it is not
+            known what changed.
         """
         came_at = anyio.current_time()
         with (
@@ -178,15 +181,22 @@
             raise errors.CrowdeckError(
                 errors.Code.STORE_DOWN, "the store is lost from here as well"
             )
+        if after.epoch > self.position.epoch:
+            self._contact.meet_epoch(after.epoch)
+            raise errors.CrowdeckError(
+                errors.Code.STORE_DOWN,
+                f"epoch {after.epoch} of the store is not known here yet",
+            )
         changes = self._replica.since(after)
         if changes is None:
             raise errors.CrowdeckError(
                 errors.Code.STORE_HISTORY,
-                f"what happened after {after} is not known",
+                f"what happened after {after.version} of epoch "
+                f"{after.epoch} is not known",
             )
         return stores.Sighting(changes, came_at - self._current_at)
 
-    def _has_news(self, after: int, came_at: float) -> bool:
+    def _has_news(self, after: stores.Position, came_at: float) -> bool:
         if self._contact.is_lost:
             return True
         if self._current_at is None:
@@ -206,12 +216,14 @@
         wait = 0.0 if self._has_failed else self._wait + HELPER_SLACK
         sent_at = anyio.current_time()
         try:
-            sighting = await helper.watch(self._kind, self.version, wait)
+            sighting = await helper.watch(self._kind, self.position, wait)
         except errors.CrowdeckError as error:
             logs.change(
                 "store_asked_instead", kind=self._kind, reason=error.message
             )
-            self._must_ask_store = True
+            # At once: a watch from a position that the store does not have
+            # any more may wait to its end before it shows that.
+            self._must_ask_store = self._has_failed = True
             return
         if sighting is not None:
             self._take(sighting.changes, sent_at - sighting.age)
@@ -232,6 +244,7 @@
         if self._must_list:
             listing = await self._store.list(self._kind)
             self._contact.succeed()
+            self._contact.meet_epoch(listing.epoch)
             self._must_list = self._must_ask_store = self._has_failed = False
             self._replica.list(listing)
             self._note_current(sent_at)
@@ -239,7 +252,7 @@
             return
         changes: stores.Changes | None = None
         with self._contact.watching():
-            changes = await self._store.watch(self._kind, self.version, wait)
+            changes = await self._store.watch(self._kind, self.position, wait)
         if changes is None:
             # Contact was lost meanwhile: the watch is sent anew.
             self._has_failed = True
@@ -269,7 +282,12 @@
     async def _note(self, error: errors.CrowdeckError, is_try: bool) -> None:
         counters.COUNTERS.add(f"store.{self._kind}.failed")
         if error.code is errors.Code.STORE_HISTORY:
-            logs.change("store_history_lost", kind=self._kind)
+            logs.change(
+                "store_history_lost",
+                kind=self._kind,
+                epoch=self.position.epoch,
+                version=self.position.version,
+            )
             self._must_list = True
             self._contact.succeed()
             return
@@ -278,7 +296,8 @@
             kind=self._kind,
             reason=error.message,
             age=round(self.age(), 3),
-            version=self.version,
+            epoch=self.position.epoch,
+            version=self.position.version,
         )
         self._has_failed = True
         await self._contact.fail(error.message, is_try)
--- a/src/crowdeck/state/objects.py
+++ b/src/crowdeck/state/objects.py
@@ -44,10 +44,29 @@
         raise ValueError("it is nested without end") from None
 
 
+@attrs.frozen
+class Position:
+    """How far something knows a store's history.
+
+    Versions order what happened within one epoch only. A store that comes
+    back from a copy has lost its last writes and gives their versions out
+    again, to others; each return begins another epoch. So two versions say
+    nothing of each other where their epochs differ.
+
+    :ivar epoch: how often the store has come back from a copy, as it counts;
+        0 for one that does not tell.
+    """
+
+    version: int
+    epoch: int = 0
+
+
 @attrs.frozen
 class StoredObject:
     """One object; ``version`` grows with each write and is never 0.
 
+    It does so within one epoch, as :class:`Position` has it.
+
     ``value`` is a JSON text: the store keeps structured values and may
     hand back other white space than it was given.
     """
@@ -65,11 +84,18 @@
     :ivar version: the store's latest version, from which to watch on.
     :ivar objects: objects written, in order of their versions.
     :ivar removed: names of objects that are gone.
+    :ivar epoch: the store's epoch when it answered.
     """
 
     version: int
     objects: tuple[StoredObject, ...]
     removed: tuple[str, ...] = ()
+    epoch: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The position from which to watch on."""
+        return Position(self.version, self.epoch)
 
 
 @attrs.frozen
@@ -95,6 +121,15 @@
     ``STORE_UNSURE`` instead, and must be read back.
     """
 
+    @property
+    def epoch(self) -> int:
+        """The epoch of the latest answer, 0 before the first.
+
+        A write that is conditional on a version read in another epoch may
+        have replaced what nobody here has read.
+        """
+        ...
+
     async def get(
         self, kind: str, name: str, *, may_be_old: bool = False
     ) -> StoredObject | None:
@@ -116,12 +151,12 @@
         """
         ...
 
-    async def watch(self, kind: str, after: int, wait: float) -> Changes:
-        """Return what changed after a version, waiting for it.
+    async def watch(self, kind: str, after: Position, wait: float) -> Changes:
+        """Return what changed after a position, waiting for it.
 
         :param wait: seconds to wait at most; nothing changed is no error.
         :raises CrowdeckError: ``STORE_HISTORY`` when the store no longer
-            knows what changed; list the kind again.
+            knows what changed, or is in another epoch; list the kind again.
         """
         ...
 
--- a/src/crowdeck/state/replica.py
+++ b/src/crowdeck/state/replica.py
@@ -21,6 +21,10 @@
     whoever knows everything up to that version has seen it. An object's own
     version would not do: a listing of several pages holds objects that are
     newer than the version from which it is followed.
+
+    All of it is of one epoch. A version of another is one that this copy
+    knows nothing of, however the numbers compare: a copy that compared them
+    said "nothing new" for 8 s to whoever had not listed anew itself.
     """
 
     def __init__(self) -> None:
@@ -29,11 +33,12 @@
         self._removed: dict[str, int] = {}
         self._floor = 0
         self._version = 0
+        self._epoch = 0
 
     @property
-    def version(self) -> int:
-        """The store's version up to which this copy is complete."""
-        return self._version
+    def position(self) -> stores.Position:
+        """The store's position up to which this copy is complete."""
+        return stores.Position(self._version, self._epoch)
 
     def list(self, listing: stores.Changes) -> None:
         """Take a listing of the whole kind."""
@@ -41,9 +46,10 @@
         self._learned = dict.fromkeys(self._objects, listing.version)
         self._removed.clear()
         self._floor = self._version = listing.version
+        self._epoch = listing.epoch
 
     def apply(self, changes: stores.Changes) -> None:
-        """Take what changed since the last version."""
+        """Take what changed since the last position, in the same epoch."""
         self._version = max(self._version, changes.version)
         for one in changes.objects:
             self._objects[one.name] = one
@@ -59,20 +65,21 @@
             oldest = next(iter(self._removed))
             self._floor = max(self._floor, self._removed.pop(oldest))
 
-    def since(self, version: int) -> stores.Changes | None:
-        """Return what changed after a version, ``None`` where unknown."""
-        if version < self._floor:
+    def since(self, after: stores.Position) -> stores.Changes | None:
+        """Return what changed after a position, ``None`` where unknown."""
+        if after.epoch != self._epoch or after.version < self._floor:
             return None
         return stores.Changes(
             self._version,
             tuple(
                 one
                 for name, one in self._objects.items()
-                if self._learned[name] > version
+                if self._learned[name] > after.version
             ),
             tuple(
                 name
                 for name, learned in self._removed.items()
-                if learned > version
+                if learned > after.version
             ),
+            self._epoch,
         )
--- a/src/crowdeck/upstream.py
+++ b/src/crowdeck/upstream.py
@@ -108,6 +108,13 @@
     headers: tuple[http_header.Header, ...]
     body: bytes
 
+    def find(self, name: str) -> str:
+        """Return a header's value by its lower-case name, or nothing."""
+        for header in self.headers:
+            if header.name == name:
+                return header.value
+        return ""
+
 
 class PlainService(typing.Protocol):
     """A service beside the engines, called once per request."""
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -285,7 +285,9 @@
     def test_watches_read_on_or_say_why_not(self, told: typing.Any) -> None:
         async def body() -> None:
             try:
-                await ask(dumped(told)).watch("servers", 1, 0.1)
+                await ask(dumped(told)).watch(
+                    "servers", stores.Position(1), 0.1
+                )
             except errors.CrowdeckError as error:
                 assert error.code is errors.Code.STORE_DOWN
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -16,6 +16,7 @@
 import crowdeck
 from crowdeck import chain
 from crowdeck import errors
+from crowdeck import header
 from crowdeck import http
 from crowdeck import pipeline
 from crowdeck.platform import callers
@@ -28,6 +29,7 @@
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
 from crowdeck.state import objects as stores
+from crowdeck import upstream
 from tests import fleet_system
 from tests import virtual
 
@@ -394,6 +396,7 @@
     def __init__(self, answers: list[tuple[int, object]]) -> None:
         self._answers = answers
         self.asked: list[tuple[str, str, object]] = []
+        self.headers: tuple[header.Header, ...] = ()
 
     async def send(
         self,
@@ -411,8 +414,8 @@
                 "lost",
                 verdict=content,  # type: ignore[arg-type]
             )
-        return attrs.make_class("R", ["status", "headers", "body"])(
-            status, (), orjson.dumps(content)
+        return upstream.ServiceResponse(
+            status, self.headers, orjson.dumps(content)
         )
 
 
@@ -461,7 +464,7 @@
             {"tombstone": False, "object": an_object("b", 7, 2)},
         ]
         store, _ = play_store([(200, {"events": events, "timestamp": 7})])
-        changes = virtual.run(store.watch, "k", 3, 1.0)
+        changes = virtual.run(store.watch, "k", stores.Position(3), 1.0)
         assert changes.removed == ("a",)
         assert [one.name for one in changes.objects] == ["b"]
         assert changes.version == 7
@@ -469,9 +472,48 @@
     def test_lost_history_is_told(self) -> None:
         store, _ = play_store([(410, {})])
         with pytest.raises(errors.CrowdeckError) as caught:
-            virtual.run(store.watch, "k", 3, 1.0)
+            virtual.run(store.watch, "k", stores.Position(3), 1.0)
         assert caught.value.code is errors.Code.STORE_HISTORY
 
+    def test_history_of_another_epoch_is_lost_though_it_has_the_version(
+        self,
+    ) -> None:
+        store, calls = play_store([(200, {"events": [], "timestamp": 7})])
+        calls.headers = (header.Header("store-era", "2"),)
+        with pytest.raises(errors.CrowdeckError) as caught:
+            virtual.run(store.watch, "k", stores.Position(3, 1), 1.0)
+        assert caught.value.code is errors.Code.STORE_HISTORY
+        assert store.epoch == 2
+
+    def test_listing_and_watch_tell_their_epoch(self) -> None:
+        page = {"items": [], "has_more": False, "timestamp": 9}
+        news = {"events": [], "timestamp": 9}
+        store, calls = play_store([(200, page), (200, news)])
+        calls.headers = (header.Header("store-era", "3"),)
+        listing = virtual.run(store.list, "k")
+        assert listing.position == stores.Position(9, 3)
+        changes = virtual.run(store.watch, "k", listing.position, 1.0)
+        assert changes.position == stores.Position(9, 3)
+
+    def test_unreadable_epoch_is_the_one_before(self) -> None:
+        page = {"items": [], "has_more": False, "timestamp": 9}
+        store, calls = play_store([(200, page), (200, page)])
+        calls.headers = (header.Header("store-era", "3"),)
+        virtual.run(store.list, "k")
+        calls.headers = (header.Header("store-era", "x"),)
+        assert virtual.run(store.list, "k").epoch == 3
+
+    def test_refusal_without_an_epoch_tells_none(self) -> None:
+        # A proxy that answers for the store knows nothing of it.
+        page = {"items": [], "has_more": False, "timestamp": 9}
+        store, calls = play_store([(200, page), (503, {})])
+        calls.headers = (header.Header("store-era", "3"),)
+        virtual.run(store.list, "k")
+        calls.headers = ()
+        with pytest.raises(errors.CrowdeckError):
+            virtual.run(store.list, "k")
+        assert store.epoch == 3
+
     def test_objects_are_created_and_replaced_under_a_condition(self) -> None:
         answer = an_object("a", 5, {"x": 1})
         store, calls = play_store([(200, answer), (200, answer)])
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -221,7 +221,7 @@
     for entry in zone.entries.values():
         current_at = now - entry.mirror.age()
         if newest and written[newest] < current_at - 1e-9:
-            assert entry.mirror.version >= newest
+            assert entry.mirror.position.version >= newest
 
 
 class TestReplica:
@@ -231,35 +231,35 @@
         replica = replicas.Replica()
         replica.list(stores.Changes(5, (_object("a", 3), _object("b", 5))))
         replica.apply(stores.Changes(8, (_object("c", 7),), ("a",)))
-        told = replica.since(5)
+        told = replica.since(stores.Position(5))
         assert told is not None
         assert [one.name for one in told.objects] == ["c"]
         assert told.removed == ("a",)
-        assert replica.since(8) == stores.Changes(8, (), ())
+        assert replica.since(stores.Position(8)) == stores.Changes(8, (), ())
 
     def test_does_not_know_what_was_before_its_listing(self) -> None:
         replica = replicas.Replica()
         replica.list(stores.Changes(5, ()))
-        assert replica.since(4) is None
+        assert replica.since(stores.Position(4)) is None
 
     def test_objects_newer_than_their_listing_are_told_once(self) -> None:
         # The second page of a listing is read later than the first. With
         # the object's own version as the mark it was told for ever.
         replica = replicas.Replica()
         replica.list(stores.Changes(5, (_object("late", 9),)))
-        assert replica.since(5) == stores.Changes(5, (), ())
+        assert replica.since(stores.Position(5)) == stores.Changes(5, (), ())
         replica.apply(stores.Changes(9, (_object("late", 9),)))
-        told = replica.since(5)
+        told = replica.since(stores.Position(5))
         assert told is not None and told.objects
-        assert replica.since(told.version) == stores.Changes(9, (), ())
+        assert replica.since(told.position) == stores.Changes(9, (), ())
 
     def test_forgets_the_oldest_removals(self) -> None:
         replica = replicas.Replica()
         replica.list(stores.Changes(1, ()))
         for number in range(replicas.REMOVALS_MOST + 1):
             replica.apply(stores.Changes(number + 2, (), (f"gone-{number}",)))
-        assert replica.since(1) is None
-        told = replica.since(2)
+        assert replica.since(stores.Position(1)) is None
+        told = replica.since(stores.Position(2))
         assert told is not None
         assert len(told.removed) == replicas.REMOVALS_MOST
 
@@ -360,7 +360,12 @@
                 peer = readers.Peer("a", instances.Address(HOST, port))
                 try:
                     told.append(
-                        await peers.watch(peer, zone_system.KIND, after, wait)
+                        await peers.watch(
+                            peer,
+                            zone_system.KIND,
+                            stores.Position(after),
+                            wait,
+                        )
                     )
                 except errors.CrowdeckError as error:
                     told.append(error)
@@ -411,12 +416,14 @@
         )
 
         class Copy:
-            async def tell(self, after: int, wait: float) -> stores.Sighting:
+            async def tell(
+                self, after: stores.Position, wait: float
+            ) -> stores.Sighting:
                 return sighting
 
         async def body() -> None:
             copy = typing.cast(mirrors.Mirror, Copy())
-            await peer_http.ask(copy, 1, 1.0)
+            await peer_http.ask(copy, stores.Position(1), 1.0)
 
         with pytest.raises(errors.CrowdeckError) as caught:
             anyio.run(body)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -23,10 +23,18 @@
 version 183, 8.2 s later.
 """
 
+import random
+
 import anyio
+import hypothesis
+from hypothesis import strategies
+import pytest
 
+from crowdeck import errors
 from crowdeck.standin import store as standin_store
+from crowdeck.state import contact as contacts
 from crowdeck.state import mirror as mirrors
+from crowdeck.state import objects as stores
 from tests import virtual
 from tests import zone_system
 
@@ -75,6 +83,103 @@
         for count in (1, 2, 5, 14):
             zone_system.play(count, work)
 
+    def test_costs_two_listings_an_entry_at_most(self) -> None:
+        async def work(zone: zone_system.Zone) -> None:
+            await come_back_from_copy(zone.store)
+            await anyio.sleep(5.0)
+            assert zone.store.calls["list"] <= 2 * len(zone.entries)
+            before = zone.calls
+            await anyio.sleep(10.0)
+            # Again one entry asks for all.
+            assert zone.calls - before <= 10.0 / zone_system.WAIT + 1
+
+        zone_system.play(14, work)
+
+    def test_peer_that_has_missed_it_is_not_believed(self) -> None:
+        # The one that all ask is cut off without a word: it goes on to
+        # answer from its copy until its own watch fails.
+        async def work(zone: zone_system.Zone) -> None:
+            backup = zone.store.back_up()
+            zone.write()
+            await anyio.sleep(0.1)
+            zone[0].way.is_cut = True
+            zone.store.restore(backup)
+            with pytest.raises(errors.CrowdeckError) as caught:
+                await zone[0].mirror.tell(stores.Position(1, 1), 0.1)
+            assert caught.value.code is errors.Code.STORE_DOWN
+            zone[0].way.is_cut = False
+            await anyio.sleep(IN_FORCE_SECONDS)
+            await require_known(zone, b"new")
+
+        zone_system.play(5, work)
+
+    @hypothesis.given(strategies.integers(0, 2**32))
+    @hypothesis.settings(max_examples=25, deadline=None, derandomize=True)
+    def test_whatever_else_happens_all_know_all_soon_after(
+        self, seed: int
+    ) -> None:
+        async def work(zone: zone_system.Zone) -> None:
+            chance = random.Random(seed)
+            for _ in range(4):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(_disturb, zone, chance)
+                    await _play_restores(zone, chance)
+                    tasks.cancel_scope.cancel()
+                zone.mend()
+                # A peer that was silent is left alone for some seconds.
+                await anyio.sleep(3.0)
+                await require_known(zone, f"new-{seed}".encode())
+
+        zone_system.play(4, work)
+
+
+async def _play_restores(
+    zone: zone_system.Zone, chance: random.Random
+) -> None:
+    """Write now and then, and go back to a copy of some moment before."""
+    backups = [zone.store.back_up()]
+    truth: dict[int, float] = {}
+    for _ in range(600):
+        if chance.random() < 0.03:
+            truth[zone.write()] = anyio.current_time()
+        if chance.random() < 0.01:
+            backups.append(zone.store.back_up())
+        if chance.random() < 0.004:
+            zone.store.restore(chance.choice(backups))
+            # Only what is written from now on may be asked for.
+            truth.clear()
+        _require_truth(zone, truth)
+        await anyio.sleep(0.01)
+
+
+def _require_truth(zone: zone_system.Zone, truth: dict[int, float]) -> None:
+    """Have no copy be older than the moment it was proved for."""
+    if not truth:
+        return
+    newest = max(truth)
+    for entry in zone.entries.values():
+        current_at = anyio.current_time() - entry.mirror.age()
+        if truth[newest] < current_at - 1e-9:
+            assert entry.mirror.position.epoch == zone.store.epoch
+            assert entry.mirror.position.version >= newest
+
+
+async def _disturb(zone: zone_system.Zone, chance: random.Random) -> None:
+    """Cut entries off, silence, stop and start them anew."""
+    while True:
+        number = chance.randrange(len(zone.entries))
+        what = chance.choice(("is_silent", "is_down", "cut", "store", "anew"))
+        if what == "anew":
+            zone.start_anew(number)
+        else:
+            entry = zone[number]
+            target = {"cut": entry.way, "store": zone.store}.get(what, entry)
+            name = {"cut": "is_cut", "store": "is_down"}.get(what, what)
+            setattr(target, name, True)
+            await anyio.sleep(chance.uniform(0.1, 2.5))
+            setattr(target, name, False)
+        await anyio.sleep(chance.uniform(0.0, 1.0))
+
 
 class TestMirror:
     """One copy of a kind, kept up by its own watch."""
@@ -103,3 +208,30 @@
                 tasks.cancel_scope.cancel()
 
         virtual.run(body)
+
+    def test_long_watch_is_sent_anew_when_another_meets_the_epoch(
+        self,
+    ) -> None:
+        # A watch for instances waits ten seconds, and the store may go on
+        # waiting with it for a version that it gives out again.
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            contact = contacts.StoreContact()
+            sight = zone_system.Sight()
+            long = mirrors.Mirror(store, "long", sight, 10.0, contact=contact)
+            short = mirrors.Mirror(
+                store, "short", zone_system.Sight(), 0.8, contact=contact
+            )
+            async with anyio.create_task_group() as tasks:
+                for _ in range(5):
+                    store.write("long", "main", b"old")
+                tasks.start_soon(long.run)
+                tasks.start_soon(short.run)
+                await anyio.sleep(1.0)
+                store.restore(standin_store.StandinStore().back_up())
+                store.write("long", "main", b"new")
+                await anyio.sleep(IN_FORCE_SECONDS)
+                assert sight.values == {"main": b"new"}
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -306,12 +306,12 @@
     def test_proves_nothing_later_than_the_question(self) -> None:
         class Helper:
             async def watch(
-                self, kind: str, after: int, wait: float
+                self, kind: str, after: stores.Position, wait: float
             ) -> stores.Sighting:
                 await anyio.sleep(0.01)
                 sleep_through(40.0)
                 # Current when it was asked, as the peer's clock has it.
-                return stores.Sighting(stores.Changes(after, ()), 0.0)
+                return stores.Sighting(stores.Changes(after.version, ()), 0.0)
 
         class Helpers:
             def choose(self) -> Helper:
--- a/tests/zone_system.py
+++ b/tests/zone_system.py
@@ -8,6 +8,7 @@
 import typing
 
 import anyio
+import anyio.abc
 import attrs
 
 from crowdeck import errors
@@ -56,8 +57,12 @@
         self.is_cut = False
         self.calls = 0
 
+    @property
+    def epoch(self) -> int:
+        return self._store.epoch
+
     async def watch(
-        self, kind: str, after: int, wait: float
+        self, kind: str, after: stores.Position, wait: float
     ) -> stores.Changes:
         self._pass()
         changes = await self._store.watch(kind, after, wait)
@@ -101,6 +106,7 @@
     choice: readers.Readers
     sight: Sight
     mirror: mirrors.Mirror
+    life: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     is_silent: bool = False
     is_down: bool = False
     is_too_large: bool = False
@@ -116,8 +122,34 @@
             readers.Peer(name, instances.Address("10.0.0.1", 7340))
             for name in names
         )
+        self._ranking = ranking
+        self._tasks: anyio.abc.TaskGroup | None = None
         self.entries = {name: self._entry(name, ranking) for name in names}
 
+    async def run(self) -> None:
+        """Run all entries until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            for entry in self.entries.values():
+                self._tasks.start_soon(self._live, entry)
+
+    async def _live(self, entry: Entry) -> None:
+        with entry.life:
+            await entry.mirror.run()
+
+    def start_anew(self, number: int) -> None:
+        """End an entry, and start another of its name that knows nothing."""
+        assert self._tasks is not None
+        name = f"entry-{number}"
+        self.entries[name].life.cancel()
+        entry = self.entries[name] = self._entry(name, self._ranking)
+        self._tasks.start_soon(self._live, entry)
+
+    def mend(self) -> None:
+        """Let everything answer again."""
+        self.store.is_down = False
+        for entry in self.entries.values():
+            entry.is_silent = entry.is_down = entry.way.is_cut = False
+
     def _entry(self, name: str, ranking: tuple[readers.Peer, ...]) -> Entry:
         way = Way(self.store)
         contact = contacts.StoreContact()
@@ -137,7 +169,11 @@
         return sum(one.way.calls for one in self.entries.values())
 
     async def watch(
-        self, peer: readers.Peer, kind: str, after: int, wait: float
+        self,
+        peer: readers.Peer,
+        kind: str,
+        after: stores.Position,
+        wait: float,
     ) -> stores.Sighting:
         """Ask an entry, as its HTTP side would."""
         entry = self.entries[peer.name]
@@ -181,8 +217,7 @@
         zone = Zone(count)
         zone.write()
         async with anyio.create_task_group() as tasks:
-            for entry in zone.entries.values():
-                tasks.start_soon(entry.mirror.run)
+            tasks.start_soon(zone.run)
             await anyio.sleep(3.0)
             await work(zone)
             tasks.cancel_scope.cancel()
