Entries write their notes again where a restored store has lost them

Change: a listing starts the versions of notes anew, and a note that is missing or older is written again; what an entry told of engines' ends stays known when an older note of it is seen.

--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -151,9 +151,19 @@
         self._notes[self._name] = note
 
     def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
-        """Take all entries."""
+        """Take all entries.
+
+        A listing that comes after a lost history may be of a store that was
+        restored from a copy: versions known so far may be higher than those
+        of newer notes, and this entry's own note may be gone or an older
+        one. Refused or not written again, it would be missing, with what it
+        tells of requests that end engines, until the next restart.
+        """
         self._listed.set()
+        self._versions.clear()
         self.on_changed(objects, ())
+        if not self._is_noted():
+            self._must_write.set()
 
     def on_changed(
         self,
--- a/src/crowdeck/quarantine/ledger.py
+++ b/src/crowdeck/quarantine/ledger.py
@@ -187,27 +187,37 @@
             self._tell_own()
 
     def take(self, entry: str, told: evidence.Evidence) -> None:
-        """Take all that another entry tells."""
-        told = self._valid(told)
-        if self._others.get(entry, evidence.Evidence()) == told:
+        """Take what another entry tells.
+
+        What it told before stays: a store that was restored from a copy
+        shows an older note, and its writer may have ended since.
+        """
+        known = self._others.get(entry, evidence.Evidence())
+        merged = self._merged(self._valid(known), told)
+        if merged == known:
             return
-        self._others[entry] = told
+        self._others[entry] = merged
         self._judge()
         if self._testify():
             self._tell_own()
 
     def take_own(self, told: evidence.Evidence) -> None:
         """Take what an earlier run of this entry told."""
-        merged = self._own
-        told = self._valid(told)
-        for end in told.ends:
-            merged = merged.with_end(end, self._rank)
-        for served in told.served:
-            merged = merged.with_served(served)
+        merged = self._merged(self._own, told)
         if merged != self._own:
             self._own = merged
             self._judge()
 
+    def _merged(
+        self, known: evidence.Evidence, told: evidence.Evidence
+    ) -> evidence.Evidence:
+        told = self._valid(told)
+        for end in told.ends:
+            known = known.with_end(end, self._rank)
+        for served in told.served:
+            known = known.with_served(served)
+        return known
+
     def _note(self, instance: str, trial: Trial, seconds: float) -> None:
         if not trial.is_suspect:
             return
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -24,13 +24,19 @@
 """
 
 import random
+import typing
 
 import anyio
+import anyio.abc
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from crowdeck import errors
+from crowdeck import instance as instances
+from crowdeck.membership import roster as rosters
+from crowdeck.quarantine import fingerprint as fingerprints
+from crowdeck.quarantine import ledger as ledgers
 from crowdeck.standin import store as standin_store
 from crowdeck.state import contact as contacts
 from crowdeck.state import mirror as mirrors
@@ -235,3 +241,132 @@
                 tasks.cancel_scope.cancel()
 
         virtual.run(body)
+
+
+CAUSE = fingerprints.Fingerprint("cause")
+
+
+class _Fleet:
+    """Entries that note themselves and what they know of engines' ends."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self.store = standin_store.StandinStore()
+        self.empty = self.store.back_up()
+        self.rosters: dict[str, rosters.Roster] = {}
+        self.ledgers: dict[str, ledgers.Ledger] = {}
+        self.lives: dict[str, anyio.CancelScope] = {}
+        self._tasks = tasks
+
+    def start(self, name: str, capacity: float) -> None:
+        """Start an entry, in place of one of its name."""
+        self.stop(name)
+        address = instances.Address("10.0.0.1", 7340)
+        note = rosters.Note("plateau", address, capacity)
+        ledger = self.ledgers[name] = ledgers.Ledger(anyio.current_time)
+        roster = rosters.Roster(self.store, name, note, ledger)
+        self.rosters[name] = roster
+        self._tasks.start_soon(self._live, name, roster)
+
+    async def _live(self, name: str, roster: rosters.Roster) -> None:
+        mirror = mirrors.Mirror(self.store, rosters.KIND, roster, 0.8)
+        with anyio.CancelScope() as self.lives[name]:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(mirror.run)
+                tasks.start_soon(roster.run)
+
+    def stop(self, name: str) -> None:
+        """End an entry, if there is one of that name."""
+        if name in self.lives:
+            self.lives.pop(name).cancel()
+            del self.rosters[name], self.ledgers[name]
+
+    async def settle(self) -> None:
+        """Let all be told to all."""
+        await anyio.sleep(IN_FORCE_SECONDS)
+
+    def find_cause(self, name: str) -> None:
+        """Have an entry see three engines end under one request."""
+        ledger = self.ledgers[name]
+        for number in range(3):
+            ledger.note_lost(f"e{number}", ledgers.Trial(CAUSE, None))
+            ledger.note_end(f"e{number}")
+
+
+def play_fleet(
+    work: typing.Callable[[_Fleet], typing.Awaitable[None]],
+) -> None:
+    """Run a test's work with three entries that know one another."""
+
+    async def body() -> None:
+        async with anyio.create_task_group() as tasks:
+            fleet = _Fleet(tasks)
+            for number in range(3):
+                fleet.start(f"entry-{number}", 1.0)
+            await fleet.settle()
+            await work(fleet)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+class TestRoster:
+    """What entries noted in a store that lost it."""
+
+    def test_lost_note_is_written_again(self) -> None:
+        async def work(fleet: _Fleet) -> None:
+            fleet.store.restore(fleet.empty)
+            await fleet.settle()
+            listing = await fleet.store.list(rosters.KIND)
+            names = sorted(one.name for one in listing.objects)
+            assert names == ["entry-0", "entry-1", "entry-2"]
+
+        play_fleet(work)
+
+    def test_what_was_told_since_the_copy_is_told_again(self) -> None:
+        async def work(fleet: _Fleet) -> None:
+            backup = fleet.store.back_up()
+            fleet.find_cause("entry-0")
+            await fleet.settle()
+            fleet.store.restore(backup)
+            await fleet.settle()
+            fleet.start("late", 1.0)
+            await fleet.settle()
+            assert all(one.is_culprit(CAUSE) for one in fleet.ledgers.values())
+
+        play_fleet(work)
+
+    def test_an_older_note_takes_nothing_back(self) -> None:
+        # Whoever told it has ended since, and tells it to nobody again.
+        async def work(fleet: _Fleet) -> None:
+            backup = fleet.store.back_up()
+            fleet.find_cause("entry-0")
+            await fleet.settle()
+            fleet.stop("entry-0")
+            fleet.store.restore(backup)
+            await fleet.settle()
+            assert all(one.is_culprit(CAUSE) for one in fleet.ledgers.values())
+
+        play_fleet(work)
+
+    def test_new_notes_of_lower_versions_are_taken(self) -> None:
+        async def work(fleet: _Fleet) -> None:
+            for number in range(50):
+                fleet.store.write("other", f"o{number}", b"1")
+            fleet.start("late", 1.0)
+            await fleet.settle()
+            fleet.store.restore(fleet.empty)
+            await fleet.settle()
+            fleet.start("late", 7.0)
+            await fleet.settle()
+            first = [one.ranking()[0].name for one in fleet.rosters.values()]
+            assert set(first) == {"late"}
+
+        play_fleet(work)
+
+    def test_calm_notes_cost_no_call(self) -> None:
+        async def work(fleet: _Fleet) -> None:
+            puts = fleet.store.calls["put"]
+            await fleet.settle()
+            assert fleet.store.calls["put"] == puts == 3
+
+        play_fleet(work)
