A lease outlives a return of the store from a copy, and never has two holders

Its holder took the store's older copy for another's write and gave the duty up, 3 s without one; a lease that is free in the copy only, or at a version given out again, could be taken beside its holder; terms were given twice. Ruled out: waiting for the whole length in any case (4.5 s without a holder after each return); that the conditional write protects by itself (a version may be another write's by then). Change: the holder writes the lease back within its time, all others, and those that start anew in an old fleet, wait its whole length; a write that crossed two epochs counts for nothing; terms of a later epoch are higher; the holder tries again every 0.5 s while the store is away.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -155,7 +155,11 @@
         )
         holder_name = f"{self._config.name}/{secrets.token_hex(8)}"
         lease = leases.Lease(
-            store, PLACEMENT, holder_name, lambda: view.readers.reads_store
+            store,
+            PLACEMENT,
+            holder_name,
+            lambda: view.readers.reads_store,
+            is_new_fleet=bool(fleet["first_start"]),
         )
         self._lease = lease
         share = _Sharing(context, view.roster)
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -45,11 +45,11 @@
 
     def __init__(self, client: http.HttpClient) -> None:
         self._client = client
-        self._epoch = 0
+        self._epoch: int | None = None
 
     @property
-    def epoch(self) -> int:
-        """The epoch of the latest answer."""
+    def epoch(self) -> int | None:
+        """The epoch of the latest answer, ``None`` before the first."""
         return self._epoch
 
     async def get(
@@ -179,7 +179,7 @@
             return int(told)
         except ValueError:
             logs.change("epoch_unread", told=told[:40])
-            return self._epoch
+            return self._epoch or 0
 
 
 def _path(kind: str, name: str = "", query: Query | None = None) -> str:
--- a/src/crowdeck/settings/fleet_options.py
+++ b/src/crowdeck/settings/fleet_options.py
@@ -41,6 +41,12 @@
             0.5,
             600.0,
         ),
+        options.Flag(
+            "first_start",
+            False,
+            "whether no entry of the fleet can have run before; else a free "
+            "duty is taken only once nobody can hold it any more",
+        ),
         options.Number(
             "retry_ratio", 0.2, "repeats allowed for each request", 0.0, 10.0
         ),
--- a/src/crowdeck/state/leases.py
+++ b/src/crowdeck/state/leases.py
@@ -21,6 +21,14 @@
 # taken up again while a request that waits for it still has time.
 LEASE_SECONDS = 4.5
 RENEW_SECONDS = 1.5
+# Whoever holds it tries again this soon while the store does not answer.
+# One process does, for 3.8 s at most. A store that was away for 2.5 s was
+# met by a try 1 s after its return, when the holder had already lapsed:
+# with this it is met within 0.5 s, and the duty is not interrupted.
+HOLD_RETRY_SECONDS = 0.5
+# Terms of one epoch of the store. Those of the next are all higher, also
+# where the store has forgotten the last ones that were given.
+TERMS_PER_EPOCH = 1_000_000
 # The holder stops this much before others may begin: time for an act
 # under way to arrive. Clocks need not agree, only run at one rate.
 SAFETY_SECONDS = 0.7
@@ -51,9 +59,17 @@
 
     :param holder: unique to this run of the process, so that a restarted
         process does not take itself for the holder.
+    A store that comes back from a copy may show a lease that was passed on or
+    given up since. So for its whole length after a new epoch was met nobody
+    takes it. Whoever held it before the return holds it on meanwhile, and
+    may write it back: all others, also those that start anew, wait longer
+    than its time runs.
+
     :param may_stand: whether this process is to look after the lease. The
         looks of a few are enough to find it free, and each is charged for.
         Whoever holds it keeps it all the same.
+    :param is_new_fleet: whether no process of the fleet can have run before
+        this one; else a lease that is free may be so in an old copy only.
     """
 
     def __init__(
@@ -62,11 +78,20 @@
         duty: str,
         holder: str,
         may_stand: typing.Callable[[], bool] = lambda: True,
+        *,
+        is_new_fleet: bool = True,
     ) -> None:
         self._store = store
         self._duty = duty
         self._holder = holder
         self._may_stand = may_stand
+        self._is_new_fleet = is_new_fleet
+        self._epoch: int | None = None
+        # What is known of the lease is of an earlier epoch.
+        self._is_outdated = False
+        self._has_failed = False
+        # Before this moment only its holder may write it.
+        self._free_at = 0.0
         self._version = stores.CREATE
         self._seen: Holding | None = None
         self._seen_at = 0.0
@@ -87,6 +112,9 @@
     @property
     def term(self) -> int:
         """The fencing token, while the lease is held."""
+        if self.is_held:
+            # Not what a store that was restored shows of an earlier holder.
+            return self._known_term
         return self._seen.term if self._seen else 0
 
     @property
@@ -111,19 +139,19 @@
     async def run(self) -> None:
         """Take, keep or await the lease until cancelled."""
         while not self._is_over:
+            epoch, self._has_failed = self._epoch, False
             try:
                 if self._is_mine or self._may_stand():
                     await self._step()
             except errors.CrowdeckError as error:
+                self._has_failed = True
                 counters.COUNTERS.add("lease.failed")
-                if error.code is errors.Code.STORE_CONFLICT:
-                    self._lost("another wrote it")
-                elif error.code is errors.Code.STORE_UNSURE:
-                    # Our own write may stand under a version that we do
-                    # not know; reading it back tells.
-                    await self._read_back()
+                await self._meet_failure(error)
             self._note_change()
-            with anyio.move_on_after(RENEW_SECONDS):
+            if self._is_outdated and self._epoch != epoch:
+                # Once for each epoch: what is held may be written back yet.
+                continue
+            with anyio.move_on_after(self._pause()):
                 await self._memo_changed.wait()
             self._memo_changed = anyio.Event()
 
@@ -150,26 +178,87 @@
         return self._seen is not None and self._seen.holder == self._holder
 
     async def _step(self) -> None:
-        if self._seen is not None and self._is_mine:
-            await self._write(attrs.evolve(self._seen, memo=self._memo))
-            return
-        # An old answer only makes a take-over fail at its conditional
-        # write; looking is what all other processes do all day.
-        await self._look(may_be_old=self._seen is not None)
+        if self._seen is None or not self._is_mine or self._is_outdated:
+            # An old answer only makes a take-over fail at its conditional
+            # write; looking is what all other processes do all day.
+            is_needed = self._seen is None or self._is_outdated
+            await self._look(may_be_old=not is_needed)
         now = anyio.current_time()
-        if self._seen is None:
-            await self._write(Holding(self._holder, 1))
-        elif not self._seen.holder or now - self._seen_at >= LEASE_SECONDS:
-            term = self._seen.term + 1
-            self._memo = self._seen.memo
+        if self.is_held:
+            await self._write(
+                Holding(self._holder, self._known_term, self._memo)
+            )
+        elif now < self._free_at:
+            return
+        elif self._is_mine or self._is_free(now):
+            if not self._is_mine:
+                self._memo = self._seen.memo if self._seen else ()
+            term = self._next_term()
             await self._write(Holding(self._holder, term, self._memo))
 
+    def _is_free(self, now: float) -> bool:
+        seen = self._seen
+        return (
+            seen is None
+            or not seen.holder
+            or now - self._seen_at >= LEASE_SECONDS
+        )
+
+    def _next_term(self) -> int:
+        stored = self._seen.term if self._seen else 0
+        before = (self._epoch or 0) * TERMS_PER_EPOCH
+        if self._is_mine and stored > before:
+            # Nobody else can have had it since: the write is conditional.
+            return stored
+        return 1 + max(stored, before)
+
+    def _pause(self) -> float:
+        """Return the seconds until the next step."""
+        has_failed = self.is_held and self._has_failed
+        return HOLD_RETRY_SECONDS if has_failed else RENEW_SECONDS
+
+    async def _meet_failure(self, error: errors.CrowdeckError) -> None:
+        if error.code is errors.Code.STORE_CONFLICT:
+            # A version of an earlier epoch says nothing of who wrote it.
+            if not self._is_outdated:
+                self._lost("another wrote it")
+        elif error.code is errors.Code.STORE_UNSURE:
+            # Our own write may stand under a version that we do not know;
+            # reading it back tells.
+            await self._read_back()
+
+    def _meet_epoch(self) -> bool:
+        """Whether the store is in an epoch that was not met before."""
+        epoch = self._store.epoch
+        if epoch is None or epoch == self._epoch:
+            return False
+        known, self._epoch = self._epoch, epoch
+        if known is None and self._is_new_fleet:
+            return False
+        self._free_at = anyio.current_time() + LEASE_SECONDS
+        if known is None:
+            return False
+        self._is_outdated = True
+        logs.change(
+            "lease_outdated",
+            duty=self._duty,
+            epoch=self._epoch,
+            before=known,
+            is_held=self.is_held,
+        )
+        return True
+
     async def _look(self, may_be_old: bool = False) -> None:
         found = await self._store.get(KIND, self._duty, may_be_old=may_be_old)
+        while self._meet_epoch():
+            # This answer may still be of the epoch before.
+            found = await self._store.get(KIND, self._duty)
+        is_new, self._is_outdated = self._is_outdated, False
         if found is None:
             self._seen, self._version = None, stores.CREATE
             return
-        if found.version != self._version or self._seen is None:
+        is_new |= found.version != self._version or self._seen is None
+        if is_new:
             self._version = found.version
             self._seen = self._read(found.value)
             self._seen_at = anyio.current_time()
@@ -200,7 +289,19 @@
         # A changed value each time: a write that changes nothing would
         # not move the version by which the others see a renewal.
         value = value[:-1] + f',"sent":{sent_at:.6f}}}'.encode()
-        version = await self._store.put(KIND, self._duty, value, self._version)
+        try:
+            version = await self._store.put(
+                KIND, self._duty, value, self._version
+            )
+        finally:
+            is_outdated = self._meet_epoch()
+        if is_outdated:
+            # It may have replaced what another wrote at the same version.
+            raise errors.CrowdeckError(
+                errors.Code.STORE_CONFLICT,
+                f"the lease {self._duty} was written in another epoch of the "
+                "store than it was read in",
+            )
         self._version = version
         self._seen = holding
         self._known_term = max(self._known_term, holding.term)
--- a/src/crowdeck/state/objects.py
+++ b/src/crowdeck/state/objects.py
@@ -122,8 +122,8 @@
     """
 
     @property
-    def epoch(self) -> int:
-        """The epoch of the latest answer, 0 before the first.
+    def epoch(self) -> int | None:
+        """The epoch of the latest answer, ``None`` before the first.
 
         A write that is conditional on a version read in another epoch may
         have replaced what nobody here has read.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -39,6 +39,7 @@
 from crowdeck.quarantine import ledger as ledgers
 from crowdeck.standin import store as standin_store
 from crowdeck.state import contact as contacts
+from crowdeck.state import leases
 from crowdeck.state import mirror as mirrors
 from crowdeck.state import objects as stores
 from tests import virtual
@@ -370,3 +371,157 @@
             assert fleet.store.calls["put"] == puts == 3
 
         play_fleet(work)
+
+
+class TestLease:
+    """Who holds a duty when the store that says so came back from a copy."""
+
+    def play(
+        self,
+        work: typing.Callable[
+            [standin_store.StandinStore, list[leases.Lease]],
+            typing.Awaitable[None],
+        ],
+    ) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            rivals = [
+                leases.Lease(store, "duty", f"run-{number}")
+                for number in range(3)
+            ]
+            async with anyio.create_task_group() as tasks:
+                for rival in rivals:
+                    tasks.start_soon(rival.run)
+                    await anyio.sleep(0.5)
+                await work(store, rivals)
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    def test_is_held_on_through_a_short_return(self) -> None:
+        # It was lost for three seconds, and taken again with the term that
+        # it had before.
+        async def work(
+            store: standin_store.StandinStore, rivals: list[leases.Lease]
+        ) -> None:
+            term = rivals[0].term
+            for away in (0.1, 1.0, 2.0):
+                backup = store.back_up()
+                await anyio.sleep(4.0)
+                store.is_down = True
+                for _ in range(int(away * 100)):
+                    await anyio.sleep(0.01)
+                    assert rivals[0].is_held
+                store.restore(backup)
+                store.is_down = False
+                for _ in range(800):
+                    await anyio.sleep(0.01)
+                    assert rivals[0].is_held
+                    assert rivals[0].term == term
+
+        self.play(work)
+
+    def test_free_in_an_old_copy_it_is_not_taken_from_its_holder(
+        self,
+    ) -> None:
+        async def work(
+            store: standin_store.StandinStore, rivals: list[leases.Lease]
+        ) -> None:
+            store.restore(standin_store.StandinStore().back_up())
+            fresh = leases.Lease(store, "duty", "fresh", is_new_fleet=False)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fresh.run)
+                for _ in range(1_000):
+                    await anyio.sleep(0.01)
+                    assert rivals[0].is_held
+                    assert not fresh.is_held
+                tasks.cancel_scope.cancel()
+
+        self.play(work)
+
+    def test_one_that_starts_anew_takes_it_when_nobody_can_hold_it(
+        self,
+    ) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            fresh = leases.Lease(store, "duty", "fresh", is_new_fleet=False)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fresh.run)
+                await anyio.sleep(leases.LEASE_SECONDS - 0.1)
+                assert not fresh.is_held
+                await anyio.sleep(leases.RENEW_SECONDS + 0.2)
+                assert fresh.is_held
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    @hypothesis.given(strategies.integers(0, 2**32))
+    @hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+    def test_never_has_two_holders_nor_a_term_twice(self, seed: int) -> None:
+        async def body() -> None:
+            chance = random.Random(seed)
+            store = standin_store.StandinStore()
+            rivals = _Rivals(store, chance)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rivals.run)
+                backups = [store.back_up()]
+                for _ in range(3_000):
+                    if chance.random() < 0.01:
+                        backups.append(store.back_up())
+                    if chance.random() < 0.003:
+                        store.restore(chance.choice(backups[-5:]))
+                    if chance.random() < 0.01:
+                        # Versions are given out again to other writes.
+                        store.write("other", "o", b"1")
+                    await anyio.sleep(0.01)
+                    rivals.require_one_holder()
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+
+class _Rivals:
+    """Processes that stand for one duty, cut off and started anew."""
+
+    def __init__(
+        self, store: standin_store.StandinStore, chance: random.Random
+    ) -> None:
+        self._store = store
+        self._chance = chance
+        self._leases: list[leases.Lease] = []
+        self._ways: list[zone_system.Way] = []
+        self._holders: dict[int, leases.Lease] = {}
+        self._count = 0
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(self._live)
+            while True:
+                await anyio.sleep(self._chance.uniform(0.2, 4.0))
+                way = self._chance.choice(self._ways)
+                way.is_cut = not way.is_cut
+                self._store.lost_replies = self._chance.choice((0, 0, 1, 2))
+
+    async def _live(self) -> None:
+        while True:
+            self._count += 1
+            way = zone_system.Way(self._store)
+            lease = leases.Lease(
+                way, "duty", f"run-{self._count}", is_new_fleet=False
+            )
+            self._ways.append(way)
+            self._leases.append(lease)
+            with anyio.move_on_after(self._chance.uniform(3.0, 25.0)):
+                await lease.run()
+            if self._chance.random() < 0.3:
+                await lease.give_up()
+            self._leases.remove(lease)
+            self._ways.remove(way)
+
+    def require_one_holder(self) -> None:
+        holding = [one for one in self._leases if one.is_held]
+        assert len(holding) <= 1
+        for one in holding:
+            assert self._holders.setdefault(one.term, one) is one
+            assert one.term == max(self._holders)
--- a/tests/zone_system.py
+++ b/tests/zone_system.py
@@ -58,7 +58,7 @@
         self.calls = 0
 
     @property
-    def epoch(self) -> int:
+    def epoch(self) -> int | None:
         return self._store.epoch
 
     async def watch(
