An instance that leaves is not called again for an old entry

Cause: after a return the store lists an instance as it was before it said that it leaves; the book took that for its taking it back. Ruled out: keeping it for good, which would shut out an instance that another writer's entry made leave; only a listing can be older. Change: in a listing an instance that leaves stays so, until it writes its entry itself.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -287,10 +287,15 @@
         self._tell()
 
     def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
-        """Take all entries."""
+        """Take all entries.
+
+        A store that was restored from a copy may list an instance as it
+        was before it said that it leaves. It writes that again; until then
+        calls would reach it that nobody else has to bear.
+        """
         present = {one.name for one in objects}
         for one in objects:
-            self._take(one)
+            self._take(one, may_be_old=True)
         for name in [name for name in self._runs if name not in present]:
             self._remove(name)
         self._tell()
@@ -307,7 +312,9 @@
             self._remove(name)
         self._tell()
 
-    def _take(self, stored: stores.StoredObject) -> None:
+    def _take(
+        self, stored: stores.StoredObject, *, may_be_old: bool = False
+    ) -> None:
         held = self._beliefs.get(self._runs.get(stored.name, ""))
         before = held.upstream if held is not None else None
         upstream = self._entries.read(stored, before)
@@ -321,6 +328,8 @@
         if held is not None and held.upstream.name != upstream.name:
             self._drop(held.upstream, "upstream_started_again")
             held = None
+        if held is not None and may_be_old and held.upstream.is_leaving:
+            upstream = attrs.evolve(upstream, is_leaving=True)
         if held is None:
             self._runs[stored.name] = upstream.name
             self._beliefs[upstream.name] = _Belief(upstream, stored.version)
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -48,6 +48,7 @@
     "bounds.retry_budget_ratio": "0.2",
     "bounds.retry_budget_slack": "100",
     "bounds.budget_window_s": "10",
+    "bootstrap": "true",
 }
 
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -28,6 +28,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -35,6 +36,7 @@
 from crowdeck import errors
 from crowdeck import instance as instances
 from crowdeck.membership import roster as rosters
+from crowdeck.membership import upstreams as books
 from crowdeck.quarantine import fingerprint as fingerprints
 from crowdeck.quarantine import ledger as ledgers
 from crowdeck.standin import store as standin_store
@@ -42,6 +44,7 @@
 from crowdeck.state import leases
 from crowdeck.state import mirror as mirrors
 from crowdeck.state import objects as stores
+from tests import fleet_system
 from tests import virtual
 from tests import zone_system
 
@@ -373,6 +376,67 @@
         play_fleet(work)
 
 
+class TestBook:
+    """Instances whose entries are older than what is known of them."""
+
+    def test_instance_that_leaves_is_not_used_for_an_old_entry(self) -> None:
+        async def body() -> None:
+            system = fleet_system.FleetSystem()
+            one = fleet_system.upstream("a")
+            system.add(one)
+            system.tell(attrs.evolve(one, is_leaving=True))
+            system.listed["a"] = one
+            old = stores.StoredObject("upstreams", "a", 1, b"{}")
+            system.book.on_listed((old,))
+            assert system.book.usable(one.service) == ()
+            await anyio.sleep(books.LAST_WORK_SECONDS)
+            assert system.book.last_resort(one.service) == ()
+            # What it writes itself from then on is believed.
+            system.tell(one)
+            assert system.book.usable(one.service) == (one,)
+
+        virtual.run(body)
+
+    def test_another_run_of_its_name_is_used(self) -> None:
+        async def body() -> None:
+            system = fleet_system.FleetSystem()
+            one = attrs.evolve(fleet_system.upstream("a"), is_leaving=True)
+            system.add(one)
+            again = attrs.evolve(one, name="a#7", born=7, is_leaving=False)
+            again = attrs.evolve(again, instance_id="a")
+            system.listed["a"] = again
+            entry = stores.StoredObject("upstreams", "a", 2, b"{}")
+            system.book.on_listed((entry,))
+            assert system.book.usable(one.service) == (again,)
+
+        virtual.run(body)
+
+    def test_missing_entry_may_only_have_been_lost(self) -> None:
+        # An instance that began after the copy was made writes its entry
+        # again, though no call of this process failed.
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            contact = contacts.StoreContact()
+            listed = {"a": fleet_system.upstream("a")}
+            book = books.UpstreamBook(lambda one: listed[one.name])
+            book.watch_store(lambda: contact.failed_at)
+            mirror = mirrors.Mirror(
+                store, "upstreams", book, 0.8, contact=contact
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(mirror.run)
+                await anyio.sleep(0.1)
+                backup = store.back_up()
+                store.write("upstreams", "a", b"{}")
+                await anyio.sleep(1.0)
+                store.restore(backup)
+                await anyio.sleep(1.0)
+                assert [one.name for one in book.listed("assistant")] == ["a"]
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+
 class TestLease:
     """Who holds a duty when the store that says so came back from a copy."""
 
