--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -29,6 +29,8 @@
 from tests import virtual
 from tests import zone_system
 
+Send = typing.Callable[[dict[str, typing.Any]], typing.Awaitable[typing.Any]]
+
 ZONE = "plateau"
 HOST = "127.0.0.1"
 
@@ -385,6 +387,29 @@
         assert sighting.age <= 0.0
         assert sighting.changes.version == before
 
+    def test_answer_that_names_no_epoch_is_not_taken(self) -> None:
+        # An entry of an earlier release knows of versions alone.
+        async def app(scope: typing.Any, receive: object, send: Send) -> None:
+            body = b'{"version":9,"age":0.0,"objects":[],"removed":[]}'
+            await send({"type": "http.response.start", "status": 200})
+            await send({"type": "http.response.body", "body": body})
+
+        async def body() -> None:
+            client = http.HttpClient("")
+            peers = peer_http.HttpPeers(client)
+            async with anyio.create_task_group() as tasks:
+                port = await tasks.start(http_server.serve_http, app, HOST, 0)
+                peer = readers.Peer("a", instances.Address(HOST, port))
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await peers.watch(
+                        peer, zone_system.KIND, stores.Position(5, 1), 0.1
+                    )
+                assert caught.value.code is errors.Code.STORE_DOWN
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(body)
+
     def test_what_is_not_known_is_said(self) -> None:
         store = standin_store.StandinStore()
         store.write(zone_system.KIND, "old", b"{}")
