--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -22,12 +22,31 @@
     parser.add_argument(
         "--logs", type=pathlib.Path, default=None, metavar="FOLDER"
     )
+    parser.add_argument(
+        "--restores",
+        action=argparse.BooleanOptionalAction,
+        default=True,
+        help="whether the store comes back from older copies",
+    )
+    parser.add_argument(
+        "--peers",
+        action=argparse.BooleanOptionalAction,
+        default=True,
+        help="whether entries of a zone ask one another for the store",
+    )
     options = parser.parse_args()
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = options.logs / str(seed) if options.logs else None
         verdict = soak.play(
-            soak.Options(seed, options.seconds, options.entries), folder
+            soak.Options(
+                seed,
+                options.seconds,
+                options.entries,
+                restores=options.restores,
+                peers=options.peers,
+            ),
+            folder,
         )
         broken += bool(verdict.broken)
         print(
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -38,6 +38,8 @@
 # A key that was taken away stops working within this time.
 REVOCATION_SECONDS = 5.0
 EVENTS = 20
+# Mean time between two returns of the store from a copy.
+RESTORE_PAUSE = 2.0
 
 Spec = dict[str, typing.Any]
 
@@ -49,6 +51,9 @@
     :ivar seconds: time during which faults strike.
     :ivar pause: mean time between two faults; they overlap.
     :ivar ending: whether a caller sends what ends each engine it runs at.
+    :ivar restores: whether the store comes back from older copies. It has
+        its own draws, so that a seed strikes the same without it.
+    :ivar peers: whether entries of a zone ask one another for the store.
     """
 
     seed: int
@@ -58,6 +63,8 @@
     callers: int = 6
     pause: float = 0.7
     ending: bool = True
+    restores: bool = False
+    peers: bool = False
 
 
 @attrs.define
@@ -89,7 +96,7 @@
         self._folder = folder
         self._chance = random.Random(options.seed)
         count = options.engines + 2
-        ports = iter(_free_ports(2 + 2 * count + 3 * options.entries))
+        ports = iter(_free_ports(2 + 2 * count + 4 * options.entries))
         self._store_port, self._control_port = next(ports), next(ports)
         self._upstreams: list[Spec] = [
             {
@@ -112,6 +119,7 @@
         ]
         self._caller_ports = [next(ports) for _ in range(options.entries)]
         self._status_ports = [next(ports) for _ in range(options.entries)]
+        self._peer_ports = [next(ports) for _ in range(options.entries)]
         self._entries: dict[int, anyio.abc.Process] = {}
         self._config = copy.deepcopy(config.CONFIG)
         self._told: list[str] = []
@@ -141,6 +149,8 @@
                 tasks.start_soon(self._bring_back)
             async with anyio.create_task_group() as striking:
                 with anyio.move_on_after(self._options.seconds):
+                    if self._options.restores:
+                        striking.start_soon(self._restore_store)
                     while True:
                         await anyio.sleep(
                             self._chance.expovariate(1 / self._options.pause)
@@ -209,6 +219,7 @@
 
     def _ini(self, number: int) -> str:
         zone = ("a", "b")[number % 2]
+        peers = f"peers = {HOST}:{self._peer_ports[number]}\n"
         return (
             f"[crowdeckd]\nrole = entry\nname = entry-{number}\n"
             f"availability_zone = {zone}\nhost = {HOST}\n"
@@ -218,7 +229,7 @@
             f"[fleet]\ncallers = {HOST}:{self._caller_ports[number]}\n"
             f"status = {HOST}:{self._status_ports[number]}\n"
             f"revocation_ms = {REVOCATION_SECONDS * 1000:.0f}\n"
-            "grace_seconds = 4\n"
+            "grace_seconds = 4\n" + (peers if self._options.peers else "")
         )
 
     async def _await_service(self) -> None:
@@ -335,6 +346,20 @@
         self._told.append(f"{strike.__name__[1:]} {seconds:.1f} s")
         await strike(seconds, stack)
 
+    async def _restore_store(self) -> None:
+        """Have the store come back from copies, now and then."""
+        chance = random.Random(self._options.seed + 2)
+        ends_at = anyio.current_time() + self._options.seconds
+        while True:
+            await anyio.sleep(chance.expovariate(1 / RESTORE_PAUSE))
+            if anyio.current_time() >= ends_at:
+                return
+            seconds = chance.uniform(0.0, 2.5)
+            self._told.append(f"restore_store {seconds:.1f} s")
+            await self._do(
+                "restore", age=chance.randint(1, 10), seconds=seconds
+            )
+
     async def _kill_entry(
         self, seconds: float, stack: contextlib.AsyncExitStack
     ) -> None:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -8,6 +8,7 @@
 It is steered, and asked what ran, over HTTP on a port of its own.
 """
 
+import collections
 import json
 import sys
 import typing
@@ -34,6 +35,12 @@
 HOST = "127.0.0.1"
 EVENT_SECONDS = 0.04
 CALL_SECONDS = 0.02
+# The store is copied this often, and comes back from one of the last ten:
+# what was written in up to five seconds is lost.
+BACKUP_SECONDS = 0.5
+BACKUPS_KEPT = 10
+# The operator notices a return of the store, and writes its config again.
+REWRITE_SECONDS = 0.3
 
 Spec = dict[str, typing.Any]
 
@@ -47,10 +54,14 @@
         self._fleet = chain_fleet.ChainFleet()
         self._fleet.event_seconds = EVENT_SECONDS
         self._starts = 0
+        self._config: Spec = spec["config"]
+        self._backups: collections.deque[standin_store.Backup] = (
+            collections.deque(maxlen=BACKUPS_KEPT)
+        )
 
     async def run(self) -> None:
         """Serve until the process is told to end."""
-        self._put_config(self._spec["config"])
+        self._put_config(self._config)
         async with anyio.create_task_group() as tasks:
             for one in self._spec["upstreams"]:
                 await self._add(one, tasks)
@@ -69,6 +80,7 @@
                 http_server.serve_http, control, HOST, self._spec["control"]
             )
             tasks.start_soon(chain_http.heartbeat, self._fleet, self._store)
+            tasks.start_soon(self._back_up)
             print("ready", flush=True)
 
     async def _add(self, one: Spec, tasks: anyio.abc.TaskGroup) -> None:
@@ -90,7 +102,22 @@
         )
         self._fleet.at(listed.address).seconds = CALL_SECONDS
 
+    async def _back_up(self) -> None:
+        while True:
+            self._backups.append(self._store.back_up())
+            await anyio.sleep(BACKUP_SECONDS)
+
+    async def _restore(self, age: int, seconds: float) -> None:
+        """Have the store away for some time and come back from a copy."""
+        self._store.is_down = True
+        await anyio.sleep(seconds)
+        self._store.restore(self._backups[-min(age, len(self._backups))])
+        self._store.is_down = False
+        await anyio.sleep(REWRITE_SECONDS)
+        self._put_config(self._config)
+
     def _put_config(self, body: Spec) -> None:
+        self._config = body
         self._store.write(
             names.CONFIG_KIND, names.CONFIG_NAME, orjson.dumps(body)
         )
@@ -102,6 +129,8 @@
             self._put_config(order["body"])
         elif what == "store":
             self._store.is_down = order["is_down"]
+        elif what == "restore":
+            await self._restore(order["age"], order["seconds"])
         elif what == "forget":
             self._store.forget_history()
         elif what == "lose":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,13 @@
         verdict = soak.play(attrs.evolve(SHORT, seed=seed))
         assert verdict.broken == []
 
+    def test_store_comes_back_from_copies_meanwhile(self) -> None:
+        verdict = soak.play(
+            attrs.evolve(SHORT, seed=2, restores=True, peers=True)
+        )
+        assert any(one.startswith("restore") for one in verdict.faults)
+        assert verdict.broken == []
+
 
 class TestOracle:
     """What the soak's callers take for broken."""
