--- a/src/crowdeck/state/leases.py
+++ b/src/crowdeck/state/leases.py
@@ -58,14 +58,14 @@
     not changed for its whole length, as watched here, has run out. So no
     wall clock matters, and a jump of one does no harm.
 
-    :param holder: unique to this run of the process, so that a restarted
-        process does not take itself for the holder.
     A store that comes back from a copy may show a lease that was passed on or
     given up since. So for its whole length after a new epoch was met nobody
     takes it. Whoever held it before the return holds it on meanwhile, and
     may write it back: all others, also those that start anew, wait longer
     than its time runs.
 
+    :param holder: unique to this run of the process, so that a restarted
+        process does not take itself for the holder.
     :param may_stand: whether this process is to look after the lease. The
         looks of a few are enough to find it free, and each is charged for.
         Whoever holds it keeps it all the same.
