An entry without a state names no instance

Cause: a missing state counted as ready; another writer's entry could so name an instance to use. Change: the state is required. The test that took a missing one for ready was wrong and now asserts that it is refused, with one more for an entry that lacks the field. Measured: both pass, with all tests of entries and lives; before, the replaced test asserted the opposite and passed.

--- a/src/crowdeck/platform/upstreams.py
+++ b/src/crowdeck/platform/upstreams.py
@@ -80,7 +80,8 @@
 
 
 def _state(body: fields.Json) -> str:
-    state = fields.text(body, names.STATE, names.STATE_READY)
+    # Every instance tells it: an entry without it is another writer's.
+    state = fields.text(body, names.STATE)
     if state not in _STATES:
         raise ValueError(f"no instance is {state!r:.40}")
     return state
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -178,12 +178,15 @@
         "state", ["loading", "", 7, None, ["ready"], {"state": "ready"}]
     )
     def test_states_that_no_instance_has(self, state: object) -> None:
-        entry = test_lives.an_entry(1, state=state)
-        if state is None:
-            assert not upstreams.decode(entry).is_leaving
-            return
         with pytest.raises(errors.CrowdeckError):
-            upstreams.decode(entry)
+            upstreams.decode(test_lives.an_entry(1, state=state))
+
+    def test_entry_without_a_state_names_no_instance(self) -> None:
+        # It counted as ready, and whatever stood at its address was called.
+        body = orjson.loads(test_lives.an_entry(1).value)
+        del body[names.STATE]
+        with pytest.raises(errors.CrowdeckError):
+            upstreams.decode(stored(dumped(body)))
 
     @pytest.mark.parametrize(
         "address", ["example.org:80", "10.0.0.1:0", "10.0.0.1:65536", "1:2:3"]
