Settings' holder: one condition a line

Cause: a condition of three parts needed reading twice. Ruled out: nothing. Change: no behaviour. Measured: test_settings passes.

--- a/src/crowdeck/settings/holder.py
+++ b/src/crowdeck/settings/holder.py
@@ -102,19 +102,24 @@
         :param change: id of the change that made it; without it a tree is
             new only by its generation.
         """
-        is_known = change in self._changes
-        if is_known or not change and tree.generation <= self.generation:
+        if change in self._changes:
+            return False
+        if not change and tree.generation <= self.generation:
             return False
         if change:
-            self._changes[change] = None
-        while len(self._changes) > CHANGES_MOST:
-            del self._changes[next(iter(self._changes))]
+            self._note_seen(change)
         self._tree = tree
         counters.COUNTERS.add("settings.applied")
         counters.COUNTERS.set_gauge("settings.generation", tree.generation)
         logs.change("settings", generation=tree.generation)
         return True
 
+    def _note_seen(self, change: str) -> None:
+        self._changes[change] = None
+        while len(self._changes) > CHANGES_MOST:
+            oldest = next(iter(self._changes))
+            del self._changes[oldest]
+
     async def read(self) -> None:
         """Read the store once.
 
