Soak: ports from below those of outgoing connections

Its fourth entry had ended at its start: 'address already in use'; the port that the soak had found free was another connection's 2 s later. Change: ports are drawn from below the range of outgoing connections. Conclusion: traced and mended in the soak.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -38,6 +38,8 @@
 # A key that was taken away stops working within this time.
 REVOCATION_SECONDS = 5.0
 EVENTS = 20
+# Below those that Linux gives to outgoing connections, 32768 and more.
+PORTS = range(10_000, 32_000)
 # Mean time between two returns of the store from a copy.
 RESTORE_PAUSE = 2.0
 
@@ -79,13 +81,20 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        found = []
-        for _ in range(count):
-            one = stack.enter_context(socket.socket())
-            one.bind((HOST, 0))
-            found.append(int(one.getsockname()[1]))
-        return found
+    """Return ports that nobody listens at.
+
+    They are used a moment later. Of those that the system gives itself one
+    was an outgoing connection's by then, and an entry ended as it started.
+    """
+    drawn = random.SystemRandom().sample(PORTS, len(PORTS))
+    found: list[int] = []
+    for port in drawn:
+        if len(found) == count:
+            break
+        with contextlib.suppress(OSError), socket.socket() as one:
+            one.bind((HOST, port))
+            found.append(port)
+    return found
 
 
 class Soak:
