A newer note of an entry replaces what it told before, as it did

Change: only a note older than the known one is passed over; a newer one replaces it. Measured: tests of the restored store, quarantine, requests that end engines and beliefs pass.

--- a/src/crowdeck/quarantine/evidence.py
+++ b/src/crowdeck/quarantine/evidence.py
@@ -74,6 +74,13 @@
     ends: tuple[InstanceEnd, ...] = ()
     served: tuple[Served, ...] = ()
 
+    @property
+    def newest(self) -> float:
+        """The time of day of the last thing told of, 0 for nothing."""
+        ended = max((one.at for one in self.ends), default=0.0)
+        served = max((one.at for one in self.served), default=0.0)
+        return max(ended, served)
+
     def __bool__(self) -> bool:
         """Whether it tells anything."""
         return bool(self.ends or self.served)
--- a/src/crowdeck/quarantine/ledger.py
+++ b/src/crowdeck/quarantine/ledger.py
@@ -187,16 +187,17 @@
             self._tell_own()
 
     def take(self, entry: str, told: evidence.Evidence) -> None:
-        """Take what another entry tells.
+        """Take all that another entry tells.
 
-        What it told before stays: a store that was restored from a copy
-        shows an older note, and its writer may have ended since.
+        What is older than known takes nothing back: a store that was
+        restored from a copy shows an older note, and its writer may have
+        ended since.
         """
+        told = self._valid(told)
         known = self._others.get(entry, evidence.Evidence())
-        merged = self._merged(self._valid(known), told)
-        if merged == known:
+        if told == known or told.newest < self._valid(known).newest:
             return
-        self._others[entry] = merged
+        self._others[entry] = told
         self._judge()
         if self._testify():
             self._tell_own()
