--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -24,6 +24,8 @@
         names.TEAM,
     }
 )
+# Said by an upstream to whoever sends it requests, not to callers.
+_UPSTREAMS = frozenset({names.CULPRIT, names.LEAVING, names.LIMIT, names.LOAD})
 _HOP = frozenset(name.encode() for name in http.HOP_HEADERS)
 _CONNECTION = b"connection"
 _HOST = b"host"
@@ -103,7 +105,7 @@
 
 def back(headers: http.RawHeaders) -> http.RawHeaders:
     """Return the headers of an upstream's answer that go to the caller."""
-    dropped = _HOP | {names.LOAD, names.CULPRIT}
+    dropped = _HOP | _UPSTREAMS
     return [
         (name.lower(), value)
         for name, value in headers
--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -7,10 +7,12 @@
 
 import contextlib
 import enum
+import math
 import typing
 
 import orjson
 
+from crowdeck import backpressure as pressures
 from crowdeck import chain
 from crowdeck import errors
 from crowdeck import http
@@ -28,7 +30,11 @@
 EXCHANGE_SECONDS = 0.5
 _JSON_TYPE = (b"content-type", b"application/json")
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _NOT_RUN_STATUSES = frozenset({_MISDIRECTED})
+_IS_LEAVING = b"1"
+# Of a header that cannot be read the log shows so much.
+_TOLD_BYTES = 40
 
 
 class UpstreamAnswer:
@@ -67,12 +73,7 @@
     @property
     def load(self) -> reach.Load | None:
         """The load that the upstream tells, if it does."""
-        parts = self._response.find(names.LOAD).split(b",")
-        try:
-            running, waiting, slots = (int(part) for part in parts)
-        except ValueError:
-            return None
-        return reach.Load(running, waiting, slots)
+        return _load(self._response)
 
     def belongs_to(self, request: requests.CallerRequest) -> bool:
         """Whether this is the answer to ``request`` and to no other."""
@@ -105,6 +106,11 @@
 
     def __init__(self, client: http.HttpClient) -> None:
         self._client = client
+        self._listeners: list[reach.NoticeListener] = []
+
+    def subscribe(self, listener: reach.NoticeListener) -> None:
+        """Call ``listener`` with what each answer tells of its sender."""
+        self._listeners.append(listener)
 
     @contextlib.asynccontextmanager
     async def open(
@@ -125,6 +131,7 @@
             request.body,
             timeouts,
         ) as response:
+            self._tell(upstream, response, answers_request=True)
             yield UpstreamAnswer(response)
 
     async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
@@ -225,9 +232,73 @@
             body,
             http.Timeouts(CONNECT_SECONDS, EXCHANGE_SECONDS),
         ) as response:
+            self._tell(upstream, response, answers_request=False)
             content = await response.read(http.RESPONSE_LIMIT)
             return response.status, content, response.headers
 
+    def _tell(
+        self,
+        upstream: chain.Upstream,
+        response: http.OpenResponse,
+        *,
+        answers_request: bool,
+    ) -> None:
+        """Tell the listeners what the head of an answer says.
+
+        Another instance may have given an answer that was misdirected, so
+        it says nothing of the one that was meant.
+        """
+        if response.status == _MISDIRECTED:
+            return
+        notice = reach.Notice(
+            _backpressure(response), _load(response), answers_request
+        )
+        for listener in self._listeners:
+            listener(upstream, notice)
+
+
+def _load(response: http.OpenResponse) -> reach.Load | None:
+    parts = response.find(names.LOAD).split(b",")
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return None
+    return reach.Load(running, waiting, slots)
+
+
+def _backpressure(response: http.OpenResponse) -> pressures.Backpressure:
+    """Return what the head of an answer asks for."""
+    backoff = None
+    if response.status == _UNAVAILABLE:
+        backoff = _rate_or_seconds(response, names.RETRY_AFTER)
+    return pressures.Backpressure(
+        limit=_rate_or_seconds(response, names.LIMIT),
+        backoff=backoff or 0.0,
+        is_leaving=response.find(names.LEAVING).strip() == _IS_LEAVING,
+    )
+
+
+def _rate_or_seconds(response: http.OpenResponse, name: bytes) -> float | None:
+    """Return a header's decimal number, ``None`` where it has none.
+
+    One that cannot be read asks for nothing, and is told.
+    """
+    text = response.find(name)
+    if not text:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value) or value < 0.0:
+        logs.change(
+            "header_unread",
+            name=name.decode("latin-1"),
+            value=text[:_TOLD_BYTES].decode("latin-1"),
+        )
+        return None
+    return value
+
 
 def _address_in(body: bytes) -> str:
     """Return the address that a refusal names, or nothing.
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -19,6 +19,7 @@
 from crowdeck.routing import budget as budgets
 from crowdeck.routing import heads
 from crowdeck.routing import hops
+from crowdeck.routing import rate_limits
 from crowdeck.routing import subset as subsets
 from crowdeck.routing import usage as usages
 
@@ -65,6 +66,7 @@
     loop: lateness.LatenessMeter = attrs.field(factory=lateness.LatenessMeter)
     chance: random.Random = attrs.field(factory=random.Random)
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
+    limits: rate_limits.RateLimits = attrs.field(init=False)
     return_times: returns.ReturnTimes = attrs.field(init=False)
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
@@ -74,7 +76,9 @@
     def __attrs_post_init__(self) -> None:
         self.return_times = returns.ReturnTimes(self.chance)
         self.subset = subsets.EngineSubset(self.name, self.zone)
+        self.limits = rate_limits.RateLimits()
         self.book.subscribe_ends(self.note_end)
+        self.client.subscribe(self._take_notice)
 
     @property
     def connect_seconds(self) -> float:
@@ -108,11 +112,20 @@
 
         One that was leaving ended as planned, whatever ran there.
         """
+        self.limits.forget(upstream)
         if upstream.is_leaving:
             self.ledger.forget(upstream.name)
         else:
             self.ledger.note_end(upstream.name)
 
+    def _take_notice(
+        self, upstream: chain.Upstream, notice: reach.Notice
+    ) -> None:
+        """Take what an answer tells of the instance that gave it."""
+        limit = notice.backpressure.limit
+        if limit is not None or notice.answers_request:
+            self.limits.note(upstream, limit)
+
     def line(self, service: str) -> waiting.WaitingLine:
         """Return the line of requests that wait for a service's engines."""
         return self._lines.setdefault(service, waiting.WaitingLine())
--- a/src/crowdeck/relay/reach.py
+++ b/src/crowdeck/relay/reach.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from crowdeck import backpressure as pressures
 from crowdeck import chain
 from crowdeck import http
 from crowdeck.relay import request as requests
@@ -54,6 +55,23 @@
     culprit: str = ""
 
 
+@attrs.frozen
+class Notice:
+    """What an instance tells of itself in the head of an answer.
+
+    :ivar load: the load that it tells, if it does.
+    :ivar answers_request: whether it answers a request. Where it answers a
+        question or an order, what it does not tell may still be so.
+    """
+
+    backpressure: pressures.Backpressure
+    load: Load | None = None
+    answers_request: bool = True
+
+
+NoticeListener = typing.Callable[[chain.Upstream, Notice], None]
+
+
 class Answer(typing.Protocol):
     """An upstream's answer whose body is still to come."""
 
@@ -113,6 +131,10 @@
 class Upstreams(typing.Protocol):
     """Reaches upstream instances."""
 
+    def subscribe(self, listener: NoticeListener) -> None:
+        """Call ``listener`` with what each answer tells of its sender."""
+        ...
+
     def open(
         self,
         upstream: chain.Upstream,
--- a/src/crowdeck/standin/chain_answer.py
+++ b/src/crowdeck/standin/chain_answer.py
@@ -8,6 +8,7 @@
 
 import typing
 
+from crowdeck import backpressure as pressures
 from crowdeck import http
 from crowdeck.relay import reach
 from crowdeck.relay import request as requests
@@ -24,12 +25,15 @@
         *,
         has_not_run: bool = False,
         culprit: str = "",
+        backpressure: pressures.Backpressure = pressures.NONE,
+        load: reach.Load | None = None,
     ) -> None:
         self.status = status
         self.has_not_run = has_not_run
         self.is_signed = not has_not_run
         self.culprit = culprit
-        self.load: reach.Load | None = None
+        self.load = load
+        self.backpressure = backpressure
         self.caller_headers: http.RawHeaders = []
         self._request_id = request_id
         self._pieces = pieces
