An instance that names a limit gets no more than it takes

Callers saw: nothing yet; engines that named a limit got ten requests a second where they take 3.2 of all entries together. Cause: nobody read what an answer's head says of how much its sender bears. Ruled out: entries that each keep the whole limit; repeats and changes of path alone. Change: each entry keeps its part of a limit (routing.rate_limits), for streams, their repeats and calls alike. The part is what its own requests are of all that the instance runs, where it tells its load, with six requests' weight for an even part; an answer without a limit lifts it. While all first engines or instances are at their limits, requests wait for as long as they can still be in time, and others are told at once when to come back.

--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -35,6 +35,10 @@
 # are tried, but not all of a large fleet.
 CONNECT_TRIES = 4
 RETRY_AFTER = 0.5
+# While all instances are at their limits a call waits for so much of its
+# objective. It is served in time then; what takes longer is told at once
+# when to come back.
+WAIT_SHARE = 0.5
 CALL_BYTES = http.RESPONSE_LIMIT
 
 
@@ -119,7 +123,7 @@
         for _ in range(CONNECT_TRIES + self._route.max_attempts):
             self._refuse_culprit()
             try:
-                upstream = self._choose()
+                upstream = await self._choose()
             except errors.CrowdeckError:
                 if failed is not None:
                     return failed
@@ -143,7 +147,7 @@
                 break
         if failed is not None:
             return failed
-        raise self._failure(self._none_left())
+        raise self._failure(self._none_left(0.0))
 
     @property
     def _fingerprint(self) -> fingerprint.Fingerprint:
@@ -173,17 +177,35 @@
         if await self._watch.has_ended(upstream):
             self._context.note_end(upstream)
 
-    def _choose(self) -> chain.Upstream:
-        if self._left() < LEAST_SECONDS:
-            raise self._failure(
-                errors.CrowdeckError(errors.Code.DEADLINE, "no time is left")
-            )
+    async def _choose(self) -> chain.Upstream:
+        """Return the instance to try, waiting a little for one's limit.
+
+        :raises CrowdeckError: ``NO_PATH`` where none takes a call in time.
+        """
+        until = self._request.arrived + WAIT_SHARE * self._route.objective
+        while True:
+            if self._left() < LEAST_SECONDS:
+                raise self._failure(
+                    errors.CrowdeckError(
+                        errors.Code.DEADLINE, "no time is left"
+                    )
+                )
+            fresh = self._fresh()
+            limits = self._context.limits
+            upstream = self._balancer.pick(filter(limits.allows, fresh))
+            if upstream is not None:
+                # At once: whoever chooses next has to know.
+                limits.take(upstream)
+                return upstream
+            seconds = self._context.seconds_until_any(fresh)
+            if not seconds or anyio.current_time() + seconds > until:
+                raise self._failure(self._none_left(seconds))
+            await anyio.sleep(seconds)
+
+    def _fresh(self) -> list[chain.Upstream]:
+        """Return the instances that were not tried yet."""
         usable = self._context.book.usable(self._service.name)
-        fresh = [one for one in usable if one.name not in self._tried]
-        upstream = self._balancer.pick(fresh)
-        if upstream is None:
-            raise self._failure(self._none_left())
-        return upstream
+        return [one for one in usable if one.name not in self._tried]
 
     async def _try(self, upstream: chain.Upstream) -> _Answer:
         self._tried.add(upstream.name)
@@ -297,11 +319,16 @@
         counters.COUNTERS.add("relay.call.repeated")
         return self._context.budget(self._service.name).spend()
 
-    def _none_left(self) -> errors.CrowdeckError:
+    def _none_left(self, seconds: float) -> errors.CrowdeckError:
+        """Return the refusal of a call that no instance takes.
+
+        :param seconds: in how long one does, 0 where that is not known.
+        """
+        spread = self._context.chance.uniform(0.0, RETRY_AFTER)
         return errors.CrowdeckError(
             errors.Code.NO_PATH,
             "no instance of the service can take it now",
-            retry_after=RETRY_AFTER,
+            retry_after=seconds + spread if seconds else RETRY_AFTER,
         )
 
     def _failure(self, error: errors.CrowdeckError) -> errors.CrowdeckError:
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -6,6 +6,7 @@
 """What the parts of the relay share."""
 
 import random
+import typing
 
 import attrs
 
@@ -76,7 +77,7 @@
     def __attrs_post_init__(self) -> None:
         self.return_times = returns.ReturnTimes(self.chance)
         self.subset = subsets.EngineSubset(self.name, self.zone)
-        self.limits = rate_limits.RateLimits()
+        self.limits = rate_limits.RateLimits(self.usage, self.chance)
         self.book.subscribe_ends(self.note_end)
         self.client.subscribe(self._take_notice)
 
@@ -122,9 +123,28 @@
         self, upstream: chain.Upstream, notice: reach.Notice
     ) -> None:
         """Take what an answer tells of the instance that gave it."""
-        limit = notice.backpressure.limit
-        if limit is not None or notice.answers_request:
-            self.limits.note(upstream, limit)
+        load = notice.load
+        self.limits.note(
+            upstream,
+            notice.backpressure.limit,
+            None if load is None else load.running + load.waiting,
+            in_report=not notice.answers_request,
+        )
+
+    def seconds_until_any(
+        self, upstreams: typing.Iterable[chain.Upstream], ahead: int = 0
+    ) -> float:
+        """Return in how long one of some instances takes a request.
+
+        0 where that is now, or there are none.
+
+        :param ahead: requests that are to be sent first.
+        """
+        found = list(upstreams)
+        soonest = min(map(self.limits.seconds_until, found), default=0.0)
+        if not soonest:
+            return 0.0
+        return soonest + ahead / sum(map(self.limits.per_second, found))
 
     def line(self, service: str) -> waiting.WaitingLine:
         """Return the line of requests that wait for a service's engines."""
@@ -137,6 +157,7 @@
     def share_among(self, zone: int, whole: int) -> None:
         """Take this entry for one of so many in its zone, and in all."""
         self.usage.share_among(zone, whole)
+        self.limits.share_among(whole)
         self._entries = whole
         for found in self._budgets.values():
             found.share_among(whole)
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -83,6 +83,7 @@
             until = self._arrived + MISSING_WAIT_SECONDS
         until = min(until, self._deadline)
         expected = self._context.return_times.seconds_for(len(line) + 1)
+        expected = max(expected, self.seconds_limited())
         if line.is_full or now + expected > until:
             return None
         async with line.turn(until) as is_first:
@@ -101,6 +102,20 @@
             await anyio.sleep(step)
         return path
 
+    def seconds_limited(self) -> float:
+        """Return in how long a first engine takes a request for a stream.
+
+        0 where one does now; as long as all name limits, those that wait
+        in the line come first.
+        """
+        firsts = [
+            one
+            for one in self._context.book.usable(self._service)
+            if one.layers is not None and one.layers.first == 0
+        ]
+        ahead = len(self._context.line(self._service))
+        return self._context.seconds_until_any(firsts, ahead)
+
     def _is_layer_missing(self) -> bool:
         """Whether no engine that stays holds some layer."""
         listed = self._context.book.listed(self._service)
@@ -132,6 +147,7 @@
             self._stream.tokens,
             self._context.zone,
             self._stream.objective,
+            self._context.limits.allows,
         )
         usable = [
             one
@@ -150,6 +166,9 @@
         if path is None and self._excluded:
             # What refused a moment ago may serve by now.
             self._excluded.clear()
+        if path is not None:
+            # At once: whoever chooses next has to know.
+            self._context.limits.take(path.head)
         return path
 
     def _best_path(
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -54,6 +54,10 @@
         ...
 
 
+def _anyone(_: chain.Upstream) -> bool:
+    return True
+
+
 @attrs.frozen
 class Wanted:
     """What a path is wanted for.
@@ -61,12 +65,14 @@
     :ivar tokens: tokens that the request holds on average as it runs.
     :ivar zone: the availability zone of the entry.
     :ivar objective: seconds in which the first event is in time.
+    :ivar may_begin: whether an engine takes a request as the first.
     """
 
     profile: chain.EngineProfile
     tokens: float
     zone: str
     objective: float = 0.5
+    may_begin: typing.Callable[[chain.Upstream], bool] = _anyone
 
 
 class HopPlanner:
@@ -263,6 +269,8 @@
                 continue
             if layers.end > wanted.profile.layer_count:
                 continue
+            if not wanted.may_begin(engine):
+                continue
             cost = self._beginning(engine, wanted)
             yield cheapest.Leg(cost, 1, chain.Hop(engine, layers), None)
 
--- a/src/crowdeck/standin/chain_http.py
+++ b/src/crowdeck/standin/chain_http.py
@@ -16,6 +16,7 @@
 import attrs
 import orjson
 
+from crowdeck import backpressure as pressures
 from crowdeck import chain
 from crowdeck.cmd import http_server
 from crowdeck import errors
@@ -80,7 +81,8 @@
             ],
             **_born(report.born),
         }
-        await _answer(send, 200, orjson.dumps(content))
+        head = _notice(self._target.backpressure, None)
+        await _answer(send, 200, orjson.dumps(content), head)
 
     async def _order(self, order: Json, send: Send) -> None:
         if order[names.OPERATION] == names.REPATH:
@@ -131,6 +133,7 @@
             listed, request, dispatch, PATIENCE
         ) as answer:
             head = [(names.REQUEST_ID, request.id.encode())]
+            head += _notice(answer.backpressure, answer.load)
             if answer.has_not_run:
                 head.append((names.NOT_EXECUTED, b"1"))
                 head.append((names.CULPRIT, answer.culprit.encode()))
@@ -235,8 +238,23 @@
             return b"".join(pieces)
 
 
-async def _answer(send: Send, status: int, body: bytes) -> None:
-    await _start(send, status, [])
+def _notice(
+    backpressure: pressures.Backpressure, load: reach.Load | None
+) -> http.RawHeaders:
+    """Return the headers in which an instance tells what it can bear."""
+    found: http.RawHeaders = []
+    if load is not None:
+        told = f"{load.running},{load.waiting},{load.slots}"
+        found.append((names.LOAD, told.encode()))
+    if backpressure.limit is not None:
+        found.append((names.LIMIT, str(backpressure.limit).encode()))
+    return found
+
+
+async def _answer(
+    send: Send, status: int, body: bytes, head: http.RawHeaders | None = None
+) -> None:
+    await _start(send, status, head or [])
     await send({"type": "http.response.body", "body": body})
 
 
--- a/tests/entries_system.py
+++ b/tests/entries_system.py
@@ -53,10 +53,15 @@
 
     :param count: entries at the start.
     :param copies: of the model in each availability zone.
+    :param parts: instances that hold one copy together.
     """
 
     def __init__(
-        self, tasks: anyio.abc.TaskGroup, count: int, copies: int
+        self,
+        tasks: anyio.abc.TaskGroup,
+        count: int,
+        copies: int,
+        parts: int = 2,
     ) -> None:
         self.fleet = chain_fleet.ChainFleet()
         self.store = standin_store.StandinStore()
@@ -67,7 +72,7 @@
         self._scopes: list[anyio.CancelScope] = []
         self._listed: dict[str, chain.Upstream] = {}
         self._starts = 0
-        self._add_fleet(copies)
+        self._add_fleet(copies, parts)
         for _ in range(count):
             self.start()
 
@@ -221,19 +226,19 @@
         del self._listed[name]
         self._tell(fresh)
 
-    def _add_fleet(self, copies: int) -> None:
+    def _add_fleet(self, copies: int, parts: int) -> None:
         for zone in fleet_system.ZONES:
             for copy in range(copies):
-                self._add_copy(zone, copy)
+                self._add_copy(zone, copy, parts)
             self._add(
                 fleet_system.upstream(
                     f"plain-{zone}", zone, service=fleet_system.PLAIN, card=""
                 )
             )
 
-    def _add_copy(self, zone: str, copy: int) -> None:
+    def _add_copy(self, zone: str, copy: int, parts: int) -> None:
         layers = fleet_system.PROFILE.layer_count
-        for part, span in enumerate(chain_fleet.cut(layers, 2)):
+        for part, span in enumerate(chain_fleet.cut(layers, parts)):
             self._add(
                 fleet_system.upstream(
                     f"{zone}-{copy}-{part}",
@@ -266,12 +271,13 @@
     work: typing.Callable[[Entries], typing.Awaitable[None]],
     count: int = 3,
     copies: int = 6,
+    parts: int = 2,
 ) -> None:
     """Play ``work`` on some entries before one fleet."""
 
     async def body() -> None:
         async with anyio.create_task_group() as tasks:
-            entries = Entries(tasks, count, copies)
+            entries = Entries(tasks, count, copies, parts)
             tasks.start_soon(entries.bring_back)
             await work(entries)
             tasks.cancel_scope.cancel()
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -170,7 +170,8 @@
             planner=hops.HopPlanner(self.usage),
             terms=contexts.BudgetTerms(0.2, 100.0, 10.0),
             name=name,
-            chance=random.Random(1),
+            # Entries that draw alike would do the same at one moment.
+            chance=random.Random(name or 1),
             ledger=ledgers.Ledger(anyio.current_time),
         )
         self.config = a_config()
--- a/tests/test_lives_on_the_wire.py
+++ b/tests/test_lives_on_the_wire.py
@@ -48,6 +48,9 @@
     def __init__(self, content: bytes) -> None:
         self._content = content
 
+    def find(self, name: bytes) -> bytes:
+        return b""
+
     async def read(self, limit: int) -> bytes:
         return self._content
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -6,6 +6,7 @@
 """The adapter: what the platform writes, decoded, and what we write."""
 
 import pathlib
+import typing
 
 import anyio
 import attrs
@@ -14,6 +15,7 @@
 import pytest
 
 import crowdeck
+from crowdeck import backpressure
 from crowdeck import chain
 from crowdeck import errors
 from crowdeck import header
@@ -390,6 +392,118 @@
         anyio.run(body)
 
 
+async def notices_of(
+    answer: bytes,
+    ask: typing.Callable[
+        [engines.UpstreamClient, chain.Upstream], typing.Awaitable[object]
+    ],
+) -> list[reach.Notice]:
+    """Return what is told of an answer to whatever ``ask`` asks."""
+    client = client_of(answer)
+    told: list[reach.Notice] = []
+    client.subscribe(lambda _, notice: told.append(notice))
+    try:
+        await ask(client, fleet_system.upstream("i-9"))
+    except errors.CrowdeckError:
+        # An answer that tells of a failure tells of its sender as well.
+        return told
+    return told
+
+
+async def ask_request(
+    client: engines.UpstreamClient, upstream: chain.Upstream
+) -> None:
+    dispatch = reach.Dispatch("t", 1, 1.0)
+    async with client.open(
+        upstream, caller_request(), dispatch, http.Timeouts(1.0, 1.0)
+    ):
+        pass
+
+
+async def ask_report(
+    client: engines.UpstreamClient, upstream: chain.Upstream
+) -> None:
+    await client.report(upstream)
+
+
+async def ask_order(
+    client: engines.UpstreamClient, upstream: chain.Upstream
+) -> None:
+    await client.place(upstream, pipeline.LayerRange(0, 9), 0, 1)
+
+
+async def ask_repath(
+    client: engines.UpstreamClient, upstream: chain.Upstream
+) -> None:
+    hop = chain.Hop(upstream, pipeline.LayerRange(0, 80))
+    await client.repath(upstream, "r", chain.ChainPath((hop,)))
+
+
+class TestBackpressure:
+    """What the head of an answer says of its sender."""
+
+    @pytest.mark.parametrize(
+        ("ask", "answers_request"),
+        [
+            (ask_request, True),
+            (ask_report, False),
+            (ask_order, False),
+            (ask_repath, False),
+        ],
+    )
+    @pytest.mark.parametrize("status", [200, 409, 500, 503])
+    def test_is_told_of_every_answer(
+        self, ask: typing.Any, answers_request: bool, status: int
+    ) -> None:
+        async def body() -> None:
+            headers = "Server-Limit: 3.2\r\nServer-Leaving: 1\r\n"
+            (told,) = await notices_of(reply(status, headers), ask)
+            assert told.backpressure.limit == 3.2
+            assert told.backpressure.is_leaving
+            assert told.answers_request is answers_request
+
+        anyio.run(body)
+
+    def test_another_instances_answer_tells_nothing(self) -> None:
+        async def body() -> None:
+            answer = reply(421, "Server-Limit: 3.2\r\n")
+            assert not await notices_of(answer, ask_request)
+
+        anyio.run(body)
+
+    @pytest.mark.parametrize("status", [200, 429, 500])
+    def test_only_an_instance_that_turns_away_asks_to_back_off(
+        self, status: int
+    ) -> None:
+        async def body() -> None:
+            headers = "Retry-After: 3\r\n"
+            (told,) = await notices_of(reply(status, headers), ask_request)
+            assert told.backpressure == backpressure.NONE
+            (told,) = await notices_of(reply(503, headers), ask_request)
+            assert told.backpressure.backoff == 3.0
+
+        anyio.run(body)
+
+    @pytest.mark.parametrize(
+        "value", ["", "x", "-1", "nan", "inf", "1e999", "Wed, 21 Oct 2026"]
+    )
+    def test_what_cannot_be_read_asks_for_nothing(self, value: str) -> None:
+        async def body() -> None:
+            headers = f"Server-Limit: {value}\r\nRetry-After: {value}\r\n"
+            (told,) = await notices_of(reply(503, headers), ask_request)
+            assert told.backpressure == backpressure.NONE
+
+        anyio.run(body)
+
+    def test_callers_are_not_told(self) -> None:
+        told = [
+            (b"Server-Limit", b"3"),
+            (b"Server-Leaving", b"1"),
+            (b"x-other", b"2"),
+        ]
+        assert callers.back(told) == [(b"x-other", b"2")]
+
+
 class _Calls:
     """Answers the store's client from a list, noting what it asked."""
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -18,21 +18,34 @@
 import anyio
 import pytest
 
+from crowdeck import chain
+from crowdeck.relay import paths
 from crowdeck import route as routes
+from crowdeck.routing import rate_limits
 from crowdeck.standin import chain_fleet
+from crowdeck import verdict as verdicts
 from tests import entries_system
+from tests import fleet_system
+from tests import virtual
 
 STREAM = routes.Repeat.STREAM
 IDEMPOTENT = routes.Repeat.IDEMPOTENT
 # What an instance may get in any four seconds from three seconds after it
 # first named its limit.
 GRACE_SECONDS = 3.0
+TOLD_SECONDS = 0.5
 WINDOW_SECONDS = 4.0
 BOUND_FACTOR = 1.5
 BOUND_EXTRA = 5
 # An instance is to get about what it takes; what is left is for what
 # entries do not know of one another.
 USED_LEAST = 0.7
+PER_SECOND = 30.0
+LIMIT = 3.2
+# New streams wait for room for so long at the most, calls shorter.
+LONGEST_WAIT = paths.NEW_WAIT_SECONDS + 0.1
+# A stream takes two seconds, as usual.
+EVENTS = 100
 
 
 class Play:
@@ -86,6 +99,25 @@
             if run.upstream == target.listed.name and run.at >= since
         ]
 
+    def counted(
+        self, target: chain_fleet.StandinUpstream, named_at: float
+    ) -> list[float]:
+        """Return the arrivals that a limit named then is to bound.
+
+        Those of entries that had an answer with it half a second before.
+        """
+        told: dict[str, float] = {}
+        found = []
+        for run in self.fleet.runs:
+            if run.upstream != target.listed.name or run.at < named_at:
+                continue
+            entry = run.request.rpartition("r")[0]
+            told_at = told.setdefault(entry, run.at)
+            since = max(named_at + GRACE_SECONDS, told_at + TOLD_SECONDS)
+            if run.at >= since:
+                found.append(run.at)
+        return found
+
     @property
     def refused(self) -> list[entries_system.Told]:
         """What callers were told that were not served."""
@@ -113,10 +145,11 @@
     copies: int = 2,
 ) -> None:
     async def body(entries: entries_system.Entries) -> None:
+        entries.fleet.events = EVENTS
         await anyio.sleep(2.0)
         await work(Play(entries, weights))
 
-    entries_system.play(body, count=len(weights), copies=copies)
+    entries_system.play(body, count=len(weights), copies=copies, parts=4)
 
 
 EVEN = (1.0, 1.0, 1.0, 1.0)
@@ -133,13 +166,297 @@
         self, weights: tuple[float, ...], repeat: routes.Repeat
     ) -> None:
         async def work(one: Play) -> None:
-            await one.send(4.0, 30.0, repeat)
+            await one.send(4.0, PER_SECOND, repeat)
             target = one.busiest()
-            target.limit = 3.2
+            target.limit = LIMIT
             named_at = anyio.current_time()
-            await one.send(20.0, 30.0, repeat)
-            times = one.arrivals(target, named_at + GRACE_SECONDS)
-            assert_kept(times, target.limit)
+            await one.send(20.0, PER_SECOND, repeat)
+            times = one.counted(target, named_at)
+            assert_kept(times, LIMIT)
+            assert len(times) >= USED_LEAST * LIMIT * 17.0
+            assert not one.refused
+
+        play(work, weights)
+
+    @pytest.mark.parametrize("repeat", [STREAM, IDEMPOTENT])
+    def test_gets_its_part_again_once_it_names_no_limit(
+        self, weights: tuple[float, ...], repeat: routes.Repeat
+    ) -> None:
+        async def work(one: Play) -> None:
+            await one.send(4.0, PER_SECOND, repeat)
+            target = one.busiest()
+            before = len(one.arrivals(target, anyio.current_time() - 3.0))
+            target.limit = LIMIT
+            await one.send(8.0, PER_SECOND, repeat)
+            target.limit = None
+            await one.send(4.0, PER_SECOND, repeat)
+            since = anyio.current_time()
+            await one.send(3.0, PER_SECOND, repeat)
+            assert len(one.arrivals(target, since)) >= before / 2
             assert not one.refused
 
         play(work, weights)
+
+
+class TestManyEntries:
+    """Entries that know of one another only how many they are."""
+
+    @pytest.mark.parametrize("share", [1.0 / 70, 0.9])
+    def test_seventy_keep_a_limit_together(self, share: float) -> None:
+        rest = (1.0 - share) / 69
+
+        async def work(one: Play) -> None:
+            await one.send(3.0, PER_SECOND, STREAM)
+            target = one.busiest()
+            target.limit = LIMIT
+            named_at = anyio.current_time()
+            await one.send(15.0, PER_SECOND, STREAM)
+            times = one.counted(target, named_at)
+            assert_kept(times, LIMIT)
+            assert times
+
+        play(work, (share, *[rest] * 69))
+
+    def test_one_that_starts_anew_learns_it_with_its_first_answer(
+        self,
+    ) -> None:
+        async def work(one: Play) -> None:
+            await one.send(4.0, PER_SECOND, STREAM)
+            target = one.busiest()
+            target.limit = LIMIT
+            named_at = anyio.current_time()
+            await one.send(5.0, PER_SECOND, STREAM)
+            one.entries.stop(0)
+            await one.send(10.0, PER_SECOND, STREAM)
+            # It knew nothing for a moment, and those are its to send.
+            times = one.counted(target, named_at)
+            allowed = BOUND_FACTOR * LIMIT * WINDOW_SECONDS + BOUND_EXTRA
+            assert most_within(times, WINDOW_SECONDS) <= allowed + 3
+
+        play(work, EVEN)
+
+
+class TestWholeService:
+    """All instances of a service name limits."""
+
+    @pytest.mark.parametrize("repeat", [STREAM, IDEMPOTENT])
+    @pytest.mark.parametrize("weights", [ALONE, EVEN])
+    def test_what_they_take_is_served_and_the_rest_told_at_once(
+        self, weights: tuple[float, ...], repeat: routes.Repeat
+    ) -> None:
+        async def work(one: Play) -> None:
+            takers = [
+                target
+                for target in one.fleet.upstreams
+                if _may_begin(target, repeat)
+            ]
+            for target in takers:
+                target.limit = LIMIT
+            await one.send(3.0, PER_SECOND, repeat)
+            since = anyio.current_time()
+            await one.send(20.0, PER_SECOND, repeat)
+            for target in takers:
+                assert_kept(one.arrivals(target, since), LIMIT)
+            told = [it for it in one.entries.told if it.sent_at >= since]
+            served = sum(1 for it in told if it.was_served)
+            assert served >= USED_LEAST * LIMIT * len(takers) * 20.0 - 40
+            for it in told:
+                if it.was_served:
+                    continue
+                error = it.caller.error
+                assert error is not None
+                assert error.verdict is verdicts.Verdict.NOT_RUN
+                # Held no longer than those that were served in time.
+                assert it.seconds <= LONGEST_WAIT
+                assert error.retry_after is not None
+                assert 0.0 < error.retry_after <= 6.0
+
+        play(work, weights)
+
+
+def _may_begin(
+    target: chain_fleet.StandinUpstream, repeat: routes.Repeat
+) -> bool:
+    layers = target.listed.layers
+    if repeat is STREAM:
+        return layers is not None and layers.first == 0
+    return layers is None
+
+
+class TestEveryWay:
+    """Whatever an entry sends a request for, the limit holds."""
+
+    def test_streams_that_go_on_elsewhere(self) -> None:
+        async def work(one: Play) -> None:
+            await one.send(3.0, PER_SECOND, STREAM)
+            target = one.busiest()
+            target.limit = LIMIT
+            named_at = anyio.current_time()
+            await one.send(4.0, PER_SECOND, STREAM)
+            others = [
+                it
+                for it in one.fleet.upstreams
+                if _may_begin(it, STREAM) and it is not target
+            ]
+            # All streams of one engine have to go on at another.
+            others[0].is_dead = True
+            await one.send(6.0, PER_SECOND, STREAM)
+            times = one.counted(target, named_at)
+            assert_kept(times, LIMIT)
+
+        play(work, EVEN)
+
+    def test_calls_that_are_tried_again(self) -> None:
+        async def work(one: Play) -> None:
+            await one.send(3.0, PER_SECOND, IDEMPOTENT)
+            target = one.busiest()
+            target.limit = LIMIT
+            named_at = anyio.current_time()
+            for it in one.fleet.upstreams:
+                if it is not target:
+                    it.fails = 1000
+            await one.send(10.0, PER_SECOND, IDEMPOTENT)
+            times = one.counted(target, named_at)
+            assert_kept(times, LIMIT)
+
+        play(work, EVEN)
+
+
+class _Usage:
+    """Requests under way, as a test sets them."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def own(self, upstream: chain.Upstream) -> int:
+        return self.count
+
+
+class TestRateLimits:
+    """One entry's parts, by themselves."""
+
+    def play(
+        self,
+        work: typing.Callable[
+            [rate_limits.RateLimits, _Usage, chain.Upstream],
+            typing.Awaitable[None],
+        ],
+        entries: int = 1,
+    ) -> None:
+        async def body() -> None:
+            usage = _Usage()
+            limits = rate_limits.RateLimits(usage, random.Random(3))
+            limits.share_among(entries)
+            await work(limits, usage, fleet_system.upstream("one"))
+
+        virtual.run(body)
+
+    async def count(
+        self,
+        limits: rate_limits.RateLimits,
+        upstream: chain.Upstream,
+        seconds: float,
+        step: float = 0.05,
+    ) -> int:
+        sent = 0
+        for _ in range(int(seconds / step)):
+            await anyio.sleep(step)
+            if limits.allows(upstream):
+                limits.take(upstream)
+                sent += 1
+        return sent
+
+    def test_no_limit_allows_everything(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            assert await self.count(limits, one, 5.0) == 100
+            assert limits.seconds_until(one) == 0.0
+
+        self.play(work)
+
+    @pytest.mark.parametrize("entries", [1, 4, 70])
+    def test_an_even_part_where_no_load_is_told(self, entries: int) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 10.0, None)
+            sent = await self.count(limits, one, 200.0)
+            expected = 200.0 * 10.0 * rate_limits.USED_SHARE / entries
+            assert abs(sent - expected) <= 5
+
+        self.play(work, entries)
+
+    def test_the_part_that_own_requests_are_of_all(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, usage: _Usage, one: chain.Upstream
+        ) -> None:
+            usage.count = 18
+            limits.note(one, 10.0, 20)
+            for _ in range(40):
+                await anyio.sleep(0.25)
+                limits.allows(one)
+                limits.note(one, 10.0, 20)
+            sent = await self.count(limits, one, 2.0)
+            assert sent >= 0.8 * 10.0 * rate_limits.USED_SHARE * 2.0
+
+        self.play(work, entries=4)
+
+    def test_one_that_sent_nothing_for_long_catches_up_on_little(
+        self,
+    ) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 2.0, None)
+            await self.count(limits, one, 10.0)
+            await anyio.sleep(3600.0)
+            sent = await self.count(limits, one, 4.0)
+            assert sent <= BOUND_FACTOR * 2.0 * WINDOW_SECONDS + BOUND_EXTRA
+
+        self.play(work)
+
+    def test_a_limit_of_nothing_is_looked_at_again(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 0.0, None)
+            sent = await self.count(limits, one, 40.0)
+            assert 5 <= sent <= 15
+
+        self.play(work)
+
+    def test_a_report_without_a_limit_lifts_what_a_report_named(
+        self,
+    ) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 1.0, None)
+            limits.note(one, None, None, in_report=True)
+            assert limits.per_second(one) < 1.0
+            limits.note(one, 1.0, None, in_report=True)
+            limits.note(one, None, None, in_report=True)
+            assert limits.per_second(one) == float("inf")
+
+        self.play(work)
+
+    def test_an_answer_without_a_limit_lifts_it(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 1.0, None)
+            limits.note(one, None, None)
+            assert limits.allows(one)
+
+        self.play(work)
+
+    def test_forgets_an_instance_that_ended(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 1.0, None)
+            limits.forget(one)
+            assert limits.per_second(one) == float("inf")
+
+        self.play(work)
