An instance that asks for rest is sent nothing for as long

Callers saw: calls that may go to one instance only were refused for eight seconds while two of three instances were free. Cause: a call's refusal left no trace. The instance refused at once and had nothing under way, so the balancer took it for the freest. A stream's refusal gave the engine 0.4 to 1.6 s, whatever it asked for. Ruled out: calls in flight (each was sent 130 ms or more after the refusal was known). Change: the book of instances keeps until when each wants nothing from this entry; a shorter time takes nothing back. For a stream that passes it and falls silent it is asked once, since the stream is lost otherwise. Where all want rest, requests wait if it is over in time, and are told at once when to come back if not. A refusal of a call counts as a failure for the balancer. Conclusion: holds in the tests.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -65,6 +65,8 @@
     is_gone: bool = False
     leaving_at: float | None = None
     lapsed_at: float | None = None
+    backs_off_until: float = 0.0
+    is_asked_in_backoff: bool = False
 
     @property
     def needs_proof(self) -> bool:
@@ -149,16 +151,28 @@
     def usable(self, service: str) -> tuple[chain.Upstream, ...]:
         """Return the instances that may get new work."""
         now = anyio.current_time()
-        self._drop_lapsed()
         return tuple(
             belief.upstream
-            for belief in self._beliefs.values()
-            if belief.upstream.service == service
-            and not belief.upstream.is_leaving
-            and belief.avoided_until <= now
-            and not belief.needs_proof
+            for belief in self._sound(service, now)
+            if belief.backs_off_until <= now
         )
 
+    def usable_soon(self, service: str) -> tuple[chain.Upstream, ...]:
+        """Return those of :meth:`usable`, and those that only want rest."""
+        now = anyio.current_time()
+        return tuple(one.upstream for one in self._sound(service, now))
+
+    def _sound(self, service: str, now: float) -> typing.Iterator[_Belief]:
+        self._drop_lapsed()
+        for belief in self._beliefs.values():
+            if (
+                belief.upstream.service == service
+                and not belief.upstream.is_leaving
+                and belief.avoided_until <= now
+                and not belief.needs_proof
+            ):
+                yield belief
+
     def last_resort(self, service: str) -> tuple[chain.Upstream, ...]:
         """Return instances that have begun to leave but may get work yet."""
         now = anyio.current_time()
@@ -169,6 +183,7 @@
             and belief.upstream.is_leaving
             and belief.leaving_at is not None
             and now - belief.leaving_at < LAST_WORK_SECONDS
+            and belief.backs_off_until <= now
             and belief.avoided_until <= now
             and not belief.needs_proof
         )
@@ -184,7 +199,9 @@
         due = [
             belief
             for belief in self._beliefs.values()
-            if belief.needs_proof and belief.avoided_until <= now
+            if belief.needs_proof
+            and belief.avoided_until <= now
+            and belief.backs_off_until <= now
         ]
         for belief in due:
             belief.avoided_until = now + UNSURE_SECONDS
@@ -206,9 +223,52 @@
             belief is not None
             and not belief.upstream.is_leaving
             and belief.avoided_until <= anyio.current_time()
+            and belief.backs_off_until <= anyio.current_time()
             and not belief.needs_proof
         )
 
+    def back_off(self, name: str, seconds: float) -> None:
+        """Send an instance nothing for as long as it asked for.
+
+        A shorter time asked for later takes nothing back: it was said to
+        another request of ours, and the longer one still holds.
+        """
+        belief = self._beliefs.get(name)
+        until = anyio.current_time() + seconds
+        if belief is None or until <= belief.backs_off_until:
+            return
+        if belief.backs_off_until <= anyio.current_time():
+            belief.is_asked_in_backoff = False
+        belief.backs_off_until = until
+        counters.COUNTERS.add("upstream.backed_off")
+        logs.change(
+            "upstream_backed_off",
+            upstream=name,
+            address=str(belief.upstream.address),
+            seconds=seconds,
+        )
+
+    def seconds_backing_off(self, name: str) -> float:
+        """Return for how long an instance still wants nothing from us."""
+        belief = self._beliefs.get(name)
+        if belief is None:
+            return 0.0
+        return max(0.0, belief.backs_off_until - anyio.current_time())
+
+    def may_ask(self, name: str) -> bool:
+        """Whether an instance may be asked, or led, for a stream's sake.
+
+        Once in a time of rest: a stream that passes an instance which fell
+        silent is lost otherwise.
+        """
+        belief = self._beliefs.get(name)
+        if belief is None or belief.backs_off_until <= anyio.current_time():
+            return True
+        if belief.is_asked_in_backoff:
+            return False
+        belief.is_asked_in_backoff = True
+        return True
+
     def has_ended(self, name: str) -> bool:
         """Whether an instance's process is known to be gone.
 
--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -268,6 +268,9 @@
 
     async def _order(self, move: plan.Move) -> None:
         name = move.upstream.name
+        if self._book.seconds_backing_off(name):
+            # Planned again at the next look.
+            return
         self._expect(move, UNKNOWN_SECONDS)
         try:
             report = await self._orders.report(move.upstream)
--- a/src/crowdeck/placement/losses.py
+++ b/src/crowdeck/placement/losses.py
@@ -73,7 +73,7 @@
             del self._unanswered[name]
         async with anyio.create_task_group() as tasks:
             for one in avoided:
-                if one.card:
+                if one.card and not self._book.seconds_backing_off(one.name):
                     tasks.start_soon(self._question, one)
 
     async def _sweep(self) -> None:
@@ -86,7 +86,9 @@
             one
             for service in self._services()
             for one in self._book.listed(service.name)
-            if one.card and one.name not in avoided
+            if one.card
+            and one.name not in avoided
+            and not self._book.seconds_backing_off(one.name)
         ]
         silent: list[chain.Upstream] = []
 
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -5,6 +5,8 @@
 
 """Calls of plain services: one answer, at most as many runs as allowed."""
 
+import typing
+
 import anyio
 import attrs
 
@@ -35,9 +37,9 @@
 # are tried, but not all of a large fleet.
 CONNECT_TRIES = 4
 RETRY_AFTER = 0.5
-# While all instances are at their limits a call waits for so much of its
-# objective. It is served in time then; what takes longer is told at once
-# when to come back.
+# While all instances are at their limits, or want rest, a call waits for so
+# much of its objective. It is served in time then; what takes longer is told
+# at once when to come back.
 WAIT_SHARE = 0.5
 CALL_BYTES = http.RESPONSE_LIMIT
 
@@ -178,7 +180,7 @@
             self._context.note_end(upstream)
 
     async def _choose(self) -> chain.Upstream:
-        """Return the instance to try, waiting a little for one's limit.
+        """Return the instance to try, waiting a little for one.
 
         :raises CrowdeckError: ``NO_PATH`` where none takes a call in time.
         """
@@ -190,22 +192,25 @@
                         errors.Code.DEADLINE, "no time is left"
                     )
                 )
-            fresh = self._fresh()
             limits = self._context.limits
+            book = self._context.book
+            fresh = self._fresh(book.usable(self._service.name))
             upstream = self._balancer.pick(filter(limits.allows, fresh))
             if upstream is not None:
                 # At once: whoever chooses next has to know.
                 limits.take(upstream)
                 return upstream
-            seconds = self._context.seconds_until_any(fresh)
+            soon = self._fresh(book.usable_soon(self._service.name))
+            seconds = self._context.seconds_until_any(soon)
             if not seconds or anyio.current_time() + seconds > until:
                 raise self._failure(self._none_left(seconds))
             await anyio.sleep(seconds)
 
-    def _fresh(self) -> list[chain.Upstream]:
-        """Return the instances that were not tried yet."""
-        usable = self._context.book.usable(self._service.name)
-        return [one for one in usable if one.name not in self._tried]
+    def _fresh(
+        self, upstreams: typing.Iterable[chain.Upstream]
+    ) -> list[chain.Upstream]:
+        """Return those of some instances that were not tried yet."""
+        return [one for one in upstreams if one.name not in self._tried]
 
     async def _try(self, upstream: chain.Upstream) -> _Answer:
         self._tried.add(upstream.name)
@@ -293,6 +298,10 @@
             # No connection was had, so it was not sent after all.
             self._sent -= 1
             self._context.book.avoid(upstream.name, error.message)
+        else:
+            # One that refuses at once has nothing under way, and would look
+            # like the freest to the next call.
+            self._balancer.note_failure(upstream)
         logs.decision(
             "call_failed",
             self._request.id,
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -123,10 +123,13 @@
         self, upstream: chain.Upstream, notice: reach.Notice
     ) -> None:
         """Take what an answer tells of the instance that gave it."""
+        asked = notice.backpressure
+        if asked.backoff:
+            self.book.back_off(upstream.name, asked.backoff)
         load = notice.load
         self.limits.note(
             upstream,
-            notice.backpressure.limit,
+            asked.limit,
             None if load is None else load.running + load.waiting,
             in_report=not notice.answers_request,
         )
@@ -136,16 +139,23 @@
     ) -> float:
         """Return in how long one of some instances takes a request.
 
-        0 where that is now, or there are none.
+        By what they ask for themselves; 0 where that is now, or where
+        there are none.
 
         :param ahead: requests that are to be sent first.
         """
         found = list(upstreams)
-        soonest = min(map(self.limits.seconds_until, found), default=0.0)
+        soonest = min(map(self._seconds_until, found), default=0.0)
         if not soonest:
             return 0.0
         return soonest + ahead / sum(map(self.limits.per_second, found))
 
+    def _seconds_until(self, upstream: chain.Upstream) -> float:
+        return max(
+            self.limits.seconds_until(upstream),
+            self.book.seconds_backing_off(upstream.name),
+        )
+
     def line(self, service: str) -> waiting.WaitingLine:
         """Return the line of requests that wait for a service's engines."""
         return self._lines.setdefault(service, waiting.WaitingLine())
--- a/src/crowdeck/relay/detours.py
+++ b/src/crowdeck/relay/detours.py
@@ -110,6 +110,9 @@
             if silent:
                 refused |= silent
                 continue
+            if not self._context.book.may_ask(path.head.name):
+                self._give_up(stream, path)
+                return
             outcome = await self._context.client.repath(
                 path.head, stream.request.id, other
             )
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -83,7 +83,7 @@
             until = self._arrived + MISSING_WAIT_SECONDS
         until = min(until, self._deadline)
         expected = self._context.return_times.seconds_for(len(line) + 1)
-        expected = max(expected, self.seconds_limited())
+        expected = max(expected, self.seconds_until_taken())
         if line.is_full or now + expected > until:
             return None
         async with line.turn(until) as is_first:
@@ -102,15 +102,15 @@
             await anyio.sleep(step)
         return path
 
-    def seconds_limited(self) -> float:
+    def seconds_until_taken(self) -> float:
         """Return in how long a first engine takes a request for a stream.
 
-        0 where one does now; as long as all name limits, those that wait
-        in the line come first.
+        0 where one does now; while all name limits or want rest, those
+        that wait in the line come first.
         """
         firsts = [
             one
-            for one in self._context.book.usable(self._service)
+            for one in self._context.book.usable_soon(self._service)
             if one.layers is not None and one.layers.first == 0
         ]
         ahead = len(self._context.line(self._service))
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -61,10 +61,19 @@
 
 
 class Prober:
-    """Asks engines for their reports, each at most once at a time."""
+    """Asks engines for their reports, each at most once at a time.
 
-    def __init__(self, upstreams: reach.Upstreams) -> None:
+    :param may_ask: whether an engine, by its name, may be asked now. One
+        that wants rest is not; that it says nothing then proves nothing.
+    """
+
+    def __init__(
+        self,
+        upstreams: reach.Upstreams,
+        may_ask: typing.Callable[[str], bool],
+    ) -> None:
         self._upstreams = upstreams
+        self._may_ask = may_ask
         self._known: dict[str, Probe] = {}
         self._asking: dict[str, anyio.Event] = {}
 
@@ -89,6 +98,8 @@
                     return known
             waiting = self._asking.get(upstream.name)
             if waiting is None:
+                if not self._may_ask(upstream.name):
+                    return Probe(upstream, None, "it wants rest", False, now)
                 return await self._ask(upstream)
             await waiting.wait()
 
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -76,7 +76,7 @@
     def __init__(self, context: contexts.RelayContext) -> None:
         self._context = context
         self._lateness = context.loop
-        self._prober = probes.Prober(context.client)
+        self._prober = probes.Prober(context.client, context.book.may_ask)
         self._streams: set[live.LiveStream] = set()
         self._looking: set[live.LiveStream] = set()
         self._detours = detours.Detours(
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -138,13 +138,13 @@
         await self._refuse_culprit()
         if path is not None:
             return path
-        limited = self._paths.seconds_limited()
+        seconds = self._paths.seconds_until_taken()
         comes_back = self._context.return_times.advise()
         raise self._failure(
             errors.CrowdeckError(
                 errors.Code.NO_PATH,
                 "no path through the model has room",
-                retry_after=limited + comes_back,
+                retry_after=seconds + comes_back,
             )
         )
 
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -14,12 +14,18 @@
 import typing
 
 import anyio
+import attrs
 import pytest
 
 from crowdeck import chain
+from crowdeck.placement import duty as duties
+from crowdeck.placement import losses
 from crowdeck import route as routes
 from crowdeck.standin import chain_fleet
+from crowdeck.state import leases
+from crowdeck import verdict as verdicts
 from tests import fleet_system
+from tests import test_placement
 from tests import virtual
 
 STREAM = routes.Repeat.STREAM
@@ -31,6 +37,7 @@
 # After an instance said that it leaves, a request that comes later than this
 # may not reach it.
 LEAVING_SECONDS = 2.0
+PROFILE = fleet_system.PROFILE
 
 System = fleet_system.FleetSystem
 Work = typing.Callable[[System], typing.Awaitable[None]]
@@ -118,6 +125,9 @@
     @pytest.mark.parametrize("repeat", [STREAM, ONCE, IDEMPOTENT])
     def test_is_used_again_afterwards(self, repeat: routes.Repeat) -> None:
         async def work(system: System) -> None:
+            for one in system.fleet.upstreams:
+                # So long that all are needed.
+                one.seconds = 0.5
             await send(system, repeat, 1.0)
             target = busiest(system)
             target.backoff = REST_SECONDS
@@ -129,6 +139,157 @@
 
         play(work)
 
+    def test_a_shorter_time_takes_nothing_back(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.back_off(one.name, REST_SECONDS)
+            system.book.back_off(one.name, 0.1)
+            await anyio.sleep(REST_SECONDS - 0.1)
+            assert not system.book.is_usable(one.name)
+            await anyio.sleep(0.2)
+            assert system.book.is_usable(one.name)
+
+        play(work)
+
+    def test_only_the_entry_that_was_asked_leaves_it_alone(self) -> None:
+        async def work(system: System) -> None:
+            other = System(system.fleet, "other")
+            other.install(other.config)
+            for one in system.listed.values():
+                other.tell(one)
+            first = next(iter(system.listed.values()))
+            system.book.back_off(first.name, REST_SECONDS)
+            assert not system.book.is_usable(first.name)
+            assert other.book.is_usable(first.name)
+
+        play(work)
+
+    @pytest.mark.parametrize("repeat", [STREAM, ONCE, IDEMPOTENT])
+    def test_all_want_rest_and_callers_are_told_when_to_come_back(
+        self, repeat: routes.Repeat
+    ) -> None:
+        async def work(system: System) -> None:
+            for one in system.listed.values():
+                system.book.back_off(one.name, REST_SECONDS)
+            (told,) = await send(system, repeat, 0.01)
+            assert told.error is not None
+            assert told.error.verdict is verdicts.Verdict.NOT_RUN
+            # At once, and not before they can be served.
+            assert anyio.current_time() < 0.2
+            comes_back = told.error.retry_after
+            assert comes_back is not None
+            assert REST_SECONDS - 0.1 <= comes_back <= REST_SECONDS + 1.0
+            await anyio.sleep(comes_back)
+            (again,) = await send(system, repeat, 0.01)
+            assert again.error is None
+
+        play(work)
+
+    @pytest.mark.parametrize("repeat", [STREAM, ONCE])
+    def test_a_rest_that_is_nearly_over_is_waited_out(
+        self, repeat: routes.Repeat
+    ) -> None:
+        async def work(system: System) -> None:
+            for one in system.listed.values():
+                system.book.back_off(one.name, 0.2)
+            (told,) = await send(system, repeat, 0.01)
+            assert told.error is None
+
+        play(work)
+
+    def test_a_stream_that_it_serves_goes_on(self) -> None:
+        async def work(system: System) -> None:
+            system.fleet.events = 150
+            request = system.request(STREAM)
+            async with anyio.create_task_group() as tasks:
+                caller = fleet_system.Caller()
+                tasks.start_soon(system.relay.serve, request, caller)
+                await anyio.sleep(0.5)
+                for one in system.listed.values():
+                    system.book.back_off(one.name, REST_SECONDS)
+            whole = fleet_system.whole_answer(request.id, 150)
+            assert caller.body == whole
+            assert not system.fleet.repaths
+
+        play(work)
+
+    def test_is_asked_once_for_a_stream_that_falls_silent(self) -> None:
+        async def work(system: System) -> None:
+            system.fleet.events = 150
+            request = system.request(STREAM)
+            caller = fleet_system.Caller()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(system.relay.serve, request, caller)
+                await anyio.sleep(0.5)
+                (run,) = system.fleet.runs
+                head = system.fleet.at(run.path.split("=")[0])
+                second = system.fleet.at(
+                    run.path.split(",")[1].partition("=")[0]
+                )
+                system.book.back_off(head.listed.name, REST_SECONDS)
+                since = anyio.current_time()
+                second.is_dark = True
+            whole = fleet_system.whole_answer(request.id, 150)
+            assert caller.body == whole
+            until = since + REST_SECONDS
+            assert len(sent(system, head.listed, since, until)) <= 1
+            assert caller.longest_pause < 0.5
+
+        play(work)
+
+    def test_one_that_failed_is_not_asked_whether_it_is_back(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.avoid(one.name, "silent")
+            system.book.back_off(one.name, REST_SECONDS)
+            await anyio.sleep(REST_SECONDS - 0.1)
+            assert not system.client.arrivals
+            await anyio.sleep(1.0)
+            assert system.client.arrivals
+            assert system.book.is_usable(one.name)
+
+        play(work)
+
+    def test_is_no_loss_for_the_placement(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            asked = chain_fleet.FleetClient(system.fleet)
+            watch = losses.LossWatch(
+                system.book, asked, lambda: system.config.services
+            )
+            system.book.avoid(one.name, "silent")
+            system.book.back_off(one.name, REST_SECONDS)
+            for _ in range(losses.UNANSWERED_QUESTIONS + 1):
+                await watch.look()
+            assert not asked.arrivals
+            assert not watch.is_lost(one.name)
+
+        play(work)
+
+    def test_is_given_no_orders(self) -> None:
+        async def work(system: System) -> None:
+            for target in system.fleet.upstreams:
+                target.listed = attrs.evolve(target.listed, layers=None)
+                system.tell(target.listed)
+            ordered = system.fleet.upstreams[0]
+            system.book.back_off(ordered.listed.name, 8.0)
+            duty = duties.PlacementDuty(
+                typing.cast(leases.Lease, test_placement._Ledger()),
+                system.book,
+                system.fleet,
+                lambda: (routes.Service(fleet_system.MODEL, 100, PROFILE),),
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(duty.run)
+                await anyio.sleep(6.0)
+                assert not ordered.orders_taken
+                assert any(one.orders_taken for one in system.fleet.upstreams)
+                await anyio.sleep(6.0)
+                assert ordered.orders_taken
+                tasks.cancel_scope.cancel()
+
+        play(work)
+
     def test_callers_are_served_by_the_others(self) -> None:
         async def work(system: System) -> None:
             await send(system, ONCE, 1.0)
