An instance that says in its answers that it leaves gets no later request

Callers would see: requests ended with an instance that had told of its end in its answers alone. Cause: leaving was read from entries in the store only. Ruled out: nothing. Change: the book takes an answer's word, for good and whatever an entry says later; another run of the instance begins anew. As with an entry, it is a last resort for one second more. Conclusion: holds in the tests.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -67,6 +67,7 @@
     lapsed_at: float | None = None
     backs_off_until: float = 0.0
     is_asked_in_backoff: bool = False
+    says_leaving: bool = False
 
     @property
     def needs_proof(self) -> bool:
@@ -248,6 +249,23 @@
             seconds=seconds,
         )
 
+    def note_leaving(self, name: str) -> None:
+        """Note that an instance said in an answer that it leaves.
+
+        It is so from then on, whatever its entry in the store says: some
+        never write it there, and an older entry may come later.
+        """
+        belief = self._beliefs.get(name)
+        if belief is None or belief.says_leaving:
+            return
+        belief.says_leaving = True
+        if belief.upstream.is_leaving:
+            return
+        belief.leaving_at = anyio.current_time()
+        belief.upstream = attrs.evolve(belief.upstream, is_leaving=True)
+        self._log("upstream_changed", belief.upstream, belief.version)
+        self._tell()
+
     def seconds_backing_off(self, name: str) -> float:
         """Return for how long an instance still wants nothing from us."""
         belief = self._beliefs.get(name)
@@ -406,6 +424,8 @@
             belief.lapsed_at = None
             belief.failures = 0
             belief.avoided_until = 0.0
+        if belief.says_leaving:
+            upstream = attrs.evolve(upstream, is_leaving=True)
         if belief.upstream == upstream:
             return
         if upstream.is_leaving and not belief.upstream.is_leaving:
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -126,6 +126,8 @@
         asked = notice.backpressure
         if asked.backoff:
             self.book.back_off(upstream.name, asked.backoff)
+        if asked.is_leaving:
+            self.book.note_leaving(upstream.name)
         load = notice.load
         self.limits.note(
             upstream,
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -18,6 +18,7 @@
 import pytest
 
 from crowdeck import chain
+from crowdeck.membership import upstreams as books
 from crowdeck.placement import duty as duties
 from crowdeck.placement import losses
 from crowdeck import route as routes
@@ -325,3 +326,65 @@
             assert all(one.error is None for one in told)
 
         play(work)
+
+    def test_stays_so_whatever_its_entry_says(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.note_leaving(one.name)
+            assert not system.book.is_usable(one.name)
+            system.tell(one)
+            system.tell(attrs.evolve(one, slots=one.slots + 1))
+            assert not system.book.is_usable(one.name)
+
+        play(work)
+
+    def test_one_whose_entry_lapsed_is_dropped_all_the_same(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.watch_store(anyio.current_time)
+            system.book.on_changed((), (one.life.id,))
+            system.book.note_leaving(one.name)
+            await anyio.sleep(books.LAPSE_SECONDS + 0.1)
+            assert one.name not in {
+                it.name for it in system.book.listed(one.service)
+            }
+
+        play(work)
+
+    def test_another_run_of_it_does_not_leave(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.note_leaving(one.name)
+            life = chain.Life(one.life.id, 5)
+            system.tell(
+                attrs.evolve(
+                    one, name=life.name, instance_id=life.id, born=life.born
+                )
+            )
+            assert system.book.is_usable(life.name)
+
+        play(work)
+
+    def test_a_question_is_answered_with_it_as_well(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.fleet.at(one.address).tells_leaving = True
+            await system.client.report(one)
+            assert not system.book.is_usable(one.name)
+
+        play(work)
+
+    def test_no_path_goes_through_it(self) -> None:
+        async def work(system: System) -> None:
+            passed = [
+                one for one in system.listed.values() if "-1" in one.name
+            ]
+            for one in passed:
+                system.book.note_leaving(one.name)
+            await anyio.sleep(LEAVING_SECONDS)
+            await send(system, STREAM, 1.0)
+            for run in system.fleet.runs:
+                for one in passed:
+                    assert f"{one.address}=" not in run.path
+
+        play(work)
