Leaving told in an answer outlasts its entry; refusals say who wants rest

Cause: an instance whose entry goes and comes again, as some do around an outage of the store, was believed to stay although it had said that it leaves; one request to it is one too many. Found while reading the change. Ruled out: the same for rest: it turns the next request away and says so again. Change: the book remembers which runs said so, a thousand at the most.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -49,6 +49,10 @@
 # lapsed: two seconds for its return and a half for the watch to tell.
 SUSPECT_SECONDS = 2.5
 
+# Runs of instances remembered that said in answers that they leave; many
+# more than leave while any of them still serves.
+LEAVERS_MOST = 1_000
+
 Listener = typing.Callable[[], None]
 LapseListener = typing.Callable[[chain.Upstream], None]
 EndListener = typing.Callable[[chain.Upstream], None]
@@ -67,7 +71,6 @@
     lapsed_at: float | None = None
     backs_off_until: float = 0.0
     is_asked_in_backoff: bool = False
-    says_leaving: bool = False
 
     @property
     def needs_proof(self) -> bool:
@@ -91,6 +94,9 @@
         self._beliefs: dict[str, _Belief] = {}
         # Which run of an instance its entry in the store tells of.
         self._runs: dict[str, str] = {}
+        # When runs of instances said that they leave; kept though an entry
+        # goes and comes again, as some do around an outage of the store.
+        self._leavers: dict[str, float] = {}
         self._end_listeners: list[EndListener] = []
         self._listeners: list[Listener] = []
         self._lapse_listeners: list[LapseListener] = []
@@ -255,13 +261,15 @@
         It is so from then on, whatever its entry in the store says: some
         never write it there, and an older entry may come later.
         """
-        belief = self._beliefs.get(name)
-        if belief is None or belief.says_leaving:
+        if name in self._leavers:
             return
-        belief.says_leaving = True
-        if belief.upstream.is_leaving:
+        self._leavers[name] = anyio.current_time()
+        if len(self._leavers) > LEAVERS_MOST:
+            del self._leavers[next(iter(self._leavers))]
+        belief = self._beliefs.get(name)
+        if belief is None or belief.upstream.is_leaving:
             return
-        belief.leaving_at = anyio.current_time()
+        belief.leaving_at = self._leavers[name]
         belief.upstream = attrs.evolve(belief.upstream, is_leaving=True)
         self._log("upstream_changed", belief.upstream, belief.version)
         self._tell()
@@ -408,9 +416,13 @@
             held = None
         if held is not None and may_be_old and held.upstream.is_leaving:
             upstream = attrs.evolve(upstream, is_leaving=True)
+        if upstream.name in self._leavers:
+            upstream = attrs.evolve(upstream, is_leaving=True)
         if held is None:
             self._runs[stored.name] = upstream.name
-            self._beliefs[upstream.name] = _Belief(upstream, stored.version)
+            belief = _Belief(upstream, stored.version)
+            belief.leaving_at = self._leavers.get(upstream.name)
+            self._beliefs[upstream.name] = belief
             self._log("upstream_listed", upstream, stored.version)
             self._drop_replaced(upstream)
             return
@@ -424,8 +436,6 @@
             belief.lapsed_at = None
             belief.failures = 0
             belief.avoided_until = 0.0
-        if belief.says_leaving:
-            upstream = attrs.evolve(upstream, is_leaving=True)
         if belief.upstream == upstream:
             return
         if upstream.is_leaving and not belief.upstream.is_leaving:
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -333,11 +333,18 @@
 
         :param seconds: in how long one does, 0 where that is not known.
         """
+        if not seconds:
+            return errors.CrowdeckError(
+                errors.Code.NO_PATH,
+                "no instance of the service can take it now",
+                retry_after=RETRY_AFTER,
+            )
+        counters.COUNTERS.add("relay.limited")
         spread = self._context.chance.uniform(0.0, RETRY_AFTER)
         return errors.CrowdeckError(
             errors.Code.NO_PATH,
-            "no instance of the service can take it now",
-            retry_after=seconds + spread if seconds else RETRY_AFTER,
+            "all instances are at their limits or want rest",
+            retry_after=seconds + spread,
         )
 
     def _failure(self, error: errors.CrowdeckError) -> errors.CrowdeckError:
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -139,12 +139,14 @@
         if path is not None:
             return path
         seconds = self._paths.seconds_until_taken()
+        reason = "no path through the model has room"
+        if seconds:
+            counters.COUNTERS.add("relay.limited")
+            reason = "all first engines are at their limits or want rest"
         comes_back = self._context.return_times.advise()
         raise self._failure(
             errors.CrowdeckError(
-                errors.Code.NO_PATH,
-                "no path through the model has room",
-                retry_after=seconds + comes_back,
+                errors.Code.NO_PATH, reason, retry_after=seconds + comes_back
             )
         )
 
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -351,6 +351,28 @@
 
         play(work)
 
+    def test_stays_so_though_its_entry_goes_and_comes_again(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.note_leaving(one.name)
+            system.book.on_changed((), (one.life.id,))
+            await anyio.sleep(LEAVING_SECONDS)
+            system.tell(one)
+            assert not system.book.is_usable(one.name)
+            assert one.name not in {
+                it.name for it in system.book.last_resort(one.service)
+            }
+
+        play(work)
+
+    def test_remembers_only_so_many(self) -> None:
+        async def work(system: System) -> None:
+            for number in range(books.LEAVERS_MOST + 5):
+                system.book.note_leaving(f"gone-{number}")
+            assert len(system.book._leavers) == books.LEAVERS_MOST
+
+        play(work)
+
     def test_another_run_of_it_does_not_leave(self) -> None:
         async def work(system: System) -> None:
             one = next(iter(system.listed.values()))
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -421,6 +421,31 @@
 
         self.play(work)
 
+    def test_at_one_moment_it_sends_little(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 10.0, None)
+            await anyio.sleep(3600.0)
+            sent = await self.count(limits, one, 0.01, 0.0005)
+            burst = 10.0 * rate_limits.BURST_SECONDS + rate_limits.BURST_EXTRA
+            assert sent <= burst
+
+        self.play(work)
+
+    def test_one_of_many_does_not_gather_for_long(self) -> None:
+        async def work(
+            limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
+        ) -> None:
+            limits.note(one, 2.0, None)
+            while not limits.allows(one):
+                await anyio.sleep(1.0)
+            limits.take(one)
+            await anyio.sleep(3600.0)
+            assert not limits.allows(one)
+
+        self.play(work, entries=70)
+
     def test_a_limit_of_nothing_is_looked_at_again(self) -> None:
         async def work(
             limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
