--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -238,6 +238,57 @@
 
         play(work)
 
+    def test_each_time_of_rest_has_a_question_of_its_own(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            for _ in range(2):
+                system.book.back_off(one.name, REST_SECONDS)
+                assert system.book.may_ask(one.name)
+                assert not system.book.may_ask(one.name)
+                await anyio.sleep(REST_SECONDS)
+
+        play(work)
+
+    def test_one_that_refuses_without_a_time_is_no_favourite(self) -> None:
+        async def work(system: System) -> None:
+            await send(system, ONCE, 1.0)
+            target = busiest(system)
+            target.rejects = 1000
+            told = await send(system, ONCE, 5.0)
+            refused = [one for one in told if one.error is not None]
+            # One in two seconds at the most, as its failure is forgotten.
+            assert len(refused) <= 3
+
+        play(work)
+
+    def test_one_that_also_leaves_is_no_last_resort(self) -> None:
+        async def work(system: System) -> None:
+            one = next(iter(system.listed.values()))
+            system.book.note_leaving(one.name)
+            assert system.book.last_resort(one.service)
+            system.book.back_off(one.name, REST_SECONDS)
+            assert not system.book.last_resort(one.service)
+
+        play(work)
+
+    def test_is_not_asked_when_all_are(self) -> None:
+        async def work(system: System) -> None:
+            lost, resting, *_ = system.listed.values()
+            asked = chain_fleet.FleetClient(system.fleet)
+            watch = losses.LossWatch(
+                system.book, asked, lambda: system.config.services
+            )
+            system.fleet.at(lost.address).is_dead = True
+            system.book.avoid(lost.name, "silent")
+            system.book.back_off(resting.name, REST_SECONDS)
+            for _ in range(losses.UNANSWERED_QUESTIONS + 1):
+                await watch.look()
+            names = {one.upstream for one in asked.arrivals}
+            assert len(names) > 2
+            assert resting.name not in names
+
+        play(work)
+
     def test_one_that_failed_is_not_asked_whether_it_is_back(self) -> None:
         async def work(system: System) -> None:
             one = next(iter(system.listed.values()))
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -329,6 +329,48 @@
         play(work, EVEN)
 
 
+class TestContext:
+    """What an entry takes from answers, and forgets."""
+
+    def play(
+        self,
+        work: typing.Callable[
+            [fleet_system.FleetSystem, chain.Upstream],
+            typing.Awaitable[None],
+        ],
+    ) -> None:
+        async def body() -> None:
+            system = fleet_system.FleetSystem()
+            one = fleet_system.upstream("one", service=fleet_system.PLAIN)
+            system.install(system.config)
+            system.add(one).limit = 1.0
+            await work(system, one)
+
+        virtual.run(body)
+
+    def test_a_report_may_tell_nothing_of_a_limit(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, one: chain.Upstream
+        ) -> None:
+            await system.ask(system.request(IDEMPOTENT))
+            system.fleet.at(one.address).limit = None
+            await system.client.report(one)
+            assert system.context.limits.per_second(one) <= 1.0
+
+        self.play(work)
+
+    def test_an_instance_that_ended_has_no_limit(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, one: chain.Upstream
+        ) -> None:
+            await system.ask(system.request(IDEMPOTENT))
+            assert system.context.limits.per_second(one) <= 1.0
+            system.book.on_changed((), (one.life.id,))
+            assert system.context.limits.per_second(one) == float("inf")
+
+        self.play(work)
+
+
 class _Usage:
     """Requests under way, as a test sets them."""
 
