Orders and questions of the placement go out a few at a time

Cause: the first part of the plan was carried out, 40 orders; all others were sent within a second, each with a question first: 988 connections of one entry open at once. None was answered before it was given up, so 960 engines were taken for failed, and asked all at once again at every look. Change: 32 orders and 32 questions under way at once.

--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -43,6 +43,9 @@
 # Until then, or until the engine has taken a newer order, what it holds is
 # in doubt, and no other engine gives up a layer because of it.
 LATE_ORDER_SECONDS = 12.5
+# Orders under way at once. Each takes some ms of a small entry's time, so that
+# of a thousand at once none would be answered before it is given up.
+ORDERS_AT_ONCE = 32
 # Between two parts of a plan: a call of the store and back.
 TURN_SECONDS = 0.005
 
@@ -160,11 +163,13 @@
         relied = [self._relied_on(one) for one in engines]
         batches = plan.iter_moves(engines, profile, self._is_idle, relied)
         gaps = plan.Gaps(engines, profile)
+        limiter = anyio.CapacityLimiter(ORDERS_AT_ONCE)
         async with anyio.create_task_group() as tasks:
             for batch in batches:
                 moves = self._hold_newcomers(service, engines, batch, gaps)
                 for move in moves:
-                    tasks.start_soon(self._order, move)
+                    self._expect(move, UNKNOWN_SECONDS)
+                    tasks.start_soon(self._order_within, move, limiter)
                 # Also for those held back: finding them took as long.
                 await anyio.sleep(TURN_SECONDS if batch else 0.0)
                 if not self._lease.is_held:
@@ -267,6 +272,13 @@
         if over:
             self._tell_doubts()
 
+    async def _order_within(
+        self, move: plan.Move, limiter: anyio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            if self._lease.is_held:
+                await self._order(move)
+
     async def _order(self, move: plan.Move) -> None:
         name = move.upstream.name
         if self._book.seconds_backing_off(name):
--- a/src/crowdeck/placement/losses.py
+++ b/src/crowdeck/placement/losses.py
@@ -26,6 +26,9 @@
 # fails: thirteen of 39 that died together were known three seconds later,
 # when their entries went.
 SWEEPS = 2
+# Questions under way at once: a thousand at once would all go unanswered, for
+# want of our own time.
+QUESTIONS_AT_ONCE = 32
 # Where more than this share of the fleet says nothing the fault is taken
 # for ours: the entries tell, in time, who is gone.
 SWEEP_MOST_SHARE = 0.5
@@ -71,10 +74,12 @@
         avoided = self._book.avoided()
         for name in set(self._unanswered) - {one.name for one in avoided}:
             del self._unanswered[name]
-        async with anyio.create_task_group() as tasks:
-            for one in avoided:
-                if one.card and not self._book.seconds_backing_off(one.name):
-                    tasks.start_soon(self._question, one)
+        asked = [
+            one
+            for one in avoided
+            if one.card and not self._book.seconds_backing_off(one.name)
+        ]
+        await _each(self._question, asked)
 
     async def _sweep(self) -> None:
         """Ask all engines, after one was lost."""
@@ -105,9 +110,7 @@
                 )
                 silent.append(upstream)
 
-        async with anyio.create_task_group() as tasks:
-            for one in asked:
-                tasks.start_soon(ask, one)
+        await _each(ask, asked)
         if len(silent) > SWEEP_MOST_SHARE * len(asked):
             logs.change("sweep_ignored", asked=len(asked), silent=len(silent))
             return
@@ -131,3 +134,19 @@
                 self._sweeps_left = SWEEPS
             return
         self._book.trust(upstream.name)
+
+
+async def _each(
+    ask: typing.Callable[[chain.Upstream], typing.Awaitable[None]],
+    engines: typing.Iterable[chain.Upstream],
+) -> None:
+    """Ask all of some engines, a few at a time."""
+    limiter = anyio.CapacityLimiter(QUESTIONS_AT_ONCE)
+
+    async def ask_within(upstream: chain.Upstream) -> None:
+        async with limiter:
+            await ask(upstream)
+
+    async with anyio.create_task_group() as tasks:
+        for one in engines:
+            tasks.start_soon(ask_within, one)
--- a/tests/test_late_engines.py
+++ b/tests/test_late_engines.py
@@ -18,6 +18,7 @@
 from play to play, and so did what was served.
 """
 
+import asyncio
 import typing
 
 import anyio
@@ -25,10 +26,12 @@
 import pytest
 
 from crowdeck import chain
+from crowdeck import errors
 from crowdeck import pipeline
 from crowdeck.placement import duty as duties
 from crowdeck.placement import plan
 from crowdeck import route as routes
+from crowdeck.standin import chain_fleet
 from crowdeck.state import leases
 from tests import fleet_system
 from tests import test_placement
@@ -39,6 +42,11 @@
 HELD = 20
 ZONES = ("a", "b", "c")
 PROFILE = fleet_system.PROFILE
+# What a call takes of a small entry's time, and after how long it is given up.
+STEP_SECONDS = 0.0008
+EXCHANGE_STEPS = 4
+GIVEN_UP_SECONDS = 0.5
+ORDERED_SECONDS = 10.0
 
 
 def a_fleet() -> list[chain.Upstream]:
@@ -135,6 +143,72 @@
         virtual.run(body)
 
 
+class CostlyOrders:
+    """Calls of engines, each of which takes some of a small entry's time."""
+
+    def __init__(self, fleet: chain_fleet.ChainFleet) -> None:
+        self._fleet = fleet
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        await self._exchange()
+        return await self._fleet.report(upstream)
+
+    async def place(
+        self, move: plan.Move, expected_orders: int, fencing_token: int
+    ) -> bool:
+        await self._exchange()
+        return await self._fleet.place(move, expected_orders, fencing_token)
+
+    async def _exchange(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, virtual.VirtualLoop)
+        with anyio.move_on_after(GIVEN_UP_SECONDS):
+            for _ in range(EXCHANGE_STEPS):
+                loop.pass_time(STEP_SECONDS)
+                await anyio.sleep(0.0002)
+            return
+        raise errors.CrowdeckError(errors.Code.UPSTREAM_LOST, "no answer")
+
+
+class TestThousand:
+    """A new fleet of a thousand engines, and a giver of 0.4 of a core.
+
+    What callers saw: 40 engines held layers, and nine requests of ten were
+    refused. The order of events: the first part of the plan, 40 orders, was
+    carried out; all others were sent within a second, each with a question
+    first, and the giver had 988 connections open at once. None was answered
+    before it was given up, so all these engines were taken for failed, and
+    asked all at once again whether they live, twice a second.
+    """
+
+    def test_every_layer_is_ordered_in_time(self) -> None:
+        async def body() -> None:
+            system = fleet_system.FleetSystem()
+            duty = duties.PlacementDuty(
+                typing.cast(leases.Lease, test_placement._Ledger()),
+                system.book,
+                CostlyOrders(system.fleet),
+                lambda: (routes.Service(fleet_system.MODEL, 100, PROFILE),),
+            )
+            async with anyio.create_task_group() as tasks:
+                for number in range(1_000):
+                    name, zone = f"e{number}", ZONES[number % 3]
+                    system.add(
+                        fleet_system.upstream(name, zone, None, "large")
+                    )
+                began = anyio.current_time()
+                tasks.start_soon(duty.run)
+                while not all(
+                    one.orders_taken for one in system.fleet.upstreams
+                ):
+                    await anyio.sleep(0.1)
+                    assert anyio.current_time() < began + ORDERED_SECONDS
+                tasks.cancel_scope.cancel()
+            assert not system.book.avoided()
+
+        virtual.run(body)
+
+
 def _count_coverage(monkeypatch: pytest.MonkeyPatch) -> list[int]:
     """Have each look through a group of engines counted."""
     counted: list[int] = []
