--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -29,6 +29,7 @@
 from crowdeck.relay import reach
 from crowdeck.relay import request as requests
 from crowdeck.standin import chain_answer
+from crowdeck.standin import repeats
 from crowdeck import verdict as verdicts
 
 # Engines cut what waits for a dead or silent one after this long.
@@ -136,6 +137,8 @@
     A request whose body is one of ``ends_upstreams`` ends each upstream that
     begins it; ``falls`` keeps which and when.
 
+    ``accounts`` has what each service got, by its name.
+
     While ``is_cut_off`` nothing passes between them and whoever asks, and
     nothing is lost either: as on a link that is full.
     """
@@ -149,6 +152,9 @@
         self.repaths: list[str] = []
         self.ends_upstreams: set[bytes] = set()
         self.falls: list[Fall] = []
+        self.accounts: dict[str, repeats.RepeatAccount] = (
+            collections.defaultdict(repeats.RepeatAccount)
+        )
         self.is_cut_off = False
         self.events = 20
         self.event_seconds = 0.02
@@ -182,6 +188,9 @@
     ) -> typing.AsyncIterator[chain_answer.StandinAnswer]:
         """Send a request."""
         target = await self._dial(upstream, timeouts.connect)
+        self.accounts[target.listed.service].note_arrival(
+            request.id, anyio.current_time()
+        )
         is_other = target.listed.life.id != upstream.life.id
         if is_other or target.rejects:
             target.rejects = max(0, target.rejects - 1)
--- a/tests/entries_system.py
+++ b/tests/entries_system.py
@@ -97,7 +97,9 @@
         """End an entry's process, and put an empty one in its place."""
         entry = self._entries[number]
         self._scopes[number].cancel()
-        fresh = fleet_system.FleetSystem(self.fleet, entry.name)
+        fresh = fleet_system.FleetSystem(
+            self.fleet, entry.name, anyio.current_time()
+        )
         fresh.install(fresh.config)
         for listed in self._listed.values():
             fresh.tell(listed)
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -155,7 +155,10 @@
     """One entry's relay, its upstreams, and the clock they share."""
 
     def __init__(
-        self, fleet: chain_fleet.ChainFleet | None = None, name: str = ""
+        self,
+        fleet: chain_fleet.ChainFleet | None = None,
+        name: str = "",
+        began: float = float("-inf"),
     ) -> None:
         self.fleet = fleet or chain_fleet.ChainFleet()
         self.name = name
@@ -170,6 +173,7 @@
             usage=self.usage,
             planner=hops.HopPlanner(self.usage),
             terms=contexts.BudgetTerms(0.2, 100.0, 10.0),
+            began=began,
             name=name,
             # Entries that draw alike would do the same at one moment.
             chance=random.Random(name or 1),
@@ -182,6 +186,8 @@
         self.relay = relays.Relay(
             self.context, self.holder, self.watch, lambda: self.age, 3.5
         )
+        # Ids of an entry that was started again are others than before.
+        self._prefix = f"{name}r" if began < 0.0 else f"{name}@{began:.3f}r"
         self._ids = 0
 
     def install(self, config: routes.FleetConfig) -> None:
@@ -226,7 +232,7 @@
         """Return a new request on one of the routes."""
         self._ids += 1
         request = requests.CallerRequest(
-            id=f"{self.name}r{self._ids}",
+            id=f"{self._prefix}{self._ids}",
             method="POST",
             target=f"/{repeat}/x",
             path=f"/{repeat}/x",
