Logs tell from what the retry budget of each repeat followed

Until now counters told how many requests were sent again; whether a total over all entries was too high because one had started a moment before, knew of no other entry, or counted requests of another time could not be told.

Change: repeat_allowed and repeat_refused tell service, repeats left, requests in the window, entries believed in and seconds since the start; the time from repeat_allowed to path_chosen of the same request tells how long a repeat was on its way. Counter relay.unrepeated, gauge relay.budget.SERVICE. No decision changes.

--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -325,8 +325,12 @@
             return False
         if not self._sent:
             return True
+        service = self._service.name
+        if not self._context.spend_repeat(service, self._request.id):
+            self._context.note_unrepeated(service, self._request.id)
+            return False
         counters.COUNTERS.add("relay.call.repeated")
-        return self._context.budget(self._service.name).spend()
+        return True
 
     def _none_left(self, seconds: float) -> errors.CrowdeckError:
         """Return the refusal of a call that no instance takes.
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -8,10 +8,13 @@
 import random
 import typing
 
+import anyio
 import attrs
 
 from crowdeck import chain
 from crowdeck.membership import upstreams as books
+from crowdeck.observe import counters
+from crowdeck.observe import logs
 from crowdeck.quarantine import ledger as ledgers
 from crowdeck.relay import lateness
 from crowdeck.relay import reach
@@ -108,6 +111,38 @@
             self._budgets[service] = found
         return found
 
+    def spend_repeat(self, service: str, request: str) -> bool:
+        """Spend one repeat of a service's budget, unless it is spent.
+
+        :param request: id of the request that is to be sent again.
+        """
+        if not self.budget(service).spend():
+            return False
+        self._log_repeat("repeat_allowed", service, request)
+        return True
+
+    def note_unrepeated(self, service: str, request: str) -> None:
+        """Note that a request is not sent again for want of budget."""
+        counters.COUNTERS.add("relay.unrepeated")
+        self._log_repeat("repeat_refused", service, request)
+
+    def _log_repeat(self, what: str, service: str, request: str) -> None:
+        """Log from what a budget follows.
+
+        Entries together can send too much though each keeps to its own.
+        """
+        budget = self.budget(service)
+        counters.COUNTERS.set_gauge(f"relay.budget.{service}", budget.left)
+        logs.decision(
+            what,
+            request,
+            service=service,
+            left=round(budget.left, 2),
+            requests=budget.requests,
+            entries=self._entries,
+            running=round(anyio.current_time() - self.began, 3),
+        )
+
     def note_end(self, upstream: chain.Upstream) -> None:
         """Note that an instance has ended.
 
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -324,12 +324,13 @@
         An answer that has begun waits for one: what is cut is lost to its
         caller, and the budget comes back as its window moves on.
         """
-        budget = self._context.budget(self._stream.service.name)
+        service = self._stream.service.name
         until = anyio.current_time()
         if self._sink.has_started:
             until = min(until + paths.BEGUN_WAIT_SECONDS, self._deadline)
-        while not budget.spend():
+        while not self._context.spend_repeat(service, self._request.id):
             if anyio.current_time() >= until:
+                self._context.note_unrepeated(service, self._request.id)
                 return False
             await anyio.sleep(paths.WAIT_STEP)
         counters.COUNTERS.add("relay.stream.repeated")
--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -58,6 +58,12 @@
             return 0.0
         return max(0.0, 1.0 - len(self._repeats) / allowed)
 
+    @property
+    def requests(self) -> int:
+        """Requests in the window that ends now."""
+        self._forget()
+        return len(self._requests)
+
     def share_among(self, entries: int) -> None:
         """Take a part of the slack: one of ``entries``."""
         self._entries = max(1, entries)
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -53,6 +53,8 @@
 
     :ivar is_dead: refuses connections.
     :ivar is_dark: does not answer, nor does it refuse.
+    :ivar is_frozen: takes connections, and reads what came by them once it
+        goes on, also what was given up meanwhile.
     :ivar rejects: how many of the next requests it refuses as not run.
     :ivar loses: how many of the next answers it loses after running.
     :ivar breaks_after: breaks a stream off after so many events, once.
@@ -72,6 +74,7 @@
     orders_taken: int = 0
     is_dead: bool = False
     is_dark: bool = False
+    is_frozen: bool = False
     rejects: int = 0
     loses: int = 0
     breaks_after: int = -1
@@ -155,6 +158,7 @@
         self.accounts: dict[str, repeats.RepeatAccount] = (
             collections.defaultdict(repeats.RepeatAccount)
         )
+        self._unread: list[tuple[StandinUpstream, str]] = []
         self.is_cut_off = False
         self.events = 20
         self.event_seconds = 0.02
@@ -188,9 +192,7 @@
     ) -> typing.AsyncIterator[chain_answer.StandinAnswer]:
         """Send a request."""
         target = await self._dial(upstream, timeouts.connect)
-        self.accounts[target.listed.service].note_arrival(
-            request.id, anyio.current_time()
-        )
+        await self._arrive(target, request)
         is_other = target.listed.life.id != upstream.life.id
         if is_other or target.rejects:
             target.rejects = max(0, target.rejects - 1)
@@ -310,6 +312,29 @@
             raise _lost(verdicts.Verdict.NOT_RUN)
         return target
 
+    async def _arrive(
+        self, target: StandinUpstream, request: requests.CallerRequest
+    ) -> None:
+        """Count a request once its instance reads it."""
+        if target.is_frozen:
+            self._unread.append((target, request.id))
+            while target.is_frozen:
+                await anyio.sleep(POLL_SECONDS)
+            return
+        self._note_arrival(target, request.id)
+
+    def thaw(self, target: StandinUpstream) -> None:
+        """Have a frozen instance go on."""
+        target.is_frozen = False
+        for one, request_id in self._unread:
+            if one is target:
+                self._note_arrival(one, request_id)
+        self._unread = [pair for pair in self._unread if pair[0] is not target]
+
+    def _note_arrival(self, target: StandinUpstream, request_id: str) -> None:
+        account = self.accounts[target.listed.service]
+        account.note_arrival(request_id, anyio.current_time())
+
     def _misfit(self, path: chain.ChainPath | None) -> str | None:
         """Return the address of an engine that lacks its part."""
         if path is None:
