Tests that fail: repeats over the budget, counted at the service

What callers' services saw: more arrivals beyond the first of each request than all entries together may send in ten seconds.

--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,164 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Repeats, counted at the service that gets them.
+
+What was seen: a service got more arrivals beyond the first of each request
+than the retry budget allows in ten seconds.
+"""
+
+import anyio
+import pytest
+
+from crowdeck import route as routes
+from tests import repeats_system
+
+CALM = repeats_system.CALM_SECONDS
+KINDS = (routes.Repeat.IDEMPOTENT, routes.Repeat.STREAM)
+COUNTS = (1, 5, 70)
+
+kinds = pytest.mark.parametrize("kind", KINDS, ids=str)
+counts = pytest.mark.parametrize("count", COUNTS)
+
+
+async def _spend_all(demand: repeats_system.Demand) -> None:
+    """Have all that may be repeated be repeated, after a calm time."""
+    await demand.ask(CALM, fails=False)
+    await demand.ask(3.0)
+
+
+def _restart_all(demand: repeats_system.Demand, count: int) -> None:
+    for number in range(count):
+        demand.entries.stop(number)
+
+
+class TestEntriesThatEnd:
+    """All that the processes of an entry send counts together."""
+
+    @kinds
+    @counts
+    def test_all_at_once(self, count: int, kind: routes.Repeat) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await _spend_all(demand)
+            _restart_all(demand, count)
+            await demand.ask(15.0)
+
+        peak = repeats_system.play(body, count, kind).peak
+        assert not peak.is_over, peak
+
+    @counts
+    def test_one_a_second(self, count: int) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await _spend_all(demand)
+            for number in range(10):
+                demand.entries.stop(number % count)
+                await demand.ask(1.0)
+            await demand.ask(5.0)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
+    @counts
+    def test_all_again_and_again(self, count: int) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await _spend_all(demand)
+            for _ in range(10):
+                _restart_all(demand, count)
+                await demand.ask(1.0)
+            await demand.ask(5.0)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
+
+class TestEntriesThatKnowNoOther:
+    """An entry that does not know how many there are takes no share."""
+
+    @kinds
+    @pytest.mark.parametrize("count", (5, 70))
+    def test_all_start_while_the_store_is_silent(
+        self, count: int, kind: routes.Repeat
+    ) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await demand.ask(CALM, fails=False)
+            demand.entries.store.is_down = True
+            _restart_all(demand, count)
+            await demand.ask(15.0)
+            demand.entries.store.is_down = False
+            await demand.ask(5.0)
+
+        peak = repeats_system.play(body, count, kind).peak
+        assert not peak.is_over, peak
+
+
+class TestCallersThatMove:
+    """Requests earn repeats once, whichever entries get them."""
+
+    @pytest.mark.parametrize("per_second", (60.0, 240.0))
+    @pytest.mark.parametrize("count", (5, 70))
+    def test_from_one_entry_to_all_others(
+        self, count: int, per_second: float
+    ) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            others = range(1, count)
+            await demand.ask(20.0, fails=False, among=[0])
+            await demand.ask(10.0, per_second, fails=False, among=[0])
+            await demand.ask(1.0, per_second, among=[0])
+            await demand.ask(14.0, per_second, among=others)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
+
+class TestInstancesThatFreeze:
+    """A repeat counts until it is known to have arrived."""
+
+    @pytest.mark.parametrize("count", (1, 5))
+    def test_what_it_reads_late_counts_with_what_is_sent_then(
+        self, count: int
+    ) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            fleet = demand.entries.fleet
+            plain = [
+                one
+                for one in fleet.upstreams
+                if one.listed.service == demand.service
+            ]
+            await demand.ask(CALM, fails=False)
+            for one in plain:
+                one.is_frozen = True
+            await demand.ask(8.0)
+            for one in plain:
+                fleet.thaw(one)
+            await demand.ask(12.0)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
+
+class TestCallersAreServed:
+    """What may be repeated still is."""
+
+    @kinds
+    @counts
+    def test_most_of_the_budget_is_used(
+        self, count: int, kind: routes.Repeat
+    ) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await demand.ask(CALM, fails=False)
+            await demand.ask(12.0)
+
+        peak = repeats_system.play(body, count, kind).peak
+        assert 0.6 * peak.allowed <= peak.repeats <= peak.allowed, peak
+
+    def test_an_entry_that_starts_repeats_at_once(self) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await demand.ask(CALM, fails=False)
+            _restart_all(demand, 5)
+            await anyio.sleep(2.0)
+            await demand.ask(3.0)
+
+        demand = repeats_system.play(body, 5)
+        assert len(demand.account.repeats()) >= 5
