An entry that does not know how many there are takes no slack

What callers' services saw: repeats over the budget after entries started while the store was silent. Cause: the number of entries is 1 until their notes are listed, and was looked at once a second, so that each entry took the whole slack for its own.

Change: the number of entries is unknown until listed, and no slack is taken then; what an entry's own requests earn is still its own. The relay hears of each change from the roster at once, so no part polls for it.

The same cause elsewhere: limits that instances name were taken whole by each entry that knew of no other. Such an entry takes the part of one of ten; a test of five entries fails without it.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -18,7 +18,6 @@
 from crowdeck import http
 from crowdeck import instance as instances
 from crowdeck.membership import peer_http
-from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as books
 from crowdeck.observe import counters
 from crowdeck.observe import logs
@@ -162,8 +161,8 @@
             is_new_fleet=bool(fleet["first_start"]),
         )
         self._lease = lease
-        share = _Sharing(context, view.roster)
-        for part in (*view.parts, share.run, lease.run, watch.run):
+        context.follow(view.roster)
+        for part in (*view.parts, lease.run, watch.run):
             tasks.start_soon(part)
         tasks.start_soon(_place, lease, view.book, upstreams, view.holder)
         tasks.start_soon(self._survey, context, view)
@@ -256,23 +255,6 @@
         return client
 
 
-class _Sharing:
-    """Keeps an entry's share of limits in step with the roster."""
-
-    def __init__(
-        self, context: contexts.RelayContext, roster: rosters.Roster
-    ) -> None:
-        self._context = context
-        self._roster = roster
-
-    async def run(self) -> None:
-        while True:
-            self._context.share_among(
-                self._roster.zone_count, self._roster.count
-            )
-            await anyio.sleep(1.0)
-
-
 async def _place(
     lease: leases.Lease,
     book: books.UpstreamBook,
--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -5,6 +5,8 @@
 
 """Which entries there are, from what each notes in the store."""
 
+import typing
+
 import anyio
 import attrs
 import orjson
@@ -37,6 +39,9 @@
 WRITE_PAUSE = 0.1
 
 
+Listener = typing.Callable[[], None]
+
+
 @attrs.frozen
 class Note:
     """What an entry tells of itself.
@@ -80,8 +85,14 @@
         self._versions: dict[str, int] = {}
         self._ranking: tuple[readers.Peer, ...] = ()
         self._listed = anyio.Event()
+        self._listeners: list[Listener] = []
         self._rank()
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the other entries' notes were ever listed."""
+        return self._listed.is_set()
+
     @property
     def count(self) -> int:
         """Entries in all."""
@@ -95,6 +106,10 @@
             1 for one in self._notes.values() if one.availability_zone == zone
         )
 
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` whenever the number of entries is learnt."""
+        self._listeners.append(listener)
+
     def ranking(self) -> tuple[readers.Peer, ...]:
         """Return this zone's entries in the order in which they read."""
         return self._ranking
@@ -175,6 +190,8 @@
         for one in objects:
             self._take(one)
         self._rank()
+        for listener in self._listeners:
+            listener()
         if self.count != before:
             logs.change(
                 "entries_known",
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -12,6 +12,7 @@
 import attrs
 
 from crowdeck import chain
+from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as books
 from crowdeck.observe import counters
 from crowdeck.observe import logs
@@ -75,7 +76,7 @@
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
-    _entries: int = 1
+    _membership: budgets.Membership = budgets.ALONE
 
     def __attrs_post_init__(self) -> None:
         self.return_times = returns.ReturnTimes(self.chance)
@@ -107,7 +108,7 @@
             found = budgets.SharedBudget(
                 terms.ratio, terms.slack, terms.window, self.began
             )
-            found.share_among(self._entries)
+            found.follow(self._membership)
             self._budgets[service] = found
         return found
 
@@ -139,7 +140,7 @@
             service=service,
             left=round(budget.left, 2),
             requests=budget.requests,
-            entries=self._entries,
+            entries=self._membership.entries,
             running=round(anyio.current_time() - self.began, 3),
         )
 
@@ -201,10 +202,23 @@
         """Whether the budget allows a stream to begin again elsewhere."""
         return self.budget(service).left_share >= BUDGET_KEPT_SHARE
 
-    def share_among(self, zone: int, whole: int) -> None:
-        """Take this entry for one of so many in its zone, and in all."""
-        self.usage.share_among(zone, whole)
-        self.limits.share_among(whole)
-        self._entries = whole
+    def follow(self, roster: rosters.Roster) -> None:
+        """Share what is limited with the entries that a roster knows."""
+
+        def take() -> None:
+            membership = budgets.UNKNOWN
+            if roster.is_known:
+                membership = budgets.Membership(roster.count)
+            self._share(roster.zone_count, membership)
+
+        roster.subscribe(take)
+        take()
+
+    def _share(
+        self, zone_entries: int, membership: budgets.Membership
+    ) -> None:
+        self.usage.share_among(zone_entries, membership.entries)
+        self.limits.share_among(membership.entries)
+        self._membership = membership
         for found in self._budgets.values():
-            found.share_among(whole)
+            found.follow(membership)
--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -8,12 +8,28 @@
 import collections
 
 import anyio
+import attrs
 
 # An entry sees only its own requests and repeats. What the others do at
 # the edges of a window is unknown, so a part stays unspent.
 MARGIN = 0.8
 
 
+@attrs.frozen
+class Membership:
+    """What an entry knows of the entries that share a budget with it.
+
+    :ivar entries: how many there are, this one included; 0 while that is
+        not known.
+    """
+
+    entries: int = 1
+
+
+ALONE = Membership()
+UNKNOWN = Membership(entries=0)
+
+
 class SharedBudget:
     """This entry's share of a service's budget in a sliding window.
 
@@ -41,7 +57,7 @@
         self._slack = slack
         self._window = window
         self._since = since
-        self._entries = 1
+        self._membership = ALONE
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
@@ -64,9 +80,9 @@
         self._forget()
         return len(self._requests)
 
-    def share_among(self, entries: int) -> None:
-        """Take a part of the slack: one of ``entries``."""
-        self._entries = max(1, entries)
+    def follow(self, membership: Membership) -> None:
+        """Take the part of the slack that a membership leaves."""
+        self._membership = membership
 
     def earn(self) -> None:
         """Count a request."""
@@ -82,10 +98,20 @@
     def _allowed(self) -> float:
         """Return the repeats allowed in the window that ends now."""
         self._forget()
+        earned = self._ratio * len(self._requests)
+        return MARGIN * (earned + self._slack_share())
+
+    def _slack_share(self) -> float:
+        """Return this entry's part of the slack.
+
+        Without knowing how many others there are any part may be too much;
+        what its own requests earn is its own whoever else there is.
+        """
+        entries = self._membership.entries
+        if not entries:
+            return 0.0
         age = max(0.0, anyio.current_time() - self._since)
-        slack = self._slack * min(1.0, age / self._window)
-        share = slack / self._entries
-        return MARGIN * (self._ratio * len(self._requests) + share)
+        return self._slack * min(1.0, age / self._window) / entries
 
     def _forget(self) -> None:
         since = anyio.current_time() - self._window
--- a/src/crowdeck/routing/rate_limits.py
+++ b/src/crowdeck/routing/rate_limits.py
@@ -30,6 +30,9 @@
 BURST_EXTRA = 2.5
 # How soon what was seen of the other entries' part counts half as much.
 HALF_LIFE_SECONDS = 5.0
+# While it is not known how many entries there are: seconds after a start,
+# longer only where the store is silent.
+UNKNOWN_ENTRIES = 10
 # So many requests have to be seen for that to count as much as taking all
 # entries for equals: calls are over so soon that most answers show none.
 EVEN_REQUESTS = 6.0
@@ -89,8 +92,8 @@
         self._limits: dict[str, _Limit] = {}
 
     def share_among(self, entries: int) -> None:
-        """Take this entry for one of so many."""
-        self._entries = max(1, entries)
+        """Take this entry for one of so many, 0 where that is not known."""
+        self._entries = entries or UNKNOWN_ENTRIES
 
     def note(
         self,
--- a/tests/entries_system.py
+++ b/tests/entries_system.py
@@ -25,7 +25,6 @@
 # An instance that fell is back after this long; 1 to 3 s were seen.
 BACK_SECONDS = 2.0
 LOOK_SECONDS = 0.05
-SHARE_SECONDS = 1.0
 NOTES_WAIT = 10.0
 STREAM = routes.Repeat.STREAM
 REPEATABLE = routes.Repeat.IDEMPOTENT
@@ -201,7 +200,7 @@
             )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(entry.watch.run)
-                tasks.start_soon(_share, entry, roster)
+                entry.context.follow(roster)
                 tasks.start_soon(roster.run)
                 tasks.start_soon(mirror.run)
 
@@ -260,15 +259,6 @@
             entry.tell(listed)
 
 
-async def _share(
-    entry: fleet_system.FleetSystem, roster: rosters.Roster
-) -> None:
-    """Tell an entry among how many it shares what is limited."""
-    while True:
-        entry.context.share_among(roster.zone_count, roster.count)
-        await anyio.sleep(SHARE_SECONDS)
-
-
 def play(
     work: typing.Callable[[Entries], typing.Awaitable[None]],
     count: int = 3,
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -293,7 +293,7 @@
             entries = [budgets.SharedBudget(0.2, 100.0, 10.0) for _ in "abcd"]
             spent = 0
             for one in entries:
-                one.share_among(len(entries))
+                one.follow(budgets.Membership(len(entries)))
                 for _ in range(50):
                     one.earn()
                 while one.spend():
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -415,6 +415,25 @@
                 sent += 1
         return sent
 
+    def test_entries_that_know_of_no_other_keep_it_together(self) -> None:
+        # Entries that started while the store was silent each took the
+        # whole of what all may send, as each does of the retry budget.
+        async def body() -> None:
+            entries = []
+            for number in range(5):
+                limits = rate_limits.RateLimits(
+                    _Usage(), random.Random(number)
+                )
+                limits.share_among(0)
+                limits.note(fleet_system.upstream("one"), 10.0, None)
+                entries.append(limits)
+            sent = 0
+            for one in entries:
+                sent += await self.count(one, fleet_system.upstream("one"), 8)
+            assert 0 < sent <= 10.0 * 8
+
+        virtual.run(body)
+
     def test_no_limit_allows_everything(self) -> None:
         async def work(
             limits: rate_limits.RateLimits, _: _Usage, one: chain.Upstream
