Requests earn repeats in one window only, whichever entry gets them

What callers' services saw: repeats over the budget while callers moved from one entry to others. Cause: each entry counted its requests in the window that ended as it repeated; one that lost its callers and those that got them each spent what the same requests earned, in one window of the service.

Change: an entry keeps to its share in every window that contains the present, and in each of them the requests of the window before count. Added up over entries that is one and the same time. Windows are looked at in 40 parts, so that a decision costs the same at any rate.

Ruled out: requests of the same window (a burst of lost streams may then spend the slack only); the largest of three windows, as a service may count (another one at each entry, which adds up to more).

--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -181,7 +181,7 @@
         version = self._versions.get(self._name, stores.CREATE)
         try:
             self._versions[self._name] = await self._store.put(
-                KIND, self._name, _encode(note), version
+                KIND, self._name, encode(note), version
             )
         except errors.CrowdeckError as error:
             if error.code is errors.Code.STORE_CONFLICT:
@@ -285,7 +285,8 @@
         )
 
 
-def _encode(note: Note) -> bytes:
+def encode(note: Note) -> bytes:
+    """Return a note as the store keeps it."""
     address = str(note.address) if note.address else ""
     return orjson.dumps(
         {
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -56,6 +56,7 @@
     :ivar zone: the entry's availability zone.
     :ivar began: the loop's time at which the process was started.
     :ivar name: the entry's name.
+    :ivar membership: the entries that share what is limited with it.
     :ivar loop: how late the entry's own event loop is.
     :ivar ledger: requests under which instances ended.
     """
@@ -68,6 +69,7 @@
     terms: BudgetTerms
     began: float = float("-inf")
     name: str = ""
+    membership: budgets.Membership = budgets.FixedMembership()
     loop: lateness.LatenessMeter = attrs.field(factory=lateness.LatenessMeter)
     chance: random.Random = attrs.field(factory=random.Random)
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
@@ -76,7 +78,6 @@
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
-    _membership: budgets.Membership = budgets.FixedMembership()
 
     def __attrs_post_init__(self) -> None:
         self.return_times = returns.ReturnTimes(self.chance)
@@ -110,7 +111,7 @@
                 terms.slack,
                 terms.window,
                 self.began,
-                self._membership,
+                self.membership,
             )
             self._budgets[service] = found
         return found
@@ -143,7 +144,7 @@
             service=service,
             left=round(budget.left, 2),
             requests=budget.requests,
-            entries=self._membership.entries,
+            entries=self.membership.entries,
             running=round(anyio.current_time() - self.began, 3),
         )
 
@@ -216,6 +217,6 @@
             self.usage.share_among(roster.zone_count, roster.entries)
             self.limits.share_among(roster.entries)
 
-        self._membership = roster
+        self.membership = roster
         roster.subscribe(take)
         take()
--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -6,6 +6,8 @@
 """A retry budget that entries share without asking one another."""
 
 import collections
+import itertools
+import math
 import typing
 
 import anyio
@@ -17,6 +19,10 @@
 STEADY_SHARE = 0.8
 RESTART_SHARE = 1.0 - STEADY_SHARE
 
+# A window is looked at in so many parts. What falls into the part in which
+# a window begins counts against it, and earns nothing.
+WINDOW_PARTS = 40
+
 
 class Membership(typing.Protocol):
     """What an entry knows of those that share a budget with it."""
@@ -46,12 +52,43 @@
     is_settled: bool = True
 
 
+class _Tally:
+    """Counts by parts of time, for the newest ``kept`` of them.
+
+    :param seconds: length of a part.
+    """
+
+    def __init__(self, seconds: float, kept: int) -> None:
+        self._seconds = seconds
+        self._counts = collections.deque([0] * kept, kept)
+        self._newest: int | None = None
+
+    def add(self) -> None:
+        """Count one now."""
+        self._move_on()
+        self._counts[-1] += 1
+
+    def newest_first(self) -> list[int]:
+        """Return the counts, that of the present part first."""
+        self._move_on()
+        return list(reversed(self._counts))
+
+    def _move_on(self) -> None:
+        present = math.floor(anyio.current_time() / self._seconds)
+        passed = 0 if self._newest is None else present - self._newest
+        self._newest = present
+        self._counts.extend([0] * min(passed, len(self._counts)))
+
+
 class SharedBudget:
     """This entry's share of a service's budget in a sliding window.
 
-    All entries together may repeat ``ratio`` of the window's requests
-    and ``slack`` more. Each spends ``ratio`` of its own requests and its
-    part of the slack, which adds up to no more.
+    All entries together may repeat ``ratio`` of the requests and ``slack``
+    more in any window. Entries do not ask one another, and their callers
+    move between them. So every entry keeps to its share in every window
+    that contains the present, and in each of them the requests of the window
+    before it count: added up over all entries, those are the requests of
+    one and the same time, and none earns in two windows.
 
     A part of the slack is this entry's from when the others know of it; what
     its own requests earn is its own whoever else there is.
@@ -83,44 +120,58 @@
         self._window = window
         self._began = began
         self._membership = membership
-        self._requests: collections.deque[float] = collections.deque()
-        self._repeats: collections.deque[float] = collections.deque()
+        part = window / WINDOW_PARTS
+        self._repeats = _Tally(part, WINDOW_PARTS + 1)
+        self._requests = _Tally(part, 2 * WINDOW_PARTS)
 
     @property
     def left(self) -> float:
         """Repeats that may be made now."""
-        return self._allowed() - len(self._repeats)
+        earned = self._earned()
+        share = self._share_since(self._began)
+        slack = self._slack_part()
+        spent = itertools.accumulate(self._repeats.newest_first())
+        return min(
+            share * one + slack - repeats
+            for one, repeats in zip(earned, spent, strict=True)
+        )
 
     @property
     def left_share(self) -> float:
         """The part of what may be repeated that is left, 0 to 1."""
-        allowed = self._allowed()
+        earned = self._earned()[0]
+        allowed = self._share_since(self._began) * earned + self._slack_part()
         if allowed < 1.0:
             return 0.0
-        return max(0.0, 1.0 - len(self._repeats) / allowed)
+        return min(1.0, max(0.0, self.left / allowed))
 
     @property
     def requests(self) -> int:
-        """Requests in the window that ends now."""
-        self._forget()
-        return len(self._requests)
+        """Requests in the last window."""
+        return sum(self._requests.newest_first()[:WINDOW_PARTS])
 
     def earn(self) -> None:
         """Count a request."""
-        self._requests.append(anyio.current_time())
+        self._requests.add()
 
     def spend(self) -> bool:
         """Count a repeat, unless the budget is spent."""
         if self.left < 1.0:
             return False
-        self._repeats.append(anyio.current_time())
+        self._repeats.add()
         return True
 
-    def _allowed(self) -> float:
-        """Return the repeats allowed in the window that ends now."""
-        self._forget()
-        earned = self._ratio * len(self._requests)
-        return self._share_since(self._began) * earned + self._slack_part()
+    def _earned(self) -> list[float]:
+        """Return what requests earned for each window, the newest first.
+
+        One entry for each part in which a window can begin that contains the
+        present. Of the window before it, only parts that are in it whole.
+        """
+        total = [0, *itertools.accumulate(self._requests.newest_first())]
+        return [
+            self._ratio * (total[part + WINDOW_PARTS] - total[part + 1])
+            for part in range(WINDOW_PARTS + 1)
+        ]
 
     def _slack_part(self) -> float:
         """Return this entry's part of the slack.
@@ -144,9 +195,3 @@
         if age >= self._window:
             return STEADY_SHARE
         return RESTART_SHARE * age / self._window
-
-    def _forget(self) -> None:
-        since = anyio.current_time() - self._window
-        for times in (self._requests, self._repeats):
-            while times and times[0] < since:
-                times.popleft()
--- a/tests/test_engine_ending_requests.py
+++ b/tests/test_engine_ending_requests.py
@@ -115,6 +115,8 @@
 
         async def work(entries: entries_system.Entries) -> None:
             entries.fleet.ends_upstreams.add(BODY)
+            # The budget is none before.
+            await entries.know_each_other()
             budget = entries[0].context.budget(fleet_system.MODEL)
             before = budget.left
             entries.ask_soon(0, entries_system.STREAM, BODY)
