A repeat counts until it is known to have arrived

What callers' services saw: repeats over the budget as instances that had stood still went on. Cause: a repeat was counted when it was decided. What waits for a path or at an instance that takes connections and does not read arrives later, in a window whose share is spent anew by then.

Change: a repeat is reserved, and counts from then until one window after its arrival: the head of an answer, or a connection that the other end broke. Given up without an answer it may arrive for a window yet, and so may whatever else is sent of that request. One that could not be sent serves the next attempt, where a second was spent before; one not sent at all is given back.

Ruled out: counting until the request's deadline (an instance may read later, and does with a call of 1.5 s); counting as long again what broke at its connection (a reset is no doubt, and half of the repeats would be lost where engines end).

Tests spend by the same account as the relay does.

--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -109,6 +109,7 @@
         )
 
     async def _pass_on(self, answer: reach.Answer) -> None:
+        self._stream.sends.arrive()
         if answer.load is not None:
             self._context.usage.note_load(self._path.head, answer.load.running)
         if answer.has_not_run:
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -5,6 +5,7 @@
 
 """Calls of plain services: one answer, at most as many runs as allowed."""
 
+import contextlib
 import typing
 
 import anyio
@@ -23,6 +24,7 @@
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
 from crowdeck.routing import balance
+from crowdeck.routing import budget as budgets
 from crowdeck.routing import routes as tables
 from crowdeck import verdict as verdicts
 
@@ -77,7 +79,9 @@
 
         :raises CrowdeckError: with the verdict, when there is no answer.
         """
-        self._context.budget(service.name).earn()
+        budget = self._context.budget(service.name)
+        budget.earn()
+        sends = budget.open_sends()
         call = _Call(
             self._context,
             self._watch,
@@ -85,8 +89,10 @@
             request,
             admitted,
             service,
+            sends,
         )
-        answer = await call.run()
+        with contextlib.closing(sends):
+            answer = await call.run()
         await sink.reply(answer.status, answer.headers, answer.body)
 
 
@@ -105,10 +111,12 @@
         request: requests.CallerRequest,
         admitted: tables.Admitted,
         service: routes.Service,
+        sends: budgets.Sends,
     ) -> None:
         self._context = context
         self._watch = watch
         self._balancer = balancer
+        self._sends = sends
         self._request = request
         self._admitted = admitted
         self._service = service
@@ -221,6 +229,7 @@
             with anyio.fail_after(seconds):
                 answer = await self._exchange(upstream)
         except TimeoutError:
+            self._sends.give_up()
             self._balancer.note_failure(upstream)
             raise errors.CrowdeckError(
                 errors.Code.DEADLINE,
@@ -258,9 +267,11 @@
         )
         timeouts = http.Timeouts(self._context.connect_seconds, self._left())
         self._sent += 1
+        self._sends.send()
         async with self._context.client.open(
             upstream, self._request, dispatch, timeouts
         ) as answer:
+            self._sends.arrive()
             return await self._read(upstream, answer)
 
     async def _read(
@@ -294,9 +305,11 @@
         if error.verdict is not verdicts.Verdict.NOT_RUN:
             self._verdict = verdicts.Verdict.MAY_HAVE_RUN
             self._balancer.note_failure(upstream)
+            self._sends.arrive()
         elif error.code is errors.Code.UPSTREAM_LOST:
             # No connection was had, so it was not sent after all.
             self._sent -= 1
+            self._sends.fail_to_send()
             self._context.book.avoid(upstream.name, error.message)
         else:
             # One that refuses at once has nothing under way, and would look
@@ -326,10 +339,11 @@
         if not self._sent:
             return True
         service = self._service.name
-        if not self._context.spend_repeat(service, self._request.id):
+        if not self._sends.reserve():
             self._context.note_unrepeated(service, self._request.id)
             return False
         counters.COUNTERS.add("relay.call.repeated")
+        self._context.note_repeat(service, self._request.id)
         return True
 
     def _none_left(self, seconds: float) -> errors.CrowdeckError:
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -116,15 +116,9 @@
             self._budgets[service] = found
         return found
 
-    def spend_repeat(self, service: str, request: str) -> bool:
-        """Spend one repeat of a service's budget, unless it is spent.
-
-        :param request: id of the request that is to be sent again.
-        """
-        if not self.budget(service).spend():
-            return False
+    def note_repeat(self, service: str, request: str) -> None:
+        """Note that a request may be sent again."""
         self._log_repeat("repeat_allowed", service, request)
-        return True
 
     def note_unrepeated(self, service: str, request: str) -> None:
         """Note that a request is not sent again for want of budget."""
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -15,6 +15,7 @@
 from crowdeck.quarantine import ledger as ledgers
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
+from crowdeck.routing import budget as budgets
 from crowdeck.routing import usage as usages
 
 # Weight of the newest pause in a stream's mean.
@@ -27,6 +28,7 @@
 
     :ivar profile: of the engines that serve it.
     :ivar tokens: what the request is expected to hold while it runs.
+    :ivar sends: the account of its sends that the retry budget keeps.
     :ivar resumes: tells whether it may go on at another first engine.
     :ivar last_event: id of the last event passed on, -1 for none.
     :ivar moved_at: the loop's time when it last moved: an event came,
@@ -48,6 +50,7 @@
     objective: float
     tokens: float
     _usage: usages.InFlight
+    sends: budgets.Sends
     resumes: typing.Callable[[], bool] = lambda: False
     last_event: int = -1
     has_events: bool = False
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -58,7 +58,9 @@
         :raises CrowdeckError: with the verdict, when it cannot be ended.
         """
         assert service.profile is not None
-        self._context.budget(service.name).earn()
+        budget = self._context.budget(service.name)
+        budget.earn()
+        sends = budget.open_sends()
         size = request.size or requests.PromptSize(0, 0)
         stream = live.LiveStream(
             request=request,
@@ -68,6 +70,7 @@
             objective=admitted.route.objective,
             tokens=size.held(service.profile.usual_answer),
             usage=self._context.usage,
+            sends=sends,
             last_event=request.last_event,
             team=admitted.team,
         )
@@ -75,6 +78,7 @@
         try:
             await self._drive(stream, admitted, sink).run()
         finally:
+            sends.close()
             stream.end()
             self._watch.drop(stream)
 
@@ -186,6 +190,7 @@
             with anyio.CancelScope() as scope:
                 self._stream.begin(path, scope)
                 self._context.heads.begin(path.head.name, self._stream)
+                self._stream.sends.send()
                 self._stream.resumes = lambda: (
                     self._route.is_resumable
                     and self._runs_left(path.head.name) > 0
@@ -202,6 +207,7 @@
                 self._note_end(path)
                 return None
         except errors.CrowdeckError as error:
+            self._note_send(error)
             return error
         except anyio.get_cancelled_exc_class():
             self._context.ledger.note_left(path.head.name, self._stream.trial)
@@ -209,6 +215,7 @@
         finally:
             self._stream.end()
             self._context.heads.end(path.head.name, self._stream)
+        self._stream.sends.give_up()
         return errors.CrowdeckError(
             errors.Code.STALLED,
             self._stream.abandoned or "abandoned",
@@ -216,6 +223,16 @@
             culprit=path.head.name,
         )
 
+    def _note_send(self, error: errors.CrowdeckError) -> None:
+        """Tell the budget what an attempt's end says of its arrival."""
+        sends = self._stream.sends
+        if error.code is not errors.Code.UPSTREAM_LOST:
+            sends.give_up()
+        elif error.verdict is _MAY_HAVE_RUN:
+            sends.arrive()
+        else:
+            sends.fail_to_send()
+
     def _note_end(self, path: chain.ChainPath) -> None:
         stream = self._stream
         self._context.ledger.note_served(stream.fingerprint)
@@ -302,15 +319,14 @@
                 return False
         elif error.code is errors.Code.UPSTREAM_LOST:
             self._paths.exclude(path.head.name)
-            if not self._ran_on:
-                # No connection was had: nothing arrived anywhere, so
-                # nothing is repeated and no budget is spent.
-                return True
+            # No connection was had: nothing arrived anywhere, so what was
+            # reserved for this attempt serves the next.
+            return True
         else:
             self._refusals += 1
             if self._refusals > self._refusals_most:
                 return False
-        return await self._spend()
+        return await self._reserve()
 
     @property
     def _refusals_most(self) -> int:
@@ -318,8 +334,8 @@
             return REFUSED_TRIES_BEGUN
         return REFUSED_TRIES
 
-    async def _spend(self) -> bool:
-        """Spend one repeat of the budget; false where none can be had.
+    async def _reserve(self) -> bool:
+        """Reserve one repeat of the budget; false where none can be had.
 
         An answer that has begun waits for one: what is cut is lost to its
         caller, and the budget comes back as its window moves on.
@@ -328,12 +344,13 @@
         until = anyio.current_time()
         if self._sink.has_started:
             until = min(until + paths.BEGUN_WAIT_SECONDS, self._deadline)
-        while not self._context.spend_repeat(service, self._request.id):
+        while not self._stream.sends.reserve():
             if anyio.current_time() >= until:
                 self._context.note_unrepeated(service, self._request.id)
                 return False
             await anyio.sleep(paths.WAIT_STEP)
         counters.COUNTERS.add("relay.stream.repeated")
+        self._context.note_repeat(service, self._request.id)
         return True
 
     def _may_resume(self) -> bool:
--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -80,6 +80,47 @@
         self._counts.extend([0] * min(passed, len(self._counts)))
 
 
+class _Arrivals:
+    """Repeats that arrived in a window, and those that still may.
+
+    :param window: length of the window in seconds.
+    """
+
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._arrived = _Tally(window / WINDOW_PARTS, WINDOW_PARTS + 1)
+        self._under_way = 0
+        self._left_open: collections.deque[float] = collections.deque()
+
+    def newest_first(self) -> list[int]:
+        """Return how many count since each part in which a window begins."""
+        now = anyio.current_time()
+        while self._left_open and self._left_open[0] <= now:
+            self._left_open.popleft()
+            self._arrived.add()
+        open_ones = self._under_way + len(self._left_open)
+        arrived = itertools.accumulate(self._arrived.newest_first())
+        return [open_ones + count for count in arrived]
+
+    def send(self) -> None:
+        """Count one that is on its way."""
+        self._under_way += 1
+
+    def arrive(self) -> None:
+        """Count one that was on its way as arrived by now."""
+        self._under_way -= 1
+        self._arrived.add()
+
+    def leave_open(self) -> None:
+        """Count one as on its way for one window more, then as arrived."""
+        self._under_way -= 1
+        self._left_open.append(anyio.current_time() + self._window)
+
+    def cancel(self) -> None:
+        """Count one no more that was on its way."""
+        self._under_way -= 1
+
+
 class SharedBudget:
     """This entry's share of a service's budget in a sliding window.
 
@@ -120,9 +161,8 @@
         self._window = window
         self._began = began
         self._membership = membership
-        part = window / WINDOW_PARTS
-        self._repeats = _Tally(part, WINDOW_PARTS + 1)
-        self._requests = _Tally(part, 2 * WINDOW_PARTS)
+        self._repeats = _Arrivals(window)
+        self._requests = _Tally(window / WINDOW_PARTS, 2 * WINDOW_PARTS)
 
     @property
     def left(self) -> float:
@@ -130,7 +170,7 @@
         earned = self._earned()
         share = self._share_since(self._began)
         slack = self._slack_part()
-        spent = itertools.accumulate(self._repeats.newest_first())
+        spent = self._repeats.newest_first()
         return min(
             share * one + slack - repeats
             for one, repeats in zip(earned, spent, strict=True)
@@ -154,12 +194,9 @@
         """Count a request."""
         self._requests.add()
 
-    def spend(self) -> bool:
-        """Count a repeat, unless the budget is spent."""
-        if self.left < 1.0:
-            return False
-        self._repeats.add()
-        return True
+    def open_sends(self) -> "Sends":
+        """Return the account of one request's sends; who has it closes it."""
+        return Sends(self, self._repeats, self._window)
 
     def _earned(self) -> list[float]:
         """Return what requests earned for each window, the newest first.
@@ -195,3 +232,77 @@
         if age >= self._window:
             return STEADY_SHARE
         return RESTART_SHARE * age / self._window
+
+
+class Sends:
+    """How often one request is sent, and whether each time is known to end.
+
+    A repeat counts from its reservation until one window after its arrival:
+    what waits for a path, a connection or an instance that does not read
+    may arrive in any window until then. After one that was given up without
+    an answer no later one of the request is the last to arrive.
+
+    :param budget: the budget of which its repeats are reserved.
+    :param repeats: where they are counted.
+    :param window: length of the budget's window in seconds.
+    """
+
+    def __init__(
+        self, budget: SharedBudget, repeats: _Arrivals, window: float
+    ) -> None:
+        self._budget = budget
+        self._repeats = repeats
+        self._window = window
+        self._is_reserved = False
+        self._is_sent = False
+        self._open_until = float("-inf")
+
+    def reserve(self) -> bool:
+        """Reserve a repeat; false where the budget is spent.
+
+        One that was reserved and not sent serves again.
+        """
+        if self._is_reserved:
+            return True
+        if self._budget.left < 1.0:
+            return False
+        self._repeats.send()
+        self._is_reserved = True
+        return True
+
+    def send(self) -> None:
+        """Note that the request is sent, for the first time or again."""
+        self._is_sent = True
+
+    def arrive(self) -> None:
+        """Note that what was sent last has arrived."""
+        if not self._is_sent:
+            return
+        self._is_sent = False
+        if self._is_reserved:
+            self._is_reserved = False
+            if self._open_until > anyio.current_time():
+                self._repeats.leave_open()
+            else:
+                self._repeats.arrive()
+
+    def fail_to_send(self) -> None:
+        """Note that what was to be sent has not left: none was connected."""
+        self._is_sent = False
+
+    def give_up(self) -> None:
+        """Note that what was sent last is waited for no longer."""
+        if not self._is_sent:
+            return
+        self._is_sent = False
+        self._open_until = anyio.current_time() + self._window
+        if self._is_reserved:
+            self._is_reserved = False
+            self._repeats.leave_open()
+
+    def close(self) -> None:
+        """End the account: what was reserved and not sent is free again."""
+        self.give_up()
+        if self._is_reserved:
+            self._is_reserved = False
+            self._repeats.cancel()
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -5,6 +5,7 @@
 
 """A relay in front of stand-in upstreams, in virtual time."""
 
+import contextlib
 import random
 import typing
 
@@ -23,6 +24,7 @@
 from crowdeck.relay import request as requests
 from crowdeck.relay import stalls
 from crowdeck import route as routes
+from crowdeck.routing import budget as budgets
 from crowdeck.routing import hops
 from crowdeck.routing import usage as usages
 from crowdeck.standin import chain_fleet
@@ -256,6 +258,16 @@
         return caller
 
 
+def spend(budget: budgets.SharedBudget) -> bool:
+    """Have a request sent again that arrives at once, if it may be."""
+    with contextlib.closing(budget.open_sends()) as sends:
+        if not sends.reserve():
+            return False
+        sends.send()
+        sends.arrive()
+        return True
+
+
 def whole_answer(request_id: str, events: int) -> bytes:
     """Return the bytes of a stream's whole answer."""
     return b"".join(
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -175,7 +175,7 @@
         async def work(system: System) -> None:
             request = system.request(STREAM)
             budget = system.context.budget(fleet_system.MODEL)
-            while budget.spend():
+            while fleet_system.spend(budget):
                 pass
 
             async def strike() -> None:
