Rests and leavers of instances are kept by modules of their own

Cause: the book of upstreams kept five things: entries, failures, lapses, times of rest and who said that it leaves. The last two are what instances say themselves, and more is going to be asked of them.

Change: membership/rests.py and membership/leavers.py take them over; what the book answers is as before. The test of the modules that an entry loads names both by name: they hold code that was loaded before, so no more is loaded, and its number for all others stays 77.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -12,6 +12,8 @@
 
 from crowdeck import chain
 from crowdeck.membership import entries
+from crowdeck.membership import leavers
+from crowdeck.membership import rests
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.state import objects as stores
@@ -49,10 +51,6 @@
 # lapsed: two seconds for its return and a half for the watch to tell.
 SUSPECT_SECONDS = 2.5
 
-# Runs of instances remembered that said in answers that they leave; many
-# more than leave while any of them still serves.
-LEAVERS_MOST = 1_000
-
 Listener = typing.Callable[[], None]
 LapseListener = typing.Callable[[chain.Upstream], None]
 EndListener = typing.Callable[[chain.Upstream], None]
@@ -69,8 +67,6 @@
     is_gone: bool = False
     leaving_at: float | None = None
     lapsed_at: float | None = None
-    backs_off_until: float = 0.0
-    is_asked_in_backoff: bool = False
 
     @property
     def needs_proof(self) -> bool:
@@ -94,9 +90,8 @@
         self._beliefs: dict[str, _Belief] = {}
         # Which run of an instance its entry in the store tells of.
         self._runs: dict[str, str] = {}
-        # When runs of instances said that they leave; kept though an entry
-        # goes and comes again, as some do around an outage of the store.
-        self._leavers: dict[str, float] = {}
+        self._leavers = leavers.Leavers()
+        self._rests = rests.Rests()
         self._end_listeners: list[EndListener] = []
         self._listeners: list[Listener] = []
         self._lapse_listeners: list[LapseListener] = []
@@ -161,7 +156,7 @@
         return tuple(
             belief.upstream
             for belief in self._sound(service, now)
-            if belief.backs_off_until <= now
+            if not self._rests.is_resting(belief.upstream.name)
         )
 
     def usable_soon(self, service: str) -> tuple[chain.Upstream, ...]:
@@ -190,7 +185,7 @@
             and belief.upstream.is_leaving
             and belief.leaving_at is not None
             and now - belief.leaving_at < LAST_WORK_SECONDS
-            and belief.backs_off_until <= now
+            and not self._rests.is_resting(belief.upstream.name)
             and belief.avoided_until <= now
             and not belief.needs_proof
         )
@@ -208,7 +203,7 @@
             for belief in self._beliefs.values()
             if belief.needs_proof
             and belief.avoided_until <= now
-            and belief.backs_off_until <= now
+            and not self._rests.is_resting(belief.upstream.name)
         ]
         for belief in due:
             belief.avoided_until = now + UNSURE_SECONDS
@@ -230,23 +225,15 @@
             belief is not None
             and not belief.upstream.is_leaving
             and belief.avoided_until <= anyio.current_time()
-            and belief.backs_off_until <= anyio.current_time()
+            and not self._rests.is_resting(name)
             and not belief.needs_proof
         )
 
     def back_off(self, name: str, seconds: float) -> None:
-        """Send an instance nothing for as long as it asked for.
-
-        A shorter time asked for later takes nothing back: it was said to
-        another request of ours, and the longer one still holds.
-        """
+        """Send an instance nothing for as long as it asked for."""
         belief = self._beliefs.get(name)
-        until = anyio.current_time() + seconds
-        if belief is None or until <= belief.backs_off_until:
+        if belief is None or not self._rests.begin(name, seconds):
             return
-        if belief.backs_off_until <= anyio.current_time():
-            belief.is_asked_in_backoff = False
-        belief.backs_off_until = until
         counters.COUNTERS.add("upstream.backed_off")
         logs.change(
             "upstream_backed_off",
@@ -261,25 +248,19 @@
         It is so from then on, whatever its entry in the store says: some
         never write it there, and an older entry may come later.
         """
-        if name in self._leavers:
+        if not self._leavers.note(name):
             return
-        self._leavers[name] = anyio.current_time()
-        if len(self._leavers) > LEAVERS_MOST:
-            del self._leavers[next(iter(self._leavers))]
         belief = self._beliefs.get(name)
         if belief is None or belief.upstream.is_leaving:
             return
-        belief.leaving_at = self._leavers[name]
+        belief.leaving_at = self._leavers.since(name)
         belief.upstream = attrs.evolve(belief.upstream, is_leaving=True)
         self._log("upstream_changed", belief.upstream, belief.version)
         self._tell()
 
     def seconds_backing_off(self, name: str) -> float:
         """Return for how long an instance still wants nothing from us."""
-        belief = self._beliefs.get(name)
-        if belief is None:
-            return 0.0
-        return max(0.0, belief.backs_off_until - anyio.current_time())
+        return self._rests.seconds_left(name)
 
     def may_ask(self, name: str) -> bool:
         """Whether an instance may be asked, or led, for a stream's sake.
@@ -287,13 +268,7 @@
         Once in a time of rest: a stream that passes an instance which fell
         silent is lost otherwise.
         """
-        belief = self._beliefs.get(name)
-        if belief is None or belief.backs_off_until <= anyio.current_time():
-            return True
-        if belief.is_asked_in_backoff:
-            return False
-        belief.is_asked_in_backoff = True
-        return True
+        return self._rests.may_ask(name)
 
     def has_ended(self, name: str) -> bool:
         """Whether an instance's process is known to be gone.
@@ -421,7 +396,7 @@
         if held is None:
             self._runs[stored.name] = upstream.name
             belief = _Belief(upstream, stored.version)
-            belief.leaving_at = self._leavers.get(upstream.name)
+            belief.leaving_at = self._leavers.since(upstream.name)
             self._beliefs[upstream.name] = belief
             self._log("upstream_listed", upstream, stored.version)
             self._drop_replaced(upstream)
@@ -469,6 +444,7 @@
     def _drop(self, upstream: chain.Upstream, what: str) -> None:
         """Forget a run of an instance that has ended."""
         belief = self._beliefs.pop(upstream.name)
+        self._rests.forget(upstream.name)
         entry = upstream.life.id
         if self._runs.get(entry) == upstream.name:
             del self._runs[entry]
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -18,6 +18,7 @@
 import pytest
 
 from crowdeck import chain
+from crowdeck.membership import leavers
 from crowdeck.membership import upstreams as books
 from crowdeck.placement import duty as duties
 from crowdeck.placement import losses
@@ -418,9 +419,9 @@
 
     def test_remembers_only_so_many(self) -> None:
         async def work(system: System) -> None:
-            for number in range(books.LEAVERS_MOST + 5):
+            for number in range(leavers.LEAVERS_MOST + 5):
                 system.book.note_leaving(f"gone-{number}")
-            assert len(system.book._leavers) == books.LEAVERS_MOST
+            assert len(system.book._leavers) == leavers.LEAVERS_MOST
 
         play(work)
 
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -390,8 +390,13 @@
         # what reads others' fields and entries strictly, and the clocks.
         again = {one for one in own if one.startswith("crowdeck.quarantine")}
         assert len(again) <= 5
-        # What instances say of how much they can bear: these two alone.
-        again |= {"crowdeck.backpressure", "crowdeck.routing.rate_limits"}
+        # What instances say of how much they can bear: these alone.
+        again |= {
+            "crowdeck.backpressure",
+            "crowdeck.membership.leavers",
+            "crowdeck.membership.rests",
+            "crowdeck.routing.rate_limits",
+        }
         assert len(own - again) <= 77
         assert len(loaded - again) <= 440
 
