Layers that no engine holds are told to callers at once, and to operators

Cause: an entry looked at each request whether a layer was missing, and knew neither since when nor what was left. Each new stream waited 0.1 s for a watch that had told it long ago, one that had begun 1.6 s, and all were told to come back within 0.3 to 4 s, whatever was known.

Ruled out: to have the giver of orders tell what it ordered.

Change: relay/gaps.py keeps for each model the layers that no engine holds, since when, and whether those left can hold them, by the rule of the placement (a test compares the two). A request waits at the most until 0.1 s after a gap was first seen; one that has begun waits for a load, and not for what cannot be held. The time told is the load of the longest run of layers, as the card has it, and three seconds, the bound that is set for ordering layers anew; over 2 s, as returns are spread. Without room, for a model that was never whole, and once that time is over, none is made up. A line of the log, a gauge and a counter tell it; crowdeck losses and crowdeck explain have it as a cause of its own.

The test of the modules that an entry loads names the new one; its number for all others stays 77.

The time is that of the card and not of the orders that were given: a load that the giver of orders never ordered is told all the same, once.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -165,6 +165,7 @@
         share = _Sharing(context, view.roster)
         for part in (*view.parts, share.run, lease.run, watch.run):
             tasks.start_soon(part)
+        tasks.start_soon(context.gaps.run, lambda: view.holder.services)
         tasks.start_soon(_place, lease, view.book, upstreams, view.holder)
         tasks.start_soon(self._survey, context, view)
         await self._listen_to_peers(tasks, view)
--- a/src/crowdeck/observe/counters.py
+++ b/src/crowdeck/observe/counters.py
@@ -87,6 +87,10 @@
         """Return a counter's value, 0 for one never added to."""
         return self._counts[name]
 
+    def gauge(self, name: str) -> float:
+        """Return a gauge's value, 0 for one never set."""
+        return self._gauges.get(name, 0.0)
+
     def as_dict(self) -> dict[str, int]:
         """Return all counters by name, sorted."""
         return dict(sorted(self._counts.items()))
--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -39,6 +39,8 @@
     {
         "config_in_force",
         "engine_lost",
+        "layers_held_again",
+        "layers_unheld",
         "loop_late",
         "placement_ordered",
         "store_history_lost",
@@ -215,6 +217,12 @@
 def _lack(line: Line) -> str:
     missing = line.fields.get("missing_layers")
     usable = line.fields.get("usable")
+    unheld = line.fields.get("unheld")
+    if unheld:
+        return (
+            f"no engine holds layers {unheld}; what closes the gap: "
+            f"{line.fields.get('needed')}"
+        )
     if missing:
         first = line.fields.get("first_missing")
         return (
--- a/src/crowdeck/observe/losses.py
+++ b/src/crowdeck/observe/losses.py
@@ -167,9 +167,7 @@
         if code in _CALLERS_OWN:
             return f"{what} {_BY_RIGHT}: {code}"
         if code == "NO_PATH" and request.lack is not None:
-            missing = request.lack.fields.get("missing_layers")
-            lack = "layers were missing" if missing else "no room"
-            return f"{what}: {code}, {lack}"
+            return f"{what}: {code}, {_lack(request.lack)}"
         return f"{what}: {code}, {_general(str(end.fields.get('reason', '')))}"
 
 
@@ -183,6 +181,15 @@
     return ledger.account(span)
 
 
+def _lack(line: explain.Line) -> str:
+    """Return what there was no path for want of."""
+    if line.fields.get("unheld"):
+        return "no engine holds some layers"
+    if line.fields.get("missing_layers"):
+        return "layers were missing"
+    return "no room"
+
+
 def _instance(source: str) -> str:
     """Return the process that a collector names, without its time."""
     words = source.split()
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -16,6 +16,7 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.quarantine import ledger as ledgers
+from crowdeck.relay import gaps as layer_gaps
 from crowdeck.relay import lateness
 from crowdeck.relay import reach
 from crowdeck.relay import returns
@@ -72,6 +73,7 @@
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
     limits: rate_limits.RateLimits = attrs.field(init=False)
     return_times: returns.ReturnTimes = attrs.field(init=False)
+    gaps: layer_gaps.LayerGaps = attrs.field(init=False)
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
@@ -79,6 +81,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.return_times = returns.ReturnTimes(self.chance)
+        self.gaps = layer_gaps.LayerGaps(self.book)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.chance)
         self.book.subscribe_ends(self.note_end)
--- /dev/null
+++ b/src/crowdeck/relay/gaps.py
@@ -0,0 +1,218 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Layers that no engine holds: since when, and what would be needed."""
+
+import math
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck.membership import upstreams as books
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck import pipeline
+from crowdeck import route as routes
+
+# Requests that an engine has memory for beside its layers, at the least: as
+# the placement, which an entry does not load, lays layers out.
+ROOM_REQUESTS = 4.0
+# Where what is left can hold the model it is whole again after the longest
+# load, and so much for noticing the loss, ordering and telling.
+ORDERED_SECONDS = 3.0
+LOOK_SECONDS = 0.5
+# A gap of less is one that a replacement closes; the log is spared it.
+LOGGED_SECONDS = 1.0
+
+Services = typing.Callable[[], tuple[routes.Service, ...]]
+
+
+@attrs.frozen
+class Gap:
+    """Layers of one service that no engine holds.
+
+    :ivar layers: the runs of them, first to last.
+    :ivar since: the loop's time at which a gap was first seen.
+    :ivar engines: how many engines are left.
+    :ivar holdable: how many layers these can hold together.
+    :ivar load_seconds: how long the longest load takes that closes it.
+    :ivar was_whole: whether all layers were held before.
+    """
+
+    service: str
+    layers: tuple[pipeline.LayerRange, ...]
+    since: float
+    engines: int
+    holdable: int
+    profile: chain.EngineProfile
+    load_seconds: float
+    was_whole: bool
+
+    def __str__(self) -> str:
+        return ",".join(f"{one.first}-{one.end}" for one in self.layers)
+
+    @property
+    def can_be_held(self) -> bool:
+        """Whether the engines that are left can hold the whole model."""
+        return self.holdable >= self.profile.layer_count
+
+    @property
+    def seconds_left(self) -> float | None:
+        """In how long the model is whole again, where that is known.
+
+        It is not for a model that was never whole: its first loads may
+        take any part of the usual time.
+        """
+        if not self.can_be_held or not self.was_whole:
+            return None
+        ready_at = self.since + self.load_seconds + ORDERED_SECONDS
+        left = ready_at - anyio.current_time()
+        return left if left > 0.0 else None
+
+    def closes_by(self, moment: float) -> bool:
+        """Whether the model is known to be whole by a loop's time."""
+        left = self.seconds_left
+        return left is not None and anyio.current_time() + left <= moment
+
+    @property
+    def needed(self) -> str:
+        """What would close the gap, for an operator."""
+        if self.can_be_held:
+            return f"a load of about {self.load_seconds:.1f} s"
+        lacking = self.profile.layer_count - self.holdable
+        kinds = [
+            f"{math.ceil(lacking / most)} {name}"
+            for name in sorted(self.profile.cards)
+            if (most := most_layers(name, self.profile))
+        ]
+        engines = " or ".join(kinds) or "no known kind"
+        return f"engines for {lacking} more layers: {engines}"
+
+
+def most_layers(card: str, profile: chain.EngineProfile) -> int:
+    """Return how many layers an engine can hold and still serve."""
+    known = profile.cards.get(card)
+    if known is None:
+        return profile.layer_count
+    request = max(1.0, profile.usual_prompt + profile.usual_answer / 2.0)
+    room = ROOM_REQUESTS * request * profile.token_layer_mb
+    most = int(known.memory_mb / (profile.layer_mb + room))
+    return min(profile.layer_count, most)
+
+
+class LayerGaps:
+    """Finds the layers that no engine holds, and tells operators."""
+
+    def __init__(self, book: books.UpstreamBook) -> None:
+        self._book = book
+        self._gaps: dict[str, Gap] = {}
+        self._whole: set[str] = set()
+        self._logged: dict[str, Gap] = {}
+
+    @property
+    def known(self) -> tuple[Gap, ...]:
+        """The gaps as they were last seen."""
+        return tuple(self._gaps.values())
+
+    def look(self, service: str, profile: chain.EngineProfile) -> Gap | None:
+        """Return the gap in a service's model, if there is one now."""
+        staying = chain.fitting(
+            (
+                one
+                for one in self._book.listed(service)
+                if not one.is_leaving and not self._book.has_ended(one.name)
+            ),
+            profile.layer_count,
+        )
+        missing = _missing(staying, profile.layer_count)
+        if not missing:
+            self._gaps.pop(service, None)
+            self._whole.add(service)
+            return None
+        known = self._gaps.get(service)
+        most = [most_layers(one.card, profile) for one in staying]
+        longest = max(one.end - one.first for one in missing)
+        share = min(longest, max(most, default=0)) / profile.layer_count
+        gap = self._gaps[service] = Gap(
+            service,
+            missing,
+            known.since if known else anyio.current_time(),
+            len(staying),
+            sum(most),
+            profile,
+            profile.load_seconds * share,
+            service in self._whole,
+        )
+        return gap
+
+    async def run(self, services: Services) -> None:
+        """Look at all models again and again, until cancelled."""
+        while True:
+            for service in services():
+                if service.profile is not None:
+                    self._tell(service.name, service.profile)
+            await anyio.sleep(LOOK_SECONDS)
+
+    def _tell(self, service: str, profile: chain.EngineProfile) -> None:
+        gap = self.look(service, profile)
+        count = sum(one.end - one.first for one in gap.layers) if gap else 0
+        counters.COUNTERS.set_gauge(f"layers.unheld.{service}", count)
+        before = self._logged.get(service)
+        now = anyio.current_time()
+        if gap is None:
+            if before is not None:
+                del self._logged[service]
+                logs.change(
+                    "layers_held_again",
+                    service=service,
+                    layers=str(before),
+                    seconds=round(now - before.since, 3),
+                )
+            return
+        seconds = now - gap.since
+        if seconds < LOGGED_SECONDS or _is_alike(gap, before):
+            return
+        self._logged[service] = gap
+        left = gap.seconds_left
+        logs.change(
+            "layers_unheld",
+            service=service,
+            layers=str(gap),
+            seconds=round(seconds, 3),
+            engines=gap.engines,
+            can_hold=gap.holdable,
+            of=profile.layer_count,
+            needed=gap.needed,
+            ready_in=None if left is None else round(left, 3),
+        )
+
+
+def _is_alike(gap: Gap, before: Gap | None) -> bool:
+    """Whether a line of the log tells of a gap what another told."""
+    if before is None:
+        return False
+    return (
+        gap.layers == before.layers and gap.can_be_held == before.can_be_held
+    )
+
+
+def _missing(
+    engines: typing.Iterable[chain.Upstream], layer_count: int
+) -> tuple[pipeline.LayerRange, ...]:
+    """Return the runs of layers that none of some engines holds."""
+    held = {
+        (one.layers.first, one.layers.end)
+        for one in engines
+        if one.layers is not None
+    }
+    found = []
+    position = 0
+    for first, end in (*sorted(held), (layer_count, layer_count)):
+        if first > position:
+            found.append(pipeline.LayerRange(position, first))
+        position = max(position, end)
+    return tuple(found)
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -8,9 +8,13 @@
 import anyio
 
 from crowdeck import chain
+from crowdeck import errors
+from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import context as contexts
+from crowdeck.relay import gaps
 from crowdeck.relay import live
+from crowdeck.relay import returns
 from crowdeck.relay import waiting
 from crowdeck.routing import hops
 
@@ -19,7 +23,8 @@
 # them after this, a sound engine begins even while it is crowded.
 NEW_WAIT_SECONDS = 1.2
 # Where a layer is held by no engine that is listed, waiting does not help
-# within that time: loading takes longer. A watch may lag by so much.
+# within that time: loading takes longer. A watch may lag by so much after
+# the layer was first missed.
 MISSING_WAIT_SECONDS = 0.1
 # A stream that has begun waits longer: its caller gives up only after a
 # silence of two seconds or more.
@@ -29,6 +34,7 @@
 # of 38 engines takes 30 ms of a small entry's time: every 20 ms it left no
 # time for the streams under way.
 LINE_STEP = 0.08
+ALL_IN_NEED = "all first engines are at their limits or want rest"
 
 
 class PathSearch:
@@ -63,13 +69,25 @@
         line = self._context.line(self._service)
         path = None
         if has_begun:
-            path = await self._poll(anyio.current_time() + BEGUN_WAIT_SECONDS)
-        elif len(line) or (path := self._plan()) is None:
+            path = await self._await_begun()
+        elif self._has_turns(line) or (path := self._plan()) is None:
             path = await self._wait_in(line)
         if path is None:
             self._note_no_path()
         return path
 
+    async def _await_begun(self) -> chain.ChainPath | None:
+        """Return a path for a stream that has begun.
+
+        Layers that are being loaded are waited for as room is. What cannot
+        be held is not.
+        """
+        until = anyio.current_time() + BEGUN_WAIT_SECONDS
+        gap = self._gap()
+        if gap is not None and not gap.can_be_held:
+            until = gap.since + MISSING_WAIT_SECONDS
+        return await self._poll(until)
+
     async def _wait_in(
         self, line: waiting.WaitingLine
     ) -> chain.ChainPath | None:
@@ -79,8 +97,9 @@
         """
         now = anyio.current_time()
         until = self._arrived + NEW_WAIT_SECONDS
-        if self._is_layer_missing():
-            until = self._arrived + MISSING_WAIT_SECONDS
+        gap = self._gap()
+        if gap is not None and not gap.closes_by(until):
+            until = gap.since + MISSING_WAIT_SECONDS
         until = min(until, self._deadline)
         expected = self._context.return_times.seconds_for(len(line) + 1)
         expected = max(expected, self.seconds_until_taken())
@@ -116,12 +135,30 @@
         ahead = len(self._context.line(self._service))
         return self._context.seconds_until_any(firsts, ahead)
 
-    def _is_layer_missing(self) -> bool:
-        """Whether no engine that stays holds some layer."""
-        listed = self._context.book.listed(self._service)
-        staying = [one for one in listed if not one.is_leaving]
-        count = self._stream.profile.layer_count
-        return 0 in chain.coverage(staying, count)
+    def _has_turns(self, line: waiting.WaitingLine) -> bool:
+        """Whether others wait, for what will come."""
+        return bool(len(line)) and self._gap() is None
+
+    def refusal(self) -> errors.CrowdeckError:
+        """Return the refusal of a stream that found no path."""
+        chance = self._context.chance
+        advice = self._context.return_times.advise()
+        gap = self._gap()
+        if gap is not None:
+            counters.COUNTERS.add("relay.unheld")
+            left = gap.seconds_left
+            if left is not None:
+                advice = left + chance.uniform(0.0, returns.WINDOW_SECONDS)
+            return _no_path(_lack_of(gap), advice)
+        seconds = self.seconds_until_taken()
+        if seconds:
+            counters.COUNTERS.add("relay.limited")
+            return _no_path(ALL_IN_NEED, seconds + advice)
+        return _no_path("no path through the model has room", advice)
+
+    def _gap(self) -> gaps.Gap | None:
+        """Return the layers that no engine holds which stays, if any."""
+        return self._context.gaps.look(self._service, self._stream.profile)
 
     def _note_no_path(self) -> None:
         book = self._context.book
@@ -129,6 +166,7 @@
         count = self._stream.profile.layer_count
         held = chain.coverage(usable, count)
         missing = [layer for layer, copies in enumerate(held) if not copies]
+        gap = self._gap()
         logs.decision(
             "no_path",
             self._stream.request.id,
@@ -136,6 +174,8 @@
             usable=len(usable),
             missing_layers=len(missing),
             first_missing=missing[0] if missing else None,
+            unheld=str(gap) if gap else None,
+            needed=gap.needed if gap else None,
             tokens=int(self._stream.tokens),
             waited=round(anyio.current_time() - self._arrived, 3),
         )
@@ -180,3 +220,17 @@
         if path is None and len(chosen) < len(usable):
             path = self._context.planner.plan(usable, wanted)
         return path
+
+
+def _lack_of(gap: gaps.Gap) -> str:
+    reason = f"no engine holds layers {gap}"
+    if not gap.can_be_held:
+        count = gap.profile.layer_count
+        reason += f", and those left can hold {gap.holdable} of {count}"
+    return reason
+
+
+def _no_path(reason: str, retry_after: float) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.NO_PATH, reason, retry_after=retry_after
+    )
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -138,17 +138,7 @@
         await self._refuse_culprit()
         if path is not None:
             return path
-        seconds = self._paths.seconds_until_taken()
-        reason = "no path through the model has room"
-        if seconds:
-            counters.COUNTERS.add("relay.limited")
-            reason = "all first engines are at their limits or want rest"
-        comes_back = self._context.return_times.advise()
-        raise self._failure(
-            errors.CrowdeckError(
-                errors.Code.NO_PATH, reason, retry_after=seconds + comes_back
-            )
-        )
+        raise self._failure(self._paths.refusal())
 
     async def _refuse_culprit(self) -> None:
         """Send a request on no more under which engines ended.
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -85,6 +85,26 @@
         told = explain.explain("r1", [full, end]).cause
         assert "lacked room for 900 tokens" in told
 
+    def test_layers_that_nobody_holds_are_told_with_what_is_needed(
+        self,
+    ) -> None:
+        gap = {"request": "r1", "usable": 3, "tokens": 900}
+        lack = line(
+            1.0,
+            "no_path",
+            missing_layers=20,
+            first_missing=20,
+            unheld="20-40",
+            needed="a load of about 3.5 s",
+            **gap,
+        )
+        told = line(0.9, "layers_unheld", service="m", layers="20-40")
+        refusal = line(1.1, "refused", request="r1", code="NO_PATH")
+        found = explain.explain("r1", [told, lack, refusal])
+        assert "no engine holds layers 20-40" in found.cause
+        assert "a load of about 3.5 s" in found.cause
+        assert [one.kind for one in found.context] == ["layers_unheld"]
+
     def test_failure_of_the_upstream_itself(self) -> None:
         texts = [
             line(
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -397,6 +397,8 @@
             "crowdeck.membership.rests",
             "crowdeck.routing.rate_limits",
         }
+        # What tells callers and operators of layers that no engine holds.
+        again.add("crowdeck.relay.gaps")
         assert len(own - again) <= 77
         assert len(loaded - again) <= 440
 
--- /dev/null
+++ b/tests/test_unheld_layers.py
@@ -0,0 +1,379 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Layers that no engine holds.
+
+What callers saw: each stream asked for after the last engine of some
+layers had gone waited for 0.1 s, one that had begun for 1.6 s, and all were
+told to come back within 0.3 to 4 s, whether or not anything that was left
+could ever hold the model. The entry asked at every request anew whether a
+layer was missing, and knew neither since when nor what was left.
+"""
+
+import pathlib
+import random
+import typing
+
+import anyio
+import attrs
+import eliot
+import pytest
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck.observe import counters
+from crowdeck.observe import losses
+from crowdeck.placement import plan
+from crowdeck.relay import gaps
+from crowdeck.relay import returns
+from crowdeck import route as routes
+from crowdeck import verdict as verdicts
+from tests import fleet_system
+from tests import test_losses
+from tests import virtual
+
+STREAM = routes.Repeat.STREAM
+PROFILE = fleet_system.PROFILE
+System = fleet_system.FleetSystem
+Work = typing.Callable[[System], typing.Awaitable[None]]
+# Nothing is waited for: some turns of the loop.
+AT_ONCE = 0.01
+
+
+def play(work: Work, card: str = "small", count: int = 4) -> None:
+    """Play ``work`` on one copy of the model in one zone."""
+
+    async def body() -> None:
+        system = System(name="entry")
+        system.install(system.config)
+        size = PROFILE.layer_count // count
+        for number in range(count):
+            layers = (number * size, (number + 1) * size)
+            system.add(
+                fleet_system.upstream(f"e-{number}", "plateau", layers, card)
+            )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(system.context.gaps.run, services(system))
+            await anyio.sleep(1.0)
+            await fleet_system.run_with(system, work)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+def services(system: System) -> gaps.Services:
+    return lambda: system.config.services
+
+
+def lose(system: System, *names: str) -> None:
+    """End engines, and remove their entries."""
+    for name in names:
+        system.fleet.at(system.listed[name].address).is_dead = True
+        system.book.on_changed((), (name,))
+
+
+def told_lines(kind: str, lines: list[dict[str, typing.Any]]) -> list[str]:
+    return [
+        line["message_type"]
+        for line in lines
+        if line["message_type"] == f"crowdeck:{kind}"
+    ]
+
+
+@pytest.fixture
+def lines() -> typing.Iterator[list[dict[str, typing.Any]]]:
+    """Every line of the log."""
+    found: list[dict[str, typing.Any]] = []
+    eliot.add_destinations(found.append)
+    # What was logged while nobody listened comes first.
+    found.clear()
+    yield found
+    eliot.remove_destination(found.append)
+
+
+async def refused(system: System) -> errors.CrowdeckError:
+    """Ask for a stream that is refused, and return why."""
+    caller = await system.ask(system.request(STREAM))
+    assert caller.error is not None
+    assert caller.error.code is errors.Code.NO_PATH
+    assert caller.error.verdict is verdicts.Verdict.NOT_RUN
+    return caller.error
+
+
+class TestCallers:
+    """What callers are told, and when."""
+
+    # Small cards hold 11 layers at the most, large ones 39.
+    @pytest.mark.parametrize(("card", "count"), [("small", 8), ("large", 4)])
+    def test_a_new_stream_is_refused_at_once(
+        self, card: str, count: int
+    ) -> None:
+        async def work(system: System) -> None:
+            lose(system, "e-1")
+            await anyio.sleep(0.6)
+            began = anyio.current_time()
+            await refused(system)
+            assert anyio.current_time() - began < AT_ONCE
+
+        play(work, card, count)
+
+    def test_a_watch_that_lags_is_waited_for(self) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            lose(system, "e-1")
+            async with anyio.create_task_group() as tasks:
+                callers: list[fleet_system.Caller] = []
+
+                async def ask() -> None:
+                    callers.append(await system.ask(system.request(STREAM)))
+
+                tasks.start_soon(ask)
+                await anyio.sleep(0.05)
+                system.add(attrs.evolve(one, name="e-9"))
+            assert callers[0].error is None
+
+        play(work, "large")
+
+    def test_a_begun_stream_waits_not_for_what_cannot_be_held(self) -> None:
+        async def work(system: System) -> None:
+            system.fleet.events = 300
+            caller = fleet_system.Caller()
+            ended: list[float] = []
+
+            async def ask() -> None:
+                with pytest.raises(errors.CrowdeckError):
+                    await system.relay.serve(system.request(STREAM), caller)
+                ended.append(anyio.current_time())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.5)
+                lose(system, "e-0")
+                system.fleet.at(system.listed["e-0"].address).breaks_after = 30
+                await anyio.sleep(0.8)
+                broken_at = anyio.current_time()
+            assert caller.has_started
+            assert ended[0] - broken_at < AT_ONCE
+
+        play(work, "small", 8)
+
+    def test_the_time_told_is_that_of_the_load(self) -> None:
+        async def work(system: System) -> None:
+            lost_at = anyio.current_time()
+            lose(system, "e-1")
+            load = PROFILE.load_seconds * 20 / PROFILE.layer_count
+            for _ in range(4):
+                await anyio.sleep(1.0)
+                error = await refused(system)
+                assert error.retry_after is not None
+                comes_at = anyio.current_time() + error.retry_after - lost_at
+                least = load + gaps.ORDERED_SECONDS
+                assert least - 0.1 <= comes_at
+                # Noticed half a second late, and spread.
+                most = least + gaps.LOOK_SECONDS + returns.WINDOW_SECONDS
+                assert comes_at <= most + 0.1
+                assert "20-40" in error.message
+
+        play(work, "large")
+
+    def test_no_time_is_made_up(self) -> None:
+        async def work(system: System) -> None:
+            lose(system, "e-1")
+            await anyio.sleep(0.6)
+            error = await refused(system)
+            assert error.retry_after is not None
+            assert error.retry_after <= returns.MOST_SECONDS
+            assert "10-20" in error.message
+            assert "those left can hold" in error.message
+
+        play(work, "small", 8)
+
+    def test_once_the_time_is_over_none_is_told(self) -> None:
+        async def work(system: System) -> None:
+            lose(system, "e-1")
+            await anyio.sleep(PROFILE.load_seconds)
+            (gap,) = system.context.gaps.known
+            assert gap.can_be_held
+            assert gap.seconds_left is None
+            error = await refused(system)
+            assert error.retry_after is not None
+            assert error.retry_after <= returns.MOST_SECONDS
+
+        play(work, "large")
+
+    def test_a_load_that_is_nearly_done_is_waited_for(self) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            lose(system, "e-1")
+            await anyio.sleep(0.6)
+            (gap,) = system.context.gaps.known
+            assert gap.seconds_left is not None
+            await anyio.sleep(gap.seconds_left - 0.5)
+            callers: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                callers.append(await system.ask(system.request(STREAM)))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.4)
+                system.add(attrs.evolve(one, name="e-9"))
+            assert callers[0].error is None
+
+        play(work, "large")
+
+    def test_a_model_that_was_never_whole_has_no_time(self) -> None:
+        async def work(system: System) -> None:
+            fresh = System(system.fleet, "other")
+            fresh.install(fresh.config)
+            for name in ("e-0", "e-2", "e-3"):
+                fresh.tell(system.listed[name])
+            error = await refused(fresh)
+            assert error.retry_after is not None
+            assert error.retry_after <= returns.MOST_SECONDS
+
+        play(work, "large")
+
+    def test_one_that_leaves_holds_nothing_but_its_last_work(self) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            system.tell(attrs.evolve(one, is_leaving=True))
+            caller = await system.ask(system.request(STREAM))
+            assert caller.error is None
+            await anyio.sleep(1.5)
+            began = anyio.current_time()
+            await refused(system)
+            assert anyio.current_time() - began < AT_ONCE
+
+        play(work, "large")
+
+    def test_one_that_ended_holds_nothing_though_it_is_listed(self) -> None:
+        async def work(system: System) -> None:
+            system.book.avoid("e-1", "refused", is_gone=True)
+            await anyio.sleep(0.6)
+            assert [str(one) for one in system.context.gaps.known] == ["20-40"]
+            began = anyio.current_time()
+            await refused(system)
+            assert anyio.current_time() - began < AT_ONCE
+
+        play(work, "large")
+
+
+class TestGaps:
+    """Which layers are missing, and what would be needed."""
+
+    @pytest.mark.parametrize("card", [*PROFILE.cards, "unknown"])
+    def test_an_engine_holds_what_the_placement_gives_it(
+        self, card: str
+    ) -> None:
+        one = fleet_system.upstream("one", card=card)
+        expected = plan._most_layers(one, PROFILE)
+        assert gaps.most_layers(card, PROFILE) == expected
+
+    def test_is_what_counting_each_layer_finds(self) -> None:
+        chance = random.Random(7)
+        for _ in range(300):
+            engines = []
+            for number in range(chance.randrange(6)):
+                first = chance.randrange(80)
+                end = chance.randrange(first + 1, 82)
+                engines.append(
+                    fleet_system.upstream(f"e-{number}", layers=(first, end))
+                )
+            found = gaps._missing(chain.fitting(engines, 80), 80)
+            held = chain.coverage(engines, 80)
+            assert [
+                layer for one in found for layer in range(one.first, one.end)
+            ] == [layer for layer in range(80) if not held[layer]]
+
+    def test_tells_what_would_be_needed(self) -> None:
+        async def work(system: System) -> None:
+            lose(system, "e-1", "e-2")
+            await anyio.sleep(0.6)
+            (gap,) = system.context.gaps.known
+            most = gaps.most_layers("small", PROFILE)
+            assert gap.holdable == 6 * most
+            lacking = 80 - 6 * most
+            assert gap.needed == (
+                f"engines for {lacking} more layers: 1 large or "
+                f"{-(-lacking // most)} small"
+            )
+
+        play(work, "small", 8)
+
+    def test_ends_when_somebody_holds_them(self) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            lose(system, "e-1")
+            await anyio.sleep(2.0)
+            assert system.context.gaps.known
+            system.add(attrs.evolve(one, name="e-9"))
+            await anyio.sleep(0.6)
+            assert not system.context.gaps.known
+            caller = await system.ask(system.request(STREAM))
+            assert caller.error is None
+
+        play(work, "large")
+
+
+class TestOperators:
+    """The log, the metric and the account of losses."""
+
+    def test_one_line_tells_it_and_one_its_end(
+        self, lines: list[dict[str, typing.Any]]
+    ) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            lose(system, "e-1")
+            await anyio.sleep(10.0)
+            gauge = f"layers.unheld.{fleet_system.MODEL}"
+            assert counters.COUNTERS.gauge(gauge) == 10
+            system.add(attrs.evolve(one, name="e-9"))
+            await anyio.sleep(1.0)
+            assert counters.COUNTERS.gauge(gauge) == 0
+
+        play(work, "small", 8)
+        assert len(told_lines("layers_unheld", lines)) == 1
+        assert len(told_lines("layers_held_again", lines)) == 1
+        (line,) = [
+            it
+            for it in lines
+            if it["message_type"] == "crowdeck:layers_unheld"
+        ]
+        assert line["layers"] == "10-20"
+        assert line["service"] == fleet_system.MODEL
+        assert line["seconds"] >= 1.0
+        assert line["engines"] == 7
+        assert "more layers" in line["needed"]
+        assert line["ready_in"] is None
+
+    def test_a_gap_of_a_moment_is_not_told(
+        self, lines: list[dict[str, typing.Any]]
+    ) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            lose(system, "e-1")
+            await anyio.sleep(0.6)
+            system.add(attrs.evolve(one, name="e-9"))
+            await anyio.sleep(3.0)
+
+        play(work, "large")
+        assert not told_lines("layers_unheld", lines)
+        assert not told_lines("layers_held_again", lines)
+
+    def test_losses_have_it_as_a_cause(self, tmp_path: pathlib.Path) -> None:
+        log = [
+            test_losses.line(
+                1.0, "no_path", request="r1", missing_layers=3, unheld="1-4"
+            ),
+            test_losses.refused(1.0, "r1", "NO_PATH", "no engine holds"),
+            test_losses.line(1.0, "no_path", request="r2", missing_layers=3),
+            test_losses.refused(1.0, "r2", "NO_PATH", "no path"),
+        ]
+        found = losses.account(log, test_losses.AIMS, 2.0)
+        assert found.causes == {
+            "refused: NO_PATH, no engine holds some layers": 1,
+            "refused: NO_PATH, layers were missing": 1,
+        }
