An instance whose rest is over has its share again within a second

Cause: a call that an instance turns away was counted as its failure, also where it asked for rest with it. A failure is forgotten by half in 2 s, and while little is asked the smallest cost decides who gets everything: of two instances the one that had rested cost 0.2 more when its rest was over, and more than the other for ten seconds.

Ruled out: the rest itself ends in time (is_usable says so), and streams: they were sent to it 0.04 s after its end.

Change: a refusal that asks for rest is no failure. The rest keeps calls away while it lasts, and nothing is known against the instance afterwards. One that refuses without a time counts as before.

--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -298,9 +298,10 @@
             # No connection was had, so it was not sent after all.
             self._sent -= 1
             self._context.book.avoid(upstream.name, error.message)
-        else:
+        elif not self._context.book.seconds_backing_off(upstream.name):
             # One that refuses at once has nothing under way, and would look
-            # like the freest to the next call.
+            # like the freest to the next call. One that says for how long it
+            # wants rest is sent nothing until then, and is sound afterwards.
             self._balancer.note_failure(upstream)
         logs.decision(
             "call_failed",
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -11,6 +11,7 @@
 of rest. The entry sent it the next call 0.3 s later, and four more.
 """
 
+import random
 import typing
 
 import anyio
@@ -357,6 +358,54 @@
         play(work)
 
 
+class TestShareAfterRest:
+    """An instance of two whose rest is over.
+
+    What was seen: it got its first call 3.7 s after it had asked for 3 s,
+    and a tenth of its share for ten seconds more. The refusal in which it
+    asked for rest was counted as a failure of the instance, which is
+    forgotten by half in 2 s; while little is asked any cost decides. With
+    the refusal not counted it was used at once.
+    """
+
+    # Few calls at a time, where whoever costs a little less gets them all.
+    @pytest.mark.parametrize("rate", [10.0, 20.0, 40.0])
+    @pytest.mark.parametrize("seed", range(4))
+    def test_it_has_it_again_within_a_second(
+        self, rate: float, seed: int
+    ) -> None:
+        chance = random.Random(seed)
+
+        async def call(system: System, seconds: float) -> None:
+            until = anyio.current_time() + seconds
+            async with anyio.create_task_group() as tasks:
+                while anyio.current_time() < until:
+                    tasks.start_soon(system.ask, system.request(ONCE))
+                    await anyio.sleep(chance.expovariate(rate))
+
+        async def work(system: System) -> None:
+            await call(system, 3.0 + chance.random())
+            target = busiest(system)
+            target.backoff = REST_SECONDS
+            target.rejects = 1
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, system, 13.0)
+                while target.rejects:
+                    await anyio.sleep(0.001)
+                over = anyio.current_time() + REST_SECONDS
+            first = sent(system, target.listed, over - 0.002)[0]
+            assert first.at <= over + 1.0
+            since, until = over + 1.0, over + 7.0
+            count = len(sent(system, target.listed, since, until))
+            whole = sum(
+                since <= one.at < until for one in system.client.arrivals
+            )
+            # Of two it has half; half of that at the least.
+            assert 0.25 <= count / whole
+
+        play(work, plain=2)
+
+
 class TestLeaving:
     """An instance that says only in its answers that it leaves."""
 
