Instances of a service that cost alike are called in turn

Cause: the least cost got every call while little was asked, however small the difference. After a rest of 3 s the instance that had rested had the lower mean time by some hundredths of a millisecond, and got 0.78 to 1.0 of all calls for two seconds and more: one that has just asked for rest.

Ruled out: to begin the mean time with the first answer: an instance whose first answer took a second would get nothing until the others are full.

--- a/src/crowdeck/routing/balance.py
+++ b/src/crowdeck/routing/balance.py
@@ -28,6 +28,9 @@
 # Failures are forgotten at this rate, so that an instance which got well
 # is tried again: halved in this many seconds.
 FORGET_SECONDS = 2.0
+# Costs that differ by less say nothing: 5 ms of an answer's time, a fiftieth
+# of a slot. Who of such instances waited longest for a call gets it.
+EVEN_COST = 0.02
 # Records kept at most; instances that were replaced leave theirs behind.
 RECORDS_MOST = 2_000
 
@@ -53,6 +56,7 @@
     noted_at: float = 0.0
     load: float = 0.0
     load_at: float = -1e9
+    turn: int = 0
 
 
 class Balancer:
@@ -62,12 +66,22 @@
         self._usage = usage
         self._zone = zone
         self._records: dict[str, _Record] = {}
+        self._turns = 0
 
     def pick(
         self, upstreams: typing.Iterable[chain.Upstream]
     ) -> chain.Upstream | None:
         """Return the best instance, or ``None`` where there is none."""
-        found = min(upstreams, key=self._cost, default=None)
+        costs = [(self._cost(one), one) for one in upstreams]
+        if not costs:
+            return None
+        most = min(cost for cost, _ in costs) + EVEN_COST
+        found = min(
+            (one for cost, one in costs if cost <= most),
+            key=lambda one: self._record(one).turn,
+        )
+        self._turns += 1
+        self._record(found).turn = self._turns
         if len(self._records) > RECORDS_MOST:
             self._forget()
         return found
