Calls beyond a limit are told so at once

Cause: a call that found no instance which takes more learned in how long the next call is taken, and slept so long, each for itself. All that waited woke together, one was sent, and the others were refused once their wait was over: the place of each in the line was known from the first.

Change: calls wait in the service's line, as streams do, and each counts those before it. A call that was tried already waits beside the line, since other instances are left to it. Those that wait for a rest all go when it is over, however many.

--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -185,26 +185,62 @@
         :raises CrowdeckError: ``NO_PATH`` where none takes a call in time.
         """
         until = self._request.arrived + WAIT_SHARE * self._route.objective
-        while True:
-            if self._left() < LEAST_SECONDS:
-                raise self._failure(
-                    errors.CrowdeckError(
-                        errors.Code.DEADLINE, "no time is left"
-                    )
-                )
-            limits = self._context.limits
-            book = self._context.book
-            fresh = self._fresh(book.usable(self._service.name))
-            upstream = self._balancer.pick(filter(limits.allows, fresh))
+        line = self._context.line(self._service.name)
+        # One that is tried again is not held up by those that can go to
+        # instances which it has left behind.
+        if self._tried or not len(line):
+            upstream = self._pick()
             if upstream is not None:
-                # At once: whoever chooses next has to know.
-                limits.take(upstream)
                 return upstream
-            soon = self._fresh(book.usable_soon(self._service.name))
-            seconds = self._context.seconds_until_any(soon)
-            if not seconds or anyio.current_time() + seconds > until:
+        if self._tried:
+            return await self._await_turn(until)
+        # Counted before its wait: all that wait for one instance cannot be
+        # served by the next request that it takes.
+        seconds = self._seconds_until(len(line))
+        if not self._may_wait(seconds, until):
+            raise self._failure(self._none_left(seconds))
+        async with line.turn(until) as is_first:
+            if not is_first:
+                raise self._failure(self._none_left(self._seconds_until()))
+            return await self._await_turn(until)
+
+    async def _await_turn(self, until: float) -> chain.Upstream:
+        """Return the instance to try once one takes a call."""
+        while (upstream := self._pick()) is None:
+            seconds = self._seconds_until()
+            if not self._may_wait(seconds, until):
                 raise self._failure(self._none_left(seconds))
             await anyio.sleep(seconds)
+        return upstream
+
+    def _pick(self) -> chain.Upstream | None:
+        """Take an instance that takes a call now, if there is one."""
+        if self._left() < LEAST_SECONDS:
+            raise self._failure(
+                errors.CrowdeckError(errors.Code.DEADLINE, "no time is left")
+            )
+        limits = self._context.limits
+        usable = self._context.book.usable(self._service.name)
+        fresh = self._fresh(usable)
+        upstream = self._balancer.pick(filter(limits.allows, fresh))
+        if upstream is not None:
+            # At once: whoever chooses next has to know.
+            limits.take(upstream)
+        return upstream
+
+    def _seconds_until(self, ahead: int = 0) -> float:
+        """Return in how long an instance takes this call, 0 if unknown.
+
+        :param ahead: calls that are served before it.
+        """
+        book = self._context.book
+        soon = self._fresh(book.usable_soon(self._service.name))
+        return self._context.seconds_until_any(soon, ahead)
+
+    @staticmethod
+    def _may_wait(seconds: float, until: float) -> bool:
+        """Whether a call is to be served within its wait."""
+        return 0.0 < seconds <= until - anyio.current_time()
 
     def _fresh(
         self, upstreams: typing.Iterable[chain.Upstream]
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -5,6 +5,7 @@
 
 """What the parts of the relay share."""
 
+import heapq
 import random
 import typing
 
@@ -180,15 +181,22 @@
         """Return in how long one of some instances takes a request.
 
         By what they ask for themselves; 0 where that is now, or where
-        there are none.
+        there are none. Each takes one after the other, as its limit allows.
 
         :param ahead: requests that are to be sent first.
         """
         found = list(upstreams)
-        soonest = min(map(self._seconds_until, found), default=0.0)
-        if not soonest:
+        turns = [
+            (self._seconds_until(one), 1.0 / self.limits.per_second(one))
+            for one in found
+        ]
+        if not min(turns, default=(0.0, 0.0))[0]:
             return 0.0
-        return soonest + ahead / sum(map(self.limits.per_second, found))
+        heapq.heapify(turns)
+        for _ in range(ahead):
+            soonest, pause = turns[0]
+            heapq.heapreplace(turns, (soonest + pause, pause))
+        return turns[0][0]
 
     def _seconds_until(self, upstream: chain.Upstream) -> float:
         return max(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -329,6 +329,119 @@
         play(work, EVEN)
 
 
+class TestCallsInLine:
+    """More calls than instances take: who waits, and who is told at once.
+
+    What was seen: at a limit of 4 a second, 30 asked by one entry, half of
+    those that were refused had waited 0.86 s first. Each knew when the next
+    call is taken, and took itself for that one: all that waited woke
+    together, one was sent, and the others had waited in vain.
+    """
+
+    def play(
+        self,
+        work: typing.Callable[
+            [fleet_system.FleetSystem, list[chain.Upstream]],
+            typing.Awaitable[None],
+        ],
+        count: int,
+        objective: float = 0.5,
+    ) -> None:
+        async def body() -> None:
+            system = fleet_system.FleetSystem(name="entry")
+            route = fleet_system.a_route(
+                IDEMPOTENT, objective=objective, timeout=4.0
+            )
+            system.install(fleet_system.a_config(listed=(route,)))
+            found = []
+            for number in range(count):
+                one = fleet_system.upstream(
+                    f"records-{number}", service=fleet_system.PLAIN, card=""
+                )
+                system.add(one)
+                found.append(one)
+            await work(system, found)
+
+        virtual.run(body)
+
+    @pytest.mark.parametrize("seed", range(5))
+    @pytest.mark.parametrize("objective", [0.5, 2.0])
+    @pytest.mark.parametrize("count", [1, 2, 5])
+    def test_who_is_refused_is_so_at_once(
+        self, count: int, objective: float, seed: int
+    ) -> None:
+        chance = random.Random(seed)
+        limit = 4.0
+        told: list[tuple[float, float, fleet_system.Caller]] = []
+
+        async def work(
+            system: fleet_system.FleetSystem, found: list[chain.Upstream]
+        ) -> None:
+            for one in found:
+                system.fleet.at(one.address).limit = limit
+
+            async def ask() -> None:
+                began = anyio.current_time()
+                caller = await system.ask(system.request(IDEMPOTENT))
+                took = anyio.current_time() - began
+                told.append((began, took, caller))
+
+            async with anyio.create_task_group() as tasks:
+                while anyio.current_time() < 23.0:
+                    tasks.start_soon(ask)
+                    await anyio.sleep(chance.expovariate(30.0))
+
+        self.play(work, count, objective)
+        late = [one for one in told if one[0] >= 3.0]
+        refused = [one for one in late if one[2].error is not None]
+        assert refused
+        assert max(took for _, took, _ in refused) < 0.01
+        served = len(late) - len(refused)
+        # Three quarters of what the limits allow are to be served.
+        assert served >= 0.75 * limit * count * 20.0
+
+    def test_all_that_wait_for_a_rest_go_when_it_is_over(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, found: list[chain.Upstream]
+        ) -> None:
+            callers: list[fleet_system.Caller] = []
+
+            async def ask() -> None:
+                request = system.request(IDEMPOTENT)
+                callers.append(await system.ask(request))
+
+            system.book.back_off(found[0].name, 0.2)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(300):
+                    tasks.start_soon(ask)
+            assert len(callers) == 300
+            assert all(one.error is None for one in callers)
+            assert anyio.current_time() < 0.3
+
+        self.play(work, 1)
+
+    def test_without_any_instance_nothing_is_waited_for(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, found: list[chain.Upstream]
+        ) -> None:
+            waiting = []
+
+            async def ask() -> None:
+                waiting.append(await system.ask(system.request(IDEMPOTENT)))
+
+            system.book.back_off(found[0].name, 0.2)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.1)
+                system.book.on_changed((), (found[0].life.id,))
+                began = anyio.current_time()
+                caller = await system.ask(system.request(IDEMPOTENT))
+                assert caller.error is not None
+                assert anyio.current_time() == began
+
+        self.play(work, 1)
+
+
 class TestContext:
     """What an entry takes from answers, and forgets."""
 
