What instances ask for is told to operators, by service and zone

Cause: limits, times of rest and leaving told in answers were kept entry by entry, with a line of the log at each change, no since, no end of a rest, no metric, and no trace in the lines of a request. crowdeck explain did not read the lines at all, and crowdeck losses counted a stream that was refused for it under no room, or under missing layers where engines rested. crowdeck status knew nothing of entries before engines that chain themselves.

Change: relay/needs.py gathers what is asked for and since when, with what this entry sends of a limit and takes for its part. A line at each begin and end, 20 in half a second and one that counts the rest; gauges by service and zone. path_chosen, no_path, call_answered and the new no_instance name who was held back (at the begin of a wait, if it waited), at the most five. crowdeck explain names them, crowdeck losses has a cause for what was refused and one for streams that were late. An entry answers /status at its peers' address; crowdeck status asks all that are noted, and shows layers that no engine holds and instances in need, summed and one by one.

The test of the modules that an entry loads names relay/needs.py; its number for all others stays 77.

Ruled out: to sum what all entries use at an entry: they do not ask one another. The command sums what those that answer tell.

Figures: none but those of the tests (tests/test_needs.py): 300 instances that ask for rest at once make 21 lines at the begin and 21 at the end; of 300 calls beyond the limits each is counted under one cause.

Entries that left for good stay listed, so crowdeck status shows them as lost, and ends with 4.

--- a/src/crowdeck/cmd/commands.py
+++ b/src/crowdeck/cmd/commands.py
@@ -13,6 +13,7 @@
 import attrs
 
 from crowdeck.cmd import checks
+from crowdeck.cmd import entry_status
 from crowdeck.cmd import operator as operators
 from crowdeck import errors
 from crowdeck.settings import config as configs
@@ -57,14 +58,43 @@
     """Show every instance and how it is."""
     answers = await operator.ask_all(questions.ReadStatus(""))
     rows = [_status_row(answer) for answer in answers]
-    lost = any(answer.error is not None for answer in answers)
+    rows += await operator.entries()
+    lost = any(row["state"] == "lost" for row in rows)
+    columns = ("instance", "role", "state", "running", "generation")
     return Result(
         rows,
-        table(rows, ("instance", "role", "state", "running", "generation")),
+        "\n".join(
+            [table(rows, columns), *_unheld_lines(rows)] + _need_lines(rows)
+        ),
         EXIT_UNREACHABLE if lost else EXIT_OK,
     )
 
 
+def _unheld_lines(rows: list[dict[str, Data]]) -> list[str]:
+    """Show the layers that no engine holds."""
+    unheld = entry_status.list_unheld(rows)
+    if not unheld:
+        return []
+    columns = ("service", "layers", "seconds", "can_hold", "of", "needed")
+    shown = table(unheld, columns)
+    return ["", "layers that no engine holds:", shown]
+
+
+def _need_lines(rows: list[dict[str, Data]]) -> list[str]:
+    """Show what instances ask for themselves."""
+    sums = entry_status.sum_needs(rows)
+    if not sums:
+        return []
+    needs = entry_status.list_needs(rows)
+    columns = ("upstream", "need", "seconds", "per_second", "used", "entry")
+    shown = needs[: entry_status.SHOWN_MOST]
+    lines = ["", "instances in need:", table(sums, tuple(sums[0]))]
+    lines += ["", table(shown, columns)]
+    if len(needs) > len(shown):
+        lines.append(f"and {len(needs) - len(shown)} more; see --json")
+    return lines
+
+
 def _status_row(answer: operators.Answered) -> dict[str, Data]:
     if not isinstance(answer.reply, questions.Status):
         why = answer.error.message if answer.error else "no status"
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -165,23 +165,28 @@
         share = _Sharing(context, view.roster)
         for part in (*view.parts, share.run, lease.run, watch.run):
             tasks.start_soon(part)
+        tasks.start_soon(context.needs.run)
         tasks.start_soon(context.gaps.run, lambda: view.holder.services)
         tasks.start_soon(_place, lease, view.book, upstreams, view.holder)
         tasks.start_soon(self._survey, context, view)
-        await self._listen_to_peers(tasks, view)
+        status = statuses.EntryStatus(
+            self._config.name, context, view.holder, self._relay
+        )
+        await self._listen_to_peers(tasks, view, status.read)
         await self._listen(tasks, self._relay)
 
     async def _listen_to_peers(
         self,
         tasks: anyio.abc.TaskGroup,
         view: store_view.StoreView,
+        status: peer_http.Status,
     ) -> None:
         peers = str(self._config.fleet["peers"])
         if not peers:
             return
         address = instances.Address.parse(peers)
         copies = {one.kind: one for one in view.mirrors}
-        app = peer_http.PeerApp(copies, view.readers)
+        app = peer_http.PeerApp(copies, view.readers, status)
         server = http_server.build(app, address.host, address.port)
         await tasks.start(_run_server, server)
 
--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -108,6 +108,8 @@
         verdict = "it was answered in time"
     else:
         verdict = found.cause or "the logs do not tell the cause"
+    if found.held_back:
+        lines += ["", f"in need meanwhile: {', '.join(found.held_back)}"]
     lines += ["", f"cause: {verdict}"]
     is_known = bool(found.lines) and bool(found.cause or not found.has_failed)
     data: commands.Data = {
@@ -116,6 +118,7 @@
         "has_failed": found.has_failed,
         "lines": [str(line) for line in found.lines],
         "context": [str(line) for line in found.context],
+        "held_back": list(found.held_back),
     }
     return commands.Result(
         data,
--- a/src/crowdeck/cmd/operator.py
+++ b/src/crowdeck/cmd/operator.py
@@ -11,6 +11,7 @@
 import anyio
 import attrs
 
+from crowdeck.cmd import entry_status
 from crowdeck import errors
 from crowdeck import http
 from crowdeck import instance as instances
@@ -69,6 +70,7 @@
         self._timeout = timeout
         self._stack = contextlib.AsyncExitStack()
         self._client = http.HttpClient(platform_url)
+        self._entries = http.HttpClient("")
         self.store = platform_store.HttpStore(self._client)
         self._directory = directories.Directory(self.store)
         greeting = messages.Greeting(
@@ -85,6 +87,7 @@
 
     async def __aenter__(self) -> "Operator":
         self._stack.push_async_callback(self._client.close)
+        self._stack.push_async_callback(self._entries.close)
         await self._stack.enter_async_context(self._transport)
         return self
 
@@ -99,6 +102,15 @@
         listing = await self.store.list_instances()
         return listing.instances if listing is not None else ()
 
+    async def entries(self) -> list[entry_status.Row]:
+        """Ask the entries before engines that chain their stages.
+
+        :raises CrowdeckError: ``STORE_DOWN`` when they cannot be listed.
+        """
+        return await entry_status.read(
+            self.store, self._entries, self._timeout
+        )
+
     async def ask(
         self, name: str, question: questions.Question
     ) -> questions.Reply:
--- a/src/crowdeck/membership/leavers.py
+++ b/src/crowdeck/membership/leavers.py
@@ -38,6 +38,10 @@
             del self._since[next(iter(self._since))]
         return True
 
+    def items(self) -> tuple[tuple[str, float], ...]:
+        """Return who said so, and when by the loop's time."""
+        return tuple(self._since.items())
+
     def since(self, name: str) -> float | None:
         """Return when an instance first said so, by the loop's time."""
         return self._since.get(name)
--- a/src/crowdeck/membership/peer_http.py
+++ b/src/crowdeck/membership/peer_http.py
@@ -9,6 +9,7 @@
 chain themselves does not load it, and these are a few questions a second.
 """
 
+import typing
 import urllib.parse
 
 import attrs
@@ -22,6 +23,7 @@
 from crowdeck.state import objects as stores
 
 WATCH_PATH = "/watch/"
+STATUS_PATH = "/status"
 _JSON = (b"content-type", b"application/json")
 # A new connection within a zone takes a millisecond.
 CONNECT_SECONDS = 0.25
@@ -41,19 +43,25 @@
 _CODES = {status: code for code, status in _STATUS.items()}
 
 
+Status = typing.Callable[[], dict[str, typing.Any]]
+
+
 class PeerApp:
     """Answers other entries' questions, as an ASGI application.
 
     :param mirrors: this entry's copies, by kind.
+    :param status: returns what an operator is told of this entry.
     """
 
     def __init__(
         self,
         copies: dict[str, mirrors.Mirror],
         choice: readers.Readers,
+        status: Status = dict,
     ) -> None:
         self._copies = copies
         self._choice = choice
+        self._status = status
 
     async def __call__(
         self,
@@ -62,6 +70,9 @@
         send: ingress.Send,
     ) -> None:
         """Answer one question."""
+        if scope["path"] == STATUS_PATH:
+            await _answer(send, 200, orjson.dumps(self._status()))
+            return
         kind = str(scope["path"]).removeprefix(WATCH_PATH)
         copy = self._copies.get(kind)
         if copy is None:
--- a/src/crowdeck/membership/rests.py
+++ b/src/crowdeck/membership/rests.py
@@ -11,6 +11,7 @@
 
 @attrs.define
 class _Rest:
+    since: float
     until: float
     is_asked: bool = False
 
@@ -33,7 +34,7 @@
         if until <= (rest.until if rest is not None else 0.0):
             return False
         if rest is None or rest.until <= now:
-            self._rests[name] = _Rest(until)
+            self._rests[name] = _Rest(now, until)
         else:
             rest.until = until
         return True
@@ -64,6 +65,15 @@
         rest.is_asked = True
         return True
 
+    def now(self) -> tuple[tuple[str, float, float], ...]:
+        """Return who rests: name, since when, until when."""
+        now = anyio.current_time()
+        return tuple(
+            (name, rest.since, rest.until)
+            for name, rest in self._rests.items()
+            if rest.until > now
+        )
+
     def forget(self, name: str) -> None:
         """Forget an instance that has ended."""
         self._rests.pop(name, None)
--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -188,7 +188,7 @@
             # Our own write is known before the copy that a peer keeps.
             return
         self._versions[stored.name] = stored.version
-        note = self._notes[stored.name] = _decode(stored)
+        note = self._notes[stored.name] = decode_note(stored)
         if stored.name != self._name:
             self._ledger.take(stored.name, note.evidence)
             return
@@ -244,7 +244,8 @@
     )
 
 
-def _decode(stored: stores.StoredObject) -> Note:
+def decode_note(stored: stores.StoredObject) -> Note:
+    """Return what an entry noted; nothing where it cannot be read."""
     try:
         body = orjson.loads(stored.value)
         address = str(body.get("address") or "")
--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -258,6 +258,14 @@
         self._log("upstream_changed", belief.upstream, belief.version)
         self._tell()
 
+    def resting(self) -> tuple[tuple[str, float, float], ...]:
+        """Return who wants rest: name, since when, until when."""
+        return self._rests.now()
+
+    def said_leaving(self) -> tuple[tuple[str, float], ...]:
+        """Return whose answers said that they leave, and since when."""
+        return self._leavers.items()
+
     def seconds_backing_off(self, name: str) -> float:
         """Return for how long an instance still wants nothing from us."""
         return self._rests.seconds_left(name)
--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -42,14 +42,18 @@
         "layers_held_again",
         "layers_unheld",
         "loop_late",
+        "need_begun",
+        "need_ended",
         "placement_ordered",
         "store_history_lost",
         "store_lost",
         "store_regained",
         "upstream_avoided",
+        "upstream_backed_off",
         "upstream_changed",
         "upstream_gone",
         "upstream_lapsed",
+        "upstream_limited",
         "upstream_paused",
     }
 )
@@ -94,6 +98,8 @@
 
     :ivar cause: why it failed, empty where the logs do not tell.
     :ivar has_failed: whether it failed, was late or was given up.
+    :ivar held_back: instances that it was not sent to, since they named
+        limits, wanted rest or said that they leave.
     """
 
     request: str
@@ -101,6 +107,7 @@
     context: tuple[Line, ...]
     cause: str
     has_failed: bool
+    held_back: tuple[str, ...] = ()
 
 
 def parse(text: str) -> Line | None:
@@ -145,7 +152,9 @@
     own.sort(key=lambda line: line.at)
     context = _context(own, recent)
     cause, has_failed = _judge(own, gap)
-    return Explanation(request, tuple(own), context, cause, has_failed)
+    return Explanation(
+        request, tuple(own), context, cause, has_failed, _held_back(own)
+    )
 
 
 def _context(
@@ -167,6 +176,12 @@
     return tuple(found[-CONTEXT_LINES:])
 
 
+def _held_back(own: list[Line]) -> tuple[str, ...]:
+    told = [str(line.fields.get("held_back") or "") for line in own]
+    names = [name for text in told for name in text.split(",") if name]
+    return tuple(dict.fromkeys(names))
+
+
 def _concerns(line: Line, text: str) -> bool:
     """Whether a belief names something that the request met."""
     names = (line.fields.get("upstream"), line.fields.get("address"))
@@ -201,7 +216,7 @@
     code = str(end.fields.get("code", ""))
     cause = _CAUSES.get(code, f"error {code}")
     cause += f": {end.fields.get('reason', '')}"
-    gaps = [line for line in own if line.kind == "no_path"]
+    gaps = [line for line in own if line.kind in ("no_path", "no_instance")]
     if gaps:
         cause += "; " + _lack(gaps[-1])
     failures = [
@@ -223,6 +238,16 @@
             f"no engine holds layers {unheld}; what closes the gap: "
             f"{line.fields.get('needed')}"
         )
+    held_back = line.fields.get("held_back")
+    ready_in = line.fields.get("ready_in")
+    if ready_in or line.fields.get("in_need"):
+        needy = f"{held_back} were at their limits, wanted rest or left"
+        return needy + (
+            f", and one takes more in {ready_in} s" if ready_in else ""
+        )
+    if line.kind == "no_instance":
+        needy = f"; {held_back} wanted no more" if held_back else ""
+        return f"{line.fields.get('listed')} instances were listed{needy}"
     if missing:
         first = line.fields.get("first_missing")
         return (
--- a/src/crowdeck/observe/losses.py
+++ b/src/crowdeck/observe/losses.py
@@ -20,7 +20,12 @@
     "path_changed": "its path was changed",
     "attempt_failed": "it began anew",
     "stream_silent": "nothing was found at fault",
+    # A mark of the account's own: a path was waited for.
+    "held_back": "it waited for instances in need",
 }
+# A wait for a path that makes a first event late by itself is longer; a
+# path that is there is chosen within some milliseconds.
+WAITED_SECONDS = 0.1
 IN_TIME = "in time"
 CALLER_LEFT = "the caller left"
 _BY_RIGHT = "by right"
@@ -100,8 +105,12 @@
         if line.kind in explain.ENDS:
             if request.end is None or request.end.at <= line.at:
                 request.end = line
-        elif line.kind == "no_path":
+        elif line.kind in ("no_path", "no_instance"):
             request.lack = line
+        elif line.kind == "path_chosen":
+            waited = float(line.fields.get("waited") or 0.0)
+            if line.fields.get("held_back") and waited > WAITED_SECONDS:
+                request.mends.add("held_back")
         elif line.kind in _MENDED:
             request.mends.add(line.kind)
         if line.kind == "attempt_failed":
@@ -167,6 +176,8 @@
         if code in _CALLERS_OWN:
             return f"{what} {_BY_RIGHT}: {code}"
         if code == "NO_PATH" and request.lack is not None:
+            if request.lack.kind == "no_instance":
+                return f"{what}: {code}, {_call_lack(request.lack)}"
             return f"{what}: {code}, {_lack(request.lack)}"
         return f"{what}: {code}, {_general(str(end.fields.get('reason', '')))}"
 
@@ -185,11 +196,22 @@
     """Return what there was no path for want of."""
     if line.fields.get("unheld"):
         return "no engine holds some layers"
+    if line.fields.get("in_need"):
+        return "instances at their limits or in rest"
     if line.fields.get("missing_layers"):
         return "layers were missing"
     return "no room"
 
 
+def _call_lack(line: explain.Line) -> str:
+    """Return why no instance took a call."""
+    if line.fields.get("ready_in"):
+        return "instances at their limits or in rest"
+    if line.fields.get("held_back"):
+        return "the instances left were in need"
+    return "no instance"
+
+
 def _instance(source: str) -> str:
     """Return the process that a collector names, without its time."""
     words = source.split()
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -119,6 +119,7 @@
         self._tried: set[str] = set()
         self._sent = 0
         self._verdict = verdicts.Verdict.NOT_RUN
+        self._held_back = ""
 
     async def run(self) -> _Answer:
         failed: _Answer | None = None
@@ -185,6 +186,7 @@
         :raises CrowdeckError: ``NO_PATH`` where none takes a call in time.
         """
         until = self._request.arrived + WAIT_SHARE * self._route.objective
+        self._held_back = self._context.needs.held_back(self._service.name)
         line = self._context.line(self._service.name)
         # One that is tried again is not held up by those that can go to
         # instances which it has left behind.
@@ -276,6 +278,7 @@
             status=answer.status,
             seconds=round(took, 4),
             tries=self._sent,
+            held_back=self._held_back,
         )
         return answer
 
@@ -374,6 +377,15 @@
 
         :param seconds: in how long one does, 0 where that is not known.
         """
+        logs.decision(
+            "no_instance",
+            self._request.id,
+            service=self._service.name,
+            listed=len(self._context.book.listed(self._service.name)),
+            held_back=self._held_back,
+            ready_in=round(seconds, 3) if seconds else None,
+            waited=round(anyio.current_time() - self._request.arrived, 3),
+        )
         if not seconds:
             return errors.CrowdeckError(
                 errors.Code.NO_PATH,
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -19,6 +19,7 @@
 from crowdeck.quarantine import ledger as ledgers
 from crowdeck.relay import gaps as layer_gaps
 from crowdeck.relay import lateness
+from crowdeck.relay import needs as instance_needs
 from crowdeck.relay import reach
 from crowdeck.relay import returns
 from crowdeck.relay import waiting
@@ -75,6 +76,7 @@
     limits: rate_limits.RateLimits = attrs.field(init=False)
     return_times: returns.ReturnTimes = attrs.field(init=False)
     gaps: layer_gaps.LayerGaps = attrs.field(init=False)
+    needs: instance_needs.Needs = attrs.field(init=False)
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
@@ -85,6 +87,7 @@
         self.gaps = layer_gaps.LayerGaps(self.book)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.chance)
+        self.needs = instance_needs.Needs(self.book, self.limits)
         self.book.subscribe_ends(self.note_end)
         self.client.subscribe(self._take_notice)
 
--- a/src/crowdeck/relay/gaps.py
+++ b/src/crowdeck/relay/gaps.py
@@ -73,6 +73,20 @@
         left = ready_at - anyio.current_time()
         return left if left > 0.0 else None
 
+    def as_fields(self) -> dict[str, typing.Any]:
+        """Return it for a log line or a status."""
+        left = self.seconds_left
+        return {
+            "service": self.service,
+            "layers": str(self),
+            "seconds": round(anyio.current_time() - self.since, 3),
+            "engines": self.engines,
+            "can_hold": self.holdable,
+            "of": self.profile.layer_count,
+            "needed": self.needed,
+            "ready_in": None if left is None else round(left, 3),
+        }
+
     def closes_by(self, moment: float) -> bool:
         """Whether the model is known to be whole by a loop's time."""
         left = self.seconds_left
@@ -177,18 +191,7 @@
         if seconds < LOGGED_SECONDS or _is_alike(gap, before):
             return
         self._logged[service] = gap
-        left = gap.seconds_left
-        logs.change(
-            "layers_unheld",
-            service=service,
-            layers=str(gap),
-            seconds=round(seconds, 3),
-            engines=gap.engines,
-            can_hold=gap.holdable,
-            of=profile.layer_count,
-            needed=gap.needed,
-            ready_in=None if left is None else round(left, 3),
-        )
+        logs.change("layers_unheld", **gap.as_fields())
 
 
 def _is_alike(gap: Gap, before: Gap | None) -> bool:
--- /dev/null
+++ b/src/crowdeck/relay/needs.py
@@ -0,0 +1,184 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What instances ask for themselves, told to operators."""
+
+import collections
+import enum
+import itertools
+import typing
+
+import anyio
+import attrs
+
+from crowdeck import chain
+from crowdeck.membership import upstreams as books
+from crowdeck.observe import counters
+from crowdeck.observe import logs
+from crowdeck.routing import rate_limits
+
+LOOK_SECONDS = 0.5
+# Of instances that begin, or end, within one look so many have a line each;
+# one more tells how many others did. Hundreds do when a service is in need.
+LINES_MOST = 20
+# Instances that are named with one request.
+NAMED_MOST = 5
+
+
+class Kind(enum.StrEnum):
+    """What an instance asks for."""
+
+    LIMIT = "limit"
+    REST = "rest"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Need:
+    """What one instance asks for.
+
+    :ivar since: the loop's time at which this entry learned of it.
+    :ivar per_second: the limit, in requests a second from all entries.
+    :ivar used: how many of them this entry sends.
+    :ivar share: the part of the limit that this entry takes for its own.
+    :ivar seconds_left: how long the rest still takes.
+    """
+
+    upstream: chain.Upstream
+    kind: Kind
+    since: float
+    per_second: float | None = None
+    used: float | None = None
+    share: float | None = None
+    seconds_left: float | None = None
+
+    @property
+    def key(self) -> tuple[str, Kind]:
+        """What tells it from others."""
+        return self.upstream.name, self.kind
+
+    def as_fields(self) -> dict[str, typing.Any]:
+        """Return it for a log line or a status, without what it lacks."""
+        fields = {
+            "upstream": self.upstream.name,
+            "address": str(self.upstream.address),
+            "service": self.upstream.service,
+            "zone": self.upstream.availability_zone,
+            "need": str(self.kind),
+            "seconds": anyio.current_time() - self.since,
+            "per_second": self.per_second,
+            "used": self.used,
+            "share": self.share,
+            "seconds_left": self.seconds_left,
+        }
+        return {
+            name: round(value, 3) if isinstance(value, float) else value
+            for name, value in fields.items()
+            if value is not None
+        }
+
+
+class Needs:
+    """Gathers what instances ask of this entry, or of all."""
+
+    def __init__(
+        self, book: books.UpstreamBook, limits: rate_limits.RateLimits
+    ) -> None:
+        self._book = book
+        self._limits = limits
+        self._known: dict[tuple[str, Kind], Need] = {}
+        self._gauges: set[str] = set()
+
+    def now(self) -> tuple[Need, ...]:
+        """Return what is asked for now."""
+        return (*self._limited(), *self._resting(), *self._leaving())
+
+    def held_back(self, service: str) -> str:
+        """Return addresses of those that get no request now for it.
+
+        The first few of them; they are named with a request.
+        """
+        names = itertools.chain(
+            (name for name, _, _ in self._book.resting()),
+            (name for name, _ in self._book.said_leaving()),
+            self._limits.names(),
+        )
+        found = (
+            str(one.address)
+            for name in dict.fromkeys(names)
+            if (one := self._book.find(name)) is not None
+            and one.service == service
+            and not (self._book.is_usable(name) and self._limits.allows(one))
+        )
+        return ",".join(itertools.islice(found, NAMED_MOST))
+
+    async def run(self) -> None:
+        """Log what changes and set the gauges, until cancelled."""
+        while True:
+            self._look()
+            await anyio.sleep(LOOK_SECONDS)
+
+    def _limited(self) -> typing.Iterator[Need]:
+        for one in self._limits.views():
+            upstream = self._book.find(one.name)
+            if upstream is not None:
+                yield Need(
+                    upstream,
+                    Kind.LIMIT,
+                    one.since,
+                    per_second=one.per_second,
+                    used=one.used,
+                    share=one.share,
+                )
+
+    def _resting(self) -> typing.Iterator[Need]:
+        now = anyio.current_time()
+        for name, since, until in self._book.resting():
+            upstream = self._book.find(name)
+            if upstream is not None:
+                left = until - now
+                yield Need(upstream, Kind.REST, since, seconds_left=left)
+
+    def _leaving(self) -> typing.Iterator[Need]:
+        for name, since in self._book.said_leaving():
+            upstream = self._book.find(name)
+            if upstream is not None:
+                yield Need(upstream, Kind.LEAVING, since)
+
+    def _look(self) -> None:
+        found = {one.key: one for one in self.now()}
+        begun = [one for key, one in found.items() if key not in self._known]
+        ended = [one for key, one in self._known.items() if key not in found]
+        _log("need_begun", begun)
+        _log("need_ended", ended)
+        self._known = found
+        self._set_gauges(found.values())
+
+    def _set_gauges(self, found: typing.Iterable[Need]) -> None:
+        levels: dict[str, float] = collections.defaultdict(float)
+        for one in found:
+            where = f"{one.upstream.service}.{one.upstream.availability_zone}"
+            levels[f"needs.{one.kind}.{where}"] += 1
+            if one.kind is Kind.LIMIT:
+                allowed = f"needs.allowed_per_second.{where}"
+                used = f"needs.used_per_second.{where}"
+                levels[allowed] += one.per_second or 0.0
+                levels[used] += one.used or 0.0
+        self._gauges |= set(levels)
+        for name in self._gauges:
+            counters.COUNTERS.set_gauge(name, levels[name])
+
+
+def _log(what: str, needs: list[Need]) -> None:
+    for one in needs[:LINES_MOST]:
+        logs.change(what, **one.as_fields())
+    others = needs[LINES_MOST:]
+    if others:
+        counts = collections.Counter(
+            f"{one.upstream.service} {one.upstream.availability_zone} "
+            f"{one.kind}"
+            for one in others
+        )
+        logs.change(f"{what}_by_others", instances=dict(counts))
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -55,6 +55,7 @@
         self._arrived = stream.request.arrived
         self._deadline = deadline
         self._excluded: set[str] = set()
+        self._waited_for = ""
 
     def exclude(self, name: str) -> None:
         """Use an engine no more, unless there is no path without it."""
@@ -71,6 +72,7 @@
         if has_begun:
             path = await self._await_begun()
         elif self._has_turns(line) or (path := self._plan()) is None:
+            self._waited_for = self._context.needs.held_back(self._service)
             path = await self._wait_in(line)
         if path is None:
             self._note_no_path()
@@ -139,6 +141,11 @@
         """Whether others wait, for what will come."""
         return bool(len(line)) and self._gap() is None
 
+    def held_back(self) -> str:
+        """Return which engines are in need, or were when a wait began."""
+        now = self._context.needs.held_back(self._service)
+        return now or self._waited_for
+
     def refusal(self) -> errors.CrowdeckError:
         """Return the refusal of a stream that found no path."""
         chance = self._context.chance
@@ -176,10 +183,24 @@
             first_missing=missing[0] if missing else None,
             unheld=str(gap) if gap else None,
             needed=gap.needed if gap else None,
+            held_back=self.held_back(),
+            in_need=self._is_need(missing),
+            ready_in=round(self.seconds_until_taken(), 3) or None,
             tokens=int(self._stream.tokens),
             waited=round(anyio.current_time() - self._arrived, 3),
         )
 
+    def _is_need(self, missing: list[int]) -> bool:
+        """Whether there is no path for what engines ask for themselves.
+
+        :param missing: layers that no usable engine holds.
+        """
+        if self.seconds_until_taken():
+            return True
+        soon = self._context.book.usable_soon(self._service)
+        held = chain.coverage(soon, self._stream.profile.layer_count)
+        return bool(missing) and all(held)
+
     def _plan(self) -> chain.ChainPath | None:
         book = self._context.book
         wanted = hops.Wanted(
--- a/src/crowdeck/relay/status.py
+++ b/src/crowdeck/relay/status.py
@@ -8,7 +8,9 @@
 import typing
 
 from crowdeck.observe import counters
+from crowdeck.relay import context as contexts
 from crowdeck.relay import ingress
+from crowdeck.routing import routes as tables
 
 METRICS_PATH = "/metrics"
 _TEXT = (b"content-type", b"text/plain; version=0.0.4")
@@ -23,6 +25,57 @@
         ...
 
 
+class _Relay(Ready, typing.Protocol):
+    """Knows what it serves."""
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that are being served."""
+        ...
+
+
+class _Config(typing.Protocol):
+    """Knows which config is in force."""
+
+    @property
+    def table(self) -> tables.RouteTable | None:
+        """The config in force."""
+        ...
+
+
+class EntryStatus:
+    """What an entry tells an operator of itself, and of what it knows.
+
+    :param name: the entry's name.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        context: contexts.RelayContext,
+        config: _Config,
+        relay: _Relay,
+    ) -> None:
+        self._name = name
+        self._context = context
+        self._config = config
+        self._relay = relay
+
+    def read(self) -> dict[str, typing.Any]:
+        """Return it as it is now, ready for JSON."""
+        table = self._config.table
+        return {
+            "instance": self._name,
+            "role": "entry",
+            "zone": self._context.zone,
+            "is_ready": self._relay.is_ready,
+            "running": self._relay.in_progress,
+            "generation": table.version if table is not None else 0,
+            "needs": [one.as_fields() for one in self._context.needs.now()],
+            "unheld": [one.as_fields() for one in self._context.gaps.known],
+        }
+
+
 class StatusApp:
     """Answers balancers and collectors of metrics."""
 
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -170,6 +170,8 @@
             after=self._stream.last_event,
             tokens=int(self._stream.tokens),
             refusals=self._refusals,
+            waited=round(anyio.current_time() - self._request.arrived, 3),
+            held_back=self._paths.held_back(),
             config=self._admitted.config_version,
         )
         try:
--- a/src/crowdeck/routing/rate_limits.py
+++ b/src/crowdeck/routing/rate_limits.py
@@ -5,6 +5,7 @@
 
 """Limits that instances name, in requests a second from all entries."""
 
+import math
 import random
 import typing
 
@@ -45,6 +46,22 @@
         ...
 
 
+@attrs.frozen
+class LimitView:
+    """What an operator wants to know of one instance's limit.
+
+    :ivar since: the loop's time at which it was first named.
+    :ivar used: requests a second that this entry sent lately.
+    :ivar share: this entry's part of the limit.
+    """
+
+    name: str
+    per_second: float
+    since: float
+    used: float
+    share: float
+
+
 @attrs.define(eq=False)
 class _Limit:
     """One instance's limit, and this entry's part of it.
@@ -55,6 +72,8 @@
     :ivar others: sum of the numbers of others' requests that were seen.
     :ivar sights: how many such numbers were, older ones counting less.
     :ivar is_told_in_reports: whether it was named in a report as well.
+    :ivar since: when it was first named.
+    :ivar sent: requests sent since, older ones counting less.
     """
 
     per_second: float
@@ -66,6 +85,9 @@
     sights: float = 0.0
     sighted_at: float = 0.0
     is_told_in_reports: bool = False
+    since: float = 0.0
+    sent: float = 0.0
+    sent_at: float = 0.0
 
 
 class RateLimits:
@@ -143,6 +165,26 @@
         if limit is not None:
             self._gather(upstream, limit)
             limit.level -= 1.0
+            now = anyio.current_time()
+            limit.sent = limit.sent * _faded(now - limit.sent_at) + 1.0
+            limit.sent_at = now
+
+    def names(self) -> tuple[str, ...]:
+        """Return which instances name a limit."""
+        return tuple(self._limits)
+
+    def views(self) -> tuple[LimitView, ...]:
+        """Return all limits, for an operator."""
+        return tuple(
+            LimitView(
+                name,
+                limit.per_second,
+                limit.since,
+                _sent_per_second(limit),
+                self._share(limit),
+            )
+            for name, limit in self._limits.items()
+        )
 
     def seconds_until(self, upstream: chain.Upstream) -> float:
         """Return in how long an instance may be sent one more request."""
@@ -164,7 +206,9 @@
         # of those who have few requests would come out too high. Of many
         # entries with few each most have no other, and still a part.
         own = max(self._usage.own(upstream) - 1.0, requests / self._entries)
-        limit = _Limit(per_second, self._chance.random(), now, own, now)
+        limit = _Limit(
+            per_second, self._chance.random(), now, own, now, since=now
+        )
         self._limits[upstream.name] = limit
         return limit
 
@@ -207,6 +251,16 @@
     return float(0.5 ** (seconds / HALF_LIFE_SECONDS))
 
 
+def _sent_per_second(limit: _Limit) -> float:
+    now = anyio.current_time()
+    sent = limit.sent * _faded(now - limit.sent_at)
+    # What a steady rate adds up to, as old requests fade; for a young limit
+    # over the time that it is there.
+    spent = 1.0 - _faded(now - limit.since)
+    whole = HALF_LIFE_SECONDS / math.log(2.0) * spent
+    return sent / max(1.0, whole)
+
+
 def _log(
     upstream: chain.Upstream, limit: float | None, before: float | None
 ) -> None:
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -397,8 +397,9 @@
             "crowdeck.membership.rests",
             "crowdeck.routing.rate_limits",
         }
-        # What tells callers and operators of layers that no engine holds.
-        again.add("crowdeck.relay.gaps")
+        # What tells callers and operators of layers that no engine holds, and
+        # of what instances ask for.
+        again |= {"crowdeck.relay.gaps", "crowdeck.relay.needs"}
         assert len(own - again) <= 77
         assert len(loaded - again) <= 440
 
--- /dev/null
+++ b/tests/test_needs.py
@@ -0,0 +1,478 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""What instances ask for, as operators see it."""
+
+import collections
+import typing
+
+import anyio
+import eliot
+import orjson
+import pytest
+
+from crowdeck import chain
+from crowdeck.cmd import cli
+from crowdeck.cmd import commands
+from crowdeck.cmd import entry_status
+from crowdeck.cmd import http_server
+from crowdeck.cmd import operator as operators
+from crowdeck import http
+from crowdeck.observe import counters
+from crowdeck.observe import explain
+from crowdeck.observe import losses
+from crowdeck.relay import needs
+from crowdeck import route as routes
+from crowdeck.standin import store_http
+from crowdeck.wire import questions
+from tests import fleet_system
+from tests import test_fleet_process
+from tests import test_losses
+from tests import virtual
+
+ONCE = routes.Repeat.ONCE
+STREAM = routes.Repeat.STREAM
+PLAIN = fleet_system.PLAIN
+System = fleet_system.FleetSystem
+Work = typing.Callable[[System], typing.Awaitable[None]]
+Lines = list[dict[str, typing.Any]]
+
+
+@pytest.fixture
+def lines() -> typing.Iterator[Lines]:
+    """Every line of the log."""
+    found: Lines = []
+    eliot.add_destinations(found.append)
+    # What was logged while nobody listened comes first.
+    found.clear()
+    yield found
+    eliot.remove_destination(found.append)
+
+
+def of(kind: str, lines: Lines) -> Lines:
+    return [it for it in lines if it["message_type"] == f"crowdeck:{kind}"]
+
+
+def as_texts(lines: Lines) -> list[str]:
+    """Return lines as they stand in a log."""
+    return [orjson.dumps(one, default=str).decode() for one in lines]
+
+
+def play(work: Work, plain: int = 2) -> None:
+    async def body() -> None:
+        system = System(name="entry")
+        system.install(system.config)
+        system.add_model(copies=1)
+        for number in range(plain):
+            system.add(
+                fleet_system.upstream(
+                    f"records-{number}", service=PLAIN, card=""
+                )
+            )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(system.context.needs.run)
+            await fleet_system.run_with(system, work)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+def first(system: System, number: int = 0) -> chain.Upstream:
+    return system.listed[f"records-{number}"]
+
+
+async def call(system: System, seconds: float, step: float) -> None:
+    async with anyio.create_task_group() as tasks:
+        until = anyio.current_time() + seconds
+        while anyio.current_time() < until:
+            tasks.start_soon(system.ask, system.request(ONCE))
+            await anyio.sleep(step)
+
+
+class TestNeeds:
+    """What is known of an instance, and since when."""
+
+    def test_a_limit_with_what_was_used_of_it(self) -> None:
+        async def work(system: System) -> None:
+            for number in range(2):
+                system.fleet.at(first(system, number).address).limit = 6.0
+            await call(system, 20.0, 0.05)
+            found = {one.key: one for one in system.context.needs.now()}
+            one = found[(first(system).name, needs.Kind.LIMIT)]
+            assert one.per_second == 6.0
+            assert one.share == pytest.approx(1.0)
+            since = anyio.current_time() - 5.0
+            sent = sum(
+                run.upstream == one.upstream.name and run.at >= since
+                for run in system.fleet.runs
+            )
+            assert one.used == pytest.approx(sent / 5.0, rel=0.1)
+            assert anyio.current_time() - one.since == pytest.approx(20, abs=1)
+
+        play(work)
+
+    def test_a_rest_and_its_end(self) -> None:
+        async def work(system: System) -> None:
+            system.book.back_off(first(system).name, 3.0)
+            await anyio.sleep(1.0)
+            (one,) = system.context.needs.now()
+            assert one.kind is needs.Kind.REST
+            assert one.since == 0.0
+            assert one.seconds_left == pytest.approx(2.0)
+            # One that goes on is no new one.
+            system.book.back_off(first(system).name, 3.0)
+            (one,) = system.context.needs.now()
+            assert one.since == 0.0
+            await anyio.sleep(3.1)
+            assert not system.context.needs.now()
+
+        play(work)
+
+    def test_one_that_leaves_by_its_word(self) -> None:
+        async def work(system: System) -> None:
+            system.book.note_leaving(first(system).name)
+            await anyio.sleep(1.0)
+            (one,) = system.context.needs.now()
+            assert one.kind is needs.Kind.LEAVING
+            system.book.on_changed((), (first(system).life.id,))
+            assert not system.context.needs.now()
+
+        play(work)
+
+
+class TestLog:
+    """Lines at the begin and the end, bounded."""
+
+    def test_each_begin_and_end_has_a_line(self, lines: Lines) -> None:
+        async def work(system: System) -> None:
+            system.book.back_off(first(system).name, 3.0)
+            await anyio.sleep(5.0)
+
+        play(work)
+        (begun,) = of("need_begun", lines)
+        (ended,) = of("need_ended", lines)
+        for line in (begun, ended):
+            assert line["need"] == "rest"
+            assert line["service"] == PLAIN
+            assert line["zone"] == "plateau"
+            assert line["upstream"] == "records-0"
+        assert 3.0 <= ended["seconds"] <= 3.0 + 2 * needs.LOOK_SECONDS
+
+    def test_hundreds_at_once_have_few_lines(self, lines: Lines) -> None:
+        async def work(system: System) -> None:
+            for number in range(300):
+                system.book.back_off(first(system, number).name, 3.0)
+            await anyio.sleep(5.0)
+
+        play(work, plain=300)
+        for what in ("need_begun", "need_ended"):
+            assert len(of(what, lines)) == needs.LINES_MOST
+            (others,) = of(f"{what}_by_others", lines)
+            assert others["instances"] == {
+                f"{PLAIN} plateau rest": 300 - needs.LINES_MOST
+            }
+
+    def test_gauges_by_service_and_zone(self) -> None:
+        async def work(system: System) -> None:
+            system.book.back_off(first(system).name, 3.0)
+            system.fleet.at(first(system, 1).address).limit = 6.0
+            await call(system, 2.0, 0.05)
+            gauge = counters.COUNTERS.gauge
+            assert gauge(f"needs.rest.{PLAIN}.plateau") == 1
+            assert gauge(f"needs.limit.{PLAIN}.plateau") == 1
+            allowed = f"needs.allowed_per_second.{PLAIN}.plateau"
+            assert gauge(allowed) == 6.0
+            assert gauge(f"needs.used_per_second.{PLAIN}.plateau") > 0.0
+            await anyio.sleep(2.0)
+            assert gauge(f"needs.rest.{PLAIN}.plateau") == 0
+
+        play(work)
+
+
+class TestRequests:
+    """Requests that went elsewhere, waited or were refused for it."""
+
+    def test_one_that_went_elsewhere_names_it(self, lines: Lines) -> None:
+        async def work(system: System) -> None:
+            system.book.back_off(first(system).name, 3.0)
+            await system.ask(system.request(ONCE))
+
+        play(work)
+        (line,) = of("call_answered", lines)
+        found = explain.explain(line["request"], as_texts(lines))
+        address = str(fleet_system.upstream("records-0").address)
+        assert found.held_back == (address,)
+        assert not found.has_failed
+
+    def test_on_a_calm_day_nothing_is_named(self, lines: Lines) -> None:
+        async def work(system: System) -> None:
+            await system.ask(system.request(ONCE))
+            await system.ask(system.request(STREAM))
+
+        play(work)
+        for kind in ("call_answered", "path_chosen"):
+            (line,) = of(kind, lines)
+            assert line["held_back"] == ""
+
+    def test_a_limit_with_room_holds_nothing_back(self, lines: Lines) -> None:
+        async def work(system: System) -> None:
+            for number in range(2):
+                system.fleet.at(first(system, number).address).limit = 1000.0
+            await call(system, 3.0, 0.5)
+
+        play(work)
+        assert not any(
+            line["held_back"] for line in of("call_answered", lines)
+        )
+
+    def test_rest_of_all_that_hold_some_layers_is_the_cause(
+        self, lines: Lines
+    ) -> None:
+        async def work(system: System) -> None:
+            for one in system.listed.values():
+                if one.layers is not None and one.layers.first:
+                    system.book.back_off(one.name, 3.0)
+            await system.ask(system.request(STREAM, id="r1"))
+
+        play(work)
+        refusal = test_losses.refused(9e9, "r1", "NO_PATH", "no path")
+        texts = [*as_texts(lines), refusal]
+        found = explain.explain("r1", texts)
+        assert "wanted rest" in found.cause
+        assert losses.account(texts, test_losses.AIMS, 2.0).causes == {
+            "refused: NO_PATH, instances at their limits or in rest": 1
+        }
+
+    def test_calls_that_no_instance_took_are_told_apart(self) -> None:
+        line = test_losses.line
+        log = [
+            line(1.0, "no_instance", request="r1", listed=0),
+            line(1.0, "no_instance", request="r2", listed=2, held_back="a:1"),
+            line(
+                1.0, "no_instance", request="r3", ready_in=0.9, held_back="a"
+            ),
+        ]
+        for name in ("r1", "r2", "r3"):
+            log.append(test_losses.refused(2.0, name, "NO_PATH", "x"))
+        assert losses.account(log, test_losses.AIMS, 2.0).causes == {
+            "refused: NO_PATH, no instance": 1,
+            "refused: NO_PATH, the instances left were in need": 1,
+            "refused: NO_PATH, instances at their limits or in rest": 1,
+        }
+        assert (
+            "2 instances were listed; a:1" in explain.explain("r2", log).cause
+        )
+
+    @pytest.mark.parametrize("repeat", [ONCE, STREAM])
+    def test_one_that_was_refused_names_it(
+        self, lines: Lines, repeat: routes.Repeat
+    ) -> None:
+        async def work(system: System) -> None:
+            for one in system.listed.values():
+                system.book.back_off(one.name, 3.0)
+            await system.ask(system.request(repeat, id="r1"))
+
+        play(work)
+        refusal = test_losses.refused(9e9, "r1", "NO_PATH", "in need")
+        texts = [*as_texts(lines), refusal]
+        found = explain.explain("r1", texts)
+        assert found.held_back
+        assert found.held_back[0] in found.cause
+        assert "takes more in 3.0 s" in found.cause
+        causes = losses.account(texts, test_losses.AIMS, 2.0).causes
+        assert causes == {
+            "refused: NO_PATH, instances at their limits or in rest": 1
+        }
+
+    def test_a_late_stream_that_waited_for_it_has_it_as_its_cause(
+        self, lines: Lines
+    ) -> None:
+        async def work(system: System) -> None:
+            for one in system.listed.values():
+                system.book.back_off(one.name, 0.8)
+            await system.ask(system.request(STREAM))
+
+        play(work)
+        causes = losses.account(as_texts(lines), test_losses.AIMS, 2.0).causes
+        assert causes == {
+            "late: its first event; it waited for instances in need": 1
+        }
+
+    def test_causes_add_up(self, lines: Lines) -> None:
+        async def work(system: System) -> None:
+            for number in range(2):
+                system.fleet.at(first(system, number).address).limit = 4.0
+            callers: collections.Counter[bool] = collections.Counter()
+
+            async def ask() -> None:
+                request = system.request(ONCE)
+                caller = await system.ask(request)
+                callers[caller.error is None] += 1
+                if caller.error is not None:
+                    code, why = caller.error.code, caller.error.message
+                    told.append(
+                        test_losses.refused(9e9, request.id, str(code), why)
+                    )
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(300):
+                    tasks.start_soon(ask)
+                    await anyio.sleep(0.04)
+            assert callers.total() == 300
+
+        told: list[str] = []
+        play(work)
+        found = losses.account([*as_texts(lines), *told], test_losses.AIMS, 2)
+        assert found.requests == 300
+        assert sum(found.causes.values()) == 300
+        assert found.causes == {
+            "in time": 300 - len(told),
+            "refused: NO_PATH, instances at their limits or in rest": len(
+                told
+            ),
+        }
+
+
+class _Operator:
+    """Entries that tell their status, without links to others."""
+
+    def __init__(self, rows: list[entry_status.Row]) -> None:
+        self._rows = rows
+
+    async def ask_all(
+        self, question: questions.Question
+    ) -> list[operators.Answered]:
+        return []
+
+    async def entries(self) -> list[entry_status.Row]:
+        return self._rows
+
+
+def status_of(rows: list[entry_status.Row]) -> commands.Result:
+    operator = typing.cast(operators.Operator, _Operator(rows))
+    return anyio.run(commands.show_status, operator)
+
+
+class TestStatus:
+    """What ``crowdeck status`` shows."""
+
+    def row(
+        self, name: str, needs: list[entry_status.Row]
+    ) -> dict[str, object]:
+        return {
+            "instance": name,
+            "role": "entry",
+            "state": "up",
+            "running": 3,
+            "generation": 7,
+            "needs": needs,
+            "unheld": [
+                {
+                    "service": "m",
+                    "layers": "20-40",
+                    "seconds": 4.0,
+                    "can_hold": 77,
+                    "of": 80,
+                    "needed": "engines for 3 more layers: 1 large",
+                }
+            ],
+        }
+
+    def need(
+        self, address: str, seconds: float, used: float
+    ) -> dict[str, object]:
+        return {
+            "upstream": f"u-{address}",
+            "address": address,
+            "service": "s",
+            "zone": "z",
+            "need": "limit",
+            "seconds": seconds,
+            "per_second": 4.0,
+            "used": used,
+        }
+
+    def test_sums_over_entries_by_service_and_zone(self) -> None:
+        rows = [
+            self.row("e1", [self.need("a", 9.0, 1.0), self.need("b", 1, 0.5)]),
+            self.row("e2", [self.need("a", 5.0, 2.0)]),
+        ]
+        found = status_of(rows)
+        assert found.exit_code == commands.EXIT_OK
+        assert entry_status.sum_needs(rows) == [
+            {
+                "service": "s",
+                "zone": "z",
+                "need": "limit",
+                "instances": 2,
+                "longest s": 9.0,
+                "limit a s": 8.0,
+                "used a s": 3.5,
+                "told by": 2,
+            }
+        ]
+        for text in ("20-40", "engines for 3 more layers", "u-a", "e2"):
+            assert text in found.text
+        assert len(found.data) == 2
+
+    def test_hundreds_are_shown_in_part(self) -> None:
+        many = [self.need(f"a{number}", 1.0, 0.1) for number in range(300)]
+        text = status_of([self.row("e1", many)]).text
+        assert len(text.splitlines()) < entry_status.SHOWN_MOST + 20
+        assert f"and {300 - entry_status.SHOWN_MOST} more" in text
+
+    def test_one_that_does_not_answer_is_lost(self) -> None:
+        row = {"instance": "e", "role": "entry", "state": "lost"}
+        assert status_of([row]).exit_code == commands.EXIT_UNREACHABLE
+
+    def test_is_told_over_the_entries_own_sockets(self) -> None:
+        async def work(running: test_fleet_process.Running) -> None:
+            target = next(
+                one
+                for one in running.fleet.upstreams
+                if one.listed.service == PLAIN
+            )
+            target.limit = 4.0
+            response = await running.send("/a/b/x", "r1")
+            assert response.status == 200
+            client = http.HttpClient("")
+            try:
+                rows = await entry_status.read(running.store, client, 2.0)
+            finally:
+                await client.close()
+            (row,) = rows
+            assert row["state"] == "up"
+            assert row["generation"] >= 1
+            (need,) = row["needs"]
+            assert need["need"] == "limit"
+            assert need["per_second"] == 4.0
+            assert need["address"] == str(target.listed.address)
+            assert row["unheld"] == []
+
+        anyio.run(test_fleet_process.run_entry, work)
+
+    def test_the_command_shows_it(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async def work(running: test_fleet_process.Running) -> None:
+            for target in running.fleet.upstreams:
+                target.limit = 4.0
+            await running.send("/a/b/x", "r1")
+            async with anyio.create_task_group() as tasks:
+                app = store_http.StoreApp(running.store).build()
+                port = await tasks.start(
+                    http_server.serve_http, app, test_fleet_process.HOST, 0
+                )
+                url = f"http://{test_fleet_process.HOST}:{port}"
+                code = await anyio.to_thread.run_sync(
+                    cli.main, ["--platform", url, "status", "--json"]
+                )
+                assert code == commands.EXIT_OK
+                tasks.cancel_scope.cancel()
+
+        anyio.run(test_fleet_process.run_entry, work)
+        text = capsys.readouterr().out.splitlines()[-1]
+        (row,) = orjson.loads(text)
+        assert {one["service"] for one in row["needs"]} >= {PLAIN}
