Requests without a path look for gaps in the layers once in 20 ms

Cause: each request that finds no path looked up to three times which layers no engine holds. With 1,000 engines a look takes 1.1 ms, so that hundreds of refusals a second would have taken an entry's time.

Change: what was found serves for 20 ms, as often as a path is looked for. A layer that is held again is seen so much later at the most; a path over it is found without the look.

Of 100 requests at one moment one looks.

Conclusion: the test fails without the guard.

--- a/src/crowdeck/relay/gaps.py
+++ b/src/crowdeck/relay/gaps.py
@@ -25,6 +25,9 @@
 # load, and so much for noticing the loss, ordering and telling.
 ORDERED_SECONDS = 3.0
 LOOK_SECONDS = 0.5
+# Hundreds of requests a second find no path while layers are missing, and a
+# look at 1,000 engines takes a millisecond. No path is looked for more often.
+FRESH_SECONDS = 0.02
 # A gap of less is one that a replacement closes; the log is spared it.
 LOGGED_SECONDS = 1.0
 
@@ -124,6 +127,7 @@
     def __init__(self, book: books.UpstreamBook) -> None:
         self._book = book
         self._gaps: dict[str, Gap] = {}
+        self._looked_at: dict[str, float] = {}
         self._whole: set[str] = set()
         self._logged: dict[str, Gap] = {}
 
@@ -134,6 +138,10 @@
 
     def look(self, service: str, profile: chain.EngineProfile) -> Gap | None:
         """Return the gap in a service's model, if there is one now."""
+        now = anyio.current_time()
+        if now - self._looked_at.get(service, -math.inf) < FRESH_SECONDS:
+            return self._gaps.get(service)
+        self._looked_at[service] = now
         staying = chain.fitting(
             (
                 one
@@ -154,7 +162,7 @@
         gap = self._gaps[service] = Gap(
             service,
             missing,
-            known.since if known else anyio.current_time(),
+            known.since if known else now,
             len(staying),
             sum(most),
             profile,
--- a/tests/test_unheld_layers.py
+++ b/tests/test_unheld_layers.py
@@ -288,6 +288,26 @@
                 layer for one in found for layer in range(one.first, one.end)
             ] == [layer for layer in range(80) if not held[layer]]
 
+    def test_many_requests_at_a_moment_look_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        looks: list[float] = []
+        find = gaps._missing
+
+        def count(engines: typing.Any, layers: int) -> typing.Any:
+            looks.append(anyio.current_time())
+            return find(engines, layers)
+
+        async def work(system: System) -> None:
+            lose(system, "e-1")
+            await anyio.sleep(0.73)
+            monkeypatch.setattr(gaps, "_missing", count)
+            for _ in range(100):
+                await refused(system)
+            assert len(looks) == 1
+
+        play(work, "large")
+
     def test_tells_what_would_be_needed(self) -> None:
         async def work(system: System) -> None:
             lose(system, "e-1", "e-2")
