--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -127,6 +127,7 @@
         self._tried: set[str] = set()
         self._sent = 0
         self._verdict = verdicts.Verdict.NOT_RUN
+        self._held_back = ""
 
     async def run(self) -> _Answer:
         failed: _Answer | None = None
@@ -193,26 +194,63 @@
         :raises CrowdeckError: ``NO_PATH`` where none takes a call in time.
         """
         until = self._request.arrived + WAIT_SHARE * self._route.objective
-        while True:
-            if self._left() < LEAST_SECONDS:
-                raise self._failure(
-                    errors.CrowdeckError(
-                        errors.Code.DEADLINE, "no time is left"
-                    )
-                )
-            limits = self._context.limits
-            book = self._context.book
-            fresh = self._fresh(book.usable(self._service.name))
-            upstream = self._balancer.pick(filter(limits.allows, fresh))
+        self._held_back = self._context.needs.held_back(self._service.name)
+        line = self._context.line(self._service.name)
+        # One that is tried again is not held up by those that can go to
+        # instances which it has left behind.
+        if self._tried or not len(line):
+            upstream = self._pick()
             if upstream is not None:
-                # At once: whoever chooses next has to know.
-                limits.take(upstream)
                 return upstream
-            soon = self._fresh(book.usable_soon(self._service.name))
-            seconds = self._context.seconds_until_any(soon)
-            if not seconds or anyio.current_time() + seconds > until:
+        if self._tried:
+            return await self._await_turn(until)
+        # Counted before its wait: all that wait for one instance cannot be
+        # served by the next request that it takes.
+        seconds = self._seconds_until(len(line))
+        if not self._may_wait(seconds, until):
+            raise self._failure(self._none_left(seconds))
+        async with line.turn(until) as is_first:
+            if not is_first:
+                raise self._failure(self._none_left(self._seconds_until()))
+            return await self._await_turn(until)
+
+    async def _await_turn(self, until: float) -> chain.Upstream:
+        """Return the instance to try once one takes a call."""
+        while (upstream := self._pick()) is None:
+            seconds = self._seconds_until()
+            if not self._may_wait(seconds, until):
                 raise self._failure(self._none_left(seconds))
             await anyio.sleep(seconds)
+        return upstream
+
+    def _pick(self) -> chain.Upstream | None:
+        """Take an instance that takes a call now, if there is one."""
+        if self._left() < LEAST_SECONDS:
+            raise self._failure(
+                errors.CrowdeckError(errors.Code.DEADLINE, "no time is left")
+            )
+        limits = self._context.limits
+        usable = self._context.book.usable(self._service.name)
+        fresh = self._fresh(usable)
+        upstream = self._balancer.pick(filter(limits.allows, fresh))
+        if upstream is not None:
+            # At once: whoever chooses next has to know.
+            limits.take(upstream)
+        return upstream
+
+    def _seconds_until(self, ahead: int = 0) -> float:
+        """Return in how long an instance takes this call, 0 if unknown.
+
+        :param ahead: calls that are served before it.
+        """
+        book = self._context.book
+        soon = self._fresh(book.usable_soon(self._service.name))
+        return self._context.seconds_until_any(soon, ahead)
+
+    @staticmethod
+    def _may_wait(seconds: float, until: float) -> bool:
+        """Whether a call is to be served within its wait."""
+        return 0.0 < seconds <= until - anyio.current_time()
 
     def _fresh(
         self, upstreams: typing.Iterable[chain.Upstream]
@@ -249,6 +287,7 @@
             status=answer.status,
             seconds=round(took, 4),
             tries=self._sent,
+            held_back=self._held_back,
         )
         return answer
 
@@ -311,9 +350,10 @@
             self._sent -= 1
             self._sends.fail_to_send()
             self._context.book.avoid(upstream.name, error.message)
-        else:
+        elif not self._context.book.seconds_backing_off(upstream.name):
             # One that refuses at once has nothing under way, and would look
-            # like the freest to the next call.
+            # like the freest to the next call. One that says for how long it
+            # wants rest is sent nothing until then, and is sound afterwards.
             self._balancer.note_failure(upstream)
         logs.decision(
             "call_failed",
@@ -351,6 +391,15 @@
 
         :param seconds: in how long one does, 0 where that is not known.
         """
+        logs.decision(
+            "no_instance",
+            self._request.id,
+            service=self._service.name,
+            listed=len(self._context.book.listed(self._service.name)),
+            held_back=self._held_back,
+            ready_in=round(seconds, 3) if seconds else None,
+            waited=round(anyio.current_time() - self._request.arrived, 3),
+        )
         if not seconds:
             return errors.CrowdeckError(
                 errors.Code.NO_PATH,
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -5,6 +5,7 @@
 
 """What the parts of the relay share."""
 
+import heapq
 import random
 import typing
 
@@ -17,7 +18,9 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.quarantine import ledger as ledgers
+from crowdeck.relay import gaps as layer_gaps
 from crowdeck.relay import lateness
+from crowdeck.relay import needs as instance_needs
 from crowdeck.relay import reach
 from crowdeck.relay import returns
 from crowdeck.relay import waiting
@@ -75,14 +78,18 @@
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
     limits: rate_limits.RateLimits = attrs.field(init=False)
     return_times: returns.ReturnTimes = attrs.field(init=False)
+    gaps: layer_gaps.LayerGaps = attrs.field(init=False)
+    needs: instance_needs.Needs = attrs.field(init=False)
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedBudget] = attrs.field(factory=dict)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.return_times = returns.ReturnTimes(self.chance)
+        self.gaps = layer_gaps.LayerGaps(self.book)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.chance)
+        self.needs = instance_needs.Needs(self.book, self.limits)
         self.book.subscribe_ends(self.note_end)
         self.client.subscribe(self._take_notice)
 
@@ -176,15 +183,22 @@
         """Return in how long one of some instances takes a request.
 
         By what they ask for themselves; 0 where that is now, or where
-        there are none.
+        there are none. Each takes one after the other, as its limit allows.
 
         :param ahead: requests that are to be sent first.
         """
         found = list(upstreams)
-        soonest = min(map(self._seconds_until, found), default=0.0)
-        if not soonest:
+        turns = [
+            (self._seconds_until(one), 1.0 / self.limits.per_second(one))
+            for one in found
+        ]
+        if not min(turns, default=(0.0, 0.0))[0]:
             return 0.0
-        return soonest + ahead / sum(map(self.limits.per_second, found))
+        heapq.heapify(turns)
+        for _ in range(ahead):
+            soonest, pause = turns[0]
+            heapq.heapreplace(turns, (soonest + pause, pause))
+        return turns[0][0]
 
     def _seconds_until(self, upstream: chain.Upstream) -> float:
         return max(
