Streams are told the time of a rest of any engine that they need

Cause: only the rest of first engines counted. Where all that hold some later layers wanted rest, a stream waited 1.2 s and was told to come back within 0.3 to 4 s, whatever they had asked for; in crowdeck losses it stood under missing layers.

Change: the time is the longest, over the layers that no usable engine holds, of the shortest rest of those that hold them; nothing where others are missing as well. The refusal says so, and is one cause with limits and rest of first engines. A whole entry with its store and engines is asked over sockets as well, with three of its four engines ended.

Figures: in tests/test_needs.py (engines of all but the first layers ask for 3 s of rest) refused in the same turn, told 3.0 to 4.0 s, and served then.

--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -240,10 +240,10 @@
         )
     held_back = line.fields.get("held_back")
     ready_in = line.fields.get("ready_in")
-    if ready_in or line.fields.get("in_need"):
-        needy = f"{held_back} were at their limits, wanted rest or left"
-        return needy + (
-            f", and one takes more in {ready_in} s" if ready_in else ""
+    if ready_in:
+        return (
+            f"{held_back} were at their limits, wanted rest or left, and "
+            f"more is taken in {ready_in} s"
         )
     if line.kind == "no_instance":
         needy = f"; {held_back} wanted no more" if held_back else ""
--- a/src/crowdeck/observe/losses.py
+++ b/src/crowdeck/observe/losses.py
@@ -196,7 +196,7 @@
     """Return what there was no path for want of."""
     if line.fields.get("unheld"):
         return "no engine holds some layers"
-    if line.fields.get("in_need"):
+    if line.fields.get("ready_in"):
         return "instances at their limits or in rest"
     if line.fields.get("missing_layers"):
         return "layers were missing"
--- a/src/crowdeck/relay/gaps.py
+++ b/src/crowdeck/relay/gaps.py
@@ -150,7 +150,7 @@
             ),
             profile.layer_count,
         )
-        missing = _missing(staying, profile.layer_count)
+        missing = missing_layers(staying, profile.layer_count)
         if not missing:
             self._gaps.pop(service, None)
             self._whole.add(service)
@@ -211,7 +211,7 @@
     )
 
 
-def _missing(
+def missing_layers(
     engines: typing.Iterable[chain.Upstream], layer_count: int
 ) -> tuple[pipeline.LayerRange, ...]:
     """Return the runs of layers that none of some engines holds."""
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -34,7 +34,7 @@
 # of 38 engines takes 30 ms of a small entry's time: every 20 ms it left no
 # time for the streams under way.
 LINE_STEP = 0.08
-ALL_IN_NEED = "all first engines are at their limits or want rest"
+ALL_IN_NEED = "all engines of some layers are at their limits or want rest"
 
 
 class PathSearch:
@@ -124,10 +124,11 @@
         return path
 
     def seconds_until_taken(self) -> float:
-        """Return in how long a first engine takes a request for a stream.
+        """Return in how long engines take a request for a stream.
 
-        0 where one does now; while all name limits or want rest, those
-        that wait in the line come first.
+        By what they ask for themselves: 0 where they do now. While all first
+        engines name limits or want rest, those in the line come first; and
+        all layers have to be held by some that want none.
         """
         firsts = [
             one
@@ -135,7 +136,36 @@
             if one.layers is not None and one.layers.first == 0
         ]
         ahead = len(self._context.line(self._service))
-        return self._context.seconds_until_any(firsts, ahead)
+        until_first = self._context.seconds_until_any(firsts, ahead)
+        return max(until_first, self._seconds_until_rested())
+
+    def _seconds_until_rested(self) -> float:
+        """Return in how long engines that want rest are there for a path.
+
+        0 where there is one without them, or layers are missing all the
+        same.
+        """
+        book = self._context.book
+        if not book.resting():
+            return 0.0
+        count = self._stream.profile.layer_count
+        usable = chain.fitting(book.usable(self._service), count)
+        missing = gaps.missing_layers(usable, count)
+        soon = chain.fitting(book.usable_soon(self._service), count)
+        if not missing or gaps.missing_layers(soon, count):
+            return 0.0
+        soonest = [float("inf")] * count
+        for one in soon:
+            if one.layers is None or book.is_usable(one.name):
+                continue
+            left = book.seconds_backing_off(one.name)
+            for layer in range(one.layers.first, one.layers.end):
+                soonest[layer] = min(soonest[layer], left)
+        return max(
+            soonest[layer]
+            for run in missing
+            for layer in range(run.first, run.end)
+        )
 
     def _has_turns(self, line: waiting.WaitingLine) -> bool:
         """Whether others wait, for what will come."""
@@ -174,6 +204,7 @@
         held = chain.coverage(usable, count)
         missing = [layer for layer, copies in enumerate(held) if not copies]
         gap = self._gap()
+        ready_in = self.seconds_until_taken()
         logs.decision(
             "no_path",
             self._stream.request.id,
@@ -184,23 +215,11 @@
             unheld=str(gap) if gap else None,
             needed=gap.needed if gap else None,
             held_back=self.held_back(),
-            in_need=self._is_need(missing),
-            ready_in=round(self.seconds_until_taken(), 3) or None,
+            ready_in=round(ready_in, 3) or None,
             tokens=int(self._stream.tokens),
             waited=round(anyio.current_time() - self._arrived, 3),
         )
 
-    def _is_need(self, missing: list[int]) -> bool:
-        """Whether there is no path for what engines ask for themselves.
-
-        :param missing: layers that no usable engine holds.
-        """
-        if self.seconds_until_taken():
-            return True
-        soon = self._context.book.usable_soon(self._service)
-        held = chain.coverage(soon, self._stream.profile.layer_count)
-        return bool(missing) and all(held)
-
     def _plan(self) -> chain.ChainPath | None:
         book = self._context.book
         wanted = hops.Wanted(
--- a/tests/test_needs.py
+++ b/tests/test_needs.py
@@ -24,6 +24,7 @@
 from crowdeck.observe import explain
 from crowdeck.observe import losses
 from crowdeck.relay import needs
+from crowdeck.relay import returns
 from crowdeck import route as routes
 from crowdeck.standin import store_http
 from crowdeck.wire import questions
@@ -234,7 +235,16 @@
             for one in system.listed.values():
                 if one.layers is not None and one.layers.first:
                     system.book.back_off(one.name, 3.0)
-            await system.ask(system.request(STREAM, id="r1"))
+            began = anyio.current_time()
+            caller = await system.ask(system.request(STREAM, id="r1"))
+            # At once, and not before it can be served.
+            assert anyio.current_time() - began < 0.01
+            assert caller.error is not None
+            assert caller.error.retry_after is not None
+            assert 3.0 <= caller.error.retry_after <= 4.0
+            await anyio.sleep(caller.error.retry_after)
+            again = await system.ask(system.request(STREAM))
+            assert again.error is None
 
         play(work)
         refusal = test_losses.refused(9e9, "r1", "NO_PATH", "no path")
@@ -242,9 +252,25 @@
         found = explain.explain("r1", texts)
         assert "wanted rest" in found.cause
         assert losses.account(texts, test_losses.AIMS, 2.0).causes == {
-            "refused: NO_PATH, instances at their limits or in rest": 1
+            "refused: NO_PATH, instances at their limits or in rest": 1,
+            # The one that came back.
+            "in time": 1,
         }
 
+    def test_a_rest_is_no_cause_where_others_are_missing_too(self) -> None:
+        async def work(system: System) -> None:
+            for one in system.listed.values():
+                if one.layers is not None and one.layers.first == 20:
+                    system.book.back_off(one.name, 3.0)
+                if one.layers is not None and one.layers.first == 40:
+                    system.book.avoid(one.name, "silent")
+            caller = await system.ask(system.request(STREAM))
+            assert caller.error is not None
+            assert caller.error.retry_after is not None
+            assert caller.error.retry_after <= returns.MOST_SECONDS
+
+        play(work)
+
     def test_calls_that_no_instance_took_are_told_apart(self) -> None:
         line = test_losses.line
         log = [
@@ -280,7 +306,7 @@
         found = explain.explain("r1", texts)
         assert found.held_back
         assert found.held_back[0] in found.cause
-        assert "takes more in 3.0 s" in found.cause
+        assert "more is taken in 3.0 s" in found.cause
         causes = losses.account(texts, test_losses.AIMS, 2.0).causes
         assert causes == {
             "refused: NO_PATH, instances at their limits or in rest": 1
--- a/tests/test_unheld_layers.py
+++ b/tests/test_unheld_layers.py
@@ -22,15 +22,19 @@
 import pytest
 
 from crowdeck import chain
+from crowdeck.cmd import entry_status
 from crowdeck import errors
+from crowdeck import http
 from crowdeck.observe import counters
 from crowdeck.observe import losses
 from crowdeck.placement import plan
+from crowdeck.platform import names
 from crowdeck.relay import gaps
 from crowdeck.relay import returns
 from crowdeck import route as routes
 from crowdeck import verdict as verdicts
 from tests import fleet_system
+from tests import test_fleet_process
 from tests import test_losses
 from tests import virtual
 
@@ -282,7 +286,7 @@
                 engines.append(
                     fleet_system.upstream(f"e-{number}", layers=(first, end))
                 )
-            found = gaps._missing(chain.fitting(engines, 80), 80)
+            found = gaps.missing_layers(chain.fitting(engines, 80), 80)
             held = chain.coverage(engines, 80)
             assert [
                 layer for one in found for layer in range(one.first, one.end)
@@ -292,7 +296,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         looks: list[float] = []
-        find = gaps._missing
+        find = gaps.missing_layers
 
         def count(engines: typing.Any, layers: int) -> typing.Any:
             looks.append(anyio.current_time())
@@ -301,7 +305,7 @@
         async def work(system: System) -> None:
             lose(system, "e-1")
             await anyio.sleep(0.73)
-            monkeypatch.setattr(gaps, "_missing", count)
+            monkeypatch.setattr(gaps, "missing_layers", count)
             for _ in range(100):
                 await refused(system)
             assert len(looks) == 1
@@ -338,6 +342,54 @@
         play(work, "large")
 
 
+class TestOverSockets:
+    """A whole entry, its store and its engines."""
+
+    def test_callers_and_operators_are_told(self) -> None:
+        async def work(running: test_fleet_process.Running) -> None:
+            engines = [
+                one
+                for one in running.fleet.upstreams
+                if one.listed.service == fleet_system.MODEL
+            ]
+            # One of four holds no more than 33 of 80 layers.
+            for target in engines[1:]:
+                target.is_dead = True
+                running.store.remove(
+                    names.UPSTREAM_KIND, target.listed.life.id
+                )
+            await anyio.sleep(2.0)
+            began = anyio.current_time()
+            for number in range(5):
+                answer = await running.send("/a/x", f"r{number}")
+                assert answer.status == 503
+                told = dict(answer.headers)
+                assert float(told[names.RETRY_AFTER]) > 0.0
+                assert b"no engine holds layers" in answer.content
+            # Each waited for 0.1 s before.
+            assert anyio.current_time() - began < 0.4
+            found = await test_fleet_process.status_of(running, "/metrics")
+            gauge = f"crowdeck_layers_unheld_{fleet_system.MODEL} "
+            (line,) = [
+                one
+                for one in found.content.decode().splitlines()
+                if one.startswith(gauge)
+            ]
+            assert float(line.removeprefix(gauge)) > 0
+            client = http.HttpClient("")
+            try:
+                rows = await entry_status.read(running.store, client, 2.0)
+            finally:
+                await client.close()
+            (gap,) = rows[0]["unheld"]
+            assert gap["service"] == fleet_system.MODEL
+            assert gap["engines"] == 1
+            assert gap["seconds"] > 0.5
+            assert "more layers" in gap["needed"]
+
+        anyio.run(test_fleet_process.run_entry, work)
+
+
 class TestOperators:
     """The log, the metric and the account of losses."""
 
