The time of a load is counted from who is there to load

Cause: the time told for layers that no engine holds was counted from their loss. An engine that came after a load's time had passed, and by which the model could be held again, loads from then on; callers were told no time.

Change: counted from when other engines than before were left for the last time. While engines come and go it is put off; what they are to load follows from which there are.

Conclusion: the test fails without the change.

--- a/src/crowdeck/relay/gaps.py
+++ b/src/crowdeck/relay/gaps.py
@@ -40,7 +40,9 @@
 
     :ivar layers: the runs of them, first to last.
     :ivar since: the loop's time at which a gap was first seen.
-    :ivar engines: how many engines are left.
+    :ivar engines: names of the engines that are left.
+    :ivar engines_since: when others than before were left for the last time.
+        What they are to load follows from which there are.
     :ivar holdable: how many layers these can hold together.
     :ivar load_seconds: how long the longest load takes that closes it.
     :ivar was_whole: whether all layers were held before.
@@ -49,7 +51,8 @@
     service: str
     layers: tuple[pipeline.LayerRange, ...]
     since: float
-    engines: int
+    engines: frozenset[str]
+    engines_since: float
     holdable: int
     profile: chain.EngineProfile
     load_seconds: float
@@ -72,7 +75,7 @@
         """
         if not self.can_be_held or not self.was_whole:
             return None
-        ready_at = self.since + self.load_seconds + ORDERED_SECONDS
+        ready_at = self.engines_since + self.load_seconds + ORDERED_SECONDS
         left = ready_at - anyio.current_time()
         return left if left > 0.0 else None
 
@@ -83,7 +86,7 @@
             "service": self.service,
             "layers": str(self),
             "seconds": round(anyio.current_time() - self.since, 3),
-            "engines": self.engines,
+            "engines": len(self.engines),
             "can_hold": self.holdable,
             "of": self.profile.layer_count,
             "needed": self.needed,
@@ -156,6 +159,8 @@
             self._whole.add(service)
             return None
         known = self._gaps.get(service)
+        names = frozenset(one.name for one in staying)
+        is_same = known is not None and known.engines == names
         most = [most_layers(one.card, profile) for one in staying]
         longest = max(one.end - one.first for one in missing)
         share = min(longest, max(most, default=0)) / profile.layer_count
@@ -163,7 +168,8 @@
             service,
             missing,
             known.since if known else now,
-            len(staying),
+            names,
+            known.engines_since if known and is_same else now,
             sum(most),
             profile,
             profile.load_seconds * share,
--- a/tests/test_unheld_layers.py
+++ b/tests/test_unheld_layers.py
@@ -207,6 +207,26 @@
 
         play(work, "large")
 
+    def test_the_time_is_that_of_who_comes_to_load(self) -> None:
+        async def work(system: System) -> None:
+            one = system.listed["e-1"]
+            lose(system, "e-1")
+            # Longer than any load: nothing is left that could hold them.
+            await anyio.sleep(PROFILE.load_seconds)
+            assert "those left can hold" in (await refused(system)).message
+            came_at = anyio.current_time()
+            system.add(attrs.evolve(one, name="e-9", layers=None))
+            await anyio.sleep(0.6)
+            error = await refused(system)
+            assert error.retry_after is not None
+            load = PROFILE.load_seconds * 10 / PROFILE.layer_count
+            least = came_at + load + gaps.ORDERED_SECONDS
+            comes_at = anyio.current_time() + error.retry_after
+            assert least - 0.1 <= comes_at
+            assert comes_at <= least + 0.6 + returns.WINDOW_SECONDS
+
+        play(work, "small", 8)
+
     def test_a_load_that_is_nearly_done_is_waited_for(self) -> None:
         async def work(system: System) -> None:
             one = system.listed["e-1"]
