A lease that is spoilt again and again is held all the same

Cause: an object that another program writes over keeps no trace of what stood in it, so whoever waits for a whole length without a change waits for ever where it is written more often than every 4.5 s. The holder gave the duty up too, though nobody else could have had it.

Ruled out: counting from the last write that could be read (what was spoilt may have been another's; tried before); telling writes from the versions (the store has one counter for all objects); reading the history (nothing says that no write between two is left out, and it may be forgotten at any time); the object's status (another writer may spoil it as well).

Change: a spoilt object is held by nobody again. Whoever finds it makes an object of another name, closes the spoilt one by a conditional write and waits the whole length from then on. Its holder moves at once, within the time that it has. Nobody begins to hold what has a next object. A removed object counts as spoilt; before, another took it at once, up to 1.5 s before its holder noticed. A term after a spoilt lease is counted from the version, since one that nobody read may have been given.

65 objects: a process that starts asks for three calls of the store at each, all of them within a quarter of the lease's length at 4 ms.

--- a/spec/check.py
+++ b/spec/check.py
@@ -18,6 +18,7 @@
 from spec import orders
 from spec import restored_leases
 from spec import seals
+from spec import spoilt_leases
 from spec import turns
 
 ALL: tuple[model.Specification, ...] = (
@@ -26,6 +27,8 @@
     claims.Claims(),
     leases.Leases(),
     restored_leases.RestoredLeases(),
+    spoilt_leases.SpoiltLeases(),
+    spoilt_leases.PromptLeases(),
     copies.Copies(),
     orders.Orders(),
     generations.Generations(),
--- a/src/crowdeck/state/leases.py
+++ b/src/crowdeck/state/leases.py
@@ -35,6 +35,11 @@
 SAFETY_SECONDS = 0.7
 # No process has this name.
 UNREADABLE_HOLDER = "?"
+# Objects in which a lease may stand one after the other. Each one that
+# another writer spoils is used up for good, and a process that starts asks
+# for three of the store's calls at each: at 4 ms, all are passed within a
+# quarter of the lease's length.
+LAST_PLACE = 64
 
 
 @attrs.frozen
@@ -44,11 +49,14 @@
     :ivar holder: name of the holder's run, empty when it was given up.
     :ivar term: rises with each change of holder: the fencing token.
     :ivar memo: what a holder tells the next one.
+    :ivar successor: name of the object that stands for it from now on; empty
+        while this one does.
     """
 
     holder: str
     term: int
     memo: tuple[str, ...] = ()
+    successor: str = ""
 
 
 class Lease:
@@ -64,6 +72,15 @@
     may write it back: all others, also those that start anew, wait longer
     than its time runs.
 
+    Another writer may spoil the object, and nobody can tell what stood in it
+    before: a renewal, or that somebody else had taken it. So a spoilt object
+    is never held again. Whoever finds it makes the next one, of another
+    name, and closes the spoilt one by a conditional write. From that write
+    on nobody renews the lease in the closed one, and whoever held it there
+    has lapsed a lease's length later, when the others take the next one. Who
+    still holds it moves there at once: nobody else can hold it before. What
+    has a next one is taken by nobody, whatever is written there again.
+
     :param holder: unique to this run of the process, so that a restarted
         process does not take itself for the holder.
     :param may_stand: whether this process is to look after the lease. The
@@ -93,6 +110,14 @@
         self._has_failed = False
         # Before this moment only its holder may write it.
         self._free_at = 0.0
+        # Which of the objects it stands in.
+        self._place = 0
+        # Whether it was read in the first place, in this epoch.
+        self._was_there = False
+        # Whether what is held here was begun here, in this epoch.
+        self._is_settled = False
+        # The store's version when the place before was closed.
+        self._closed_at = 0
         self._version = stores.CREATE
         self._seen: Holding | None = None
         self._seen_at = 0.0
@@ -102,6 +127,8 @@
         # The highest term seen: one that follows a spoilt lease is higher.
         self._known_term = 0
         self._memo: tuple[str, ...] = ()
+        # What the last holder that could be read had noted.
+        self._told: tuple[str, ...] = ()
         self._memo_changed = anyio.Event()
         self._taken = anyio.Event()
 
@@ -142,7 +169,7 @@
         while not self._is_over:
             epoch, self._has_failed = self._epoch, False
             try:
-                if self._is_mine or self._may_stand():
+                if self.is_held or self._is_mine or self._may_stand():
                     await self._step()
             except errors.CrowdeckError as error:
                 self._has_failed = True
@@ -178,42 +205,138 @@
     def _is_mine(self) -> bool:
         return self._seen is not None and self._seen.holder == self._holder
 
+    @property
+    def _is_closed(self) -> bool:
+        return self._seen is not None and bool(self._seen.successor)
+
+    @property
+    def _is_spoilt(self) -> bool:
+        """Whether it cannot be held where it was looked for."""
+        if self._seen is None or self._place >= LAST_PLACE:
+            return False
+        return self._is_closed or self._seen.holder == UNREADABLE_HOLDER
+
     async def _step(self) -> None:
         if self._seen is None or not self._is_mine or self._is_outdated:
             # An old answer only makes a take-over fail at its conditional
             # write; looking is what all other processes do all day.
             is_needed = self._seen is None or self._is_outdated
-            await self._look(may_be_old=not is_needed)
-        now = anyio.current_time()
-        if self.is_held:
+            may_be_old = not (is_needed or self.is_held)
+            await self._look(may_be_old=may_be_old)
+            if may_be_old and self._is_spoilt:
+                # An old answer may be from before the object was made.
+                await self._look()
+        while True:
+            may_begin = self._may_begin
+            if not self._is_spoilt and not (
+                may_begin and await self._has_next()
+            ):
+                break
+            await self._pass_on()
+        if may_begin:
+            await self._begin()
+        elif self.is_held:
             await self._write(
                 Holding(self._holder, self._known_term, self._memo)
             )
-        elif now < self._free_at:
+
+    async def _begin(self) -> None:
+        """Take the lease where it was looked for, or move it there."""
+        if not self._may_begin:
+            # It lapsed while the next object was asked for.
             return
-        elif self._is_mine or self._is_free(now):
-            if not self._is_mine:
-                self._memo = self._seen.memo if self._seen else ()
-            term = self._next_term()
-            await self._write(Holding(self._holder, term, self._memo))
+        if not self.is_held and not self._is_mine:
+            self._memo = self._seen.memo if self._seen else ()
+        is_written_back = self.is_held and self._place == 0
+        term = self._known_term if is_written_back else self._next_term()
+        await self._write(Holding(self._holder, term, self._memo))
+
+    @property
+    def _may_begin(self) -> bool:
+        """Whether this process may begin to hold it in this object."""
+        if self.is_held:
+            return not self._is_settled
+        now = anyio.current_time()
+        return now >= self._free_at and self._is_free(now)
 
     def _is_free(self, now: float) -> bool:
         seen = self._seen
         return (
             seen is None
             or not seen.holder
+            # Nobody else can have had it since: writes are conditional.
+            or self._is_mine
             or now - self._seen_at >= LEASE_SECONDS
         )
 
+    def _name(self, place: int) -> str:
+        return f"{self._duty}.{place}" if place else self._duty
+
+    async def _has_next(self) -> bool:
+        """Whether there is an object after the one it stands in."""
+        found = await self._store.get(KIND, self._name(self._place + 1))
+        return found is not None
+
+    async def _pass_on(self) -> None:
+        """Leave an object for the next one."""
+        epoch = self._epoch
+        if not await self._has_next():
+            await self._make_next()
+        # Closed or not counts only now that the next one is there: whoever
+        # looks from here on finds it, and begins nothing here.
+        await self._look()
+        if self._epoch != epoch:
+            # This is the first object again, as the new epoch has it.
+            return
+        if not self._is_closed:
+            await self._close()
+        self._closed_at = max(self._closed_at, self._version)
+        self._free_at = max(
+            self._free_at, anyio.current_time() + LEASE_SECONDS
+        )
+        self._place += 1
+        self._is_settled = False
+        self._seen, self._version = None, stores.CREATE
+        logs.change(
+            "lease_passed_on",
+            duty=self._duty,
+            place=self._name(self._place),
+            is_held=self.is_held,
+        )
+        await self._look()
+
+    async def _make_next(self) -> None:
+        """Make the next object, free for whoever may begin."""
+        name = self._name(self._place + 1)
+        value = orjson.dumps(attrs.asdict(Holding("", 0, self._told)))
+        try:
+            await self._store.put(KIND, name, value, stores.CREATE)
+        except errors.CrowdeckError as error:
+            if error.code is not errors.Code.STORE_CONFLICT:
+                raise
+
+    async def _close(self) -> None:
+        """Have an object hold the lease no more."""
+        successor = self._name(self._place + 1)
+        closed = Holding(
+            UNREADABLE_HOLDER, self._known_term, self._told, successor
+        )
+        value = orjson.dumps(attrs.asdict(closed))
+        version = await self._store.put(
+            KIND, self._name(self._place), value, self._version
+        )
+        self._version = version
+
     def _next_term(self) -> int:
         stored = self._seen.term if self._seen else 0
         before = (self._epoch or 0) * TERMS_PER_EPOCH
-        if stored <= before:
-            # The first term of this epoch, or the one after some that were
-            # replaced by a write which crossed the store's return. No term
-            # is higher than the version it was written over.
-            return before + max(1, self._version)
-        # Nobody else can have had one's own since: writes are conditional.
+        is_unread = self._seen and self._seen.holder == UNREADABLE_HOLDER
+        if stored <= before or is_unread:
+            # The first term of this epoch or of this object, or the one after
+            # some that were replaced: by another writer, or by a write which
+            # crossed the store's return. No term is higher than the version
+            # it was written over.
+            return before + max(1, self._version, self._closed_at)
         return stored if self._is_mine else stored + 1
 
     def _pause(self) -> float:
@@ -225,12 +348,23 @@
         if error.code is errors.Code.STORE_CONFLICT:
             # A version of an earlier epoch says nothing of who wrote it.
             if not self._is_outdated:
-                self._lost("another wrote it")
+                await self._meet_conflict()
         elif error.code is errors.Code.STORE_UNSURE:
             # Our own write may stand under a version that we do not know;
             # reading it back tells.
             await self._read_back()
 
+    async def _meet_conflict(self) -> None:
+        """Find out who wrote a lease that was to be written here."""
+        if self.is_held:
+            self._seen = None
+            await self._read_back()
+            if self._is_spoilt:
+                # No other can hold it within the time that it is held here
+                # yet: it is moved.
+                return
+        self._lost("another wrote it")
+
     def _meet_epoch(self) -> bool:
         """Whether the store is in an epoch that was not met before."""
         epoch = self._store.epoch
@@ -243,6 +377,8 @@
         if known is None:
             return False
         self._is_outdated = True
+        self._place, self._closed_at = 0, 0
+        self._was_there = self._is_settled = False
         logs.change(
             "lease_outdated",
             duty=self._duty,
@@ -253,32 +389,36 @@
         return True
 
     async def _look(self, may_be_old: bool = False) -> None:
-        found = await self._store.get(KIND, self._duty, may_be_old=may_be_old)
+        found = await self._store.get(
+            KIND, self._name(self._place), may_be_old=may_be_old
+        )
         while self._meet_epoch():
             # This answer may still be of the epoch before.
-            found = await self._store.get(KIND, self._duty)
+            found = await self._store.get(KIND, self._name(self._place))
         is_new, self._is_outdated = self._is_outdated, False
-        if found is None:
+        if found is None and not self._was_there:
             self._seen, self._version = None, stores.CREATE
             return
-        is_new |= found.version != self._version or self._seen is None
-        if is_new:
-            self._version = found.version
-            self._seen = self._read(found.value)
+        self._was_there = True
+        version = found.version if found else stores.CREATE
+        if is_new or version != self._version or self._seen is None:
+            self._version = version
+            self._seen = self._read(found.value if found else b"")
             self._seen_at = anyio.current_time()
 
     def _read(self, value: bytes) -> Holding:
         """Return what a stored lease says.
 
-        One that another writer spoilt is taken for somebody's who never
-        renews it. To refuse it would leave the duty undone for ever.
+        One that another writer spoilt, or removed, is taken for somebody's
+        who never renews it.
         """
         try:
             found = _decode(value)
         except errors.CrowdeckError as error:
             logs.change("lease_unread", duty=self._duty, reason=error.message)
-            return Holding(UNREADABLE_HOLDER, self._known_term, self._memo)
+            return Holding(UNREADABLE_HOLDER, self._known_term, self._told)
         self._known_term = max(self._known_term, found.term)
+        self._told = found.memo
         return found
 
     async def _read_back(self) -> None:
@@ -295,7 +435,7 @@
         value = value[:-1] + f',"sent":{sent_at:.6f}}}'.encode()
         try:
             version = await self._store.put(
-                KIND, self._duty, value, self._version
+                KIND, self._name(self._place), value, self._version
             )
         finally:
             is_outdated = self._meet_epoch()
@@ -307,6 +447,8 @@
                 "store than it was read in",
             )
         self._version = version
+        self._was_there = True
+        self._is_settled = True
         self._seen = holding
         self._known_term = max(self._known_term, holding.term)
         self._seen_at = sent_at
@@ -331,7 +473,7 @@
         body = orjson.loads(value)
         holder, term = str(body["holder"]), int(body["term"])
         memo = tuple(str(one) for one in body.get("memo", ()))
-        return Holding(holder, term, memo)
+        return Holding(holder, term, memo, str(body.get("successor", "")))
     except (
         AttributeError,
         KeyError,
--- a/tests/test_restored_lease.py
+++ b/tests/test_restored_lease.py
@@ -78,7 +78,7 @@
         # how its first return left the lease.
         async def body() -> None:
             store = standin_store.StandinStore()
-            way = _Hooked(store)
+            way = Hooked(store)
             lease = leases.Lease(way, "duty", "run")
             async with anyio.create_task_group() as tasks:
                 empty = store.back_up()
@@ -102,7 +102,7 @@
         async def body() -> None:
             store = standin_store.StandinStore()
             empty = store.back_up()
-            way = _Hooked(store)
+            way = Hooked(store)
             lease = leases.Lease(way, "duty", "run")
 
             def give_version_out_again(version: int) -> None:
@@ -170,7 +170,7 @@
         async def body() -> None:
             store = standin_store.StandinStore()
             empty = store.back_up()
-            way = _Hooked(store)
+            way = Hooked(store)
             lease = leases.Lease(way, "duty", "run")
             given = 0
 
@@ -202,7 +202,7 @@
         async def body() -> None:
             chance = random.Random(seed)
             store = standin_store.StandinStore()
-            rivals = _Rivals(store, chance)
+            rivals = Rivals(store, chance)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(rivals.run)
                 backups = [store.back_up()]
@@ -231,7 +231,7 @@
         assert lease.term == term
 
 
-class _Hooked(zone_system.Way):
+class Hooked(zone_system.Way):
     """A way to the store on which something happens once."""
 
     def __init__(self, store: standin_store.StandinStore) -> None:
@@ -258,7 +258,7 @@
         return await super().put(kind, name, value, expected)
 
 
-class _Rivals:
+class Rivals:
     """Processes that stand for one duty, cut off and started anew."""
 
     def __init__(
