What was lost is told with its figures and by the file's name

Cause: a reason lost each word with a digit, so that one case's address did not make a row of its own; "no answer within 1.50 s" became "no answer within s". An entry's own log names it nowhere, so the row of what it lost had no name.

Ruled out: a row for each figure (times depend on what is left of each request's own); rounding (the row would name a time that never was).

Change: figures are kept apart from the reason and told as the extent of all of them; lines that name no process take the name of their file, and what comes from standard input is told as not named.

Tests: five fail on the code before; three guards removed one at a time, each fails a test.

--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -31,7 +31,7 @@
     files: list[pathlib.Path], aims: losses.Aims, span: float
 ) -> commands.Result:
     """Tell what was not served in time in log files, and why."""
-    with _open_logs(files) as texts:
+    with _open_logs(files, are_named=True) as texts:
         found = losses.account(texts, aims, span)
     lines = [f"{found.requests} requests ended"]
     lines += _table(found.causes, found.requests)
@@ -79,16 +79,30 @@
 
 @contextlib.contextmanager
 def _open_logs(
-    files: list[pathlib.Path],
+    files: list[pathlib.Path], *, are_named: bool = False
 ) -> typing.Iterator[typing.Iterable[str]]:
-    """Open log files one after the other, or standard input."""
+    """Open log files one after the other, or standard input.
+
+    :param are_named: have lines that name no process begin with the name of
+        their file.
+    """
     with contextlib.ExitStack() as stack:
-        texts: list[typing.Iterable[str]] = [
-            stack.enter_context(_open_log(path)) for path in files
-        ]
+        texts: list[typing.Iterable[str]] = []
+        for path in files:
+            text = stack.enter_context(_open_log(path))
+            texts.append(_named(path, text) if are_named else text)
         yield itertools.chain.from_iterable(texts or [sys.stdin])
 
 
+def _named(
+    path: pathlib.Path, texts: typing.Iterable[str]
+) -> typing.Iterator[str]:
+    # One word without a brace: what follows a brace is taken for the line.
+    name = "-".join(path.name.replace("{", "").replace("}", "").split())
+    for text in texts:
+        yield f"{name} {text}" if text.startswith("{") else text
+
+
 def explain_request(
     request: str, files: list[pathlib.Path], gap: float
 ) -> commands.Result:
--- a/src/crowdeck/observe/losses.py
+++ b/src/crowdeck/observe/losses.py
@@ -24,6 +24,9 @@
 IN_TIME = "in time"
 CALLER_LEFT = "the caller left"
 _BY_RIGHT = "by right"
+UNNAMED = "(the logs do not name it)"
+# Stands for a figure in a reason until the extent of all of them is known.
+_FIGURE = "\0"
 _NOT_LOST = frozenset({IN_TIME, CALLER_LEFT})
 
 
@@ -70,6 +73,24 @@
     reroutes: reroutes.Reroutes
 
 
+@attrs.define(eq=False)
+class _Extent:
+    """The least and the greatest of a reason's figures."""
+
+    least: float = float("inf")
+    most: float = float("-inf")
+
+    def __str__(self) -> str:
+        if self.least == self.most:
+            return f"{self.most:g}"
+        return f"{self.least:g} to {self.most:g}"
+
+    def take(self, figure: float) -> None:
+        """Count a figure."""
+        self.least = min(self.least, figure)
+        self.most = max(self.most, figure)
+
+
 @attrs.define(eq=False)
 class _Request:
     """What is known of one request so far."""
@@ -86,6 +107,7 @@
         self._aims = aims
         self._requests: dict[str, _Request] = {}
         self._refusals: collections.Counter[str] = collections.Counter()
+        self._figures: dict[str, list[_Extent]] = {}
         self._reroutes = reroutes.RerouteLedger(aims.pause)
         self._began = float("inf")
 
@@ -105,7 +127,7 @@
         elif line.kind in _MENDED:
             request.mends.add(line.kind)
         if line.kind == "attempt_failed":
-            self._refusals[_general(str(line.fields.get("reason", "")))] += 1
+            self._refusals[self._general(line)] += 1
 
     def account(self, span: float) -> Account:
         """Return the sums, and those of each ``span`` seconds."""
@@ -123,10 +145,10 @@
             spans.setdefault(at, collections.Counter())[cause] += 1
         return Account(
             requests=sum(causes.values()),
-            causes=dict(causes.most_common()),
-            turned_away=dict(self._refusals.most_common()),
+            causes=self._told(causes),
+            turned_away=self._told(self._refusals),
             spans=tuple(
-                Span(at * span, dict(found.most_common()))
+                Span(at * span, self._told(found))
                 for at, found in sorted(spans.items())
             ),
             lost_by_source=dict(sources.most_common()),
@@ -170,7 +192,31 @@
             missing = request.lack.fields.get("missing_layers")
             lack = "layers were missing" if missing else "no room"
             return f"{what}: {code}, {lack}"
-        return f"{what}: {code}, {_general(str(end.fields.get('reason', '')))}"
+        return f"{what}: {code}, {self._general(end)}"
+
+    def _general(self, line: explain.Line) -> str:
+        """Return a line's reason without what is one case's alone."""
+        reason, figures = _generalize(str(line.fields.get("reason", "")))
+        extents = self._figures.setdefault(
+            reason, [_Extent() for _ in figures]
+        )
+        for extent, figure in zip(extents, figures, strict=True):
+            extent.take(figure)
+        return reason
+
+    def _told(self, counts: collections.Counter[str]) -> dict[str, int]:
+        """Return counts under names that tell the extent of figures."""
+        told: collections.Counter[str] = collections.Counter()
+        for cause, count in counts.items():
+            told[self._name(cause)] += count
+        return dict(told.most_common())
+
+    def _name(self, cause: str) -> str:
+        # One reason may end as another does.
+        fitting = [one for one in self._figures if cause.endswith(one)]
+        for extent in self._figures[max(fitting, key=len)] if fitting else ():
+            cause = cause.replace(_FIGURE, str(extent), 1)
+        return cause
 
 
 def account(texts: typing.Iterable[str], aims: Aims, span: float) -> Account:
@@ -186,14 +232,20 @@
 def _instance(source: str) -> str:
     """Return the process that a collector names, without its time."""
     words = source.split()
-    return words[-1] if words else ""
-
-
-def _general(reason: str) -> str:
-    """Return a reason without the numbers and names of one case."""
-    words = [
-        word
-        for word in reason.split()
-        if not any(letter.isdigit() for letter in word) or word.isdigit()
-    ]
-    return " ".join(words)
+    return words[-1] if words else UNNAMED
+
+
+def _generalize(reason: str) -> tuple[str, list[float]]:
+    """Return a reason without one case's names, and its figures apart."""
+    words, figures = [], []
+    for word in reason.split():
+        if word.isdigit() or not any(letter.isdigit() for letter in word):
+            words.append(word)
+            continue
+        try:
+            figures.append(float(word))
+        except ValueError:
+            # It names something: an address, a request.
+            continue
+        words.append(_FIGURE)
+    return " ".join(words), figures
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -90,6 +90,59 @@
         assert losses.account(log, AIMS, 2.0).causes == {"in time": 1}
 
 
+class TestFigures:
+    """Times in a reason, which differ from case to case."""
+
+    def test_are_told_with_their_extent(self) -> None:
+        # The row read "no answer within s".
+        log = [
+            refused(1.0, "r1", "DEADLINE", "no answer within 1.50 s"),
+            refused(5.0, "r2", "DEADLINE", "no answer within 0.75 s"),
+        ]
+        found = losses.account(log, AIMS, 2.0)
+        told = "refused: DEADLINE, no answer within 0.75 to 1.5 s"
+        assert found.causes == {told: 2}
+        assert [one.causes for one in found.spans] == [{told: 1}, {told: 1}]
+
+    def test_of_one_value_are_told_once(self) -> None:
+        log = [
+            line(
+                1.0,
+                "attempt_failed",
+                request=f"r{number}",
+                reason="10.0.0.1:1 gave no answer within 1.50 s",
+            )
+            for number in range(2)
+        ]
+        found = losses.account(log, AIMS, 2.0)
+        assert found.turned_away == {"gave no answer within 1.5 s": 2}
+
+    def test_add_up_with_those_that_are_whole(self) -> None:
+        reasons = (
+            "silent for 2 s",
+            "silent for 2.0 s",
+            "was silent for 3.5 s",
+        )
+        log = [
+            refused(1.0, f"r{number}", "LOST", reason)
+            for number, reason in enumerate(reasons)
+        ]
+        assert losses.account(log, AIMS, 2.0).causes == {
+            "refused: LOST, silent for 2 s": 2,
+            "refused: LOST, was silent for 3.5 s": 1,
+        }
+
+    def test_of_several_kinds_keep_apart(self) -> None:
+        reasons = ("silent for 0.3 s of 2.0 s", "silent for 0.4 s of 1.0 s")
+        log = [
+            refused(1.0, f"r{number}", "LOST", reason)
+            for number, reason in enumerate(reasons)
+        ]
+        assert losses.account(log, AIMS, 2.0).causes == {
+            "refused: LOST, silent for 0.3 to 0.4 s of 1 to 2 s": 2
+        }
+
+
 class TestReroutes:
     """Where the time of a changed path went."""
 
@@ -133,6 +186,13 @@
         found = losses.account(log, AIMS, 2.0)
         assert found.lost_by_source == {"a": 2, "b": 1}
 
+    def test_lines_that_name_none_are_told_as_such(self) -> None:
+        # Their row had no name at all.
+        text = ended(1.0, "r1", 0.7, 0.1)
+        bare = text[text.index("{") :]
+        found = losses.account([bare], AIMS, 2.0)
+        assert found.lost_by_source == {losses.UNNAMED: 1}
+
 
 class TestCommand:
     """``crowdeck losses``."""
@@ -142,6 +202,14 @@
     ) -> None:
         path = tmp_path / "entry.log"
         path.write_text("".join(LOG))
+        # What an entry writes itself names it nowhere but in its file.
+        bare = tmp_path / "entry {0}.log"
+        text = ended(12.0, "r20", 0.7, 0.1)
+        bare.write_text(text[text.index("{") :])
+        assert cli.main(["losses", str(path), str(bare)]) == commands.EXIT_OK
+        told = capsys.readouterr().out
+        assert "11 requests ended" in told
+        assert "  entry-0.log" in told
         arguments = ["losses", str(path), "--gap", "0.25"]
         assert cli.main(arguments) == commands.EXIT_OK
         text = capsys.readouterr().out
