The store's epoch in crowdeck status

Operators compare it with the gauge that entries tell: an entry whose gauge is lower has not noticed yet that the store came back from a copy.

Ruled out: a row of its own for the store (programs take each row for an instance); what each instance believes (entries of engines that chain their stages answer no such question; their gauge tells it).

Change: a line below the table, and a field `store_epoch` in each row for programs. It is the epoch of the store's latest answer to the command.

Tests: the field is missing on the code before (KeyError in test_status_settings_and_drain).

--- a/src/crowdeck/cmd/cli.py
+++ b/src/crowdeck/cmd/cli.py
@@ -137,7 +137,7 @@
 def _pick(options: argparse.Namespace) -> Command:
     match options.command:
         case "status":
-            return commands.show_status
+            return inspection.show_status
         case "upstreams":
             return commands.show_upstreams
         case "placement":
--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -15,6 +15,7 @@
 
 from crowdeck import chain
 from crowdeck.cmd import commands
+from crowdeck.cmd import operator as operators
 from crowdeck import errors
 from crowdeck.observe import explain as explaining
 from crowdeck.observe import losses
@@ -145,6 +146,24 @@
         raise errors.ConfigError(f"{path}: {error}") from None
 
 
+async def show_status(operator: operators.Operator) -> commands.Result:
+    """Show every instance, and the epoch that the store is in."""
+    shown = await commands.show_status(operator)
+    return tell_epoch(shown, operator.store.epoch)
+
+
+def tell_epoch(shown: commands.Result, epoch: int | None) -> commands.Result:
+    """Add how often the store came back from a copy, as it counts.
+
+    :param epoch: of the store's latest answer to this command; an instance
+        that has not noticed a return yet may be in an earlier one.
+    """
+    data = [{**row, "store_epoch": epoch} for row in shown.data]
+    told = "unknown" if epoch is None else str(epoch)
+    text = f"{shown.text}\n\nepoch of the store: {told}"
+    return attrs.evolve(shown, data=data, text=text)
+
+
 @attrs.frozen
 class _Model:
     """A service of model engines, as the store lists it."""
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -349,6 +349,7 @@
             code, rows = await call("status", "--json")
             assert code == 0
             assert {row["state"] for row in rows} == {"up"}
+            assert {row["store_epoch"] for row in rows} == {0}
             place = ("--team", "kiosks", "--option", "concurrency")
             code, _ = await call(
                 "settings", "set", *place, "--value", "7", "--json"
