Engines are laid out anew where nobody to spare fills a gap

Cause: an engine was never told to give up layers that only it holds, so a layer held by none stayed so though those left had memory for all. Ruled out: moving as soon as a zone alone lacks a layer (its requests cross to others meanwhile, and each move is a load). The duty looks at this after all that the plan asks for was ordered, and only where a layer is held by no engine of any zone. Search and orders leave turns to others.

--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -5,6 +5,7 @@
 
 """The duty of ordering engines to hold layers, done by one entry."""
 
+import enum
 import typing
 
 import anyio
@@ -17,7 +18,10 @@
 from crowdeck.observe import logs
 from crowdeck import pipeline
 from crowdeck.placement import losses
+from crowdeck.placement import patience
 from crowdeck.placement import plan
+from crowdeck.placement import rearrangement
+from crowdeck.placement import relayout
 from crowdeck import route as routes
 from crowdeck.state import leases
 
@@ -67,6 +71,14 @@
         ...
 
 
+class _Outcome(enum.Enum):
+    """What became of an order."""
+
+    NOT_SENT = "not sent"
+    SENT = "sent"
+    TAKEN = "taken"
+
+
 @attrs.define(eq=False)
 class _Pending:
     """An engine that was ordered, or is busy with an earlier order.
@@ -120,6 +132,7 @@
         self._losses = losses.LossWatch(book, orders, services)
         self._arrivals: dict[str, _Arrivals] = {}
         self._empty_since: dict[str, dict[str, float]] = {}
+        self._patience: dict[str, patience.Patience] = {}
         self._changed = anyio.Event()
         book.subscribe(self._wake)
 
@@ -129,12 +142,18 @@
             self._changed = anyio.Event()
             if self._lease.is_held:
                 await self._look()
-            with anyio.move_on_after(LOOK_SECONDS):
+            with anyio.move_on_after(self._pause()):
                 await self._changed.wait()
 
     def _wake(self) -> None:
         self._changed.set()
 
+    def _pause(self) -> float:
+        """Return the seconds until the next look."""
+        now = anyio.current_time()
+        due = (one.due - now for one in self._patience.values())
+        return min([LOOK_SECONDS, *(left for left in due if left > 0.0)])
+
     async def _look(self) -> None:
         self._take_over()
         self._forget_pending()
@@ -148,6 +167,7 @@
             if not self._has_gathered(service.name, engines):
                 continue
             await self._order_all(service, service.profile, engines)
+            await self._complete(service, service.profile)
 
     async def _order_all(
         self,
@@ -175,6 +195,82 @@
                 if not self._lease.is_held:
                     return
 
+    async def _complete(
+        self, service: routes.Service, profile: chain.EngineProfile
+    ) -> None:
+        """Rearrange engines where a layer is held by none, and will be.
+
+        All that the plan asks for has been ordered before.
+        """
+        engines = chain.fitting(self._engines(service), profile.layer_count)
+        missing = rearrangement.missing_layers(engines, profile)
+        known = self._patience.setdefault(service.name, patience.Patience())
+        now = anyio.current_time()
+        if not missing or len(missing) == profile.layer_count:
+            known.forget()
+            return
+        is_told = self._are_leaving(service.name, missing)
+        if not known.is_over(now, is_told) or not self._lease.is_held:
+            return
+        relied = [self._relied_on(one) for one in engines]
+        parts = rearrangement.steps_in_parts(
+            engines, profile, self._can_be_ordered, relied, not is_told
+        )
+        steps = await _in_parts(parts)
+        if steps and await self._take(steps):
+            known.note_round(anyio.current_time())
+            logs.change(
+                "layers_rearranged",
+                service=service.name,
+                missing=len(missing),
+                engines=len(steps),
+                term=self._lease.term,
+                is_told=is_told,
+            )
+
+    def _are_leaving(self, service: str, missing: list[int]) -> bool:
+        """Whether those that hold some layers say that they leave."""
+        left = set(missing)
+        for one in self._book.listed(service):
+            if one.is_leaving and one.layers is not None:
+                left -= set(range(one.layers.first, one.layers.end))
+        return not left
+
+    def _can_be_ordered(self, upstream: chain.Upstream) -> bool:
+        resting = self._book.seconds_backing_off(upstream.name)
+        return self._is_idle(upstream) and not resting
+
+    async def _take(self, steps: list[rearrangement.Step]) -> bool:
+        """Give the orders of a rearrangement, each once others are taken.
+
+        Returns whether any was sent.
+        """
+        limiter = anyio.CapacityLimiter(ORDERS_AT_ONCE)
+        is_over = {step.move.upstream.name: anyio.Event() for step in steps}
+        taken: set[str] = set()
+        sent: set[str] = set()
+
+        async def give(step: rearrangement.Step) -> None:
+            name = step.move.upstream.name
+            try:
+                for other in step.after:
+                    await is_over[other].wait()
+                if not step.after <= taken:
+                    # The next look plans again, from what they hold then.
+                    return
+                outcome = await self._order_within(step.move, limiter)
+                if outcome is not _Outcome.NOT_SENT:
+                    sent.add(name)
+                if outcome is _Outcome.TAKEN:
+                    taken.add(name)
+            finally:
+                is_over[name].set()
+
+        async with anyio.create_task_group() as tasks:
+            for step in steps:
+                tasks.start_soon(give, step)
+        return bool(sent)
+
     def _has_gathered(
         self, service: str, engines: list[chain.Upstream]
     ) -> bool:
@@ -274,29 +370,30 @@
 
     async def _order_within(
         self, move: plan.Move, limiter: anyio.CapacityLimiter
-    ) -> None:
+    ) -> "_Outcome":
         async with limiter:
             if self._lease.is_held:
-                await self._order(move)
+                return await self._order(move)
+        return _Outcome.NOT_SENT
 
-    async def _order(self, move: plan.Move) -> None:
+    async def _order(self, move: plan.Move) -> "_Outcome":
         name = move.upstream.name
         if self._book.seconds_backing_off(name):
             # Planned again at the next look.
-            return
+            return _Outcome.NOT_SENT
         self._expect(move, UNKNOWN_SECONDS)
         try:
             report = await self._orders.report(move.upstream)
         except errors.CrowdeckError as error:
             self._book.avoid(name, f"no report: {error.message}")
-            return
+            return _Outcome.NOT_SENT
         if report.is_busy or report.layers != move.upstream.layers:
             # It carries out an order already, or its entry lags behind:
             # plan again from what it says itself.
             self._keep(move.upstream, report)
-            return
+            return _Outcome.NOT_SENT
         if not self._lease.is_held:
-            return
+            return _Outcome.NOT_SENT
         self._settle_doubt(name, report.orders_taken)
         is_taken = False
         try:
@@ -319,6 +416,7 @@
             is_urgent=move.is_urgent,
             is_taken=is_taken,
         )
+        return _Outcome.TAKEN if is_taken else _Outcome.SENT
 
     def _doubt(self, name: str, expected: int, reason: str) -> None:
         until = anyio.current_time() + LATE_ORDER_SECONDS
@@ -354,6 +452,18 @@
         )
 
 
+async def _in_parts(
+    parts: relayout.Parts[list[rearrangement.Step]],
+) -> list[rearrangement.Step]:
+    """Do some work, with everything else having its turn in between."""
+    while True:
+        try:
+            next(parts)
+        except StopIteration as done:
+            return typing.cast(list[rearrangement.Step], done.value)
+        await anyio.sleep(TURN_SECONDS)
+
+
 def _common(
     one: pipeline.LayerRange | None, other: pipeline.LayerRange | None
 ) -> pipeline.LayerRange | None:
--- a/src/crowdeck/placement/plan.py
+++ b/src/crowdeck/placement/plan.py
@@ -165,13 +165,13 @@
     return ROOM_LEAST * capacity.request_tokens(profile)
 
 
-def _most_layers(engine: chain.Upstream, profile: chain.EngineProfile) -> int:
+def most_layers(engine: chain.Upstream, profile: chain.EngineProfile) -> int:
     """Return how many layers an engine can hold and still serve."""
     return quota(engine, profile, _least_room(profile))
 
 
 def _holds_model(engines: _Cell, profile: chain.EngineProfile) -> bool:
-    total = sum(_most_layers(one, profile) for one in engines)
+    total = sum(most_layers(one, profile) for one in engines)
     return total >= profile.layer_count
 
 
@@ -270,7 +270,7 @@
     if len(engines) <= GROUP_MOST:
         return [engines]
     ordered = sorted(
-        engines, key=lambda one: (-_most_layers(one, profile), one.name)
+        engines, key=lambda one: (-most_layers(one, profile), one.name)
     )
     for count in range(len(engines) // GROUP_SIZE, 1, -1):
         groups = [ordered[first::count] for first in range(count)]
@@ -300,7 +300,7 @@
     moves: list[Move] = []
     # Large cards first: they take the long runs, small ones fill gaps.
     for engine in sorted(
-        free, key=lambda one: (-_most_layers(one, profile), one.name)
+        free, key=lambda one: (-most_layers(one, profile), one.name)
     ):
         layers = filling.place(engine)
         if layers is not None:
@@ -333,7 +333,7 @@
         least room in its tier and of all, the one that exposes streams
         less; a large cell, where that takes long, keeps to tiers.
         """
-        most = _most_layers(engine, self._profile)
+        most = most_layers(engine, self._profile)
         anywhere = self._rooms.best_window(engine, most)
         tier = self._tier(engine)
         if anywhere is None or tier is None or self._rooms.has_gap:
@@ -388,11 +388,11 @@
     """
     moves: list[Move] = []
     held = [one for one in cell if one.layers and idle(one)]
-    held.sort(key=lambda one: (_most_layers(one, profile), one.name))
+    held.sort(key=lambda one: (most_layers(one, profile), one.name))
     for engine in held:
         if 0 not in counts:
             break
-        size = _most_layers(engine, profile)
+        size = most_layers(engine, profile)
         if not size or not _is_spare(engine, sure):
             continue
         first = counts.index(0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -589,14 +589,16 @@
             system: fleet_system.FleetSystem, ledger: _Ledger
         ) -> None:
             ledger.memo = ("b@0",)
-            wide = ("plateau", (0, 24), "large")
+            # As many as fit each: nobody can grow into the gap.
+            wide = ("plateau", (0, 39), "large")
             for one in (
                 fleet_system.upstream("a", *wide),
                 fleet_system.upstream("b", *wide),
-                fleet_system.upstream("c", "plateau", (24, 56), "large"),
-                fleet_system.upstream("d", "plateau", (60, 80), "large"),
+                fleet_system.upstream("c", "plateau", (39, 78), "large"),
             ):
                 system.add(one)
+            # Nor can it go itself, which it could: a is sure.
+            system.book.back_off("b", 60.0)
             moved = system.fleet.at(system.listed["a"].address)
             await anyio.sleep(duties.LATE_ORDER_SECONDS - 1.0)
             assert not moved.orders_taken
@@ -605,6 +607,35 @@
 
         play_duty(work, count=0)
 
+    def test_neighbours_grow_while_another_is_in_doubt(self) -> None:
+        async def work(
+            system: fleet_system.FleetSystem, ledger: _Ledger
+        ) -> None:
+            ledger.memo = ("b@0",)
+            wide = ("plateau", (0, 24), "large")
+            for one in (
+                fleet_system.upstream("a", *wide),
+                fleet_system.upstream("b", *wide),
+                fleet_system.upstream("c", "plateau", (24, 56), "large"),
+                fleet_system.upstream("d", "plateau", (60, 80), "large"),
+            ):
+                system.add(one)
+            moved = system.fleet.at(system.listed["a"].address)
+            await anyio.sleep(3.0)
+            tell_all(system)
+            counts = chain.coverage(
+                system.listed.values(), PROFILE.layer_count
+            )
+            assert min(counts) >= 1
+            await anyio.sleep(duties.LATE_ORDER_SECONDS)
+            assert not moved.orders_taken
+            assert (
+                system.fleet.at(system.listed["b"].address).listed
+                == (system.listed["b"])
+            )
+
+        play_duty(work, count=0)
+
     def test_those_lost_together_are_found_together(self) -> None:
         # Only one was hit by a request; the others' entries took three
         # heartbeats to go, and their layers were missing until then.
