Model: engines laid out anew under lost, late orders and ends

Cause: orders of a rearrangement give up layers that only their engine holds, which spec/orders.py does not know. Promises: no order takes the last copy of a layer; what can be made whole is, or there is an order to give. Conclusion: takers first, and doubts as for every other order, are needed.

--- a/spec/check.py
+++ b/spec/check.py
@@ -16,6 +16,7 @@
 from spec import leases
 from spec import model
 from spec import orders
+from spec import rearrangements
 from spec import restored_leases
 from spec import seals
 from spec import turns
@@ -28,6 +29,7 @@
     restored_leases.RestoredLeases(),
     copies.Copies(),
     orders.Orders(),
+    rearrangements.Rearrangements(),
     generations.Generations(),
     turns.Turns(),
 )
