Tests of rearrangements under lost orders, killed givers and flapping

Cause: the first tests play sound orders only. Change: 21 plays in virtual time: no layer is given up before another has taken it, orders lost or late, a giver killed after its first, second and third order, an engine that ends midway, a zone alone, too few engines; who is waited for, and engines that come and go for an hour.

--- a/tests/test_rearrangement.py
+++ b/tests/test_rearrangement.py
@@ -20,12 +20,16 @@
 import typing
 
 import anyio
+import anyio.abc
 import attrs
 import pytest
 
 from crowdeck import chain
+from crowdeck import errors
 from crowdeck import pipeline
 from crowdeck.placement import duty as duties
+from crowdeck.placement import patience
+from crowdeck.placement import plan
 from crowdeck.platform import names
 from crowdeck import route as routes
 from crowdeck.standin import chain_fleet
@@ -242,6 +246,301 @@
         play(work, lambda: Playing(four(), TIGHT))
 
 
+class Orders:
+    """Passes orders on, some without an answer, and notes what they cost.
+
+    :ivar unheld: layers that an order gave up with no other to hold them.
+    """
+
+    def __init__(self, playing: Playing, lost: int = 0) -> None:
+        self._system = playing.system
+        self.lost = lost
+        self.given: list[plan.Move] = []
+        self.unheld: list[int] = []
+        self.late: list[tuple[plan.Move, int]] = []
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        return await self._system.fleet.report(upstream)
+
+    async def place(
+        self, move: plan.Move, expected_orders: int, fencing_token: int
+    ) -> bool:
+        self._note(move)
+        if self.lost:
+            self.lost -= 1
+            self.late.append((move, expected_orders))
+            raise errors.CrowdeckError(errors.Code.UPSTREAM_LOST, "no answer")
+        return await self._system.fleet.place(
+            move, expected_orders, fencing_token
+        )
+
+    async def carry_out_late(self) -> None:
+        """Carry out what got no answer, where it still fits."""
+        for move, expected in self.late:
+            await self._system.fleet.place(move, expected, 0)
+        self.late.clear()
+
+    def _note(self, move: plan.Move) -> None:
+        self.given.append(move)
+        target = self._system.fleet.at(move.upstream.address).listed
+        others = [
+            one.listed
+            for one in self._system.fleet.upstreams
+            if one.answers and one.listed.name != target.name
+        ]
+        counts = chain.coverage(others, PROFILE.layer_count)
+        if target.layers is not None:
+            for layer in range(target.layers.first, target.layers.end):
+                is_kept = move.layers.first <= layer < move.layers.end
+                if not is_kept and not counts[layer]:
+                    self.unheld.append(layer)
+
+
+def play_orders(
+    work: typing.Callable[
+        [Playing, Orders, anyio.abc.TaskGroup], typing.Awaitable[None]
+    ],
+    lost: int = 0,
+    engines: typing.Callable[[], list[chain.Upstream]] = four,
+    profile: chain.EngineProfile = TIGHT,
+) -> None:
+    """Play some work beside heartbeats; it starts givers itself."""
+
+    async def body() -> None:
+        playing = Playing(engines(), profile)
+        orders = Orders(playing, lost)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(playing.beat)
+            await work(playing, orders, tasks)
+            tasks.cancel_scope.cancel()
+
+    virtual.run(body)
+
+
+class TestOrders:
+    """What a rearrangement may ask, and in what order."""
+
+    @pytest.mark.parametrize("lost", range(COUNT))
+    def test_no_layer_is_given_up_before_another_has_taken_it(
+        self, lost: int
+    ) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, f"e{lost}")
+            await anyio.sleep(SERVED_SECONDS)
+            assert playing.is_whole
+            assert any(
+                move.upstream.layers
+                and move.upstream.layers.first < move.layers.first
+                or move.upstream.layers
+                and move.upstream.layers.end > move.layers.end
+                for move in orders.given
+            )
+            assert not orders.unheld
+
+        play_orders(work)
+
+    @pytest.mark.parametrize("is_late", (True, False))
+    @pytest.mark.parametrize("lost_orders", (1, 2, 5))
+    def test_orders_without_an_answer(
+        self, lost_orders: int, is_late: bool
+    ) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            for _ in range(2 * int(duties.LATE_ORDER_SECONDS)):
+                await anyio.sleep(1.0)
+                if is_late:
+                    await orders.carry_out_late()
+            assert playing.is_whole
+            assert not orders.unheld
+
+        play_orders(work, lost_orders)
+
+    @pytest.mark.parametrize("after", (1, 2, 3))
+    def test_a_giver_that_is_killed_midway(self, after: int) -> None:
+        # Its successor knows nothing but what the lease tells it.
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            with anyio.CancelScope() as life:
+                async with anyio.create_task_group() as inner:
+                    inner.start_soon(playing.duty(orders).run)
+                    await anyio.sleep(1.0)
+                    end(playing.system, "e1")
+                    while len(orders.given) < after:
+                        await anyio.sleep(0.0001)
+                    life.cancel()
+            await anyio.sleep(4.5)
+            playing.ledger.term += 1
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(SERVED_SECONDS + 1.0)
+            assert playing.is_whole
+            assert not orders.unheld
+
+        play_orders(work)
+
+    def test_an_engine_that_ends_midway(self) -> None:
+        # Then the three left with the one that comes back empty.
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            while not orders.given:
+                await anyio.sleep(0.0001)
+            end(playing.system, "e3")
+            await anyio.sleep(8.0)
+            playing.system.add(
+                fleet_system.upstream("new", "plateau", None, "card")
+            )
+            await anyio.sleep(10.0)
+            assert playing.is_whole
+
+        play_orders(work)
+
+    def test_two_zones_of_which_one_lacks_a_layer_are_left_alone(
+        self,
+    ) -> None:
+        # Its requests go to the other meanwhile.
+        def engines() -> list[chain.Upstream]:
+            other = [
+                attrs.evolve(
+                    fleet_system.upstream(f"o{at}", "almadies", None, "card"),
+                    layers=one.layers,
+                )
+                for at, one in enumerate(four())
+            ]
+            return four() + other
+
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            await anyio.sleep(20.0)
+            assert not orders.given
+
+        play_orders(work, engines=engines)
+
+    def test_those_that_cannot_hold_the_model_are_left_alone(self) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            end(playing.system, "e2")
+            await anyio.sleep(20.0)
+            assert not orders.given
+
+        play_orders(work)
+
+
+class TestWhen:
+    """Waiting for who went, and for how long."""
+
+    @pytest.mark.parametrize("seconds", (0.5, 2.0))
+    def test_one_that_is_back_soon_moves_nobody(self, seconds: float) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            await anyio.sleep(seconds)
+            back = playing.system.add(
+                fleet_system.upstream("back", "plateau", None, "card")
+            )
+            await anyio.sleep(20.0)
+            assert playing.is_whole
+            assert [one.upstream.name for one in orders.given] == ["back"]
+            assert back.listed.layers == pipeline.LayerRange(20, 40)
+
+        play_orders(work)
+
+    def test_one_that_says_it_leaves_is_not_waited_for(self) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            leave_by_store(playing.system, "e1")
+            await anyio.sleep(0.2)
+            assert playing.is_whole
+            # It serves yet, and so do the streams that pass it.
+            assert not any(one.is_urgent for one in orders.given)
+
+        play_orders(work)
+
+    def test_one_that_comes_and_goes_moves_nobody_twice(self) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            await anyio.sleep(10.0)
+            assert playing.is_whole
+            held = playing.held()
+            for number in range(20):
+                name = f"back{number}"
+                playing.system.add(
+                    fleet_system.upstream(name, "plateau", None, "card")
+                )
+                await anyio.sleep(15.0)
+                end(playing.system, name)
+                await anyio.sleep(15.0)
+            assert playing.held() == held
+
+        play_orders(work)
+
+    def test_those_that_come_and_go_by_turns_are_waited_for(self) -> None:
+        # Any three hold the model; each time another one goes.
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            rounds = 0
+            began = anyio.current_time()
+            while anyio.current_time() < began + 3_600.0:
+                going = sorted(
+                    playing.held(),
+                    key=lambda name: (
+                        playing.system.fleet.at(
+                            playing.system.listed[name].address
+                        ).orders_taken,
+                        name,
+                    ),
+                )[0]
+                before = len(orders.given)
+                end(playing.system, going)
+                await anyio.sleep(12.0)
+                rounds += len(orders.given) > before
+                playing.system.add(
+                    fleet_system.upstream(
+                        f"n{anyio.current_time():.0f}",
+                        "plateau",
+                        None,
+                        "card",
+                    )
+                )
+                await anyio.sleep(12.0)
+                assert playing.is_whole
+            assert rounds <= patience.ROUNDS_AN_HOUR_MOST
+
+        play_orders(work)
+
+
 class TestOverSockets:
     """The same over real sockets, with a whole entry."""
 
