--- a/tests/test_rearrangement.py
+++ b/tests/test_rearrangement.py
@@ -17,6 +17,7 @@
 tests served within its load.
 """
 
+import random
 import typing
 
 import anyio
@@ -541,6 +542,140 @@
         play_orders(work)
 
 
+def path_of(count: int, layer_count: int, zones: int) -> list[chain.Upstream]:
+    """Return engines that hold a model once, each zone a part of it."""
+    found = []
+    for number in range(count):
+        layers = (
+            layer_count * number // count,
+            layer_count * (number + 1) // count,
+        )
+        zone = f"zone{number * zones // count}"
+        found.append(fleet_system.upstream(f"e{number}", zone, layers, "card"))
+    return found
+
+
+class TestSizes:
+    """Fleets with little room to spare, in virtual time."""
+
+    @pytest.mark.parametrize(
+        ("count", "layer_count", "spare", "lost"),
+        (
+            (8, 80, 6, 1),
+            (8, 80, 6, 2),
+            (8, 80, 17, 5),
+            (40, 160, 1, 1),
+            (40, 160, 1, 2),
+            (40, 160, 1, 5),
+            (300, 600, 1, 1),
+            (300, 600, 1, 2),
+            (300, 600, 1, 5),
+        ),
+    )
+    def test_some_are_lost_for_good(
+        self, count: int, layer_count: int, spare: int, lost: int
+    ) -> None:
+        most = layer_count // count + spare
+        assert (count - lost) * most >= layer_count
+        # Room for four requests beside as many layers as are meant.
+        per_layer = PROFILE.layer_mb + 4.01 * 858.0 * (
+            PROFILE.token_bytes / layer_count / 1e6
+        )
+        profile = attrs.evolve(
+            PROFILE,
+            layer_count=layer_count,
+            cards={"card": chain.Card("card", per_layer * most, 1.4, 1.0)},
+        )
+
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty().run)
+            await anyio.sleep(1.0)
+            before = playing.held()
+            for number in random.Random(lost).sample(range(count), lost):
+                end(playing.system, f"e{number}")
+            await anyio.sleep(SERVED_SECONDS)
+            assert playing.is_whole
+            counts = loaded(before, playing.held())
+            assert sum(counts) >= lost * layer_count // count
+
+        play_orders(
+            work,
+            engines=lambda: path_of(count, layer_count, 1),
+            profile=profile,
+        )
+
+    def test_a_whole_zone_is_lost(self) -> None:
+        # Twelve could hold 28 layers each; a zone has a third of the model.
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            for name in list(playing.system.listed):
+                if playing.system.listed[name].availability_zone == "zone2":
+                    end(playing.system, name)
+            await anyio.sleep(SERVED_SECONDS)
+            assert playing.is_whole
+            assert not orders.unheld
+
+        play_orders(work, engines=lambda: path_of(12, 80, 3))
+
+    def test_those_that_rest_are_left_alone(self) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            playing.system.book.back_off("e0", 60.0)
+            end(playing.system, "e1")
+            await anyio.sleep(SERVED_SECONDS)
+            assert playing.is_whole
+            assert "e0" not in {one.upstream.name for one in orders.given}
+
+        play_orders(work, profile=PROFILE)
+
+    def test_is_ordered_as_soon_as_waiting_is_over(self) -> None:
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            end(playing.system, "e1")
+            await anyio.sleep(patience.GONE_SECONDS - 0.02)
+            assert not orders.given
+            await anyio.sleep(0.07)
+            assert orders.given
+
+        play_orders(work)
+
+
+class TestPatience:
+    """The bound on how often engines are rearranged."""
+
+    @pytest.mark.parametrize("is_told", (True, False))
+    def test_rounds_of_an_hour_are_bounded(self, is_told: bool) -> None:
+        # A layer is missing again as soon as it was ordered.
+        known = patience.Patience()
+        rounds: list[float] = []
+        now = 0.0
+        while now < 4 * patience.WINDOW_SECONDS:
+            now += 0.5
+            if known.is_over(now, is_told):
+                known.note_round(now)
+                known.forget()
+                rounds.append(now)
+        for first in rounds:
+            within = [
+                at
+                for at in rounds
+                if first <= at < first + patience.WINDOW_SECONDS
+            ]
+            assert len(within) <= patience.ROUNDS_AN_HOUR_MOST
+        assert rounds[-1] > 3 * patience.WINDOW_SECONDS
+
+
 class TestOverSockets:
     """The same over real sockets, with a whole entry."""
 
