--- a/src/crowdeck/placement/duty.py
+++ b/src/crowdeck/placement/duty.py
@@ -210,7 +210,7 @@
             known.forget()
             return
         is_told = self._are_leaving(service.name, missing)
-        if not known.is_over(now, is_told) or not self._lease.is_held:
+        if not known.is_over(now, is_told, missing) or not self._lease.is_held:
             return
         relied = [self._relied_on(one) for one in engines]
         parts = rearrangement.steps_in_parts(
--- a/src/crowdeck/placement/patience.py
+++ b/src/crowdeck/placement/patience.py
@@ -5,6 +5,8 @@
 
 """How long layers that no engine holds are waited for."""
 
+import typing
+
 import attrs
 
 # An engine that ended may come back with its layers, or empty: then it loads
@@ -30,17 +32,23 @@
     """
 
     due: float = float("-inf")
-    _since: float | None = None
+    _since: float = 0.0
+    _missing: frozenset[int] = frozenset()
     _rounds: list[float] = attrs.field(factory=list)
 
-    def is_over(self, now: float, is_told: bool) -> bool:
+    def is_over(
+        self, now: float, is_told: bool, missing: typing.Iterable[int]
+    ) -> bool:
         """Whether layers that are missing now were waited for.
 
+        :param missing: these layers; one that went later is waited for, too.
         :param is_told: whether those that hold them say that they leave;
             they come back empty if at all, and later than others load.
         """
-        if self._since is None:
+        found = frozenset(missing)
+        if not found <= self._missing:
             self._since = now
+        self._missing = found
         self._rounds = [at for at in self._rounds if now - at < WINDOW_SECONDS]
         wait = 0.0 if is_told else GONE_SECONDS
         began = self._since
@@ -53,7 +61,7 @@
 
     def forget(self) -> None:
         """Note that nothing is missing."""
-        self._since = None
+        self._missing = frozenset()
         self.due = float("-inf")
 
     def note_round(self, now: float) -> None:
--- a/tests/test_rearrangement.py
+++ b/tests/test_rearrangement.py
@@ -180,6 +180,11 @@
     ]
 
 
+def large_four() -> list[chain.Upstream]:
+    """Return engines of which any two could hold nearly all, any three all."""
+    return [attrs.evolve(one, card="large") for one in four()]
+
+
 def loaded(
     before: dict[str, pipeline.LayerRange | None],
     after: dict[str, pipeline.LayerRange | None],
@@ -468,6 +473,30 @@
 
         play_orders(work)
 
+    def test_each_of_two_that_are_back_soon_is_waited_for(self) -> None:
+        # The second went a second later, and got what was left of the wait
+        # for the first: layers were loaded for nothing.
+        async def work(
+            playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
+        ) -> None:
+            tasks.start_soon(playing.duty(orders).run)
+            await anyio.sleep(1.0)
+            for name in ("e1", "e2"):
+                end(playing.system, name)
+                await anyio.sleep(1.0)
+            for name, layers in (("e1", (20, 40)), ("e2", (40, 60))):
+                playing.system.add(
+                    fleet_system.upstream(
+                        f"{name}-back", "plateau", layers, "card"
+                    )
+                )
+                await anyio.sleep(1.0)
+            await anyio.sleep(10.0)
+            assert playing.is_whole
+            assert not orders.given
+
+        play_orders(work, profile=fleet_system.PROFILE, engines=large_four)
+
     def test_one_that_says_it_leaves_is_not_waited_for(self) -> None:
         async def work(
             playing: Playing, orders: Orders, tasks: anyio.abc.TaskGroup
@@ -662,7 +691,7 @@
         now = 0.0
         while now < 4 * patience.WINDOW_SECONDS:
             now += 0.5
-            if known.is_over(now, is_told):
+            if known.is_over(now, is_told, (7,)):
                 known.note_round(now)
                 known.forget()
                 rounds.append(now)
