--- a/spec/check.py
+++ b/spec/check.py
@@ -16,6 +16,7 @@
 from spec import leases
 from spec import model
 from spec import orders
+from spec import rearrangements
 from spec import restored_leases
 from spec import seals
 from spec import spoilt_leases
@@ -31,6 +32,7 @@
     spoilt_leases.PromptLeases(),
     copies.Copies(),
     orders.Orders(),
+    rearrangements.Rearrangements(),
     generations.Generations(),
     turns.Turns(),
 )
