--- a/tests/test_unheld_layers.py
+++ b/tests/test_unheld_layers.py
@@ -293,7 +293,7 @@
         self, card: str
     ) -> None:
         one = fleet_system.upstream("one", card=card)
-        expected = plan._most_layers(one, PROFILE)
+        expected = plan.most_layers(one, PROFILE)
         assert gaps.most_layers(card, PROFILE) == expected
 
     def test_is_what_counting_each_layer_finds(self) -> None:
