--- /dev/null
+++ b/bench/soak/control.py
@@ -0,0 +1,46 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Orders to the process of the stand-ins, and questions to it."""
+
+import typing
+
+import httpcore
+import orjson
+
+HOST = "127.0.0.1"
+
+
+class Control:
+    """The way to the world's control port."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+
+    async def do(self, what: str, **order: typing.Any) -> None:
+        """Have the world do something."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request(
+                "POST",
+                f"http://{HOST}:{self.port}/do",
+                content=orjson.dumps({"what": what, **order}),
+            )
+
+    async def runs(self) -> list[list[str]]:
+        """Return which request ran at which instance, in order."""
+        found: list[list[str]] = await self._fetch("runs")
+        return found
+
+    async def falls(self) -> list[int]:
+        """Return the numbers of instances that ended under a request."""
+        found: list[int] = await self._fetch("falls")
+        return found
+
+    async def _fetch(self, what: str) -> typing.Any:
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                "GET", f"http://{HOST}:{self.port}/{what}"
+            )
+        return orjson.loads(response.content)
--- /dev/null
+++ b/bench/soak/entries.py
@@ -0,0 +1,115 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The entries of one seed, each a process with a proxy before its store."""
+
+import contextlib
+import pathlib
+import sys
+import types
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from bench.soak import proxy as proxies
+
+HOST = "127.0.0.1"
+ROOT = pathlib.Path(__file__).parent.parent.parent
+# A key that was taken away stops working within this time.
+REVOCATION_SECONDS = 5.0
+PORTS_EACH = 4
+
+
+@attrs.frozen
+class Place:
+    """Where one entry listens, and how it reaches the store."""
+
+    callers: int
+    status: int
+    peers: int
+    store: proxies.Proxy
+
+
+class Entries:
+    """Starts entries, and ends at its own end those that still run.
+
+    :param ports: ``PORTS_EACH`` for each entry.
+    :param has_peers: whether entries of a zone ask one another for the store.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        store_port: int,
+        ports: typing.Sequence[int],
+        has_peers: bool,
+    ) -> None:
+        self._folder = folder
+        self._has_peers = has_peers
+        self.places = [
+            Place(callers, status, peers, proxies.Proxy(store, store_port))
+            for callers, status, peers, store in zip(
+                *[iter(ports)] * PORTS_EACH, strict=True
+            )
+        ]
+        self.processes: dict[int, anyio.abc.Process] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> typing.Self:
+        """Begin."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        await self._stack.aclose()
+
+    async def start(self, number: int) -> None:
+        """Start an entry, for the first time or again."""
+        path = self._folder / f"entry-{number}.ini"
+        path.write_text(self._ini(number))
+        log = self._stack.enter_context(
+            (self._folder / f"entry-{number}.log").open("ab")
+        )
+        process = await anyio.open_process(
+            [
+                sys.executable,
+                str(ROOT / "deploy" / "crowdeckd.py"),
+                "--config",
+                str(path),
+            ],
+            stdout=log,
+            stderr=log,
+        )
+        self.processes[number] = process
+        self._stack.push_async_callback(end, process)
+
+    def _ini(self, number: int) -> str:
+        zone = ("a", "b")[number % 2]
+        place = self.places[number]
+        peers = f"peers = {HOST}:{place.peers}\n"
+        return (
+            f"[crowdeckd]\nrole = entry\nname = entry-{number}\n"
+            f"availability_zone = {zone}\nhost = {HOST}\n"
+            f"[platform]\nurl = http://{HOST}:{place.store.port}\n"
+            f"[entry]\nhttp_host = {HOST}\n"
+            f"[fleet]\ncallers = {HOST}:{place.callers}\n"
+            f"status = {HOST}:{place.status}\n"
+            f"revocation_ms = {REVOCATION_SECONDS * 1000:.0f}\n"
+            "grace_seconds = 4\n" + (peers if self._has_peers else "")
+        )
+
+
+async def end(process: anyio.abc.Process) -> None:
+    """Kill a process that still runs."""
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -59,6 +59,13 @@
             if chance.random() < share:
                 _reset(stream)
 
+    async def harm(self, seconds: float, chance: random.Random) -> None:
+        """Reset some connections, and hold up what passes for some time."""
+        self.reset(chance.random(), chance)
+        self.mode = chance.choice((Mode.DELAY, Mode.SILENT, Mode.DEAF))
+        await anyio.sleep(seconds)
+        self.mode = Mode.PASS
+
     async def _serve(self, near: anyio.abc.SocketStream) -> None:
         async with near:
             if self.mode is Mode.REFUSE:
