Soak: a mode that plays for the retry budget

On real processes a service got more repeats than the budget allows, and no run of ours could count them: the soak judged runs, not arrivals. The world tells when each request arrived at each service; callers know when each was sent; both clocks are the machine's monotonic one. Every sliding window is judged by the rule itself, with the terms that the entries are given.

--budget blows faults in series that overlap: entries killed at once, in turn, again and again, frozen, stopped, started while the store says nothing, cut off for some, joined by new names; callers that move; instances that fail, lose answers, refuse, freeze, go dark.

Terms are small (0.05, 40, 5 s): 30 callers spend them in a second or two, and a window is four times as long as an entry takes to start.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,6 +11,10 @@
 
 from bench.soak import run as soak
 
+CALLERS = 6
+# Enough to reach the retry budget of three entries.
+BUDGET_CALLERS = 30
+
 
 def main() -> int:
     """Play the seeds; returns 1 when a promise was broken."""
@@ -40,6 +44,11 @@
         default=True,
         help="whether instances name limits, want rest and leave",
     )
+    parser.add_argument(
+        "--budget",
+        action="store_true",
+        help="whether faults come in series and play for the retry budget",
+    )
     options = parser.parse_args()
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -52,6 +61,8 @@
                 restores=options.restores,
                 presses_back=options.presses_back,
                 peers=options.peers,
+                budget=options.budget,
+                callers=BUDGET_CALLERS if options.budget else CALLERS,
             ),
             folder,
         )
@@ -62,9 +73,11 @@
             f"{len(verdict.broken)} promises broken",
             flush=True,
         )
+        for finding in verdict.peaks:
+            print(f"  {finding}", flush=True)
         for one in verdict.broken:
             print(f"  {one}", flush=True)
-        if verdict.broken:
+        if verdict.broken or options.budget:
             print("  struck: " + ", ".join(verdict.faults), flush=True)
     return 1 if broken else 0
 
--- /dev/null
+++ b/bench/soak/budget.py
@@ -0,0 +1,99 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""The retry budget that a seed plays with, and whether it was kept."""
+
+import typing
+
+import attrs
+
+from bench.soak import callers as callers_module
+from crowdeck.standin import repeats
+
+# Small, and over a short window, so that a few callers reach it again and
+# again in ten seconds.
+ALLOWANCE = repeats.Allowance(ratio=0.05, slack=40.0, window=5.0)
+SERVICES = {
+    callers_module.STREAM: "model",
+    callers_module.ONCE: "plain",
+    callers_module.REPEATED: "plain",
+}
+
+# When each request arrived at a service, by the service's name.
+Arrivals = dict[str, dict[str, list[float]]]
+
+
+@attrs.frozen
+class Finding:
+    """What one service got at most.
+
+    :ivar began: when the seed began to be asked.
+    """
+
+    service: str
+    peak: repeats.Peak
+    began: float
+
+    def __str__(self) -> str:
+        """Return the window in words."""
+        peak = self.peak
+        if not peak.repeats:
+            return f"repeats: {self.service} got none"
+        return (
+            f"repeats: {self.service} got {peak.repeats} of "
+            f"{peak.allowed:.1f} in {ALLOWANCE.window} s from "
+            f"{peak.since - self.began:.2f} s"
+        )
+
+
+def ini() -> str:
+    """Return the budget's terms as an entry is given them."""
+    return (
+        f"retry_ratio = {ALLOWANCE.ratio}\n"
+        f"retry_slack = {ALLOWANCE.slack}\n"
+        f"retry_window_seconds = {ALLOWANCE.window}\n"
+    )
+
+
+def find_peaks(
+    outcomes: typing.Sequence[callers_module.Outcome], arrivals: Arrivals
+) -> list[Finding]:
+    """Return for each service the window that uses most of its budget.
+
+    Both clocks are the machine's monotonic one.
+
+    :param outcomes: all that callers sent, to whichever entry.
+    """
+    began = min(one.sent_at for one in outcomes)
+    return [
+        Finding(
+            service,
+            max(
+                _account(service, outcomes, arrived).peaks(ALLOWANCE),
+                key=lambda one: one.repeats / one.allowed,
+            ),
+            began,
+        )
+        for service, arrived in sorted(arrivals.items())
+    ]
+
+
+def _account(
+    service: str,
+    outcomes: typing.Sequence[callers_module.Outcome],
+    arrived: dict[str, list[float]],
+) -> repeats.RepeatAccount:
+    account = repeats.RepeatAccount()
+    sent = [
+        one.sent_at
+        for one in outcomes
+        if one.is_sent and SERVICES[one.path] == service
+    ]
+    for at in sorted(sent):
+        account.note_request(at)
+    for request, times in arrived.items():
+        for at in times:
+            account.note_arrival(request, at)
+    return account
--- a/bench/soak/config.py
+++ b/bench/soak/config.py
@@ -5,6 +5,7 @@
 
 """The operator's config that the soak begins with."""
 
+import copy
 import typing
 
 Spec = dict[str, typing.Any]
@@ -64,3 +65,24 @@
     ],
     "tenants": [{"name": "team", "api_keys": ["key-0"]}],
 }
+
+# Calls that may be repeated, and how often each request may be sent.
+REPEATED: Spec = {
+    "name": "repeated",
+    "host": "desk.example",
+    "path_prefix": "/repeated/",
+    "route_kind": "idempotent",
+    "timeout_ms": 3000,
+    "service": "plain",
+}
+ATTEMPTS = 4
+
+
+def with_repeats() -> Spec:
+    """Return the config of seeds that play for the retry budget."""
+    found = copy.deepcopy(CONFIG)
+    found["routes"].append(copy.deepcopy(REPEATED))
+    for route in found["routes"]:
+        if route["name"] != "once":
+            route["max_attempts"] = ATTEMPTS
+    return found
--- a/bench/soak/control.py
+++ b/bench/soak/control.py
@@ -10,6 +10,8 @@
 import httpcore
 import orjson
 
+from bench.soak import budget
+
 HOST = "127.0.0.1"
 
 
@@ -38,6 +40,11 @@
         found: list[int] = await self._fetch("falls")
         return found
 
+    async def arrivals(self) -> budget.Arrivals:
+        """Return when each request arrived at each service."""
+        found: budget.Arrivals = await self._fetch("arrivals")
+        return found
+
     async def _fetch(self, what: str) -> typing.Any:
         async with httpcore.AsyncConnectionPool() as pool:
             response = await pool.request(
--- a/bench/soak/entry_faults.py
+++ b/bench/soak/entry_faults.py
@@ -53,5 +53,5 @@
             process.send_signal(signal.SIGHUP)
 
     def _draw(self) -> tuple[int, anyio.abc.Process]:
-        number = self._chance.randrange(len(self._entries.places))
+        number = self._chance.randrange(len(self._entries.processes))
         return number, self._entries.processes[number]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -41,6 +41,8 @@
 BACKUPS_KEPT = 10
 # The operator notices a return of the store, and writes its config again.
 REWRITE_SECONDS = 0.3
+# More requests than a seed sends.
+ALWAYS = 10**6
 
 Spec = dict[str, typing.Any]
 
@@ -74,6 +76,7 @@
                     routing.Route("/do", self._do, methods=["POST"]),
                     routing.Route("/runs", self._runs),
                     routing.Route("/falls", self._falls),
+                    routing.Route("/arrivals", self._arrivals),
                 ]
             )
             await tasks.start(
@@ -166,6 +169,16 @@
             target.rejects, target.backoff = 3, value
         elif what == "leave":
             target.tells_leaving = True
+        elif what == "fail_all":
+            target.fails, target.breaks_after = ALWAYS, 1
+            target.keeps_breaking = True
+        elif what == "lose_all":
+            target.loses = ALWAYS
+        elif what == "reject_all":
+            target.rejects = ALWAYS
+        elif what == "mend":
+            target.fails = target.loses = target.rejects = 0
+            target.breaks_after, target.keeps_breaking = -1, False
         elif what == "calm":
             target.limit = None
             target.rejects, target.backoff = 0, 0.0
@@ -208,6 +221,13 @@
         runs = [[one.request, one.upstream] for one in self._fleet.runs]
         return responses.Response(orjson.dumps(runs))
 
+    async def _arrivals(self, request: requests.Request) -> responses.Response:
+        arrivals = {
+            service: account.arrivals
+            for service, account in self._fleet.accounts.items()
+        }
+        return responses.Response(orjson.dumps(arrivals))
+
     async def _falls(self, request: requests.Request) -> responses.Response:
         """Tell which instances ended under a request, in order."""
         numbers = {
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -58,6 +58,7 @@
     :ivar rejects: how many of the next requests it refuses as not run.
     :ivar loses: how many of the next answers it loses after running.
     :ivar breaks_after: breaks a stream off after so many events, once.
+    :ivar keeps_breaking: breaks off every stream so, not only one.
     :ivar hangs: how many of the next streams it takes and leaves alone.
     :ivar fails: how many of the next calls it answers with 500.
     :ivar forges: how many of the next answers bear another's id.
@@ -78,6 +79,7 @@
     rejects: int = 0
     loses: int = 0
     breaks_after: int = -1
+    keeps_breaking: bool = False
     fails: int = 0
     hangs: int = 0
     forges: int = 0
@@ -408,7 +410,8 @@
             await self._await_path(target, request.id)
             await self._await_link()
             if target.breaks_after == sent:
-                target.breaks_after = -1
+                if not target.keeps_breaking:
+                    target.breaks_after = -1
                 yield event(request.id, number)[:5]
                 raise _lost(verdicts.Verdict.MAY_HAVE_RUN)
             yield event(request.id, number)
