Soak: terms of the retry budget as options, and tests of what counts

Dozens of entries need a larger slack, or each one's part is less than one repeat and nothing is played for. One entry a second is killed six times at most, so that a seed stays short with many. The check of a window has tests of its own: as many repeats as allowed, one more, and requests that no entry was sent, which allow none.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -9,6 +9,9 @@
 import pathlib
 import sys
 
+import attrs
+
+from bench.soak import budget
 from bench.soak import run as soak
 
 CALLERS = 6
@@ -49,7 +52,16 @@
         action="store_true",
         help="whether faults come in series and play for the retry budget",
     )
+    parser.add_argument("--callers", type=int, default=0)
+    parser.add_argument(
+        "--slack",
+        type=float,
+        default=budget.ALLOWANCE.slack,
+        help="repeats that the retry budget allows on top in a window",
+    )
     options = parser.parse_args()
+    callers = BUDGET_CALLERS if options.budget else CALLERS
+    allowance = attrs.evolve(budget.ALLOWANCE, slack=options.slack)
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = options.logs / str(seed) if options.logs else None
@@ -61,8 +73,8 @@
                 restores=options.restores,
                 presses_back=options.presses_back,
                 peers=options.peers,
-                budget=options.budget,
-                callers=BUDGET_CALLERS if options.budget else CALLERS,
+                allowance=allowance if options.budget else None,
+                callers=options.callers or callers,
             ),
             folder,
         )
--- a/bench/soak/budget.py
+++ b/bench/soak/budget.py
@@ -29,12 +29,12 @@
 class Finding:
     """What one service got at most.
 
-    :ivar began: when the seed began to be asked.
+    :ivar since: when the window begins, in seconds of the seed.
     """
 
     service: str
     peak: repeats.Peak
-    began: float
+    since: float
 
     def __str__(self) -> str:
         """Return the window in words."""
@@ -43,22 +43,23 @@
             return f"repeats: {self.service} got none"
         return (
             f"repeats: {self.service} got {peak.repeats} of "
-            f"{peak.allowed:.1f} in {ALLOWANCE.window} s from "
-            f"{peak.since - self.began:.2f} s"
+            f"{peak.allowed:.1f} in the window from {self.since:.2f} s"
         )
 
 
-def ini() -> str:
+def ini(allowance: repeats.Allowance) -> str:
     """Return the budget's terms as an entry is given them."""
     return (
-        f"retry_ratio = {ALLOWANCE.ratio}\n"
-        f"retry_slack = {ALLOWANCE.slack}\n"
-        f"retry_window_seconds = {ALLOWANCE.window}\n"
+        f"retry_ratio = {allowance.ratio}\n"
+        f"retry_slack = {allowance.slack}\n"
+        f"retry_window_seconds = {allowance.window}\n"
     )
 
 
 def find_peaks(
-    outcomes: typing.Sequence[callers_module.Outcome], arrivals: Arrivals
+    outcomes: typing.Sequence[callers_module.Outcome],
+    arrivals: Arrivals,
+    allowance: repeats.Allowance,
 ) -> list[Finding]:
     """Return for each service the window that uses most of its budget.
 
@@ -67,17 +68,12 @@
     :param outcomes: all that callers sent, to whichever entry.
     """
     began = min(one.sent_at for one in outcomes)
-    return [
-        Finding(
-            service,
-            max(
-                _account(service, outcomes, arrived).peaks(ALLOWANCE),
-                key=lambda one: one.repeats / one.allowed,
-            ),
-            began,
-        )
-        for service, arrived in sorted(arrivals.items())
-    ]
+    found = []
+    for service, arrived in sorted(arrivals.items()):
+        peaks = _account(service, outcomes, arrived).peaks(allowance)
+        peak = max(peaks, key=lambda one: one.repeats / one.allowed)
+        found.append(Finding(service, peak, peak.since - began))
+    return found
 
 
 def _account(
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -30,6 +30,7 @@
 from bench.soak import proxy as proxies
 from bench.soak import store_faults
 from bench.soak import storm as storms
+from crowdeck.standin import repeats
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 START_SECONDS = 30.0
@@ -68,8 +69,8 @@
     :ivar presses_back: whether instances name limits, ask for rest and say in
         answers that they leave; by draws of its own as well.
     :ivar peers: whether entries of a zone ask one another for the store.
-    :ivar budget: whether faults come in series and play for the retry budget,
-        instead of the ones above.
+    :ivar allowance: the terms of the retry budget where it is played for:
+        by faults in series, instead of the ones above.
     :ivar newcomers: entries under new names that may join in such a storm.
     """
 
@@ -83,7 +84,7 @@
     restores: bool = False
     presses_back: bool = False
     peers: bool = False
-    budget: bool = False
+    allowance: repeats.Allowance | None = None
     newcomers: int = 2
 
 
@@ -105,8 +106,8 @@
     def __init__(self, options: Options, folder: pathlib.Path) -> None:
         self._options = options
         self._chance = random.Random(options.seed)
-        count = options.engines + (4 if options.budget else 2)
-        newcomers = options.newcomers if options.budget else 0
+        count = options.engines + (4 if options.allowance else 2)
+        newcomers = options.newcomers if options.allowance else 0
         places = options.entries + newcomers
         needed = entries_module.PORTS_EACH * places
         # All at once: who draws again may draw the same, not yet taken.
@@ -133,11 +134,11 @@
             self._store_port,
             list(ports),
             options.peers,
-            budget.ini() if options.budget else "",
+            budget.ini(options.allowance) if options.allowance else "",
         )
         self._store_proxies = [one.store for one in self._entries.places]
         self._config = config.CONFIG
-        if options.budget:
+        if options.allowance:
             self._config = config.with_repeats()
         self._told: list[str] = []
         self._checks = 0
@@ -145,7 +146,7 @@
             [one.callers for one in self._entries.places[: options.entries]],
             random.Random(options.seed + 1),
             EVENTS,
-            paths=BUDGET_PATHS if options.budget else callers_module.PATHS,
+            paths=BUDGET_PATHS if options.allowance else callers_module.PATHS,
         )
         self._checked: list[callers_module.Outcome] = []
         self._keys = keys.Keys(self._config, self._control, self.callers)
@@ -171,17 +172,16 @@
             for number in range(self._options.entries):
                 await self._entries.start(number)
             await self._await_service()
-            pause = BUDGET_CALLER_PAUSE
-            if not self._options.budget:
-                pause = CALLER_PAUSE
+            allowance = self._options.allowance
+            pause = BUDGET_CALLER_PAUSE if allowance else CALLER_PAUSE
             for _ in range(self._options.callers):
                 tasks.start_soon(self.callers.run, pause)
-            if self._options.ending and not self._options.budget:
+            if self._options.ending and not allowance:
                 await self._control.do("ending", body=callers_module.ENDING)
                 tasks.start_soon(self.callers.run_ending)
                 tasks.start_soon(self._engine_faults.bring_back)
-            if self._options.budget:
-                await self._storm()
+            if allowance:
+                await self._storm(allowance.window)
             else:
                 await self._strike_all()
             broken = await self._check_recovery()
@@ -212,7 +212,7 @@
             peaks,
         )
 
-    async def _storm(self) -> None:
+    async def _storm(self, calm: float) -> None:
         options = self._options
         places = len(self._entries.places)
         storm = storms.Storm(
@@ -227,14 +227,16 @@
             ),
             self._told,
         )
-        await storm.run(options.seconds)
+        await storm.run(options.seconds, calm)
 
     async def _find_peaks(self) -> list[budget.Finding]:
-        if not self._options.budget:
+        allowance = self._options.allowance
+        if not allowance:
             return []
         return budget.find_peaks(
             self.callers.outcomes + self._checked,
             await self._control.arrivals(),
+            allowance,
         )
 
     async def _start_world(self, stack: contextlib.AsyncExitStack) -> None:
--- a/bench/soak/storm.py
+++ b/bench/soak/storm.py
@@ -13,7 +13,6 @@
 import anyio.abc
 import attrs
 
-from bench.soak import budget
 from bench.soak import callers as callers_module
 from bench.soak import control as controls
 from bench.soak import entries as entries_module
@@ -23,6 +22,8 @@
 # Mean time between two series of a gust.
 PAUSE = 0.8
 KILLS_IN_A_ROW = 4
+# Entries that are killed one a second.
+TURNS = 6
 CUTS = (proxies.Mode.SILENT, proxies.Mode.DEAF, proxies.Mode.REFUSE)
 
 Kinds = tuple[typing.Callable[[], typing.Awaitable[None]], ...]
@@ -59,17 +60,19 @@
         self._locks: dict[int, anyio.Lock] = {}
         self._began = 0.0
 
-    async def run(self, seconds: float) -> None:
+    async def run(self, seconds: float, calm: float) -> None:
         """Strike for some time, and wait until all is undone.
 
         Calm and gusts take turns: only what a calm time left unspent can be
         spent at once.
+
+        :param calm: seconds in which a budget comes back.
         """
         self._began = anyio.current_time()
         until = self._began + seconds
         async with anyio.create_task_group() as striking:
             while anyio.current_time() < until:
-                await anyio.sleep(budget.ALLOWANCE.window)
+                await anyio.sleep(calm)
                 await self._blow(striking)
         self._aim(self._known)
 
@@ -115,7 +118,7 @@
         )
 
     async def _fail_instances(self) -> None:
-        """Have all instances of a kind, or all but one, fail for a time."""
+        """Have all instances fail for a time, of one kind or of all."""
         count, models = len(self._struck.ways), self._struck.models
         numbers = self._chance.choice(
             (range(models), range(models, count), range(count), range(count))
@@ -177,7 +180,8 @@
 
     async def _kill_in_turn(self) -> None:
         self._tell("kill_in_turn")
-        for number in self._known:
+        known = self._known
+        for number in self._chance.sample(known, min(TURNS, len(known))):
             await self._kill(number)
             await anyio.sleep(1.0)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 import attrs
 import pytest
 
+from bench.soak import budget
 from bench.soak import callers
 from bench.soak import run as soak
 
@@ -45,6 +46,35 @@
         assert verdict.broken == []
 
 
+class TestBudget:
+    """What a service may get, whichever entry or process sent it."""
+
+    SENT = 20
+    ALLOWED = 41
+
+    def is_over(self, repeats: int, is_sent: bool = True) -> bool:
+        outcomes = [
+            callers.Outcome(
+                f"q{number}", callers.ONCE, "key", 0.1, is_sent=is_sent
+            )
+            for number in range(self.SENT)
+        ]
+        arrivals = {f"q{number}": [0.2, 0.3] for number in range(repeats)}
+        (found,) = budget.find_peaks(
+            outcomes, {"plain": arrivals}, budget.ALLOWANCE
+        )
+        return found.peak.is_over
+
+    def test_as_many_as_allowed(self) -> None:
+        assert not self.is_over(self.ALLOWED)
+
+    def test_one_more(self) -> None:
+        assert self.is_over(self.ALLOWED + 1)
+
+    def test_requests_without_a_connection_allow_none(self) -> None:
+        assert self.is_over(self.ALLOWED, is_sent=False)
+
+
 class TestOracle:
     """What the soak's callers take for broken."""
 
