Soak: gusts that freeze all instances of a service, ports by seed

Of three soaks that were begun at once one ended, as a proxy's port was taken between its draw and its use. Seeds beside one another now draw from parts of their own of the ports.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -52,6 +52,11 @@
         action="store_true",
         help="whether faults come in series and play for the retry budget",
     )
+    parser.add_argument(
+        "--freezes",
+        action="store_true",
+        help="whether that freezes all instances of a service as well",
+    )
     parser.add_argument("--callers", type=int, default=0)
     parser.add_argument(
         "--slack",
@@ -74,6 +79,7 @@
                 presses_back=options.presses_back,
                 peers=options.peers,
                 allowance=allowance if options.budget else None,
+                freezes=options.freezes,
                 callers=options.callers or callers,
             ),
             folder,
--- a/bench/soak/ports.py
+++ b/bench/soak/ports.py
@@ -12,15 +12,19 @@
 HOST = "127.0.0.1"
 # Below those that Linux gives to outgoing connections, 32768 and more.
 PORTS = range(10_000, 32_000)
+# Seeds that are played beside one another draw from parts of their own: an
+# entry's ports are free for a moment whenever it is killed.
+PARTS = 20
 
 
-def find_free(count: int) -> list[int]:
+def find_free(count: int, seed: int) -> list[int]:
     """Return ports that nobody listens at.
 
     They are used a moment later. Of those that the system gives itself one
     was an outgoing connection's by then, and an entry ended as it started.
     """
-    drawn = random.SystemRandom().sample(PORTS, len(PORTS))
+    part = PORTS[seed % PARTS :: PARTS]
+    drawn = random.SystemRandom().sample(part, len(part))
     found: list[int] = []
     for port in drawn:
         if len(found) == count:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -71,6 +71,8 @@
     :ivar peers: whether entries of a zone ask one another for the store.
     :ivar allowance: the terms of the retry budget where it is played for:
         by faults in series, instead of the ones above.
+    :ivar freezes: whether such faults freeze all instances of a service too;
+        by draws of its own.
     :ivar newcomers: entries under new names that may join in such a storm.
     """
 
@@ -85,6 +87,7 @@
     presses_back: bool = False
     peers: bool = False
     allowance: repeats.Allowance | None = None
+    freezes: bool = False
     newcomers: int = 2
 
 
@@ -111,7 +114,9 @@
         places = options.entries + newcomers
         needed = entries_module.PORTS_EACH * places
         # All at once: who draws again may draw the same, not yet taken.
-        ports = iter(free_ports.find_free(2 + 2 * count + needed))
+        ports = iter(
+            free_ports.find_free(2 + 2 * count + needed, options.seed)
+        )
         self._store_port = next(ports)
         self._control = controls.Control(next(ports))
         self._upstreams: list[Spec] = [
@@ -226,6 +231,7 @@
                 list(range(options.entries, places)),
             ),
             self._told,
+            random.Random(options.seed + 4) if options.freezes else None,
         )
         await storm.run(options.seconds, calm)
 
--- a/bench/soak/storm.py
+++ b/bench/soak/storm.py
@@ -47,12 +47,21 @@
 
 
 class Storm:
-    """Series of faults, several at once."""
+    """Series of faults, several at once.
+
+    :param freezes: draws of gusts that also freeze all instances of a kind,
+        ``None`` where none do.
+    """
 
     def __init__(
-        self, chance: random.Random, struck: Struck, told: list[str]
+        self,
+        chance: random.Random,
+        struck: Struck,
+        told: list[str],
+        freezes: random.Random | None,
     ) -> None:
         self._chance = chance
+        self._freezes = freezes
         self._struck = struck
         self._entries = struck.entries
         self._control = struck.control
@@ -80,6 +89,8 @@
         """Begin one series after another; they overlap."""
         until = anyio.current_time() + self._chance.uniform(*GUST_SECONDS)
         striking.start_soon(self._fail_instances)
+        if self._freezes is not None:
+            striking.start_soon(self._freeze_kind, self._freezes)
         while anyio.current_time() < until:
             await anyio.sleep(self._chance.expovariate(1 / PAUSE))
             striking.start_soon(self._chance.choice(self._kinds))
@@ -146,6 +157,17 @@
         )
         is_frozen = self._chance.random() < 0.6
         seconds = self._chance.uniform(0.5, 4.0)
+        await self._silence(numbers, seconds, is_frozen)
+
+    async def _freeze_kind(self, chance: random.Random) -> None:
+        """Freeze all instances that a service has."""
+        count, models = len(self._struck.ways), self._struck.models
+        numbers = chance.choice((range(models), range(models, count)))
+        await self._silence(list(numbers), chance.uniform(2.0, 8.0), True)
+
+    async def _silence(
+        self, numbers: list[int], seconds: float, is_frozen: bool
+    ) -> None:
         what = "freeze" if is_frozen else "darken"
         self._tell(f"{what} {numbers} {seconds:.1f} s")
         for number in numbers:
