Test that fails: repeats of an ended process that are read late

Cause: what the first process sent arrives when the instances go on, five seconds after its end. The second counts a window from its own start, and has its full share within the window that begins when they go on.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -181,6 +181,33 @@
         peak = repeats_system.play(body, count).peak
         assert not peak.is_over, peak
 
+    @pytest.mark.parametrize("count", (1, 5))
+    def test_what_an_ended_process_sent_is_read_later(
+        self, count: int
+    ) -> None:
+        # The process that takes its place counts from its own start. What
+        # the one before it sent arrives after that, when instances go on,
+        # in one window with the full share of the new one.
+        async def body(demand: repeats_system.Demand) -> None:
+            fleet = demand.entries.fleet
+            plain = [
+                one
+                for one in fleet.upstreams
+                if one.listed.service == demand.service
+            ]
+            await demand.ask(CALM, fails=False)
+            for one in plain:
+                one.is_frozen = True
+            await demand.ask(3.0)
+            _restart_all(demand, count)
+            await demand.ask(5.0)
+            for one in plain:
+                fleet.thaw(one)
+            await demand.ask(12.0)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
 
 class TestCallersAreServed:
     """What may be repeated still is."""
