--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,14 @@
 from bench.soak import run as soak
 
 SHORT = soak.Options(seed=1, seconds=4.0, entries=2, callers=3)
+BUDGET = attrs.evolve(
+    SHORT,
+    seed=5,
+    newcomers=0,
+    callers=24,
+    peers=True,
+    allowance=budget.ALLOWANCE,
+)
 # Seeds that broke a promise once, each with its cause.
 REGRESSIONS = (
     4,  # a SIGHUP ended an entry that had only begun to start
@@ -45,6 +53,19 @@
         assert any(one.startswith("limit") for one in verdict.faults)
         assert verdict.broken == []
 
+    def test_repeats_keep_to_the_budget(self) -> None:
+        """An entry that starts does not know what the one before it spent.
+
+        Both entries spent their budget on streams whose answers were lost,
+        and were killed a second later. The processes after them spent a part
+        of it once more, and took themselves for the only entry: the model's
+        service got 68 repeats in five seconds, 55.8 were allowed.
+        """
+        verdict = soak.play(BUDGET)
+        assert any("kill_all" in one for one in verdict.faults)
+        assert any(one.peak.repeats for one in verdict.peaks)
+        assert verdict.broken == []
+
 
 class TestBudget:
     """What a service may get, whichever entry or process sent it."""
