--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -9,8 +9,15 @@
 import pathlib
 import sys
 
+import attrs
+
+from bench.soak import budget
 from bench.soak import run as soak
 
+CALLERS = 6
+# Enough to reach the retry budget of three entries.
+BUDGET_CALLERS = 30
+
 
 def main() -> int:
     """Play the seeds; returns 1 when a promise was broken."""
@@ -40,7 +47,26 @@
         default=True,
         help="whether instances name limits, want rest and leave",
     )
+    parser.add_argument(
+        "--budget",
+        action="store_true",
+        help="whether faults come in series and play for the retry budget",
+    )
+    parser.add_argument(
+        "--freezes",
+        action="store_true",
+        help="whether that freezes all instances of a service as well",
+    )
+    parser.add_argument("--callers", type=int, default=0)
+    parser.add_argument(
+        "--slack",
+        type=float,
+        default=budget.ALLOWANCE.slack,
+        help="repeats that the retry budget allows on top in a window",
+    )
     options = parser.parse_args()
+    callers = BUDGET_CALLERS if options.budget else CALLERS
+    allowance = attrs.evolve(budget.ALLOWANCE, slack=options.slack)
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = options.logs / str(seed) if options.logs else None
@@ -52,6 +78,9 @@
                 restores=options.restores,
                 presses_back=options.presses_back,
                 peers=options.peers,
+                allowance=allowance if options.budget else None,
+                freezes=options.freezes,
+                callers=options.callers or callers,
             ),
             folder,
         )
@@ -62,9 +91,11 @@
             f"{len(verdict.broken)} promises broken",
             flush=True,
         )
+        for finding in verdict.peaks:
+            print(f"  {finding}", flush=True)
         for one in verdict.broken:
             print(f"  {one}", flush=True)
-        if verdict.broken:
+        if verdict.broken or options.budget:
             print("  struck: " + ", ".join(verdict.faults), flush=True)
     return 1 if broken else 0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,10 +13,19 @@
 import attrs
 import pytest
 
+from bench.soak import budget
 from bench.soak import callers
 from bench.soak import run as soak
 
 SHORT = soak.Options(seed=1, seconds=4.0, entries=2, callers=3)
+BUDGET = attrs.evolve(
+    SHORT,
+    seed=5,
+    newcomers=0,
+    callers=24,
+    peers=True,
+    allowance=budget.ALLOWANCE,
+)
 # Seeds that broke a promise once, each with its cause.
 REGRESSIONS = (
     4,  # a SIGHUP ended an entry that had only begun to start
@@ -44,6 +53,48 @@
         assert any(one.startswith("limit") for one in verdict.faults)
         assert verdict.broken == []
 
+    def test_repeats_keep_to_the_budget(self) -> None:
+        """An entry that starts does not know what the one before it spent.
+
+        Both entries spent their budget on streams whose answers were lost,
+        and were killed a second later. The processes after them spent a part
+        of it once more, and took themselves for the only entry: the model's
+        service got 68 repeats in five seconds, 55.8 were allowed.
+        """
+        verdict = soak.play(BUDGET)
+        assert any("kill_all" in one for one in verdict.faults)
+        assert any(one.peak.repeats for one in verdict.peaks)
+        assert verdict.broken == []
+
+
+class TestBudget:
+    """What a service may get, whichever entry or process sent it."""
+
+    SENT = 20
+    ALLOWED = 41
+
+    def is_over(self, repeats: int, is_sent: bool = True) -> bool:
+        outcomes = [
+            callers.Outcome(
+                f"q{number}", callers.ONCE, "key", 0.1, is_sent=is_sent
+            )
+            for number in range(self.SENT)
+        ]
+        arrivals = {f"q{number}": [0.2, 0.3] for number in range(repeats)}
+        (found,) = budget.find_peaks(
+            outcomes, {"plain": arrivals}, budget.ALLOWANCE
+        )
+        return found.peak.is_over
+
+    def test_as_many_as_allowed(self) -> None:
+        assert not self.is_over(self.ALLOWED)
+
+    def test_one_more(self) -> None:
+        assert self.is_over(self.ALLOWED + 1)
+
+    def test_requests_without_a_connection_allow_none(self) -> None:
+        assert self.is_over(self.ALLOWED, is_sent=False)
+
 
 class TestOracle:
     """What the soak's callers take for broken."""
