Repeats left open are counted from when they were given up

What callers saw: after a quiet time an entry refuses to send a request again although nothing was repeated for several windows. Cause: a repeat that was given up counts as under way for one window, and then as arrived; it was counted as arrived at the moment somebody asked what is left, which after a quiet time is the moment of the next repeat, so it counted for one window more from then.

Change: it is counted as of the end of the window for which it was open.

The new test module holds what a retry budget promises, without a network: slack, requests that earn, and the account of one request's sends.

--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -63,10 +63,13 @@
         self._counts = collections.deque([0] * kept, kept)
         self._newest: int | None = None
 
-    def add(self) -> None:
-        """Count one now."""
+    def add(self, ago: float = 0.0) -> None:
+        """Count one as of ``ago`` seconds before now."""
         self._move_on()
-        self._counts[-1] += 1
+        then = math.floor((anyio.current_time() - ago) / self._seconds)
+        passed = self._present() - then
+        if passed < len(self._counts):
+            self._counts[-1 - passed] += 1
 
     def newest_first(self) -> list[int]:
         """Return the counts, that of the present part first."""
@@ -74,11 +77,14 @@
         return list(reversed(self._counts))
 
     def _move_on(self) -> None:
-        present = math.floor(anyio.current_time() / self._seconds)
+        present = self._present()
         passed = 0 if self._newest is None else present - self._newest
         self._newest = present
         self._counts.extend([0] * min(passed, len(self._counts)))
 
+    def _present(self) -> int:
+        return math.floor(anyio.current_time() / self._seconds)
+
 
 class _Arrivals:
     """Repeats that arrived in a window, and those that still may.
@@ -96,8 +102,8 @@
         """Return how many count since each part in which a window begins."""
         now = anyio.current_time()
         while self._left_open and self._left_open[0] <= now:
-            self._left_open.popleft()
-            self._arrived.add()
+            # Looked at only when a repeat is wanted, which may be much later.
+            self._arrived.add(now - self._left_open.popleft())
         open_ones = self._under_way + len(self._left_open)
         arrived = itertools.accumulate(self._arrived.newest_first())
         return [open_ones + count for count in arrived]
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,265 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""One entry's share of a service's retry budget, without a network."""
+
+import contextlib
+
+import anyio
+import attrs
+import pytest
+
+from crowdeck.routing import budget as budgets
+from tests import fleet_system
+from tests import virtual
+
+RATIO = 0.2
+SLACK = 100.0
+WINDOW = 10.0
+PART = WINDOW / budgets.WINDOW_PARTS
+
+
+@attrs.define
+class Members:
+    """A membership that a test changes."""
+
+    entries: int = 1
+    since: float = float("-inf")
+    is_settled: bool = True
+
+
+def _budget(
+    slack: float = SLACK,
+    began: float = float("-inf"),
+    membership: budgets.Membership | None = None,
+) -> budgets.SharedBudget:
+    return budgets.SharedBudget(
+        RATIO, slack, WINDOW, began, membership or Members()
+    )
+
+
+def _spend_all(budget: budgets.SharedBudget) -> int:
+    spent = 0
+    while fleet_system.spend(budget):
+        spent += 1
+    return spent
+
+
+async def _earn_for(budget: budgets.SharedBudget, seconds: float) -> None:
+    """Have ten requests come in each part of a window for some time."""
+    until = anyio.current_time() + seconds - PART / 2
+    while anyio.current_time() < until:
+        for _ in range(10):
+            budget.earn()
+        await anyio.sleep(PART)
+
+
+class TestSlack:
+    """The part of the slack that an entry takes."""
+
+    @pytest.mark.parametrize("entries, spent", [(1, 80), (5, 16), (70, 1)])
+    def test_is_shared_among_those_known(
+        self, entries: int, spent: int
+    ) -> None:
+        async def body() -> None:
+            budget = _budget(membership=Members(entries))
+            assert _spend_all(budget) == spent
+
+        virtual.run(body)
+
+    def test_is_none_while_it_is_not_known_how_many_there_are(self) -> None:
+        async def body() -> None:
+            members = Members(entries=0)
+            budget = _budget(membership=members)
+            assert not _spend_all(budget)
+            members.entries = 2
+            assert _spend_all(budget)
+
+        virtual.run(body)
+
+    def test_grows_from_when_the_others_know_of_this_entry(self) -> None:
+        async def body() -> None:
+            members = Members(entries=2, since=float("inf"))
+            budget = _budget(membership=members)
+            await anyio.sleep(30.0)
+            assert not _spend_all(budget)
+            members.since = anyio.current_time()
+            assert not _spend_all(budget)
+            await anyio.sleep(5.0)
+            few = _spend_all(budget)
+            assert 0 < few <= budgets.RESTART_SHARE * SLACK / 2
+
+        virtual.run(body)
+
+    def test_is_small_until_those_are_counted_that_started_alike(self) -> None:
+        async def body() -> None:
+            members = Members(entries=1, is_settled=False)
+            budget = _budget(membership=members)
+            assert _spend_all(budget) <= budgets.RESTART_SHARE * SLACK
+
+        virtual.run(body)
+
+    def test_shrinks_with_what_was_spent_as_others_join(self) -> None:
+        async def body() -> None:
+            members = Members(entries=1)
+            budget = _budget(membership=members)
+            assert _spend_all(budget) == 80
+            members.entries = 10
+            await anyio.sleep(WINDOW + PART)
+            assert _spend_all(budget) == 8
+
+        virtual.run(body)
+
+
+class TestRequestsThatEarn:
+    """A request earns in the window before, and in no other."""
+
+    def test_earns_nothing_in_its_own_window(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=0.0)
+            await _earn_for(budget, WINDOW)
+            assert not _spend_all(budget)
+            await _earn_for(budget, WINDOW + PART)
+            spent = _spend_all(budget)
+            requests = 10 * (budgets.WINDOW_PARTS - 1)
+            assert spent == int(budgets.STEADY_SHARE * RATIO * requests)
+
+        virtual.run(body)
+
+    def test_earns_in_no_window_that_begins_later_than_the_next(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=0.0)
+            await _earn_for(budget, 3 * WINDOW)
+            await anyio.sleep(WINDOW)
+            assert not _spend_all(budget)
+
+        virtual.run(body)
+
+    def test_what_falls_into_the_part_of_the_edge_earns_nothing(self) -> None:
+        # The window may begin before it in the same part.
+        async def body() -> None:
+            budget = _budget(slack=0.0)
+            await anyio.sleep(PART / 2)
+            await _earn_for(budget, 3 * WINDOW)
+            requests = 10 * (budgets.WINDOW_PARTS - 1)
+            assert budget.left <= budgets.STEADY_SHARE * RATIO * requests
+
+        virtual.run(body)
+
+    def test_repeats_of_the_part_of_the_edge_count(self) -> None:
+        async def body() -> None:
+            budget = _budget()
+            await anyio.sleep(PART / 2)
+            assert _spend_all(budget) == 80
+            await anyio.sleep(WINDOW)
+            assert not _spend_all(budget)
+            await anyio.sleep(PART)
+            assert _spend_all(budget) == 80
+
+        virtual.run(body)
+
+
+class TestSends:
+    """A repeat counts from its reservation until a window after it came."""
+
+    def test_one_under_way_counts_however_long_that_takes(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=1.0 / budgets.STEADY_SHARE)
+            sends = budget.open_sends()
+            assert sends.reserve()
+            sends.send()
+            await anyio.sleep(5 * WINDOW)
+            assert budget.left < 1.0
+            sends.arrive()
+            await anyio.sleep(WINDOW - PART)
+            assert budget.left < 1.0
+            await anyio.sleep(2 * PART)
+            assert budget.left >= 1.0
+
+        virtual.run(body)
+
+    def test_one_given_up_counts_for_two_windows(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=1.0 / budgets.STEADY_SHARE)
+            with contextlib.closing(budget.open_sends()) as sends:
+                assert sends.reserve()
+                sends.send()
+                sends.give_up()
+            await anyio.sleep(2 * WINDOW - PART)
+            assert budget.left < 1.0
+            await anyio.sleep(2 * PART)
+            assert budget.left >= 1.0
+
+        virtual.run(body)
+
+    def test_one_after_one_given_up_counts_for_two_windows(self) -> None:
+        # The first may be read after the second was answered.
+        async def body() -> None:
+            budget = _budget(slack=1.0 / budgets.STEADY_SHARE)
+            with contextlib.closing(budget.open_sends()) as sends:
+                sends.send()
+                sends.give_up()
+                assert sends.reserve()
+                sends.send()
+                sends.arrive()
+            await anyio.sleep(2 * WINDOW - PART)
+            assert budget.left < 1.0
+            await anyio.sleep(2 * PART)
+            assert budget.left >= 1.0
+
+        virtual.run(body)
+
+    def test_one_whose_caller_leaves_counts_as_given_up(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=1.0 / budgets.STEADY_SHARE)
+            with contextlib.closing(budget.open_sends()) as sends:
+                assert sends.reserve()
+                sends.send()
+            await anyio.sleep(2 * WINDOW - PART)
+            assert budget.left < 1.0
+
+        virtual.run(body)
+
+    def test_one_that_is_not_sent_is_given_back(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=1.0 / budgets.STEADY_SHARE)
+            with contextlib.closing(budget.open_sends()) as sends:
+                assert sends.reserve()
+                assert budget.left < 1.0
+            assert budget.left >= 1.0
+
+        virtual.run(body)
+
+    def test_one_that_was_not_connected_serves_once_more(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=2.0 / budgets.STEADY_SHARE)
+            with contextlib.closing(budget.open_sends()) as sends:
+                for _ in range(3):
+                    assert sends.reserve()
+                    sends.send()
+                    sends.fail_to_send()
+                assert budget.left >= 1.0
+                assert sends.reserve()
+                sends.send()
+                sends.arrive()
+                assert sends.reserve()
+                assert budget.left < 1.0
+            assert budget.left >= 1.0
+
+        virtual.run(body)
+
+    def test_the_first_is_no_repeat(self) -> None:
+        async def body() -> None:
+            budget = _budget()
+            before = budget.left
+            with contextlib.closing(budget.open_sends()) as sends:
+                sends.send()
+                sends.arrive()
+            with contextlib.closing(budget.open_sends()) as sends:
+                sends.send()
+                sends.give_up()
+            assert budget.left == before
+
+        virtual.run(body)
