No stream is given up where no repeat is left to begin anew

What callers saw: a stream that might have gone on is stopped, and fails, as the retry budget refuses its next attempt. Cause: whether a stream may begin anew follows the share of the budget that is left, which says nothing of whether one whole repeat is. With an allowance below 3.3 repeats, as one of many entries has, up to 0.99 repeats are 0.3 of it and more.

Change: the share is 0 where less than one repeat is left.

--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -184,12 +184,16 @@
 
     @property
     def left_share(self) -> float:
-        """The part of what may be repeated that is left, 0 to 1."""
+        """The part of what may be repeated that is left, 0 to 1.
+
+        0 where less than one repeat is left: who begins anew relies on it.
+        """
+        left = self.left
+        if left < 1.0:
+            return 0.0
         earned = self._earned()[0]
         allowed = self._share_since(self._began) * earned + self._slack_part()
-        if allowed < 1.0:
-            return 0.0
-        return min(1.0, max(0.0, self.left / allowed))
+        return min(1.0, left / allowed)
 
     @property
     def requests(self) -> int:
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -263,3 +263,26 @@
             assert budget.left == before
 
         virtual.run(body)
+
+
+class TestLeftShare:
+    """What is left, for those who ask before they give up a stream."""
+
+    @pytest.mark.parametrize("slack", (1.0, 2.0, 2.5, 3.0, 4.0, 100.0))
+    def test_is_nothing_where_no_repeat_may_be_made(
+        self, slack: float
+    ) -> None:
+        # What was given up to begin anew elsewhere is lost where it may not.
+        async def body() -> None:
+            budget = _budget(slack)
+            _spend_all(budget)
+            assert budget.left < 1.0
+            assert budget.left_share == 0.0
+
+        virtual.run(body)
+
+    def test_is_all_where_nothing_was_spent(self) -> None:
+        async def body() -> None:
+            assert _budget().left_share == 1.0
+
+        virtual.run(body)
