Repeats that arrive late keep to what requests earn then

What callers' services saw: repeats over the budget as instances that had stood still went on, after callers had moved to other entries. Cause: what was under way was held to the requests of the window before its reservation. It may arrive in a window that begins later, for which requests of another time count; added up over entries that spent one after the other, requests of more than one window earned what arrived in one.

Change: what is under way, or left open, also has to keep to what requests up to now earn for each window that begins within half a window from now.

Ruled out: looking a whole window ahead.

--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -5,6 +5,7 @@
 
 """A retry budget that entries share without asking one another."""
 
+import bisect
 import collections
 import itertools
 import math
@@ -23,6 +24,10 @@
 # a window begins counts against it, and earns nothing.
 WINDOW_PARTS = 40
 
+# A repeat that is under way may arrive in a window that begins so many parts
+# from now. Counting further ahead, few requests would be left to earn it.
+PARTS_AHEAD = WINDOW_PARTS // 2
+
 
 class Membership(typing.Protocol):
     """What an entry knows of those that share a budget with it."""
@@ -94,37 +99,60 @@
 
     def __init__(self, window: float) -> None:
         self._window = window
-        self._arrived = _Tally(window / WINDOW_PARTS, WINDOW_PARTS + 1)
-        self._under_way = 0
-        self._left_open: collections.deque[float] = collections.deque()
+        self._part = window / WINDOW_PARTS
+        self._arrived = _Tally(self._part, WINDOW_PARTS + 1)
+        # The times until which they may arrive, in order.
+        self._under_way: list[float] = []
+        self._left_open: list[float] = []
 
     def newest_first(self) -> list[int]:
         """Return how many count since each part in which a window begins."""
-        now = anyio.current_time()
-        while self._left_open and self._left_open[0] <= now:
-            # Looked at only when a repeat is wanted, which may be much later.
-            self._arrived.add(now - self._left_open.popleft())
-        open_ones = self._under_way + len(self._left_open)
+        self._close()
+        open_ones = len(self._under_way) + len(self._left_open)
         arrived = itertools.accumulate(self._arrived.newest_first())
         return [open_ones + count for count in arrived]
 
-    def send(self) -> None:
-        """Count one that is on its way."""
-        self._under_way += 1
+    def next_first(self) -> list[int]:
+        """Return how many may arrive from each part on that is to come."""
+        present = math.floor(anyio.current_time() / self._part)
+        return [
+            _count_from(self._under_way, (present + ahead) * self._part)
+            + _count_from(self._left_open, (present + ahead) * self._part)
+            for ahead in range(1, PARTS_AHEAD + 1)
+        ]
 
-    def arrive(self) -> None:
+    def send(self) -> float:
+        """Count one that is on its way; returns until when it may arrive."""
+        until = anyio.current_time() + self._window
+        self._under_way.append(until)
+        return until
+
+    def arrive(self, until: float) -> None:
         """Count one that was on its way as arrived by now."""
-        self._under_way -= 1
+        self.cancel(until)
         self._arrived.add()
 
-    def leave_open(self) -> None:
+    def leave_open(self, until: float) -> None:
         """Count one as on its way for one window more, then as arrived."""
-        self._under_way -= 1
+        self.cancel(until)
         self._left_open.append(anyio.current_time() + self._window)
 
-    def cancel(self) -> None:
+    def cancel(self, until: float) -> None:
         """Count one no more that was on its way."""
-        self._under_way -= 1
+        del self._under_way[bisect.bisect_left(self._under_way, until)]
+
+    def _close(self) -> None:
+        """Count those as arrived that were open for long enough."""
+        now = anyio.current_time()
+        closed = bisect.bisect_right(self._left_open, now)
+        for until in self._left_open[:closed]:
+            # Looked at only when a repeat is wanted, which may be much later.
+            self._arrived.add(now - until)
+        del self._left_open[:closed]
+
+
+def _count_from(times: list[float], since: float) -> int:
+    return len(times) - bisect.bisect_left(times, since)
 
 
 class SharedBudget:
@@ -135,7 +163,9 @@
     move between them. So every entry keeps to its share in every window
     that contains the present, and in each of them the requests of the window
     before it count: added up over all entries, those are the requests of
-    one and the same time, and none earns in two windows.
+    one and the same time, and none earns in two windows. What is under way
+    may arrive in a window that begins later: it keeps to what requests up to
+    now earn there, which is less the later the window begins.
 
     A part of the slack is this entry's from when the others know of it; what
     its own requests earn is its own whoever else there is.
@@ -173,10 +203,10 @@
     @property
     def left(self) -> float:
         """Repeats that may be made now."""
-        earned = self._earned()
+        earned = [*self._earned(), *self._earned_ahead()]
         share = self._share_since(self._began)
         slack = self._slack_part()
-        spent = self._repeats.newest_first()
+        spent = [*self._repeats.newest_first(), *self._repeats.next_first()]
         return min(
             share * one + slack - repeats
             for one, repeats in zip(earned, spent, strict=True)
@@ -220,6 +250,17 @@
             for part in range(WINDOW_PARTS + 1)
         ]
 
+    def _earned_ahead(self) -> list[float]:
+        """Return what requests up to now earn for windows to come.
+
+        One entry for each part ahead in which a window can begin.
+        """
+        total = [0, *itertools.accumulate(self._requests.newest_first())]
+        return [
+            self._ratio * total[WINDOW_PARTS - ahead]
+            for ahead in range(1, PARTS_AHEAD + 1)
+        ]
+
     def _slack_part(self) -> float:
         """Return this entry's part of the slack.
 
@@ -263,7 +304,7 @@
         self._budget = budget
         self._repeats = repeats
         self._window = window
-        self._is_reserved = False
+        self._reserved_until: float | None = None
         self._is_sent = False
         self._open_until = float("-inf")
 
@@ -272,12 +313,11 @@
 
         One that was reserved and not sent serves again.
         """
-        if self._is_reserved:
+        if self._reserved_until is not None:
             return True
         if self._budget.left < 1.0:
             return False
-        self._repeats.send()
-        self._is_reserved = True
+        self._reserved_until = self._repeats.send()
         return True
 
     def send(self) -> None:
@@ -289,12 +329,13 @@
         if not self._is_sent:
             return
         self._is_sent = False
-        if self._is_reserved:
-            self._is_reserved = False
-            if self._open_until > anyio.current_time():
-                self._repeats.leave_open()
-            else:
-                self._repeats.arrive()
+        until = self._take_reserved()
+        if until is None:
+            return
+        if self._open_until > anyio.current_time():
+            self._repeats.leave_open(until)
+        else:
+            self._repeats.arrive(until)
 
     def fail_to_send(self) -> None:
         """Note that what was to be sent has not left: none was connected."""
@@ -306,13 +347,17 @@
             return
         self._is_sent = False
         self._open_until = anyio.current_time() + self._window
-        if self._is_reserved:
-            self._is_reserved = False
-            self._repeats.leave_open()
+        until = self._take_reserved()
+        if until is not None:
+            self._repeats.leave_open(until)
 
     def close(self) -> None:
         """End the account: what was reserved and not sent is free again."""
         self.give_up()
-        if self._is_reserved:
-            self._is_reserved = False
-            self._repeats.cancel()
+        until = self._take_reserved()
+        if until is not None:
+            self._repeats.cancel(until)
+
+    def _take_reserved(self) -> float | None:
+        until, self._reserved_until = self._reserved_until, None
+        return until
--- a/tests/repeats_system.py
+++ b/tests/repeats_system.py
@@ -10,6 +10,7 @@
 import anyio
 
 from crowdeck import route as routes
+from crowdeck.standin import chain_fleet
 from crowdeck.standin import repeats
 from tests import entries_system
 from tests import fleet_system
@@ -79,10 +80,27 @@
             self.entries.ask_soon(entry, self._kind, b"x")
             await anyio.sleep(1.0 / per_second)
 
+    def freeze(self) -> None:
+        """Have no instance of the service read anything."""
+        for one in self._instances():
+            one.is_frozen = True
+
+    def thaw(self) -> None:
+        """Have them read what came, and go on."""
+        for one in self._instances():
+            self.entries.fleet.thaw(one)
+
     async def end(self) -> None:
         """Wait for the last attempts."""
         await anyio.sleep(LAST_SECONDS)
 
+    def _instances(self) -> list[chain_fleet.StandinUpstream]:
+        return [
+            one
+            for one in self.entries.fleet.upstreams
+            if one.listed.service == self.service
+        ]
+
     def _fail(self, fails: bool) -> None:
         for one in self.entries.fleet.upstreams:
             one.fails = FAILURES if fails else 0
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -16,6 +16,8 @@
 from tests import repeats_system
 
 CALM = repeats_system.CALM_SECONDS
+# Requests a second of which the slack is a small part.
+BUSY = 240.0
 KINDS = (routes.Repeat.IDEMPOTENT, routes.Repeat.STREAM)
 COUNTS = (1, 5, 70)
 
@@ -140,7 +142,7 @@
 class TestCallersThatMove:
     """Requests earn repeats once, whichever entries get them."""
 
-    @pytest.mark.parametrize("per_second", (60.0, 240.0))
+    @pytest.mark.parametrize("per_second", (60.0, BUSY))
     @pytest.mark.parametrize("count", (5, 70))
     def test_from_one_entry_to_all_others(
         self, count: int, per_second: float
@@ -164,23 +166,31 @@
         self, count: int
     ) -> None:
         async def body(demand: repeats_system.Demand) -> None:
-            fleet = demand.entries.fleet
-            plain = [
-                one
-                for one in fleet.upstreams
-                if one.listed.service == demand.service
-            ]
             await demand.ask(CALM, fails=False)
-            for one in plain:
-                one.is_frozen = True
+            demand.freeze()
             await demand.ask(8.0)
-            for one in plain:
-                fleet.thaw(one)
+            demand.thaw()
             await demand.ask(12.0)
 
         peak = repeats_system.play(body, count).peak
         assert not peak.is_over, peak
 
+    @pytest.mark.parametrize("count", (2, 5))
+    def test_what_it_reads_late_counts_though_callers_moved(
+        self, count: int
+    ) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            others = range(1, count)
+            await demand.ask(CALM, BUSY, fails=False, among=[0])
+            demand.freeze()
+            await demand.ask(2.0, BUSY, among=[0])
+            await demand.ask(6.0, BUSY, among=others)
+            demand.thaw()
+            await demand.ask(12.0, BUSY, among=others)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
 
 class TestCallersAreServed:
     """What may be repeated still is."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -180,6 +180,20 @@
 
         virtual.run(body)
 
+    def test_those_under_way_keep_to_what_earns_later(self) -> None:
+        # They may arrive half a window from now, when what was asked in the
+        # first half of this window earns no more.
+        async def body() -> None:
+            budget = _budget(slack=0.0)
+            await _earn_for(budget, 3 * WINDOW)
+            accounts = [budget.open_sends() for _ in range(200)]
+            sent = sum(1 for one in accounts if one.reserve())
+            requests = 10 * (budgets.WINDOW_PARTS - budgets.PARTS_AHEAD)
+            most = budgets.STEADY_SHARE * RATIO * requests
+            assert 0.9 * most <= sent <= most
+
+        virtual.run(body)
+
     def test_one_given_up_counts_for_two_windows(self) -> None:
         async def body() -> None:
             budget = _budget(slack=1.0 / budgets.STEADY_SHARE)
