A new process waits for what the one before it left under way

What callers' services saw: repeats over the budget after entries had ended while instances stood still. Cause: a process takes its full share one window after its start, by when all that was spent before it is a window old. What was under way then may arrive later, and counts for a window from there.

Change: the full share comes one and a half windows after the start, as late as what is under way is looked for. Until then it grows as before, up to the part that is kept for processes that start.

--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -28,6 +28,10 @@
 # from now. Counting further ahead, few requests would be left to earn it.
 PARTS_AHEAD = WINDOW_PARTS // 2
 
+# What a process left under way may arrive in a window that begins so long
+# after its end, and counts until that is over.
+RESTART_WINDOWS = 1.0 + PARTS_AHEAD / WINDOW_PARTS
+
 
 class Membership(typing.Protocol):
     """What an entry knows of those that share a budget with it."""
@@ -174,8 +178,8 @@
     it. It may have spent its whole share a moment before, and so may several
     that ended soon after they started. So a share comes at a constant rate
     at first: what processes spend in one window, one after the other, stays
-    below the part that is kept for them. One window after its start, a
-    process has its full share.
+    below the part that is kept for them. A process has its full share once
+    no window is left in which something of those before it may arrive.
 
     :param ratio: repeats allowed for each request.
     :param slack: repeats allowed on top, by all entries together.
@@ -280,9 +284,9 @@
     def _share_since(self, since: float) -> float:
         """Return which part may be spent so long after a start."""
         age = max(0.0, anyio.current_time() - since)
-        if age >= self._window:
+        if age >= RESTART_WINDOWS * self._window:
             return STEADY_SHARE
-        return RESTART_SHARE * age / self._window
+        return RESTART_SHARE * min(1.0, age / self._window)
 
 
 class Sends:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -191,6 +191,22 @@
         peak = repeats_system.play(body, count).peak
         assert not peak.is_over, peak
 
+    @pytest.mark.parametrize("count", (1, 5))
+    def test_what_it_reads_late_counts_though_entries_ended(
+        self, count: int
+    ) -> None:
+        async def body(demand: repeats_system.Demand) -> None:
+            await demand.ask(CALM, fails=False)
+            demand.freeze()
+            await demand.ask(3.0)
+            _restart_all(demand, count)
+            await demand.ask(5.0)
+            demand.thaw()
+            await demand.ask(15.0)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
 
 class TestCallersAreServed:
     """What may be repeated still is."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -93,6 +93,28 @@
 
         virtual.run(body)
 
+    def test_of_a_new_process_is_small_until_what_was_under_way_is_over(
+        self,
+    ) -> None:
+        async def body() -> None:
+            await anyio.sleep(30.0)
+            budget = _budget(began=anyio.current_time())
+            assert not _spend_all(budget)
+            spent: list[int] = []
+            full_at = 30.0 + budgets.RESTART_WINDOWS * WINDOW
+            while anyio.current_time() < full_at - 2 * PART:
+                await anyio.sleep(PART)
+                spent.append(_spend_all(budget))
+            most = max(
+                sum(spent[first : first + budgets.WINDOW_PARTS])
+                for first in range(len(spent))
+            )
+            assert 0 < most <= budgets.RESTART_SHARE * SLACK + 0.001
+            await anyio.sleep(3 * PART)
+            assert _spend_all(budget) > budgets.RESTART_SHARE * SLACK
+
+        virtual.run(body)
+
     def test_is_small_until_those_are_counted_that_started_alike(self) -> None:
         async def body() -> None:
             members = Members(entries=1, is_settled=False)
