Streams of the tests of repeats have three events

Nothing that is counted hangs on what follows the event after which they break. The scenarios, bounds and counts of entries are the same.

--- a/tests/repeats_system.py
+++ b/tests/repeats_system.py
@@ -20,6 +20,8 @@
 FAILURES = 10**6
 # Longer than any attempt of what is asked here.
 LAST_SECONDS = 3.0
+# A stream that breaks does so after its first event.
+STREAM_EVENTS = 3
 SERVICES = {
     routes.Repeat.IDEMPOTENT: fleet_system.PLAIN,
     routes.Repeat.STREAM: fleet_system.MODEL,
@@ -124,6 +126,7 @@
     made: list[Demand] = []
 
     async def work(entries: entries_system.Entries) -> None:
+        entries.fleet.events = STREAM_EVENTS
         demand = Demand(entries, kind)
         made.append(demand)
         await scenario(demand)
