--- a/tests/repeats_system.py
+++ b/tests/repeats_system.py
@@ -10,6 +10,7 @@
 import anyio
 
 from crowdeck import route as routes
+from crowdeck.standin import chain_fleet
 from crowdeck.standin import repeats
 from tests import entries_system
 from tests import fleet_system
@@ -19,6 +20,8 @@
 FAILURES = 10**6
 # Longer than any attempt of what is asked here.
 LAST_SECONDS = 3.0
+# A stream that breaks does so after its first event.
+STREAM_EVENTS = 3
 SERVICES = {
     routes.Repeat.IDEMPOTENT: fleet_system.PLAIN,
     routes.Repeat.STREAM: fleet_system.MODEL,
@@ -79,10 +82,27 @@
             self.entries.ask_soon(entry, self._kind, b"x")
             await anyio.sleep(1.0 / per_second)
 
+    def freeze(self) -> None:
+        """Have no instance of the service read anything."""
+        for one in self._instances():
+            one.is_frozen = True
+
+    def thaw(self) -> None:
+        """Have them read what came, and go on."""
+        for one in self._instances():
+            self.entries.fleet.thaw(one)
+
     async def end(self) -> None:
         """Wait for the last attempts."""
         await anyio.sleep(LAST_SECONDS)
 
+    def _instances(self) -> list[chain_fleet.StandinUpstream]:
+        return [
+            one
+            for one in self.entries.fleet.upstreams
+            if one.listed.service == self.service
+        ]
+
     def _fail(self, fails: bool) -> None:
         for one in self.entries.fleet.upstreams:
             one.fails = FAILURES if fails else 0
@@ -106,6 +126,7 @@
     made: list[Demand] = []
 
     async def work(entries: entries_system.Entries) -> None:
+        entries.fleet.events = STREAM_EVENTS
         demand = Demand(entries, kind)
         made.append(demand)
         await scenario(demand)
