--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -269,19 +269,23 @@
 
     async def _serves_all(self) -> bool:
         """Whether every entry serves both kinds of request."""
-        for port in self.callers.ports:
-            self._checks += 1
-            one = callers_module.Callers(
-                [port], random.Random(0), EVENTS, f"check-{self._checks}-"
-            )
-            one.key = self.callers.key
-            async with httpcore.AsyncConnectionPool() as pool:
-                for path in (callers_module.STREAM, callers_module.ONCE):
-                    outcome = await one.ask(path, pool)
-                    self._checked.append(outcome)
-                    if outcome.status != 200 or not outcome.is_whole:
-                        return False
-        return True
+        served: list[bool] = []
+        async with anyio.create_task_group() as tasks:
+            for port in self.callers.ports:
+                tasks.start_soon(self._ask_both, port, served)
+        return all(served)
+
+    async def _ask_both(self, port: int, served: list[bool]) -> None:
+        self._checks += 1
+        one = callers_module.Callers(
+            [port], random.Random(0), EVENTS, f"check-{self._checks}-"
+        )
+        one.key = self.callers.key
+        async with httpcore.AsyncConnectionPool() as pool:
+            for path in (callers_module.STREAM, callers_module.ONCE):
+                outcome = await one.ask(path, pool)
+                self._checked.append(outcome)
+                served.append(outcome.status == 200 and outcome.is_whole)
 
     async def _check_recovery(self) -> list[str]:
         seconds = RECOVER_SECONDS
