--- a/spec/check.py
+++ b/spec/check.py
@@ -16,8 +16,10 @@
 from spec import leases
 from spec import model
 from spec import orders
+from spec import rearrangements
 from spec import restored_leases
 from spec import seals
+from spec import spoilt_leases
 from spec import turns
 
 ALL: tuple[model.Specification, ...] = (
@@ -26,8 +28,11 @@
     claims.Claims(),
     leases.Leases(),
     restored_leases.RestoredLeases(),
+    spoilt_leases.SpoiltLeases(),
+    spoilt_leases.PromptLeases(),
     copies.Copies(),
     orders.Orders(),
+    rearrangements.Rearrangements(),
     generations.Generations(),
     turns.Turns(),
 )
--- a/src/crowdeck/cmd/inspection.py
+++ b/src/crowdeck/cmd/inspection.py
@@ -15,6 +15,7 @@
 
 from crowdeck import chain
 from crowdeck.cmd import commands
+from crowdeck.cmd import operator as operators
 from crowdeck import errors
 from crowdeck.observe import explain as explaining
 from crowdeck.observe import losses
@@ -31,7 +32,7 @@
     files: list[pathlib.Path], aims: losses.Aims, span: float
 ) -> commands.Result:
     """Tell what was not served in time in log files, and why."""
-    with _open_logs(files) as texts:
+    with _open_logs(files, are_named=True) as texts:
         found = losses.account(texts, aims, span)
     lines = [f"{found.requests} requests ended"]
     lines += _table(found.causes, found.requests)
@@ -79,16 +80,30 @@
 
 @contextlib.contextmanager
 def _open_logs(
-    files: list[pathlib.Path],
+    files: list[pathlib.Path], *, are_named: bool = False
 ) -> typing.Iterator[typing.Iterable[str]]:
-    """Open log files one after the other, or standard input."""
+    """Open log files one after the other, or standard input.
+
+    :param are_named: have lines that name no process begin with the name of
+        their file.
+    """
     with contextlib.ExitStack() as stack:
-        texts: list[typing.Iterable[str]] = [
-            stack.enter_context(_open_log(path)) for path in files
-        ]
+        texts: list[typing.Iterable[str]] = []
+        for path in files:
+            text = stack.enter_context(_open_log(path))
+            texts.append(_named(path, text) if are_named else text)
         yield itertools.chain.from_iterable(texts or [sys.stdin])
 
 
+def _named(
+    path: pathlib.Path, texts: typing.Iterable[str]
+) -> typing.Iterator[str]:
+    # One word without a brace: what follows a brace is taken for the line.
+    name = "-".join(path.name.replace("{", "").replace("}", "").split())
+    for text in texts:
+        yield f"{name} {text}" if text.startswith("{") else text
+
+
 def explain_request(
     request: str, files: list[pathlib.Path], gap: float
 ) -> commands.Result:
@@ -134,6 +149,24 @@
         raise errors.ConfigError(f"{path}: {error}") from None
 
 
+async def show_status(operator: operators.Operator) -> commands.Result:
+    """Show every instance, and the epoch that the store is in."""
+    shown = await commands.show_status(operator)
+    return tell_epoch(shown, operator.store.epoch)
+
+
+def tell_epoch(shown: commands.Result, epoch: int | None) -> commands.Result:
+    """Add how often the store came back from a copy, as it counts.
+
+    :param epoch: of the store's latest answer to this command; an instance
+        that has not noticed a return yet may be in an earlier one.
+    """
+    data = [{**row, "store_epoch": epoch} for row in shown.data]
+    told = "unknown" if epoch is None else str(epoch)
+    text = f"{shown.text}\n\nepoch of the store: {told}"
+    return attrs.evolve(shown, data=data, text=text)
+
+
 @attrs.frozen
 class _Model:
     """A service of model engines, as the store lists it."""
