--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -118,6 +118,8 @@
 
     def next_first(self) -> list[int]:
         """Return how many may arrive from each part on that is to come."""
+        if not self._under_way and not self._left_open:
+            return [0] * PARTS_AHEAD
         present = math.floor(anyio.current_time() / self._part)
         return [
             _count_from(self._under_way, (present + ahead) * self._part)
@@ -207,7 +209,8 @@
     @property
     def left(self) -> float:
         """Repeats that may be made now."""
-        earned = [*self._earned(), *self._earned_ahead()]
+        total = self._requests_since()
+        earned = [*self._earned(total), *self._earned_ahead(total)]
         share = self._share_since(self._began)
         slack = self._slack_part()
         spent = [*self._repeats.newest_first(), *self._repeats.next_first()]
@@ -225,7 +228,7 @@
         left = self.left
         if left < 1.0:
             return 0.0
-        earned = self._earned()[0]
+        earned = self._earned(self._requests_since())[0]
         allowed = self._share_since(self._began) * earned + self._slack_part()
         return min(1.0, left / allowed)
 
@@ -242,24 +245,27 @@
         """Return the account of one request's sends; who has it closes it."""
         return Sends(self, self._repeats, self._window)
 
-    def _earned(self) -> list[float]:
+    def _requests_since(self) -> list[int]:
+        """Return how many came in the newest parts, from none to all."""
+        counts = self._requests.newest_first()
+        return [0, *itertools.accumulate(counts)]
+
+    def _earned(self, total: list[int]) -> list[float]:
         """Return what requests earned for each window, the newest first.
 
         One entry for each part in which a window can begin that contains the
         present. Of the window before it, only parts that are in it whole.
         """
-        total = [0, *itertools.accumulate(self._requests.newest_first())]
         return [
             self._ratio * (total[part + WINDOW_PARTS] - total[part + 1])
             for part in range(WINDOW_PARTS + 1)
         ]
 
-    def _earned_ahead(self) -> list[float]:
+    def _earned_ahead(self, total: list[int]) -> list[float]:
         """Return what requests up to now earn for windows to come.
 
         One entry for each part ahead in which a window can begin.
         """
-        total = [0, *itertools.accumulate(self._requests.newest_first())]
         return [
             self._ratio * total[WINDOW_PARTS - ahead]
             for ahead in range(1, PARTS_AHEAD + 1)
