Random schedules of entries keep to the retry budget of their service

Requests, bursts, repeats that arrive up to half a window late, and processes that end, of one, two and five entries; the bound is the rule itself, counted at the service. Two guards whose removal no unit test had noticed have one now: what was given up counts at once, and what a process left under way delays its successor's share.

--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -8,10 +8,14 @@
 import contextlib
 
 import anyio
+import anyio.abc
 import attrs
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from crowdeck.routing import budget as budgets
+from crowdeck.standin import repeats
 from tests import fleet_system
 from tests import virtual
 
@@ -115,6 +119,17 @@
 
         virtual.run(body)
 
+    def test_of_a_new_process_is_small_half_a_window_after_the_first(
+        self,
+    ) -> None:
+        # The one before it may have ended with all of its part under way.
+        async def body() -> None:
+            budget = _budget(began=anyio.current_time())
+            await anyio.sleep(1.5 * WINDOW - PART)
+            assert _spend_all(budget) <= budgets.RESTART_SHARE * SLACK + 0.001
+
+        virtual.run(body)
+
     def test_is_small_until_those_are_counted_that_started_alike(self) -> None:
         async def body() -> None:
             members = Members(entries=1, is_settled=False)
@@ -223,8 +238,9 @@
                 assert sends.reserve()
                 sends.send()
                 sends.give_up()
-            await anyio.sleep(2 * WINDOW - PART)
-            assert budget.left < 1.0
+            for _ in range(2 * budgets.WINDOW_PARTS - 1):
+                await anyio.sleep(PART)
+                assert budget.left < 1.0
             await anyio.sleep(2 * PART)
             assert budget.left >= 1.0
 
@@ -301,6 +317,96 @@
         virtual.run(body)
 
 
+@attrs.frozen
+class Step:
+    """What one entry does, some time after the step before.
+
+    :ivar late: seconds until the repeats of this step arrive.
+    """
+
+    pause: float
+    entry: int
+    requests: int
+    repeats: int
+    late: float
+    ends_before: bool
+
+
+steps = strategies.lists(
+    strategies.builds(
+        Step,
+        pause=strategies.sampled_from((0.0, 0.1, 0.3, 1.0, 2.5)),
+        entry=strategies.integers(0, 4),
+        requests=strategies.sampled_from((0, 10, 100)),
+        repeats=strategies.sampled_from((0, 5, 300)),
+        late=strategies.sampled_from((0.0, 0.0, 0.2, 1.0, 4.9)),
+        ends_before=strategies.sampled_from((False, False, False, True)),
+    ),
+    min_size=20,
+    max_size=60,
+)
+
+
+class Service:
+    """Entries that send one service what their budgets allow."""
+
+    def __init__(self, count: int) -> None:
+        self._members = Members(count)
+        self._budgets = [
+            _budget(membership=self._members) for _ in range(count)
+        ]
+        self._number = 0
+        self.account = repeats.RepeatAccount()
+
+    async def take(self, step: Step, tasks: anyio.abc.TaskGroup) -> None:
+        """Take one step."""
+        await anyio.sleep(step.pause)
+        at = step.entry % len(self._budgets)
+        if step.ends_before:
+            self._budgets[at] = _budget(
+                began=anyio.current_time(), membership=self._members
+            )
+        budget = self._budgets[at]
+        for _ in range(step.requests):
+            budget.earn()
+            self.account.note_request(anyio.current_time())
+        for _ in range(step.repeats):
+            sends = budget.open_sends()
+            if not sends.reserve():
+                break
+            sends.send()
+            tasks.start_soon(self._arrive, sends, step.late)
+
+    async def _arrive(self, sends: budgets.Sends, late: float) -> None:
+        self._number += 1
+        request = str(self._number)
+        self.account.note_arrival(request, anyio.current_time())
+        await anyio.sleep(late)
+        self.account.note_arrival(request, anyio.current_time())
+        sends.arrive()
+
+
+class TestAllEntriesTogether:
+    """The service gets no more than its budget, whatever entries do."""
+
+    @pytest.mark.parametrize("count", (1, 2, 5))
+    @hypothesis.given(plan=steps)
+    @hypothesis.settings(
+        max_examples=60, deadline=None, derandomize=True, database=None
+    )
+    def test_no_window_is_over(self, count: int, plan: list[Step]) -> None:
+        async def body() -> repeats.Peak:
+            service = Service(count)
+            async with anyio.create_task_group() as tasks:
+                for step in plan:
+                    await service.take(step, tasks)
+            allowance = repeats.Allowance(RATIO, SLACK, WINDOW)
+            return service.account.peak(allowance)
+
+        peak = virtual.run(body)
+        assert not peak.is_over, peak
+
+
 class TestLeftShare:
     """What is left, for those who ask before they give up a stream."""
 
