--- a/tests/test_rearrangement.py
+++ b/tests/test_rearrangement.py
@@ -31,6 +31,7 @@
 from crowdeck.placement import duty as duties
 from crowdeck.placement import patience
 from crowdeck.placement import plan
+from crowdeck.placement import rearrangement
 from crowdeck.platform import names
 from crowdeck import route as routes
 from crowdeck.standin import chain_fleet
@@ -451,6 +452,53 @@
         play_orders(work)
 
 
+class TestSteps:
+    """What waits for what."""
+
+    def test_those_that_exchange_layers_do_not_wait_for_one_another(
+        self,
+    ) -> None:
+        # Neither order would ever be given.
+        engines = four()[:2]
+        first, second = engines
+        layout = {
+            first.name: pipeline.LayerRange(20, 40),
+            second.name: pipeline.LayerRange(0, 20),
+        }
+        sure = {one.name: one.layers for one in engines}
+        steps = rearrangement._ordered(
+            [plan.Move(one, layout[one.name]) for one in engines],
+            rearrangement._Takers(engines, layout, sure),
+        )
+        assert [step.after for step in steps] == [frozenset(), frozenset()]
+
+    def test_who_waits_for_one_that_is_left_out_is_left_out(self) -> None:
+        # The last cannot give 60 to 70 up: only one in doubt holds them.
+        engines = [
+            *four(),
+            fleet_system.upstream("e4", "plateau", (60, 70), "card"),
+        ]
+        layout = {
+            "e3": pipeline.LayerRange(70, 90),
+            "e2": pipeline.LayerRange(30, 50),
+            "e1": pipeline.LayerRange(50, 60),
+        }
+        sure = {one.name: one.layers for one in engines if one.name != "e4"}
+        steps = rearrangement._ordered(
+            [
+                plan.Move(one, layout[one.name])
+                for one in engines
+                if one.name in layout
+            ],
+            rearrangement._Takers(engines, layout, sure),
+        )
+        given = {step.move.upstream.name: step.after for step in steps}
+        assert "e3" not in given
+        # 20 to 30 would be nobody's.
+        assert "e1" not in given
+        assert "e2" not in given
+
+
 class TestWhen:
     """Waiting for who went, and for how long."""
 
