--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -6,9 +6,9 @@
 """A whole entry over real sockets, in front of stand-in upstreams."""
 
 import gc
+import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import typing
@@ -20,6 +20,7 @@
 import orjson
 import pytest
 
+from bench.soak import ports
 from crowdeck import chain
 from crowdeck.cmd import fleet_process
 from crowdeck.cmd import http_server
@@ -53,9 +54,8 @@
 
 
 def free_port() -> int:
-    with socket.socket() as one:
-        one.bind((HOST, 0))
-        return int(one.getsockname()[1])
+    """Return a port that no outgoing connection is given meanwhile."""
+    return ports.find_free(1, os.getpid())[0]
 
 
 def fill(template: str, values: dict[str, str]) -> str:
