Repeats given up count beside those that arrived

Without this test the removal of that count went unnoticed: what is looked for ahead hid it wherever nothing had arrived in the same window.

--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -246,6 +246,19 @@
 
         virtual.run(body)
 
+    def test_those_given_up_count_with_those_that_arrived(self) -> None:
+        async def body() -> None:
+            budget = _budget(slack=2.0 / budgets.STEADY_SHARE)
+            with contextlib.closing(budget.open_sends()) as sends:
+                assert sends.reserve()
+                sends.send()
+                sends.give_up()
+            assert fleet_system.spend(budget)
+            await anyio.sleep(WINDOW / 2)
+            assert budget.left < 1.0
+
+        virtual.run(body)
+
     def test_one_after_one_given_up_counts_for_two_windows(self) -> None:
         # The first may be read after the second was answered.
         async def body() -> None:
