What is left of a retry budget is worked out when it can have changed

Streams that have begun and wait for a repeat ask every 0.02 s each: a hundred of them, 5,000 looks a second, with every arrival of 61 windows counted in each. What is left changes with a repeat sent or its end known, with the number of entries, and with each part of the window.

--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -95,13 +95,29 @@
         return math.floor(anyio.current_time() / self._seconds)
 
 
+@attrs.frozen
+class _Basis:
+    """From what it follows how many repeats are left.
+
+    :ivar part: number of the present part of the window.
+    :ivar changes: how often a repeat was sent, or its end known.
+    """
+
+    part: int
+    changes: int
+    entries: int
+    is_settled: bool
+
+
 class _Arrivals:
     """Repeats that arrived in a window, and those that still may.
 
+    :ivar changes: how often one was sent, or its end known.
     :param window: length of the window in seconds.
     """
 
     def __init__(self, window: float) -> None:
+        self.changes = 0
         self._window = window
         self._part = window / WINDOW_PARTS
         self._arrived = _Tally(self._part, WINDOW_PARTS + 1)
@@ -129,6 +145,7 @@
 
     def send(self) -> float:
         """Count one that is on its way; returns until when it may arrive."""
+        self.changes += 1
         until = anyio.current_time() + self._window
         self._under_way.append(until)
         return until
@@ -145,6 +162,7 @@
 
     def cancel(self, until: float) -> None:
         """Count one no more that was on its way."""
+        self.changes += 1
         del self._under_way[bisect.bisect_left(self._under_way, until)]
 
     def _close(self) -> None:
@@ -204,20 +222,27 @@
         self._began = began
         self._membership = membership
         self._repeats = _Arrivals(window)
+        self._basis: _Basis | None = None
+        self._left = 0.0
         self._requests = _Tally(window / WINDOW_PARTS, 2 * WINDOW_PARTS)
 
     @property
     def left(self) -> float:
-        """Repeats that may be made now."""
-        total = self._requests_since()
-        earned = [*self._earned(total), *self._earned_ahead(total)]
-        share = self._share_since(self._began)
-        slack = self._slack_part()
-        spent = [*self._repeats.newest_first(), *self._repeats.next_first()]
-        return min(
-            share * one + slack - repeats
-            for one, repeats in zip(earned, spent, strict=True)
+        """Repeats that may be made now.
+
+        Streams that wait for one ask many times a second, and what is left
+        changes by arrivals and with each part of the window only.
+        """
+        basis = _Basis(
+            math.floor(anyio.current_time() * WINDOW_PARTS / self._window),
+            self._repeats.changes,
+            self._membership.entries,
+            self._membership.is_settled,
         )
+        if basis != self._basis:
+            self._left = self._count_left()
+            self._basis = basis
+        return self._left
 
     @property
     def left_share(self) -> float:
@@ -250,6 +275,17 @@
         counts = self._requests.newest_first()
         return [0, *itertools.accumulate(counts)]
 
+    def _count_left(self) -> float:
+        total = self._requests_since()
+        earned = [*self._earned(total), *self._earned_ahead(total)]
+        share = self._share_since(self._began)
+        slack = self._slack_part()
+        spent = [*self._repeats.newest_first(), *self._repeats.next_first()]
+        return min(
+            share * one + slack - repeats
+            for one, repeats in zip(earned, spent, strict=True)
+        )
+
     def _earned(self, total: list[int]) -> list[float]:
         """Return what requests earned for each window, the newest first.
 
--- a/tests/entries_system.py
+++ b/tests/entries_system.py
@@ -21,6 +21,7 @@
 from crowdeck.state import mirror as mirrors
 from tests import fleet_system
 from tests import virtual
+from tests import zone_system
 
 # An instance that fell is back after this long; 1 to 3 s were seen.
 BACK_SECONDS = 2.0
@@ -73,6 +74,7 @@
         self._tasks = tasks
         self._entries: list[fleet_system.FleetSystem] = []
         self._scopes: list[anyio.CancelScope] = []
+        self._ways: dict[str, zone_system.Way] = {}
         self._listed: dict[str, chain.Upstream] = {}
         self._starts = 0
         self._add_fleet(copies, parts)
@@ -115,6 +117,10 @@
         self._entries[number] = fresh
         self._scopes[number] = self._begin(fresh)
 
+    def cut_off(self, number: int) -> None:
+        """Let an entry reach the store no more."""
+        self._ways[self._entries[number].name].is_cut = True
+
     async def know_each_other(self) -> None:
         """Wait until each entry has listed the others."""
         while not all(one.context.membership.entries for one in self._entries):
@@ -205,14 +211,15 @@
 
     def _begin(self, entry: fleet_system.FleetSystem) -> anyio.CancelScope:
         """Run an entry beside its roster until the scope is cancelled."""
+        way = self._ways[entry.name] = zone_system.Way(self.store)
         roster = rosters.Roster(
-            self.store,
+            way,
             entry.name,
             rosters.Note(entry.context.zone),
             entry.context.ledger,
         )
         mirror = mirrors.Mirror(
-            self.store,
+            way,
             rosters.KIND,
             roster,
             NOTES_WAIT,
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -18,6 +18,8 @@
 CALM = repeats_system.CALM_SECONDS
 # Requests a second of which the slack is a small part.
 BUSY = 240.0
+# Requests a second that earn little, so that the slack decides.
+FEW = 18.0
 KINDS = (routes.Repeat.IDEMPOTENT, routes.Repeat.STREAM)
 COUNTS = (1, 5, 70)
 
@@ -138,6 +140,22 @@
         peak = repeats_system.play(body, count).peak
         assert not peak.is_over, peak
 
+    @pytest.mark.parametrize("count", (1, 5, 12))
+    def test_while_those_there_are_cut_off(self, count: int) -> None:
+        # Who is cut off from the store believes in too few, while a new one
+        # takes its part.
+        async def body(demand: repeats_system.Demand) -> None:
+            await demand.ask(CALM, fails=False)
+            for number in range(count):
+                demand.entries.cut_off(number)
+            for _ in range(max(1, count // 4)):
+                demand.entries.start()
+            await demand.ask(30.0, FEW, fails=False)
+            await demand.ask(12.0, FEW)
+
+        peak = repeats_system.play(body, count).peak
+        assert not peak.is_over, peak
+
 
 class TestCallersThatMove:
     """Requests earn repeats once, whichever entries get them."""
