Rank streams by urgency, and agree on interfaces for hard load

Cause: a team's priority replaced the route's, and nothing but the header to engines read it. Where all teams have one priority, kinds of request that the config ranks were equals.

Change: streams of a model service are ranked by the priority of their team, then of their route, where its streaming routes differ in priority. Engines get the rank. Interfaces of the parts to come (load of other entries, bounds on the path of a new stream) stand with neutral defaults.

--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -24,6 +24,8 @@
 # Status from an engine that does not hold the requested layers, or that is not
 # the engine to which the request was addressed.
 MISDIRECTED_STATUS = 421
+# The least urgent priority that engines know.
+MAX_ENGINE_PRIORITY = 9
 MAX_ANSWER_BYTES = http.RESPONSE_LIMIT_BYTES
 
 _MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
@@ -84,6 +86,14 @@
         self._path = path
         self._deadline = deadline
 
+    @property
+    def _engine_priority(self) -> int:
+        """Priority by which engines let waiting requests in."""
+        urgency = self._stream.urgency
+        if not urgency.is_ranked:
+            return self._admitted.priority
+        return min(urgency.rank, MAX_ENGINE_PRIORITY)
+
     async def run(self) -> None:
         """Send the request and forward the answer to the sink.
 
@@ -93,7 +103,7 @@
         seconds_left = self._deadline - anyio.current_time()
         dispatch = interfaces.Dispatch(
             self._admitted.team,
-            self._admitted.priority,
+            self._engine_priority,
             seconds_left,
             self._path,
             self._stream.last_event_id,
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -25,9 +25,11 @@
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import budget as budgets
+from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import heads
 from crowdeck.routing import hops
 from crowdeck.routing import rate_limits
+from crowdeck.routing import stream_admission
 from crowdeck.routing import subset as subsets
 from crowdeck.routing import usage as usages
 
@@ -65,6 +67,8 @@
     :ivar name: the entry's name.
     :ivar membership: the entries that share limits and budgets with it.
     :ivar lag_meter: measures the lag of the entry's event loop.
+    :ivar fleet_load: what other entries hold on engines.
+    :ivar admission: bounds the paths of new streams.
     :ivar quarantine: requests that were running when instances ended.
     """
 
@@ -84,6 +88,10 @@
     quarantine: trackers.QuarantineTracker = attrs.field(
         factory=trackers.QuarantineTracker
     )
+    fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
+    admission: stream_admission.StreamAdmission = (
+        stream_admission.UnlimitedAdmission()
+    )
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
     gaps: layer_gaps.LayerGapTracker = attrs.field(init=False)
@@ -232,6 +240,14 @@
         """Return the queue of requests that wait for a service."""
         return self._wait_queues.setdefault(service, waiting.WaitQueue())
 
+    def waiting_by_rank(self) -> dict[tuple[str, int], int]:
+        """Return how many requests wait here, by service and rank."""
+        return {
+            (service, 0): len(wait_queue)
+            for service, wait_queue in self._wait_queues.items()
+            if len(wait_queue)
+        }
+
     def may_restart_stream(self, service: str) -> bool:
         """Whether the budget allows a stream to restart elsewhere."""
         return self.budget(service).remaining_share >= RESTART_RESERVE_SHARE
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -17,6 +17,7 @@
 from crowdeck import route as routes
 from crowdeck.routing import budget as budgets
 from crowdeck.routing import usage as usages
+from crowdeck import urgency as urgencies
 
 # Weight of the newest pause in a stream's mean pause.
 EWMA_WEIGHT = 0.1
@@ -48,6 +49,7 @@
     :ivar is_starting: whether the current attempt has had no event yet.
     :ivar abandon_reason: why the current attempt was abandoned, or empty.
     :ivar team: the team that sent the request.
+    :ivar urgency: its urgency beside other streams of the service.
     """
 
     request: requests.CallerRequest
@@ -71,6 +73,7 @@
     is_starting: bool = True
     abandon_reason: str = ""
     team: str = ""
+    urgency: urgencies.Urgency = urgencies.Urgency()
     _attempt_first_event_at: float | None = None
     _fingerprint: fingerprint.Fingerprint | None = None
     _path: chain.ChainPath | None = None
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -17,6 +17,7 @@
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import hops
+from crowdeck.routing import stream_admission
 
 # How long a new request waits for capacity. Leaves an engine time to send the
 # first event before the caller gives up.
@@ -236,12 +237,15 @@
 
     def _plan(self) -> chain.ChainPath | None:
         registry = self._context.registry
+        limits = self._path_limits()
         path_request = hops.PathRequest(
             self._stream.profile,
             self._stream.tokens,
             self._context.zone,
             self._stream.objective_seconds,
             self._context.limits.allows,
+            limits.max_cache_utilization,
+            limits.max_first_event_seconds,
         )
         usable = [
             engine
@@ -267,6 +271,14 @@
             self._context.limits.take(path.head)
         return path
 
+    def _path_limits(self) -> stream_admission.PathLimits:
+        """Return the bounds on a path; a stream that has begun has none."""
+        if self._stream.has_events:
+            return stream_admission.PathLimits()
+        return self._context.admission.limits(
+            self._service, self._stream.urgency, self._stream.objective_seconds
+        )
+
     def _plan_over(
         self, usable: list[chain.Upstream], path_request: hops.PathRequest
     ) -> chain.ChainPath | None:
--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -204,7 +204,10 @@
             name, connection_limit=0
         )
         if service.profile is not None:
-            await self._streams.serve(request, admitted, service, sink)
+            urgency = table.urgency(admitted, name)
+            await self._streams.serve(
+                request, admitted, service, sink, urgency
+            )
         else:
             await self._calls.serve(request, admitted, service, sink)
 
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -18,6 +18,7 @@
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
 from crowdeck.routing import routes as route_tables
+from crowdeck import urgency as urgencies
 from crowdeck import verdict as verdicts
 
 # Number of attempts that engines may refuse without running them. The request
@@ -55,6 +56,7 @@
         admitted: route_tables.AdmittedRequest,
         service: routes.Service,
         sink: requests.Sink,
+        urgency: urgencies.Urgency = urgencies.Urgency(),
     ) -> None:
         """Answer one request for a stream.
 
@@ -80,6 +82,7 @@
             send_tracker=send_tracker,
             last_event_id=request.last_event_id,
             team=admitted.team,
+            urgency=urgency,
         )
         self._monitor.add(stream)
         try:
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -65,6 +65,10 @@
     :ivar zone: the availability zone of the entry.
     :ivar objective_seconds: latency objective of the first event.
     :ivar may_be_head: returns whether an engine may be the first of the path.
+    :ivar max_cache_utilization: share of an engine's KV cache up to which the
+        request may fill it.
+    :ivar max_first_event_seconds: longest recent time to a first event at
+        the path's first engine.
     """
 
     profile: chain.EngineProfile
@@ -72,6 +76,8 @@
     zone: str
     objective_seconds: float = 0.5
     may_be_head: typing.Callable[[chain.Upstream], bool] = _accept_any
+    max_cache_utilization: float = 1.0
+    max_first_event_seconds: float = float("inf")
 
 
 class HopPlanner:
@@ -298,7 +304,8 @@
         if token_capacity == float("inf"):
             return True
         used = self._utilization(engine, request) * token_capacity
-        return used + request.tokens <= token_capacity
+        limit = request.max_cache_utilization * token_capacity
+        return used + request.tokens <= limit
 
     def _first_hops(
         self, usable: list[chain.Upstream], request: PathRequest
@@ -312,11 +319,21 @@
                 continue
             if not request.may_be_head(engine):
                 continue
+            if self._is_too_slow(engine, request):
+                continue
             cost_ms = self._head_ms(engine, request)
             yield cheapest.PartialPath(
                 cost_ms, 1, chain.Hop(engine, layers), None
             )
 
+    def _is_too_slow(
+        self, engine: chain.Upstream, request: PathRequest
+    ) -> bool:
+        if request.max_first_event_seconds == float("inf"):
+            return False
+        first_event_seconds = self._heads.first_event_seconds(engine.name)
+        return first_event_seconds > request.max_first_event_seconds
+
     def _head_ms(self, engine: chain.Upstream, request: PathRequest) -> float:
         """Return the cost of a token at a first engine, in ms."""
         cost_ms = self._engine_ms(engine, 0, request)
--- a/src/crowdeck/routing/routes.py
+++ b/src/crowdeck/routing/routes.py
@@ -11,6 +11,7 @@
 
 from crowdeck import errors
 from crowdeck import route as routes
+from crowdeck import urgency as urgencies
 
 
 @attrs.frozen
@@ -18,12 +19,15 @@
     """The route, team and priority of one request.
 
     :ivar team: name of the team, empty on a route that needs no key.
+    :ivar priority: sent to engines; the team's where it has one.
+    :ivar team_priority: the team's priority, else the route's.
     """
 
     route: routes.Route
     team: str
     priority: int
     config_version: int
+    team_priority: int = 0
 
 
 class RouteTable:
@@ -42,6 +46,7 @@
         self._services_by_name = {
             service.name: service for service in config.services
         }
+        self._urgency_keys_by_service = _urgency_keys(config)
 
     @property
     def config(self) -> routes.FleetConfig:
@@ -87,7 +92,53 @@
         if team is not None and team.priority is not None:
             priority = team.priority
         name = team.name if team is not None else ""
-        return AdmittedRequest(route, name, priority, self.version)
+        return AdmittedRequest(
+            route, name, priority, self.version, team_priority=priority
+        )
+
+    def urgency(
+        self, admitted: AdmittedRequest, service: str
+    ) -> urgencies.Urgency:
+        """Return the urgency of an admitted request of a service.
+
+        Requests are ranked by the priority of their team, which takes
+        precedence, and within it by that of their route. They are ranked
+        only where the streaming routes of the service differ in priority:
+        with equal routes, the config asks for no order of kinds of request.
+        """
+        keys = self._urgency_keys_by_service.get(service, ())
+        if len({route_priority for _, route_priority in keys}) < 2:
+            return urgencies.Urgency()
+        key = (admitted.team_priority, admitted.route.priority)
+        return urgencies.Urgency(keys.index(key), len(keys))
+
+
+def _urgency_keys(
+    config: routes.FleetConfig,
+) -> dict[str, tuple[tuple[int, int], ...]]:
+    """Return the priorities of teams and routes of streams, by service.
+
+    They are sorted, the most urgent first.
+    """
+    keys_by_service: dict[str, set[tuple[int, int]]] = {}
+    for route in config.routes:
+        if route.repeat is not routes.RepeatPolicy.STREAM:
+            continue
+        team_priorities = {
+            route.priority if team.priority is None else team.priority
+            for team in config.teams
+        }
+        if route.is_anonymous or not config.teams:
+            team_priorities.add(route.priority)
+        for share in route.shares:
+            keys_by_service.setdefault(share.service, set()).update(
+                (team_priority, route.priority)
+                for team_priority in team_priorities
+            )
+    return {
+        service: tuple(sorted(keys))
+        for service, keys in keys_by_service.items()
+    }
 
 
 def pick_service(route: routes.Route, randomness: random.Random) -> str:
