Serve waiting streams by urgency and team

Cause: those that wait for a path were served first come, first served at each entry, whatever their urgency or team, and were refused with the same advice.

Change: streams of services with ranks wait in a queue of their own. The more urgent rank comes first, within it the team that has used least lately, then the first to arrive; after three grants to more urgent ranks the next is for a less urgent one. Of a rank, the share that yields to more urgent requests at other entries follows how many wait there, three of four at the most. Those that cannot be served in time are refused at once, or lose their place, and return after the more urgent. Services without ranks are served as before.

Constants: a wait of 0.6 of the objective leaves the engine the rest to begin in time; a refusal within a quarter of it still lets the caller return in time; a grant of four keeps every kind served.

--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -5,6 +5,7 @@
 
 """State shared by the parts of the relay."""
 
+import collections
 import heapq
 import random
 import typing
@@ -22,6 +23,7 @@
 from crowdeck.relay import gaps as layer_gaps
 from crowdeck.relay import interfaces
 from crowdeck.relay import loop_lag
+from crowdeck.relay import ranked_waiting
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import budget as budgets
@@ -32,6 +34,7 @@
 from crowdeck.routing import stream_admission
 from crowdeck.routing import subset as subsets
 from crowdeck.routing import usage as usages
+from crowdeck.routing import waiting_order
 
 
 # Restarting a stream spends the retry budget. This share of it is reserved
@@ -101,6 +104,9 @@
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedRetryBudget] = attrs.field(factory=dict)
     _wait_queues: dict[str, waiting.WaitQueue] = attrs.field(factory=dict)
+    _ranked_queues: dict[str, ranked_waiting.RankedQueue] = attrs.field(
+        factory=dict
+    )
 
     def __attrs_post_init__(self) -> None:
         self.retry_advisor = retry_advice.RetryAdvisor(self.rng)
@@ -237,16 +243,49 @@
         )
 
     def wait_queue(self, service: str) -> waiting.WaitQueue:
-        """Return the queue of requests that wait for a service."""
+        """Return the queue of requests that wait for a service.
+
+        Those of a service with requests of different urgency are in
+        :meth:`ranked_queue`.
+        """
         return self._wait_queues.setdefault(service, waiting.WaitQueue())
 
+    def ranked_queue(self, service: str) -> ranked_waiting.RankedQueue:
+        """Return the queue of a service whose requests are ranked."""
+        queue = self._ranked_queues.get(service)
+        if queue is None:
+            queue = ranked_waiting.RankedQueue(
+                self.retry_advisor.seconds_until_capacity
+            )
+            self._ranked_queues[service] = queue
+        return queue
+
     def waiting_by_rank(self) -> dict[tuple[str, int], int]:
         """Return how many requests wait here, by service and rank."""
-        return {
-            (service, 0): len(wait_queue)
-            for service, wait_queue in self._wait_queues.items()
-            if len(wait_queue)
-        }
+        counts = collections.Counter(
+            {
+                (service, 0): len(wait_queue)
+                for service, wait_queue in self._wait_queues.items()
+            }
+        )
+        for service, ranked_queue in self._ranked_queues.items():
+            for rank, count in ranked_queue.count_by_rank().items():
+                counts[service, rank] += count
+        return dict(+counts)
+
+    def waiting_elsewhere(self, service: str, rank: int) -> float:
+        """Return how many more urgent requests wait at each other entry."""
+        return waiting_order.waiting_elsewhere(
+            self.fleet_load, service, rank, waiting.MAX_WAITING
+        )
+
+    def note_stream_ended(
+        self, service: str, request: typing.Hashable
+    ) -> None:
+        """Note that a stream ended, so that its team uses less."""
+        ranked_queue = self._ranked_queues.get(service)
+        if ranked_queue is not None:
+            ranked_queue.teams.note_ended(request)
 
     def may_restart_stream(self, service: str) -> bool:
         """Whether the budget allows a stream to restart elsewhere."""
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -14,10 +14,12 @@
 from crowdeck.relay import context as contexts
 from crowdeck.relay import gaps
 from crowdeck.relay import live
+from crowdeck.relay import ranked_waiting
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import hops
 from crowdeck.routing import stream_admission
+from crowdeck.routing import waiting_order
 
 # How long a new request waits for capacity. Leaves an engine time to send the
 # first event before the caller gives up.
@@ -32,7 +34,14 @@
 # Longer than ``POLL_SECONDS``: planning on a full fleet is costly and would
 # leave a small entry no time to serve requests.
 QUEUE_POLL_SECONDS = 0.08
+# How long a new request of a ranked service waits, as a share of the objective
+# of its first event. The engine has the rest to begin the answer in time.
+RANKED_WAIT_SHARE = 0.6
+# Share of the objective until which a refusal still lets the caller return
+# and be served in time.
+EARLY_REFUSAL_SHARE = 0.25
 ALL_UNAVAILABLE = "all engines of some layers are rate limited or backing off"
+DISPLACED = "more urgent requests take the capacity that becomes free in time"
 
 
 class PathSearch:
@@ -54,6 +63,9 @@
         self._deadline = deadline
         self._excluded: set[str] = set()
         self._unavailable_at_start = ""
+        self._claim: waiting_order.Claim | None = None
+        self._is_retry = False
+        self._is_displaced = False
 
     def exclude(self, name: str) -> None:
         """Avoid an engine until there is no path without it."""
@@ -65,19 +77,121 @@
         :param has_started: whether the caller has a part of the answer. Such
             a stream skips the queue and waits longer.
         """
-        wait_queue = self._context.wait_queue(self._service)
-        path = None
         if has_started:
             path = await self._wait_after_start()
-        elif self._must_queue(wait_queue) or (path := self._plan()) is None:
-            self._unavailable_at_start = (
-                self._context.backpressure.unavailable_addresses(self._service)
-            )
-            path = await self._wait_in_queue(wait_queue)
+        elif self._stream.urgency.is_ranked:
+            path = await self._find_by_rank()
+        else:
+            path = await self._find_in_turn()
+        self._is_retry = True
         if path is None:
             self._log_no_path()
         return path
 
+    async def _find_in_turn(self) -> chain.ChainPath | None:
+        """Return a path for a stream of a service without ranks."""
+        wait_queue = self._context.wait_queue(self._service)
+        path = None
+        if self._must_queue(wait_queue) or (path := self._plan()) is None:
+            self._note_unavailable()
+            path = await self._wait_in_queue(wait_queue)
+        return path
+
+    async def _find_by_rank(self) -> chain.ChainPath | None:
+        """Return a path for a stream of a service with ranks."""
+        queue = self._context.ranked_queue(self._service)
+        claim = self._ranked_claim(queue)
+        self._is_displaced = False
+        path = None
+        has_tried = queue.may_pass(claim) or self._gap() is not None
+        if has_tried:
+            path = self._plan()
+        if path is None:
+            self._note_unavailable()
+            path = await self._wait_by_rank(queue, claim, has_tried)
+        if path is not None:
+            queue.note_granted(self._stream, claim)
+        return path
+
+    def _ranked_claim(
+        self, queue: ranked_waiting.RankedQueue
+    ) -> waiting_order.Claim:
+        """Return what decides when this request is served.
+
+        Whether it yields to other entries is decided once. An engine may
+        have refused it since, so that it would wait twice.
+        """
+        if self._claim is None or self._claim.must_yield:
+            rank = self._stream.urgency.rank
+            must_yield = self._claim is None and queue.order.must_yield(
+                rank, self._waiting_elsewhere()
+            )
+            self._claim = waiting_order.Claim(
+                rank, self._stream.team, self._arrived, must_yield
+            )
+            if must_yield:
+                ranked_waiting.count("yielded", rank)
+        return self._claim
+
+    def _waiting_elsewhere(self) -> float:
+        return self._context.waiting_elsewhere(
+            self._service, self._stream.urgency.rank
+        )
+
+    async def _wait_by_rank(
+        self,
+        queue: ranked_waiting.RankedQueue,
+        claim: waiting_order.Claim,
+        has_tried: bool,
+    ) -> chain.ChainPath | None:
+        """Return a path once it is this request's turn and there is one.
+
+        Does not wait if the turn is not expected in time. This is decided
+        again while a refusal still lets the caller be served in time.
+        """
+        now = anyio.current_time()
+        objective_seconds = self._stream.objective_seconds
+        wait_seconds = RANKED_WAIT_SHARE * objective_seconds
+        early_until = self._arrived + EARLY_REFUSAL_SHARE * objective_seconds
+        if self._is_retry:
+            # Too late for an early refusal; a late answer is worth more.
+            wait_seconds = max(wait_seconds, QUEUE_WAIT_SECONDS)
+            early_until = now
+        until = self._bounded_by_gap(self._arrived + wait_seconds)
+        if (
+            now >= until
+            or now + self.seconds_until_accepted() > until
+            or not queue.can_serve(claim, until, self._waiting_elsewhere())
+            or not queue.make_room(claim)
+        ):
+            return None
+        next_try_at = now + ranked_waiting.POLL_SECONDS * has_tried
+        with queue.join(claim, until, next_try_at) as place:
+            path = await self._poll_by_rank(
+                queue, place, min(until, early_until)
+            )
+            if path is None and queue.can_serve(place.claim, until):
+                path = await self._poll_by_rank(queue, place, until)
+                if path is None and queue.may_try_last(place):
+                    path = self._plan()
+            self._is_displaced = place.is_displaced
+            return path
+
+    async def _poll_by_rank(
+        self,
+        queue: ranked_waiting.RankedQueue,
+        place: ranked_waiting.Place,
+        until: float,
+    ) -> chain.ChainPath | None:
+        """Look for a path at each turn until the time is over."""
+        while await queue.turn(
+            place, until, lambda: self._waiting_elsewhere() > 0.0
+        ):
+            path = self._plan()
+            if path is not None:
+                return path
+        return None
+
     async def _wait_after_start(self) -> chain.ChainPath | None:
         """Return a path for a stream whose answer has started.
 
@@ -98,11 +212,7 @@
         Does not wait if the turn is not expected in time.
         """
         now = anyio.current_time()
-        until = self._arrived + QUEUE_WAIT_SECONDS
-        gap = self._gap()
-        if gap is not None and not gap.closes_by(until):
-            until = gap.since + UNHELD_WAIT_SECONDS
-        until = min(until, self._deadline)
+        until = self._bounded_by_gap(self._arrived + QUEUE_WAIT_SECONDS)
         expected_seconds = self._context.retry_advisor.seconds_until_capacity(
             len(wait_queue) + 1
         )
@@ -114,6 +224,13 @@
                 return None
             return await self._poll(until, QUEUE_POLL_SECONDS)
 
+    def _bounded_by_gap(self, until: float) -> float:
+        """Return until when to wait, less if layers are missing for longer."""
+        gap = self._gap()
+        if gap is not None and not gap.closes_by(until):
+            until = gap.since + UNHELD_WAIT_SECONDS
+        return min(until, self._deadline)
+
     async def _poll(
         self, until: float, interval_seconds: float = POLL_SECONDS
     ) -> chain.ChainPath | None:
@@ -139,12 +256,18 @@
             )
             if engine.layers is not None and engine.layers.first == 0
         ]
-        ahead = len(self._context.wait_queue(self._service))
         first_engine_seconds = self._context.seconds_until_any_accepts(
-            first_engines, ahead
+            first_engines, self._count_ahead()
         )
         return max(first_engine_seconds, self._seconds_until_backoffs_end())
 
+    def _count_ahead(self) -> int:
+        """Return how many of the waiting are served before this request."""
+        if self._claim is None:
+            return len(self._context.wait_queue(self._service))
+        queue = self._context.ranked_queue(self._service)
+        return queue.count_ahead(self._claim)
+
     def _seconds_until_backoffs_end(self) -> float:
         """Return the seconds until backoffs no longer prevent a path.
 
@@ -179,6 +302,11 @@
         """Whether requests are queued for capacity, not for missing layers."""
         return bool(len(wait_queue)) and self._gap() is None
 
+    def _note_unavailable(self) -> None:
+        self._unavailable_at_start = (
+            self._context.backpressure.unavailable_addresses(self._service)
+        )
+
     def unavailable_addresses(self) -> str:
         """Return addresses of engines that backpressure excludes.
 
@@ -190,7 +318,9 @@
     def refusal_error(self) -> errors.CrowdeckError:
         """Record that a stream found no path, and return the error."""
         rng = self._context.rng
-        delay = self._context.retry_advisor.record_refusal()
+        delay = self.record_refusal()
+        if self._stream.urgency.is_ranked:
+            ranked_waiting.count("refused", self._stream.urgency.rank)
         gap = self._gap()
         if gap is not None:
             counters.COUNTERS.add("relay.unheld")
@@ -204,8 +334,22 @@
         if seconds:
             counters.COUNTERS.add("relay.limited")
             return _no_path_error(ALL_UNAVAILABLE, seconds + delay)
+        if self._is_displaced:
+            return _no_path_error(DISPLACED, delay)
         return _no_path_error("no path through the model has capacity", delay)
 
+    def record_refusal(self) -> float:
+        """Record a refusal and return the seconds after which to retry."""
+        advisor = self._context.retry_advisor
+        if not self._stream.urgency.is_ranked:
+            return advisor.record_refusal()
+        return advisor.record_ranked_refusal(
+            self._service,
+            self._stream.urgency.rank,
+            self._count_ahead() + self._waiting_elsewhere(),
+            self._deadline - anyio.current_time(),
+        )
+
     def _gap(self) -> gaps.LayerGap | None:
         """Return the gap in the model; leaving engines count as gone."""
         return self._context.gaps.find_gap(self._service, self._stream.profile)
@@ -219,6 +363,7 @@
             layer for layer, copies in enumerate(copies_by_layer) if not copies
         ]
         gap = self._gap()
+        urgency = self._stream.urgency
         ready_in = self.seconds_until_accepted()
         logs.decision(
             "no_path",
@@ -233,6 +378,9 @@
             ready_in=round(ready_in, 3) or None,
             tokens=int(self._stream.tokens),
             waited=round(anyio.current_time() - self._arrived, 3),
+            rank=urgency.rank if urgency.is_ranked else None,
+            team=self._stream.team,
+            displaced=self._is_displaced,
         )
 
     def _plan(self) -> chain.ChainPath | None:
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -90,6 +90,7 @@
         finally:
             send_tracker.close()
             stream.end_attempt()
+            self._context.note_stream_ended(service.name, stream)
             self._monitor.drop(stream)
 
     def _create_run(
@@ -406,6 +407,6 @@
             error.message,
             verdict=verdict,
             retry_after=error.retry_after
-            or self._context.retry_advisor.record_refusal(),
+            or self._path_search.record_refusal(),
             culprit=error.culprit,
         )
