--- a/src/crowdeck/relay/retry_advice.py
+++ b/src/crowdeck/relay/retry_advice.py
@@ -103,7 +103,10 @@
         )
         others = len(self._refused_by_rank[service, rank]) - 1
         seconds_per_request = WINDOW_SECONDS / max(1, len(self._ended))
-        longest = min(MAX_DELAY_SECONDS, MAX_DEADLINE_SHARE * seconds_left)
+        longest = min(
+            MAX_DELAY_SECONDS,
+            MAX_DEADLINE_SHARE * max(MIN_DELAY_SECONDS, seconds_left),
+        )
         start = min(
             MIN_DELAY_SECONDS + seconds_per_request * (more_urgent + ahead),
             MAX_START_SHARE * longest,
