--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -6,6 +6,7 @@
 """Finds a path for one stream, waiting for capacity if needed."""
 
 import anyio
+import attrs
 
 from crowdeck import chain
 from crowdeck import errors
@@ -121,22 +122,27 @@
         Whether it yields to other entries is decided once. An engine may
         have refused it since, so that it would wait twice.
         """
-        if self._claim is None or self._claim.must_yield:
-            rank = self._stream.urgency.rank
-            must_yield = self._claim is None and queue.order.must_yield(
-                rank, self._waiting_elsewhere()
-            )
-            self._claim = waiting_order.Claim(
-                rank,
-                self._stream.team,
-                self._arrived,
-                self._arrived + IN_TIME_SHARE * self._stream.objective_seconds,
-                must_yield,
-            )
-            if must_yield:
-                ranked_waiting.count("yielded", rank)
+        if self._claim is None:
+            self._claim = self._new_claim(queue)
+        elif self._claim.must_yield:
+            self._claim = attrs.evolve(self._claim, must_yield=False)
         return self._claim
 
+    def _new_claim(
+        self, queue: ranked_waiting.RankedQueue
+    ) -> waiting_order.Claim:
+        rank = self._stream.urgency.rank
+        must_yield = queue.order.must_yield(rank, self._waiting_elsewhere())
+        if must_yield:
+            ranked_waiting.count("yielded", rank)
+        return waiting_order.Claim(
+            rank,
+            self._stream.team,
+            self._arrived,
+            self._arrived + IN_TIME_SHARE * self._stream.objective_seconds,
+            must_yield,
+        )
+
     def _waiting_elsewhere(self) -> float:
         return self._context.waiting_elsewhere(
             self._service, self._stream.urgency.rank
