Refuse new ranked requests that would begin late

Change: new requests wait to 0.6 of the objective, those that an engine refused up to 1.2 s, behind those in time. A request yields to other entries until just before it would be late, and what waits there counts at the quarter too.

--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -35,8 +35,8 @@
 # Longer than ``POLL_SECONDS``: planning on a full fleet is costly and would
 # leave a small entry no time to serve requests.
 QUEUE_POLL_SECONDS = 0.08
-# Share of the objective of the first event after which a request that still
-# waits is late. The engine needs the rest to begin the answer.
+# Share of the objective of its first event for which a new request waits. The
+# engine needs the rest to begin the answer in time.
 IN_TIME_SHARE = 0.6
 # Share of the objective until which a refusal still lets the caller return
 # and be served in time.
@@ -161,28 +161,27 @@
         """
         queue.order.note_asked(claim.rank)
         now = anyio.current_time()
-        until = self._bounded_by_gap(
-            max(claim.late_at, self._arrived + QUEUE_WAIT_SECONDS)
-        )
-        # An engine that refused the request took the time in which a refusal
-        # lets the caller return, so that a late answer is worth more.
-        first_until = until if self._is_retry else min(until, claim.late_at)
+        wait_until = claim.late_at
+        if self._is_retry:
+            # An engine that refused it took the time in which a refusal lets
+            # the caller return in time, so that a late answer is worth more.
+            wait_until = max(wait_until, self._arrived + QUEUE_WAIT_SECONDS)
+        until = self._bounded_by_gap(wait_until)
         if (
-            now >= first_until
-            or now + self.seconds_until_accepted() > first_until
-            or not queue.can_serve(
-                claim, first_until, self._waiting_elsewhere()
-            )
+            now >= until
+            or now + self.seconds_until_accepted() > until
+            or not queue.can_serve(claim, until, self._waiting_elsewhere())
             or not queue.make_room(claim)
         ):
             return None
         next_try_at = now + ranked_waiting.POLL_SECONDS * has_tried
-        with queue.join(claim, first_until, next_try_at) as place:
+        with queue.join(claim, until, next_try_at) as place:
             path = await self._poll_by_rank(
-                queue, place, min(first_until, self._early_until())
+                queue, place, min(until, self._early_until())
             )
-            if path is None and queue.can_serve(place.claim, first_until):
-                place.until = until
+            if path is None and queue.can_serve(
+                place.claim, until, self._waiting_elsewhere()
+            ):
                 path = await self._poll_by_rank(queue, place, until)
             self._is_displaced = place.is_displaced
             return path
--- a/src/crowdeck/relay/ranked_waiting.py
+++ b/src/crowdeck/relay/ranked_waiting.py
@@ -217,7 +217,7 @@
             # Nobody is refused for what other entries tell while there is
             # room here.
             if place.claim.must_yield and (
-                now >= place.claim.late_at or not is_held()
+                now + POLL_SECONDS >= place.claim.late_at or not is_held()
             ):
                 place.claim = attrs.evolve(place.claim, must_yield=False)
             is_next = place is self._next()
