Bound less urgent streams while more urgent ones lack capacity

Cause: streams of every urgency took the same room and the same first engines.

Ruled out: bounding by the rank alone, also without pressure, since it leaves room unused; a bound for the most urgent, since late is worth something to their callers.

Change: UrgencyAdmission bounds the fill of engines and the time to a first event for streams that are less urgent than those that were refused, waited or began late in the last 2 s (as long as records of first engines take to halve). Headroom is what more urgent streams ask for within the objective of their first event, 0.1 to 0.4 for the least urgent: below, estimates of other entries' load err by more; above, less urgent kinds would get the guaranteed fifth of their streams and little else. 0.75 of the strictest objective, as times to a first event vary around their mean. All ranked streams prefer first engines that begin in time. Refused streams leave up to 0.6 of the retry budget, by rank: the part is divided evenly among ranks, so that three of them leave 0.2, 0.4 and 0.6. Services of one urgency are served as before.

Not measured yet.

--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -31,6 +31,7 @@
 from crowdeck.routing import rate_limits
 from crowdeck.routing import stream_admission
 from crowdeck.routing import subset as subsets
+from crowdeck.routing import urgency_admission
 from crowdeck.routing import usage as usages
 
 
@@ -89,9 +90,7 @@
         factory=trackers.QuarantineTracker
     )
     fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
-    admission: stream_admission.StreamAdmission = (
-        stream_admission.UnlimitedAdmission()
-    )
+    admission: stream_admission.StreamAdmission = attrs.field(init=False)
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
     gaps: layer_gaps.LayerGapTracker = attrs.field(init=False)
@@ -104,6 +103,11 @@
 
     def __attrs_post_init__(self) -> None:
         self.retry_advisor = retry_advice.RetryAdvisor(self.rng)
+        self.admission = urgency_admission.UrgencyAdmission(
+            self.waiting_by_rank,
+            lambda: self.fleet_load,
+            lambda: self.membership.entry_count,
+        )
         self.gaps = layer_gaps.LayerGapTracker(self.registry)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.rng)
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -246,6 +246,7 @@
             self._context.limits.allows,
             limits.max_cache_utilization,
             limits.max_first_event_seconds,
+            limits.accepts_late_head,
         )
         usable = [
             engine
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -12,11 +12,14 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import attempt as attempts
+from crowdeck.relay import beginning
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
 from crowdeck.relay import paths
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
+from crowdeck.routing import fleet_room
+from crowdeck.routing import retry_reserve
 from crowdeck.routing import routes as route_tables
 from crowdeck import urgency as urgencies
 from crowdeck import verdict as verdicts
@@ -49,6 +52,7 @@
     ) -> None:
         self._context = context
         self._monitor = monitor
+        self._room = fleet_room.FleetRoom(context.registry.usable)
 
     async def serve(
         self,
@@ -85,13 +89,22 @@
             urgency=urgency,
         )
         self._monitor.add(stream)
+        self._note_arrival(stream)
         try:
             await self._create_run(stream, admitted, sink).run()
         finally:
+            self._context.admission.note_ended(service.name, stream)
             send_tracker.close()
             stream.end_attempt()
             self._monitor.drop(stream)
 
+    def _note_arrival(self, stream: live.LiveStream) -> None:
+        if not stream.urgency.is_ranked:
+            return
+        service = stream.service.name
+        room_share = self._room.share(service, stream.profile, stream.tokens)
+        self._context.admission.note_arrival(service, stream, room_share)
+
     def _create_run(
         self,
         stream: live.LiveStream,
@@ -128,6 +141,7 @@
         )
         self._ran_on: set[str] = set()
         self._refusals = 0
+        self._beginning = beginning.Beginning(context, stream)
         self._path_search = paths.PathSearch(
             context, stream, self._deadline - MIN_ATTEMPT_SECONDS
         )
@@ -149,6 +163,8 @@
 
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting briefly if there is none yet."""
+        if not self._ran_on and not self._stream.has_events:
+            self._beginning.refuse_if_too_late()
         path = None
         with anyio.CancelScope() as scope:
             self._stream.note_waiting(scope)
@@ -157,7 +173,9 @@
             )
         await self._refuse_if_quarantined()
         if path is not None:
+            self._beginning.note_let_in()
             return path
+        self._beginning.note_no_path()
         raise self._final_error(self._path_search.refusal_error())
 
     async def _refuse_if_quarantined(self) -> None:
@@ -192,6 +210,7 @@
             path=str(path),
             after=self._stream.last_event_id,
             tokens=int(self._stream.tokens),
+            rank=self._stream.urgency.rank,
             refusals=self._refusals,
             waited=round(anyio.current_time() - self._request.arrived, 3),
             held_back=self._path_search.unavailable_addresses(),
@@ -277,10 +296,13 @@
             self._path_search.exclude(path.head.name)
         elif error.culprit:
             self._path_search.exclude(error.culprit)
+        if _is_refusal(error):
+            self._beginning.note_refused()
         logs.decision(
             "attempt_failed",
             self._request.id,
             head=path.head.name,
+            rank=self._stream.urgency.rank,
             culprit=error.culprit,
             reason=error.message,
             verdict=str(error.verdict),
@@ -348,7 +370,7 @@
             self._refusals += 1
             if self._refusals > self._max_refusals:
                 return False
-        return await self._reserve_retry()
+        return await self._reserve_retry(error)
 
     @property
     def _max_refusals(self) -> int:
@@ -356,14 +378,19 @@
             return MAX_REFUSALS_STARTED
         return MAX_REFUSALS
 
-    async def _reserve_retry(self) -> bool:
+    async def _reserve_retry(self, error: errors.CrowdeckError) -> bool:
         """Reserve a retry in the budget; return whether that succeeded.
 
+        A stream whose answer has not started leaves a part of the budget to
+        others, by its urgency.
+
         A stream whose answer has started waits until the budget allows a
         retry, since its caller would lose the answer, and the budget recovers
         as its window moves.
         """
         service = self._stream.service.name
+        if self._must_leave_retry(error):
+            return False
         until = anyio.current_time()
         if self._sink.has_started:
             until = min(until + paths.STARTED_WAIT_SECONDS, self._deadline)
@@ -376,6 +403,31 @@
         self._context.log_retry(service, self._request.id)
         return True
 
+    def _must_leave_retry(self, error: errors.CrowdeckError) -> bool:
+        """Whether the rest of the budget is for other streams."""
+        urgency = self._stream.urgency
+        need = retry_reserve.RetryNeed(
+            urgency, self._sink.has_started, _is_refusal(error)
+        )
+        service = self._stream.service.name
+        budget = self._context.budget(service)
+        if not need.reserved_share or budget.remaining < 1.0:
+            return False
+        remaining_share = budget.remaining_share
+        if remaining_share >= need.reserved_share:
+            return False
+        counters.COUNTERS.add(f"relay.retry_left.{service}.{urgency.rank}")
+        logs.decision(
+            "repeat_left",
+            self._request.id,
+            service=service,
+            rank=urgency.rank,
+            left=round(remaining_share, 3),
+            reserved=round(need.reserved_share, 3),
+            reason=error.message,
+        )
+        return True
+
     def _may_resume_after_failure(self) -> bool:
         if not self._route.is_resumable:
             return False
@@ -409,3 +461,11 @@
             or self._context.retry_advisor.record_refusal(),
             culprit=error.culprit,
         )
+
+
+def _is_refusal(error: errors.CrowdeckError) -> bool:
+    """Whether an engine refused an attempt without running it."""
+    return (
+        error.code is errors.Code.OVERLOADED
+        and error.verdict is not _MAY_HAVE_RUN
+    )
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -69,6 +69,8 @@
         request may fill it.
     :ivar max_first_event_seconds: longest recent time to a first event at
         the path's first engine.
+    :ivar accepts_late_head: whether a slower or barred first engine may be
+        used if there is no path otherwise.
     """
 
     profile: chain.EngineProfile
@@ -78,6 +80,7 @@
     may_be_head: typing.Callable[[chain.Upstream], bool] = _accept_any
     max_cache_utilization: float = 1.0
     max_first_event_seconds: float = float("inf")
+    accepts_late_head: bool = False
 
 
 class HopPlanner:
@@ -113,6 +116,21 @@
         usable = [
             engine for engine in engines if self._has_capacity(engine, request)
         ]
+        path = self._search(usable, request, head)
+        if path is not None or not request.accepts_late_head:
+            return path
+        if not any(self._is_untimely(engine, request) for engine in usable):
+            return None
+        any_head = attrs.evolve(request, max_first_event_seconds=float("inf"))
+        return self._search(usable, any_head, head)
+
+    def _search(
+        self,
+        usable: list[chain.Upstream],
+        request: PathRequest,
+        head: chain.Hop | None,
+    ) -> chain.ChainPath | None:
+        """Return the cheapest path over engines that have room."""
         holders = self._holders(usable, request, head)
         search = cheapest.CheapestPathSearch(
             holders,
@@ -319,13 +337,23 @@
                 continue
             if not request.may_be_head(engine):
                 continue
-            if self._is_too_slow(engine, request):
+            if self._is_untimely(engine, request):
                 continue
             cost_ms = self._head_ms(engine, request)
             yield cheapest.PartialPath(
                 cost_ms, 1, chain.Hop(engine, layers), None
             )
 
+    def _is_untimely(
+        self, engine: chain.Upstream, request: PathRequest
+    ) -> bool:
+        """Whether streams at a first engine do not begin in time."""
+        if request.max_first_event_seconds == float("inf"):
+            return False
+        if self._heads.is_barred(engine.name):
+            return True
+        return self._is_too_slow(engine, request)
+
     def _is_too_slow(
         self, engine: chain.Upstream, request: PathRequest
     ) -> bool:
--- a/src/crowdeck/routing/stream_admission.py
+++ b/src/crowdeck/routing/stream_admission.py
@@ -23,14 +23,44 @@
         the stream may fill it.
     :ivar max_first_event_seconds: longest recent time to a first event at
         the path's first engine.
+    :ivar accepts_late_head: whether the stream may begin at a slower first
+        engine if there is no path from one within that time.
     """
 
     max_cache_utilization: float = 1.0
     max_first_event_seconds: float = float("inf")
+    accepts_late_head: bool = False
+
+    @property
+    def is_bounded(self) -> bool:
+        """Whether the stream may be kept out of what others may use."""
+        return (
+            self.max_cache_utilization < 1.0
+            or self.max_first_event_seconds < float("inf")
+        ) and not self.accepts_late_head
+
+
+class StreamStart(typing.Protocol):
+    """A stream that waits for its first event or has had it."""
+
+    @property
+    def urgency(self) -> urgencies.Urgency:
+        """Its urgency beside other streams of the service."""
+        ...
+
+    @property
+    def objective_seconds(self) -> float:
+        """Latency objective of its first event."""
+        ...
+
+    @property
+    def first_event_at(self) -> float | None:
+        """Loop time of its first event."""
+        ...
 
 
 class StreamAdmission(typing.Protocol):
-    """Bounds the paths of new streams."""
+    """Bounds the paths of new streams, by what becomes of others."""
 
     def limits(
         self, service: str, urgency: urgencies.Urgency, objective: float
@@ -41,6 +71,27 @@
         """
         ...
 
+    def note_arrival(
+        self, service: str, stream: StreamStart, room_share: float
+    ) -> None:
+        """Note that a stream has arrived; :meth:`note_ended` has to follow.
+
+        :param room_share: share of the fleet's KV cache that it will hold.
+        """
+        ...
+
+    def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
+        """Note that a stream was let in: it has its first path."""
+        ...
+
+    def note_refused(self, service: str, urgency: urgencies.Urgency) -> None:
+        """Note that a stream was refused for lack of capacity."""
+        ...
+
+    def note_ended(self, service: str, stream: StreamStart) -> None:
+        """Note that a stream has ended, whatever its outcome."""
+        ...
+
 
 @attrs.frozen
 class UnlimitedAdmission:
@@ -51,3 +102,17 @@
     ) -> PathLimits:
         """Return no bounds."""
         return PathLimits()
+
+    def note_arrival(
+        self, service: str, stream: StreamStart, room_share: float
+    ) -> None:
+        """Do nothing."""
+
+    def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
+        """Do nothing."""
+
+    def note_refused(self, service: str, urgency: urgencies.Urgency) -> None:
+        """Do nothing."""
+
+    def note_ended(self, service: str, stream: StreamStart) -> None:
+        """Do nothing."""
