Foretell first events from the streams that wait at an engine

Cause: the recent mean tells of a queue only when its streams have begun. In a play in virtual time (two first engines that work on one prompt at a time for 0.05 s, a burst of the least urgent to five times their usual), all new streams joined the engine whose mean was still low, until 40 of them waited there, then the other one.

Ruled out: the mean and the age of the oldest waiting stream alone.

Change: each record of a first engine learns from its last streams by how much each one ahead delays a first event.

--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -42,6 +42,9 @@
 CONNECT_SECONDS = 0.25
 # A connection takes two iterations of the event loop, and each may be late.
 LAG_FACTOR = 2.0
+# Streams that are believed to wait at one engine for a first event, whatever
+# other entries tell.
+MAX_STARTING_ELSEWHERE = 1_000
 
 
 @attrs.frozen
@@ -108,6 +111,7 @@
             lambda: self.fleet_load,
             lambda: self.membership.entry_count,
         )
+        self.heads.use_starting_elsewhere(self._starting_elsewhere)
         self.gaps = layer_gaps.LayerGapTracker(self.registry)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.rng)
@@ -131,6 +135,15 @@
         """Records of how first engines served this entry's streams."""
         return self.planner.heads
 
+    def _starting_elsewhere(self, name: str) -> int:
+        """Return how many streams of other entries wait at an engine."""
+        if not self.fleet_load.is_current:
+            return 0
+        engine_load = self.fleet_load.others.engines.get(name)
+        if engine_load is None:
+            return 0
+        return min(max(0, engine_load.starting), MAX_STARTING_ELSEWHERE)
+
     def budget(self, service: str) -> budgets.SharedRetryBudget:
         """Return this entry's share of a service's retry budget."""
         budget = self._budgets.get(service)
--- a/src/crowdeck/routing/first_engines.py
+++ b/src/crowdeck/routing/first_engines.py
@@ -14,13 +14,20 @@
     engines: typing.Iterable[chain.Upstream],
     heads: head_records.HeadRecords,
 ) -> float:
-    """Return the least recent time to a first event at a first engine.
+    """Return the least time that a first event takes at a first engine.
 
     It is 0 if there is no first engine, since nothing is known then.
     """
+
+    def seconds(name: str) -> float:
+        expected_seconds = heads.expected_first_event_seconds(name)
+        if expected_seconds is None:
+            return heads.first_event_seconds(name)
+        return expected_seconds
+
     return min(
         (
-            heads.first_event_seconds(engine.name)
+            seconds(engine.name)
             for engine in engines
             if engine.layers is not None and engine.layers.first == 0
         ),
--- a/src/crowdeck/routing/heads.py
+++ b/src/crowdeck/routing/heads.py
@@ -14,6 +14,8 @@
 import anyio
 import attrs
 
+from crowdeck.routing import head_queue
+
 # Weight of the newest sample in the moving averages.
 EWMA_WEIGHT = 0.25
 # Half-life of the averages: by then the streams that filled an engine have
@@ -58,6 +60,7 @@
         the engine was barred.
     :ivar waiting: start times of attempts without an event, by the
         attempt's key, oldest first.
+    :ivar queue: how the time to a first event grows with those waiting.
     """
 
     first_event_seconds: float = 0.0
@@ -68,6 +71,7 @@
     bar_count: int = 0
     awaits_first_event: bool = False
     waiting: dict[typing.Hashable, float] = attrs.field(factory=dict)
+    queue: head_queue.HeadQueue = attrs.field(factory=head_queue.HeadQueue)
 
 
 class HeadRecords:
@@ -79,16 +83,27 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._starting_elsewhere: typing.Callable[[str], int] = lambda _: 0
 
     def __len__(self) -> int:
         """Return the number of engines with a record."""
         return len(self._records)
 
+    def use_starting_elsewhere(
+        self, starting: typing.Callable[[str], int]
+    ) -> None:
+        """Count streams of other entries that wait at an engine.
+
+        :param starting: returns how many do, by name of the engine.
+        """
+        self._starting_elsewhere = starting
+
     def note_begun(self, name: str, attempt: typing.Hashable) -> None:
         """Record that an attempt at a stream was sent to an engine."""
         if len(self._records) > MAX_RECORDS:
             self._drop_stale()
         record = self._records.setdefault(name, _Record())
+        record.queue.note_begun(attempt, self._starting(name))
         record.waiting[attempt] = anyio.current_time()
 
     def note_first_event(self, name: str, attempt: typing.Hashable) -> None:
@@ -98,6 +113,7 @@
         if record is None or began_at is None:
             return
         now = anyio.current_time()
+        record.queue.note_first_event(attempt, now - began_at)
         average_seconds = record.first_event_seconds * _decay(
             now - record.first_event_at
         )
@@ -117,6 +133,7 @@
         if record is None:
             return
         record.waiting.pop(attempt, None)
+        record.queue.note_ended(attempt)
 
     def note_failure(self, name: str) -> bool:
         """Record a failed stream; return whether this bars the engine."""
@@ -171,6 +188,22 @@
         oldest = next(iter(record.waiting.values()), now)
         return max(average_seconds, now - oldest)
 
+    def expected_first_event_seconds(self, name: str) -> float | None:
+        """Return how many seconds the first event of a new stream will take.
+
+        Counts the streams that wait for theirs at the engine; ``None`` while
+        it cannot be told that each of them adds to it.
+        """
+        record = self._records.get(name)
+        if record is None:
+            return None
+        seconds = record.queue.expected_seconds(self._starting(name))
+        if seconds is None:
+            return None
+        now = anyio.current_time()
+        oldest = next(iter(record.waiting.values()), now)
+        return max(seconds, now - oldest)
+
     def has_first_event_since(self, name: str, since: float) -> bool:
         """Whether any stream had its first event since ``since``."""
         record = self._records.get(name)
@@ -210,6 +243,12 @@
         )
         return LATE_MS * lateness + FAILURE_MS * self._failure_rate(record)
 
+    def _starting(self, name: str) -> int:
+        """Return how many streams, of all entries, wait at an engine."""
+        return len(self._records[name].waiting) + self._starting_elsewhere(
+            name
+        )
+
     def _failure_rate(self, record: _Record) -> float:
         age_seconds = anyio.current_time() - record.outcome_at
         return record.failure_rate * _decay(age_seconds)
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -352,7 +352,12 @@
             return False
         if self._heads.is_barred(engine.name):
             return True
-        return self._is_too_slow(engine, request)
+        expected_seconds = self._heads.expected_first_event_seconds(
+            engine.name
+        )
+        if expected_seconds is None:
+            return self._is_too_slow(engine, request)
+        return expected_seconds > request.max_first_event_seconds
 
     def _is_too_slow(
         self, engine: chain.Upstream, request: PathRequest
