--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -96,6 +96,7 @@
             self._context.admission.note_ended(service.name, stream)
             send_tracker.close()
             stream.end_attempt()
+            self._context.note_stream_ended(service.name, stream)
             self._monitor.drop(stream)
 
     def _note_arrival(self, stream: live.LiveStream) -> None:
@@ -458,7 +459,7 @@
             error.message,
             verdict=verdict,
             retry_after=error.retry_after
-            or self._context.retry_advisor.record_refusal(),
+            or self._path_search.record_refusal(),
             culprit=error.culprit,
         )
 
