Tell what becomes of streams apart from what bounds them

Cause: a stand-in for the admission in the tests of the waiting queue has limits alone, as agreed; with the notes in the same protocol it failed (AttributeError: note_arrival).

Change: StreamNotes takes the notes, StreamAdmission gives the limits.

--- a/src/crowdeck/relay/beginning.py
+++ b/src/crowdeck/relay/beginning.py
@@ -51,11 +51,11 @@
         if self._was_let_in or not self._urgency.is_ranked:
             return
         self._was_let_in = True
-        self._context.admission.note_begun(self._service, self._urgency)
+        self._context.stream_notes.note_begun(self._service, self._urgency)
 
     def note_refused(self) -> None:
         """Note that an engine refused the stream without running it."""
-        self._context.admission.note_refused(self._service, self._urgency)
+        self._context.stream_notes.note_refused(self._service, self._urgency)
 
     def note_no_path(self) -> None:
         """Note that the stream found no path in time.
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -76,6 +76,7 @@
     :ivar lag_meter: measures the lag of the entry's event loop.
     :ivar fleet_load: what other entries hold on engines.
     :ivar admission: bounds the paths of new streams.
+    :ivar stream_notes: is told what becomes of streams.
     :ivar quarantine: requests that were running when instances ended.
     """
 
@@ -97,6 +98,7 @@
     )
     fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
     admission: stream_admission.StreamAdmission = attrs.field(init=False)
+    stream_notes: stream_admission.StreamNotes = attrs.field(init=False)
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
     gaps: layer_gaps.LayerGapTracker = attrs.field(init=False)
@@ -112,11 +114,13 @@
 
     def __attrs_post_init__(self) -> None:
         self.retry_advisor = retry_advice.RetryAdvisor(self.rng)
-        self.admission = urgency_admission.UrgencyAdmission(
+        urgency = urgency_admission.UrgencyAdmission(
             self.waiting_by_rank,
             lambda: self.fleet_load,
             lambda: self.membership.entry_count,
         )
+        self.admission = urgency
+        self.stream_notes = urgency
         self.heads.use_starting_elsewhere(self._starting_elsewhere)
         self.gaps = layer_gaps.LayerGapTracker(self.registry)
         self.subset = subsets.EngineSubset(self.name, self.zone)
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -93,7 +93,7 @@
         try:
             await self._create_run(stream, admitted, sink).run()
         finally:
-            self._context.admission.note_ended(service.name, stream)
+            self._context.stream_notes.note_ended(service.name, stream)
             send_tracker.close()
             stream.end_attempt()
             self._context.note_stream_ended(service.name, stream)
@@ -104,7 +104,7 @@
             return
         service = stream.service.name
         room_share = self._room.share(service, stream.profile, stream.tokens)
-        self._context.admission.note_arrival(service, stream, room_share)
+        self._context.stream_notes.note_arrival(service, stream, room_share)
 
     def _create_run(
         self,
--- a/src/crowdeck/routing/stream_admission.py
+++ b/src/crowdeck/routing/stream_admission.py
@@ -60,7 +60,7 @@
 
 
 class StreamAdmission(typing.Protocol):
-    """Bounds the paths of new streams, by what becomes of others."""
+    """Bounds the paths of new streams."""
 
     def limits(
         self, service: str, urgency: urgencies.Urgency, objective: float
@@ -71,6 +71,10 @@
         """
         ...
 
+
+class StreamNotes(typing.Protocol):
+    """Takes note of what becomes of streams, to bound those that follow."""
+
     def note_arrival(
         self, service: str, stream: StreamStart, room_share: float
     ) -> None:
@@ -102,17 +106,3 @@
     ) -> PathLimits:
         """Return no bounds."""
         return PathLimits()
-
-    def note_arrival(
-        self, service: str, stream: StreamStart, room_share: float
-    ) -> None:
-        """Do nothing."""
-
-    def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
-        """Do nothing."""
-
-    def note_refused(self, service: str, urgency: urgencies.Urgency) -> None:
-        """Do nothing."""
-
-    def note_ended(self, service: str, stream: StreamStart) -> None:
-        """Do nothing."""
