--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -407,10 +407,15 @@
     def _must_leave_retry(self, error: errors.CrowdeckError) -> bool:
         """Whether the rest of the budget is for other streams."""
         urgency = self._stream.urgency
+        if not urgency.is_ranked:
+            return False
+        service = self._stream.service.name
         need = retry_reserve.RetryNeed(
-            urgency, self._sink.has_started, _is_refusal(error)
+            urgency,
+            self._context.stream_notes.position(service, urgency),
+            self._sink.has_started,
+            _is_refusal(error),
         )
-        service = self._stream.service.name
         budget = self._context.budget(service)
         if not need.reserved_share or budget.remaining < 1.0:
             return False
--- a/src/crowdeck/routing/arrival_rates.py
+++ b/src/crowdeck/routing/arrival_rates.py
@@ -11,6 +11,8 @@
 
 # Length of the sliding window.
 WINDOW_SECONDS = 3.0
+# Share of the arrivals below which a rank does not count among the others.
+ACTIVE_SHARE = 0.05
 
 
 @attrs.define
@@ -27,6 +29,21 @@
     objective_seconds: float = float("inf")
 
 
+@attrs.frozen
+class RankPosition:
+    """Place of a rank among those of which streams arrive.
+
+    A config may have ranks of which hardly any stream arrives, so that the
+    number of a rank does not tell how many are more urgent.
+
+    :ivar ahead: number of more urgent ranks.
+    :ivar count: number of ranks, this one included.
+    """
+
+    ahead: int = 0
+    count: int = 1
+
+
 class ArrivalRates:
     """The room that arriving streams ask for, by service and rank."""
 
@@ -60,6 +77,21 @@
             for of_rank in self._more_urgent(service, rank)
         )
 
+    def position(self, service: str, rank: int) -> RankPosition:
+        """Return the place of a rank among those that arrived lately."""
+        by_rank = self._by_service.get(service, {})
+        for of_rank in by_rank.values():
+            _forget_old(of_rank)
+        total = sum(len(of_rank.arrivals) for of_rank in by_rank.values())
+        active = {
+            other
+            for other, of_rank in by_rank.items()
+            if of_rank.arrivals
+            and len(of_rank.arrivals) >= ACTIVE_SHARE * total
+        }
+        ahead = sum(1 for other in active if other < rank)
+        return RankPosition(ahead, len(active | {rank}))
+
     def strictest_objective(self, service: str, rank: int) -> float:
         """Return the least objective of more urgent streams, in seconds.
 
--- a/src/crowdeck/routing/retry_reserve.py
+++ b/src/crowdeck/routing/retry_reserve.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from crowdeck.routing import arrival_rates
 from crowdeck import urgency as urgencies
 
 # Share of this entry's retry budget that the least urgent streams leave after
@@ -17,6 +18,7 @@
 class RetryNeed:
     """A stream that needs a retry.
 
+    :ivar position: place of its rank among those that arrived lately.
     :ivar has_started: whether its caller has a part of the answer, which
         would be lost without the retry.
     :ivar was_refused: whether the failed attempt was refused without running.
@@ -24,6 +26,7 @@
     """
 
     urgency: urgencies.Urgency
+    position: arrival_rates.RankPosition
     has_started: bool
     was_refused: bool
 
@@ -36,5 +39,5 @@
         """
         if self.has_started or not self.urgency.is_ranked:
             return 0.0
-        steps = self.urgency.rank + (1 if self.was_refused else 0)
-        return MAX_RESERVED_SHARE * steps / self.urgency.rank_count
+        steps = self.position.ahead + (1 if self.was_refused else 0)
+        return MAX_RESERVED_SHARE * steps / self.position.count
--- a/src/crowdeck/routing/stream_admission.py
+++ b/src/crowdeck/routing/stream_admission.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from crowdeck.routing import arrival_rates
 from crowdeck import urgency as urgencies
 
 
@@ -84,6 +85,12 @@
         """
         ...
 
+    def position(
+        self, service: str, urgency: urgencies.Urgency
+    ) -> arrival_rates.RankPosition:
+        """Return the place of a rank among those that arrived lately."""
+        ...
+
     def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
         """Note that a stream was let in: it has its first path."""
         ...
--- a/src/crowdeck/routing/urgency_admission.py
+++ b/src/crowdeck/routing/urgency_admission.py
@@ -107,6 +107,12 @@
         saved = self._saved_streams.get(key, 0.0) + GUARANTEED_SHARE
         self._saved_streams[key] = min(saved, MAX_SAVED_STREAMS)
 
+    def position(
+        self, service: str, urgency: urgencies.Urgency
+    ) -> arrival_rates.RankPosition:
+        """Return the place of a rank among those that arrived lately."""
+        return self._rates.position(service, urgency.rank)
+
     def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
         """Note that a stream was let in: it has its first path."""
         key = (service, urgency.rank)
@@ -135,7 +141,8 @@
 
     def _headroom(self, service: str, urgency: urgencies.Urgency) -> float:
         """Return the share of each engine's cache to leave free."""
-        part = urgency.rank / (urgency.rank_count - 1)
+        position = self._rates.position(service, urgency.rank)
+        part = position.ahead / max(1, position.count - 1)
         room = self._rates.room_to_begin(service, urgency.rank)
         fleet_room = room * max(1, self._entry_count())
         least = MIN_HEADROOM_SHARE * part
