--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -33,6 +33,7 @@
 from crowdeck.routing import rate_limits
 from crowdeck.routing import stream_admission
 from crowdeck.routing import subset as subsets
+from crowdeck.routing import urgency_admission
 from crowdeck.routing import usage as usages
 from crowdeck.routing import waiting_order
 
@@ -44,6 +45,9 @@
 CONNECT_SECONDS = 0.25
 # A connection takes two iterations of the event loop, and each may be late.
 LAG_FACTOR = 2.0
+# Streams that are believed to wait at one engine for a first event, whatever
+# other entries tell.
+MAX_STARTING_ELSEWHERE = 1_000
 
 
 @attrs.frozen
@@ -72,6 +76,7 @@
     :ivar lag_meter: measures the lag of the entry's event loop.
     :ivar fleet_load: what other entries hold on engines.
     :ivar admission: bounds the paths of new streams.
+    :ivar stream_notes: is told what becomes of streams.
     :ivar quarantine: requests that were running when instances ended.
     """
 
@@ -92,9 +97,8 @@
         factory=trackers.QuarantineTracker
     )
     fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
-    admission: stream_admission.StreamAdmission = (
-        stream_admission.UnlimitedAdmission()
-    )
+    admission: stream_admission.StreamAdmission = attrs.field(init=False)
+    stream_notes: stream_admission.StreamNotes = attrs.field(init=False)
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
     gaps: layer_gaps.LayerGapTracker = attrs.field(init=False)
@@ -110,6 +114,14 @@
 
     def __attrs_post_init__(self) -> None:
         self.retry_advisor = retry_advice.RetryAdvisor(self.rng)
+        urgency = urgency_admission.UrgencyAdmission(
+            self.waiting_by_rank,
+            lambda: self.fleet_load,
+            lambda: self.membership.entry_count,
+        )
+        self.admission = urgency
+        self.stream_notes = urgency
+        self.heads.use_starting_elsewhere(self._starting_elsewhere)
         self.gaps = layer_gaps.LayerGapTracker(self.registry)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.rng)
@@ -133,6 +145,15 @@
         """Records of how first engines served this entry's streams."""
         return self.planner.heads
 
+    def _starting_elsewhere(self, name: str) -> int:
+        """Return how many streams of other entries wait at an engine."""
+        if not self.fleet_load.is_current:
+            return 0
+        engine_load = self.fleet_load.others.engines.get(name)
+        if engine_load is None:
+            return 0
+        return min(max(0, engine_load.starting), MAX_STARTING_ELSEWHERE)
+
     def budget(self, service: str) -> budgets.SharedRetryBudget:
         """Return this entry's share of a service's retry budget."""
         budget = self._budgets.get(service)
--- a/src/crowdeck/routing/stream_admission.py
+++ b/src/crowdeck/routing/stream_admission.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from crowdeck.routing import arrival_rates
 from crowdeck import urgency as urgencies
 
 
@@ -23,10 +24,40 @@
         the stream may fill it.
     :ivar max_first_event_seconds: longest recent time to a first event at
         the path's first engine.
+    :ivar accepts_late_head: whether the stream may begin at a slower first
+        engine if there is no path from one within that time.
     """
 
     max_cache_utilization: float = 1.0
     max_first_event_seconds: float = float("inf")
+    accepts_late_head: bool = False
+
+    @property
+    def is_bounded(self) -> bool:
+        """Whether the stream may be kept out of what others may use."""
+        return (
+            self.max_cache_utilization < 1.0
+            or self.max_first_event_seconds < float("inf")
+        ) and not self.accepts_late_head
+
+
+class StreamStart(typing.Protocol):
+    """A stream that waits for its first event or has had it."""
+
+    @property
+    def urgency(self) -> urgencies.Urgency:
+        """Its urgency beside other streams of the service."""
+        ...
+
+    @property
+    def objective_seconds(self) -> float:
+        """Latency objective of its first event."""
+        ...
+
+    @property
+    def first_event_at(self) -> float | None:
+        """Loop time of its first event."""
+        ...
 
 
 class StreamAdmission(typing.Protocol):
@@ -42,6 +73,37 @@
         ...
 
 
+class StreamNotes(typing.Protocol):
+    """Takes note of what becomes of streams, to bound those that follow."""
+
+    def note_arrival(
+        self, service: str, stream: StreamStart, room_share: float
+    ) -> None:
+        """Note that a stream has arrived; :meth:`note_ended` has to follow.
+
+        :param room_share: share of the fleet's KV cache that it will hold.
+        """
+        ...
+
+    def position(
+        self, service: str, urgency: urgencies.Urgency
+    ) -> arrival_rates.RankPosition:
+        """Return the place of a rank among those that arrived lately."""
+        ...
+
+    def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
+        """Note that a stream was let in: it has its first path."""
+        ...
+
+    def note_refused(self, service: str, urgency: urgencies.Urgency) -> None:
+        """Note that a stream was refused for lack of capacity."""
+        ...
+
+    def note_ended(self, service: str, stream: StreamStart) -> None:
+        """Note that a stream has ended, whatever its outcome."""
+        ...
+
+
 @attrs.frozen
 class UnlimitedAdmission:
     """Lets every stream use whatever is free."""
