Let entries tell one another their load

Cause: an entry scaled its own streams by what a first engine reports as running.

Ruled out: the store (calls are charged for, and it may be down), a sum that is passed on within a zone (entries that disagree on the ranking would count one another twice, then four times).

Change: each entry posts what it holds to the first entry of its zone's ranking that answers and gets the sum of all others; collectors of zones post their zones' sums to one another. While the answer is current, loads are own counts plus those of the others. Otherwise the estimates apply as before. Off unless the config ranks streams of a service, or share_load is on.

Times: reports every 0.2 s, a fifth of the second for which they count, so that one may be lost; an answer is awaited for 0.35 s, so that a silent collector and the next one fit into that second. At 300 entries a second a zone of 130 posts every 0.4 s, about 320 messages a second. Entries heard of in the last 60 s are expected, beyond the length of most streams.

Conclusion: in virtual time 130 entries of a zone know one another with below 400 messages a second at their collector; a collector that is lost or silent is replaced within a second.

--- a/bench/soak/entries.py
+++ b/bench/soak/entries.py
@@ -39,7 +39,7 @@
 
     :param ports: ``PORTS_PER_ENTRY`` for each entry.
     :param has_peers: whether entries of a zone ask one another for changes of
-        the store.
+        the store, and all tell one another their load.
     :param settings: further lines of each entry's ``[fleet]`` section.
     """
 
@@ -104,7 +104,7 @@
     def _ini(self, number: int) -> str:
         zone = ("a", "b")[number % 2]
         endpoint = self.endpoints[number]
-        peers = f"peers = {HOST}:{endpoint.peer_port}\n"
+        peers = f"peers = {HOST}:{endpoint.peer_port}\nshare_load = on\n"
         return (
             f"[crowdeckd]\nrole = entry\nname = entry-{number}\n"
             f"availability_zone = {zone}\nhost = {HOST}\n"
--- a/src/crowdeck/cmd/commands.py
+++ b/src/crowdeck/cmd/commands.py
@@ -70,6 +70,7 @@
         "\n".join(
             [format_table(rows, columns), *_unheld_lines(rows)]
             + _backpressure_lines(rows)
+            + _load_exchange_lines(rows)
         ),
         EXIT_UNREACHABLE if lost else EXIT_OK,
     )
@@ -85,6 +86,22 @@
     return ["", "layers that no engine holds:", shown]
 
 
+def _load_exchange_lines(rows: list[dict[str, Data]]) -> list[str]:
+    """Return the lines about what entries know of each other's load."""
+    states = entry_status.list_load_exchange(rows)
+    if not states:
+        return []
+    current = sum(state["others' load"] == "current" for state in states)
+    # Those that are not current are what an operator looks for.
+    states.sort(key=lambda state: state["others' load"] == "current")
+    shown = states[: entry_status.MAX_SHOWN_ROWS]
+    return [
+        "",
+        f"{current} of {len(states)} entries know the load of the others:",
+        format_table(shown, tuple(shown[0])),
+    ]
+
+
 def _backpressure_lines(rows: list[dict[str, Data]]) -> list[str]:
     """Return the lines about the backpressure of instances."""
     sums = entry_status.sum_backpressure(rows)
--- a/src/crowdeck/cmd/entry_status.py
+++ b/src/crowdeck/cmd/entry_status.py
@@ -161,6 +161,25 @@
     return records
 
 
+def list_load_exchange(rows: list[Row]) -> list[Row]:
+    """Return how well each entry knows the load of the others.
+
+    Entries that exchange no load are left out.
+    """
+    return [
+        {
+            "entry": row["instance"],
+            "others' load": "current" if load["is_current"] else "outdated",
+            "entries": load["entries"],
+            "of": load["expected"],
+            "age s": load["age_seconds"],
+            "collector": load["collector"],
+        }
+        for row in rows
+        if (load := row.get("load")) and load["is_enabled"]
+    ]
+
+
 def list_unheld(rows: list[Row]) -> list[Row]:
     """Return the layers that no engine holds, one row for each.
 
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -59,6 +59,8 @@
 # roster. After it the entry accepts connections and refuses what it cannot
 # serve yet.
 MAX_INITIAL_SYNC_SECONDS = 0.5
+# While the config calls for no exchange of loads, it is checked this often.
+SHARE_LOAD_CHECK_SECONDS = 1.0
 
 
 class FleetProcess:
@@ -193,21 +195,61 @@
         status = statuses.EntryStatus(
             self._config.name, context, view.holder, self._relay
         )
-        await self._listen_to_peers(tasks, view, status.read)
+        mirrors_by_kind = {mirror.kind: mirror for mirror in view.mirrors}
+        peer_app = peer_http.PeerApp(
+            mirrors_by_kind, view.peer_selector, status.read
+        )
+        await self._listen_to_peers(tasks, peer_app)
+        tasks.start_soon(self._share_load, context, view, status, peer_app)
         await self._listen(tasks, self._relay)
 
+    async def _share_load(
+        self,
+        context: contexts.RelayContext,
+        view: store_view.StoreView,
+        status: statuses.EntryStatus,
+        peer_app: peer_http.PeerApp,
+    ) -> None:
+        """Exchange loads with other entries where settings call for it."""
+        fleet = self._config.fleet
+        if fleet["share_load"] == "off" or not fleet["peers"]:
+            return
+        is_always_on = fleet["share_load"] == "on"
+
+        def is_enabled() -> bool:
+            return is_always_on or view.has_ranked_service()
+
+        await view.holder.wait_known()
+        while not is_enabled():
+            await anyio.sleep(SHARE_LOAD_CHECK_SECONDS)
+        # Most fleets exchange no load; their entries start faster without
+        # these modules.
+        from crowdeck.membership import load_exchange
+        from crowdeck.membership import load_http
+
+        async with contextlib.AsyncExitStack() as stack:
+            exchange = load_exchange.LoadExchange(
+                self._config.name,
+                self._config.availability_zone,
+                view.roster,
+                load_http.HttpLoadClient(self._open_client(stack, "")),
+                context.own_load,
+                is_enabled,
+            )
+            context.use_fleet_load(exchange)
+            status.use_load_exchange(exchange)
+            peer_app.add_app(load_http.LOAD_PATH, load_http.LoadApp(exchange))
+            await exchange.run()
+
     async def _listen_to_peers(
         self,
         tasks: anyio.abc.TaskGroup,
-        view: store_view.StoreView,
-        status: peer_http.StatusSource,
+        app: peer_http.PeerApp,
     ) -> None:
         peer_address = str(self._config.fleet["peers"])
         if not peer_address:
             return
         address = instances.Address.parse(peer_address)
-        mirrors_by_kind = {mirror.kind: mirror for mirror in view.mirrors}
-        app = peer_http.PeerApp(mirrors_by_kind, view.peer_selector, status)
         server = http_server.build(app, address.host, address.port)
         await tasks.start(_run_server, server)
 
--- a/src/crowdeck/cmd/store_view.py
+++ b/src/crowdeck/cmd/store_view.py
@@ -99,6 +99,11 @@
         """Coroutine functions that keep the copies up to date."""
         return (*(mirror.run for mirror in self.mirrors), self.roster.run)
 
+    def has_ranked_service(self) -> bool:
+        """Whether the config in force ranks the streams of any service."""
+        table = self.holder.table
+        return table is not None and table.has_ranked_service
+
     def config_age(self) -> float:
         """Return the seconds since the config was last known to be current."""
         return self._config_mirror.age()
--- a/src/crowdeck/membership/peer_http.py
+++ b/src/crowdeck/membership/peer_http.py
@@ -23,7 +23,7 @@
 
 WATCH_PATH = "/watch/"
 STATUS_PATH = "/status"
-_JSON_HEADER = (b"content-type", b"application/json")
+JSON_HEADER = (b"content-type", b"application/json")
 CONNECT_TIMEOUT_SECONDS = 0.25
 # Added to the wait of a watch for the round trip and for a busy entry.
 RESPONSE_SLACK_SECONDS = 0.4
@@ -40,6 +40,9 @@
 
 
 StatusSource = typing.Callable[[], dict[str, typing.Any]]
+App = typing.Callable[
+    [ingress.Scope, ingress.Receive, ingress.Send], typing.Awaitable[None]
+]
 
 
 class PeerApp:
@@ -60,6 +63,11 @@
         self._mirrors_by_kind = mirrors_by_kind
         self._selector = selector
         self._status_source = status_source
+        self._apps: dict[str, App] = {}
+
+    def add_app(self, path: str, app: App) -> None:
+        """Let another ASGI application answer requests for a path."""
+        self._apps[path] = app
 
     async def __call__(
         self,
@@ -69,21 +77,24 @@
     ) -> None:
         """Respond to one request."""
         if scope["path"] == STATUS_PATH:
-            await _respond(send, 200, orjson.dumps(self._status_source()))
+            await respond(send, 200, orjson.dumps(self._status_source()))
+            return
+        if scope["path"] in self._apps:
+            await self._apps[scope["path"]](scope, receive, send)
             return
         kind = str(scope["path"]).removeprefix(WATCH_PATH)
         mirror = self._mirrors_by_kind.get(kind)
         if mirror is None:
-            await _respond(send, 404, b"")
+            await respond(send, 404, b"")
             return
         self._selector.note_peer_request()
         try:
             query = _parse_query(scope["query_string"])
             body = await read_changes(mirror, query.after, query.wait_seconds)
         except errors.CrowdeckError as error:
-            await _respond(send, _STATUS_BY_CODE.get(error.code, 400), b"")
+            await respond(send, _STATUS_BY_CODE.get(error.code, 400), b"")
             return
-        await _respond(send, 200, body)
+        await respond(send, 200, body)
 
 
 class HttpPeerClient:
@@ -215,8 +226,9 @@
         ) from None
 
 
-async def _respond(send: ingress.Send, status: int, body: bytes) -> None:
-    headers = [_JSON_HEADER, (b"content-length", str(len(body)).encode())]
+async def respond(send: ingress.Send, status: int, body: bytes) -> None:
+    """Send a whole response with a JSON body."""
+    headers = [JSON_HEADER, (b"content-length", str(len(body)).encode())]
     await send(
         {
             "type": "http.response.start",
--- a/src/crowdeck/membership/peer_selection.py
+++ b/src/crowdeck/membership/peer_selection.py
@@ -52,7 +52,7 @@
 
 @attrs.frozen
 class Peer:
-    """An entry of this availability zone."""
+    """Another entry, or this one, and where it is reached."""
 
     name: str
     address: instances.Address
--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -90,7 +90,7 @@
         self._quarantine.subscribe_own_evidence(self._publish_evidence)
         self._records: dict[str, EntryRecord] = {name: record}
         self._versions: dict[str, int] = {}
-        self._ranking: tuple[peer_selection.Peer, ...] = ()
+        self._rankings: dict[str, tuple[peer_selection.Peer, ...]] = {}
         self._listed = anyio.Event()
         self._listeners: list[Listener] = []
         self._registered_at = float("inf")
@@ -151,7 +151,17 @@
 
     def ranking(self) -> tuple[peer_selection.Peer, ...]:
         """Return this zone's entries, preferred readers of the store first."""
-        return self._ranking
+        return self._rankings.get(self._record.availability_zone, ())
+
+    def rankings_of_other_zones(
+        self,
+    ) -> dict[str, tuple[peer_selection.Peer, ...]]:
+        """Return the entries of each other zone, ranked in the same way."""
+        return {
+            zone: ranking
+            for zone, ranking in self._rankings.items()
+            if zone != self._record.availability_zone
+        }
 
     def linger_seconds(self) -> float:
         """Return the seconds to wait between two watches of the upstreams."""
@@ -242,7 +252,7 @@
                 "entries_known",
                 entries=self.known_entry_count,
                 in_zone=self.zone_count,
-                first=self._ranking[0].name if self._ranking else "",
+                first=next((peer.name for peer in self.ranking()), ""),
             )
 
     def _apply(self, stored: stores.StoredObject) -> None:
@@ -280,7 +290,7 @@
             self._versions.pop(self._name, None)
 
     def _update_ranking(self) -> None:
-        """Rank the entries of this zone by capacity, then by a hash.
+        """Rank the entries of each zone by capacity, then by a hash.
 
         The hash makes the order of entries with the same capacity independent
         of the order of their names.
@@ -291,18 +301,21 @@
                 -rendezvous.score(KIND, name),
                 name,
                 record.address,
+                record.availability_zone,
             )
             for name, record in self._records.items()
             if record.address is not None
-            and record.availability_zone == self._record.availability_zone
         ]
-        self._ranking = tuple(
-            peer_selection.Peer(name, address)
-            for _, _, name, address in sorted(
-                candidates, key=lambda candidate: candidate[:3]
-            )
-            if address is not None
-        )
+        candidates.sort(key=lambda candidate: candidate[:3])
+        rankings: dict[str, list[peer_selection.Peer]] = {}
+        for _, _, name, address, zone in candidates:
+            if address is not None:
+                rankings.setdefault(zone, []).append(
+                    peer_selection.Peer(name, address)
+                )
+        self._rankings = {
+            zone: tuple(ranking) for zone, ranking in rankings.items()
+        }
 
 
 def encode(record: EntryRecord) -> bytes:
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -248,6 +248,17 @@
             if len(wait_queue)
         }
 
+    def own_load(self) -> fleet_loads.EntryLoad:
+        """Return what this entry has in progress."""
+        return self.usage.own_load(
+            self.heads.recent_first_events(), self.waiting_by_rank()
+        )
+
+    def use_fleet_load(self, fleet_load: fleet_loads.FleetLoad) -> None:
+        """Take what other entries hold from ``fleet_load``."""
+        self.fleet_load = fleet_load
+        self.usage.set_fleet_load(fleet_load)
+
     def may_restart_stream(self, service: str) -> bool:
         """Whether the budget allows a stream to restart elsewhere."""
         return self.budget(service).remaining_share >= RESTART_RESERVE_SHARE
--- a/src/crowdeck/relay/status.py
+++ b/src/crowdeck/relay/status.py
@@ -43,6 +43,14 @@
         ...
 
 
+class _LoadExchange(typing.Protocol):
+    """Reports how current the other entries' load is."""
+
+    def as_fields(self) -> dict[str, typing.Any]:
+        """Return its state, ready for JSON."""
+        ...
+
+
 class EntryStatus:
     """The status of an entry and of the upstreams it knows.
 
@@ -57,14 +65,21 @@
         relay: _Relay,
     ) -> None:
         self._name = name
+        self._load_exchange: _LoadExchange | None = None
         self._context = context
         self._config = config
         self._relay = relay
 
+    def use_load_exchange(self, load_exchange: _LoadExchange) -> None:
+        """Report how current the other entries' load is."""
+        self._load_exchange = load_exchange
+
     def read(self) -> dict[str, typing.Any]:
         """Return the current status, ready for JSON."""
         table = self._config.table
+        exchange = self._load_exchange
         return {
+            **({"load": exchange.as_fields()} if exchange else {}),
             "instance": self._name,
             "role": "entry",
             "zone": self._context.zone,
--- a/src/crowdeck/routing/heads.py
+++ b/src/crowdeck/routing/heads.py
@@ -30,6 +30,10 @@
 # A first event that comes later than this after the last bar has ended resets
 # the duration to BARRED_SECONDS.
 RECOVERY_SECONDS = 10.0
+# First events of which less than this is left no longer make up a mean.
+MIN_RECENT_COUNT = 0.1
+# An attempt without an event says nothing of its engine before this time.
+MIN_LATE_SECONDS = 0.25
 # Cost of a first event that takes as long as its latency objective, in ms a
 # token.
 LATE_MS = 16.0
@@ -43,12 +47,31 @@
 MAX_RECORDS = 200
 
 
+@attrs.frozen
+class FirstEvents:
+    """Recent first events at one engine, as this entry saw them.
+
+    :ivar starting: attempts that have had no event yet.
+    :ivar seconds: mean time to a first event; as
+        :meth:`HeadRecords.first_event_seconds`, it decays while there is
+        none.
+    :ivar count: streams on which the mean rests; older ones count less.
+    """
+
+    starting: int
+    seconds: float
+    count: float
+
+
 @attrs.define(eq=False)
 class _Record:
     """What is known about one engine. Times are loop times.
 
     :ivar first_event_seconds: moving average of the time to a first event.
     :ivar first_event_at: when a stream last had its first event.
+    :ivar recent_seconds: sum of the times to first events, decayed to
+        ``first_event_at``.
+    :ivar recent_count: number of first events, decayed likewise.
     :ivar failure_rate: moving average of the share of failed streams.
     :ivar outcome_at: when the failure rate was last updated.
     :ivar barred_until: end of the last bar.
@@ -62,6 +85,8 @@
 
     first_event_seconds: float = 0.0
     first_event_at: float = float("-inf")
+    recent_seconds: float = 0.0
+    recent_count: float = 0.0
     failure_rate: float = 0.0
     outcome_at: float = float("-inf")
     barred_until: float = float("-inf")
@@ -98,12 +123,13 @@
         if record is None or began_at is None:
             return
         now = anyio.current_time()
-        average_seconds = record.first_event_seconds * _decay(
-            now - record.first_event_at
-        )
+        decay = _decay(now - record.first_event_at)
+        average_seconds = record.first_event_seconds * decay
         record.first_event_seconds = average_seconds + EWMA_WEIGHT * (
             now - began_at - average_seconds
         )
+        record.recent_seconds = record.recent_seconds * decay + now - began_at
+        record.recent_count = record.recent_count * decay + 1.0
         record.first_event_at = now
         record.failure_rate = self._failure_rate(record) * (1.0 - EWMA_WEIGHT)
         record.outcome_at = now
@@ -171,6 +197,19 @@
         oldest = next(iter(record.waiting.values()), now)
         return max(average_seconds, now - oldest)
 
+    def recent_first_events(self) -> dict[str, FirstEvents]:
+        """Return the first events of each engine that has recent ones."""
+        now = anyio.current_time()
+        found = {
+            name: _first_events(record, now)
+            for name, record in self._records.items()
+        }
+        return {
+            name: first_events
+            for name, first_events in found.items()
+            if first_events.starting or first_events.count
+        }
+
     def has_first_event_since(self, name: str, since: float) -> bool:
         """Whether any stream had its first event since ``since``."""
         record = self._records.get(name)
@@ -228,6 +267,28 @@
         return now - newest > RECOVERY_SECONDS
 
 
+def _first_events(record: _Record, now: float) -> FirstEvents:
+    decay = _decay(now - record.first_event_at)
+    count = record.recent_count * decay
+    mean_seconds = 0.0
+    if count >= MIN_RECENT_COUNT:
+        mean_seconds = record.recent_seconds / record.recent_count * decay
+    else:
+        count = 0.0
+    # Attempts that already wait longer than the mean raise it: an engine that
+    # begins no stream has no first events to tell of it.
+    late_seconds = [
+        now - began_at
+        for began_at in record.waiting.values()
+        if now - began_at > max(mean_seconds, MIN_LATE_SECONDS)
+    ]
+    total_count = count + len(late_seconds)
+    if total_count:
+        total_seconds = mean_seconds * count + sum(late_seconds)
+        mean_seconds = total_seconds / total_count
+    return FirstEvents(len(record.waiting), mean_seconds, total_count)
+
+
 def _decay(age_seconds: float) -> float:
     """Return the factor by which a value has decayed at an age."""
     return float(0.5 ** (age_seconds / HALF_LIFE_SECONDS))
--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -51,6 +51,13 @@
         """Return the used share of the link between two zones."""
         ...
 
+    def first_event_seconds(self, upstream: chain.Upstream) -> float:
+        """Return other entries' recent mean time to a first event.
+
+        It is 0 if they told none.
+        """
+        ...
+
 
 def _accept_any(_: chain.Upstream) -> bool:
     return True
@@ -331,7 +338,10 @@
     ) -> bool:
         if request.max_first_event_seconds == float("inf"):
             return False
-        first_event_seconds = self._heads.first_event_seconds(engine.name)
+        first_event_seconds = max(
+            self._heads.first_event_seconds(engine.name),
+            self._usage.first_event_seconds(engine),
+        )
         return first_event_seconds > request.max_first_event_seconds
 
     def _head_ms(self, engine: chain.Upstream, request: PathRequest) -> float:
--- a/src/crowdeck/routing/routes.py
+++ b/src/crowdeck/routing/routes.py
@@ -47,6 +47,9 @@
             service.name: service for service in config.services
         }
         self._urgency_keys_by_service = _urgency_keys(config)
+        self._has_ranked_service = any(
+            map(_are_ranked, self._urgency_keys_by_service.values())
+        )
 
     @property
     def config(self) -> routes.FleetConfig:
@@ -58,6 +61,11 @@
         """Version of the config."""
         return self._config.version
 
+    @property
+    def has_ranked_service(self) -> bool:
+        """Whether the streams of any service differ in urgency."""
+        return self._has_ranked_service
+
     def service(self, name: str) -> routes.Service | None:
         """Return the service of that name, if there is one."""
         return self._services_by_name.get(name)
@@ -107,12 +115,16 @@
         with equal routes, the config asks for no order of kinds of request.
         """
         keys = self._urgency_keys_by_service.get(service, ())
-        if len({route_priority for _, route_priority in keys}) < 2:
+        if not _are_ranked(keys):
             return urgencies.Urgency()
         key = (admitted.team_priority, admitted.route.priority)
         return urgencies.Urgency(keys.index(key), len(keys))
 
 
+def _are_ranked(keys: tuple[tuple[int, int], ...]) -> bool:
+    return len({route_priority for _, route_priority in keys}) > 1
+
+
 def _urgency_keys(
     config: routes.FleetConfig,
 ) -> dict[str, tuple[tuple[int, int], ...]]:
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -3,14 +3,17 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""Estimates of upstream load from this entry's requests in progress."""
+"""Load of upstreams, from requests in progress here and at other entries."""
 
 import collections
+import typing
 
 import anyio
 import attrs
 
 from crowdeck import chain
+from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck.routing import heads as head_records
 
 # Age at which a load report expires.
 LOAD_REPORT_TTL_SECONDS = 1.5
@@ -19,6 +22,7 @@
 # Time over which the load that an engine had when this entry started is
 # reduced to zero.
 EXISTING_LOAD_SECONDS = 2.5
+_NO_LOAD = fleet_loads.EngineLoad()
 
 
 @attrs.frozen
@@ -48,7 +52,9 @@
 class InFlight:
     """This entry's requests in progress, by upstream instance.
 
-    Other entries use the same engines. Load is estimated from this entry's own
+    Other entries use the same engines. While they exchange their loads, the
+    load is the sum of this entry's and theirs. Otherwise it is estimated from
+    this entry's own
     requests, multiplied by the ratio of the requests that the first engine
     reports as running to this entry's requests there. Without a recent report,
     each entry of the availability zone is assumed to send as much as this one.
@@ -67,6 +73,13 @@
         ] = {}
         self._zone_entry_count = 1
         self._entry_count = 1
+        self._fleet_load: fleet_loads.FleetLoad = (
+            fleet_loads.UnknownFleetLoad()
+        )
+
+    def set_fleet_load(self, fleet_load: fleet_loads.FleetLoad) -> None:
+        """Set the source of the other entries' load."""
+        self._fleet_load = fleet_load
 
     def set_entry_count(self, zone_entries: int, all_entries: int = 0) -> None:
         """Set the numbers of entries, this one included.
@@ -81,17 +94,30 @@
         self, zone: str, other_zone: str, profile: chain.EngineProfile
     ) -> float:
         """Return the used share of the link between two zones."""
-        crossings = self._crossings.get(frozenset((zone, other_zone)))
-        if not crossings or not profile.zone_link_bytes_per_second:
+        if not profile.zone_link_bytes_per_second:
+            return 0.0
+        tokens = self._crossed_tokens(frozenset((zone, other_zone)))
+        others = self._fleet_load.others
+        if others.entry_count:
+            zones = _sorted_pair(zone, other_zone)
+            tokens += others.zone_link_tokens.get(zones, 0.0)
+        else:
+            tokens *= self._entry_count
+        return (
+            tokens
+            * profile.activation_bytes
+            / (profile.zone_link_bytes_per_second * LINK_WINDOW_SECONDS)
+        )
+
+    def _crossed_tokens(self, zones: frozenset[str]) -> float:
+        """Return the tokens that this entry recently sent between zones."""
+        crossings = self._crossings.get(zones)
+        if crossings is None:
             return 0.0
         since = anyio.current_time() - LINK_WINDOW_SECONDS
         while crossings and crossings[0][0] < since:
             crossings.popleft()
-        tokens = sum(count for _, count in crossings)
-        used_bytes = tokens * profile.activation_bytes * self._entry_count
-        return used_bytes / (
-            profile.zone_link_bytes_per_second * LINK_WINDOW_SECONDS
-        )
+        return sum(count for _, count in crossings)
 
     def note_load(self, head: chain.Upstream, running: int) -> None:
         """Record how many requests a first engine reports as running."""
@@ -115,8 +141,62 @@
         self._existing[upstream.name] = _ExistingLoad(token_layers, now)
 
     def sequences(self, upstream: chain.Upstream) -> float:
-        """Estimate how many requests, of all entries, use an engine."""
-        return self._estimate(self._sequences.get(upstream.name))
+        """Return how many requests, of all entries, use an engine."""
+        own_by_head = self._sequences.get(upstream.name)
+        others = self._fleet_load.others
+        if others.entry_count:
+            engine = others.engines.get(upstream.name, _NO_LOAD)
+            return float(_total(own_by_head) + engine.sequences)
+        return self._estimate(own_by_head)
+
+    def first_event_seconds(self, upstream: chain.Upstream) -> float:
+        """Return other entries' recent mean time to a first event.
+
+        It is 0 if they told none.
+        """
+        others = self._fleet_load.others
+        return others.engines.get(upstream.name, _NO_LOAD).first_event_seconds
+
+    def own_load(
+        self,
+        first_events: typing.Mapping[str, head_records.FirstEvents],
+        waiting: typing.Mapping[tuple[str, int], int],
+    ) -> fleet_loads.EntryLoad:
+        """Return what this entry has in progress.
+
+        :param first_events: recent first events by name of the engine.
+        :param waiting: requests that wait for a path, by service and rank.
+        """
+        engines = {
+            name: self._own_engine_load(name, first_events.get(name))
+            for name in self._sequences.keys() | first_events.keys()
+        }
+        link_tokens = {
+            _sorted_pair(*zones): self._crossed_tokens(zones)
+            for zones in self._crossings
+        }
+        return fleet_loads.EntryLoad(
+            1,
+            engines,
+            dict(waiting),
+            {zones: tokens for zones, tokens in link_tokens.items() if tokens},
+        )
+
+    def _own_engine_load(
+        self, name: str, first_events: head_records.FirstEvents | None
+    ) -> fleet_loads.EngineLoad:
+        load = fleet_loads.EngineLoad(
+            _total(self._sequences.get(name)),
+            _total(self._token_layers.get(name)),
+        )
+        if first_events is None:
+            return load
+        return attrs.evolve(
+            load,
+            starting=first_events.starting,
+            first_event_seconds=first_events.seconds,
+            first_event_count=first_events.count,
+        )
 
     def own_requests(self, upstream: chain.Upstream) -> int:
         """Return the number of this entry's requests at an instance."""
@@ -125,12 +205,18 @@
     def cache_utilization(
         self, upstream: chain.Upstream, profile: chain.EngineProfile
     ) -> float:
-        """Estimate the used share of an engine's cache; it may exceed 1."""
+        """Return the used share of an engine's cache; it may exceed 1."""
         if upstream.layers is None:
             return 0.0
         count = upstream.layers.end - upstream.layers.first
         capacity = profile.token_capacity(upstream.card, count) * count
-        used = self._estimate(self._token_layers.get(upstream.name))
+        own_by_head = self._token_layers.get(upstream.name)
+        others = self._fleet_load.others
+        if others.entry_count:
+            engine = others.engines.get(upstream.name, _NO_LOAD)
+            used = _total(own_by_head) + engine.token_layers
+            return used / max(1.0, capacity)
+        used = self._estimate(own_by_head)
         if upstream.layers.first == 0 and not used:
             # Without own requests the reported number cannot be applied as a
             # ratio, so it is used directly.
@@ -236,5 +322,13 @@
         return report.running
 
 
+def _total(by_head: collections.Counter[str] | None) -> int:
+    return by_head.total() if by_head is not None else 0
+
+
+def _sorted_pair(zone: str, other_zone: str) -> tuple[str, str]:
+    return min(zone, other_zone), max(zone, other_zone)
+
+
 def _is_expired(report: _LoadReport, now: float) -> bool:
     return now - report.recorded_at > LOAD_REPORT_TTL_SECONDS
--- a/src/crowdeck/settings/fleet_options.py
+++ b/src/crowdeck/settings/fleet_options.py
@@ -23,6 +23,14 @@
             "IP:PORT for other entries; without it each entry queries "
             "the platform's store by itself",
         ),
+        options.Text(
+            "share_load",
+            "auto",
+            "whether entries tell one another what they have in progress on "
+            "engines; auto: while the config ranks the streams of a service. "
+            "Needs peers",
+            ("auto", "on", "off"),
+        ),
         options.Number(
             "link_mbps",
             0.0,
--- /dev/null
+++ b/tests/test_load_exchange.py
@@ -0,0 +1,609 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Exchange of the entries' loads."""
+
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import pytest
+
+from crowdeck import chain
+from crowdeck.cmd import commands
+from crowdeck.cmd import http_server
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import load_coverage
+from crowdeck.membership import load_exchange
+from crowdeck.membership import load_http
+from crowdeck.membership import load_messages as messages
+from crowdeck.membership import peer_http
+from crowdeck.membership import peer_selection
+from crowdeck.membership import roster as rosters
+from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck.routing import heads
+from crowdeck.routing import hops
+from crowdeck.routing import usage as usages
+from crowdeck.standin import store as standin_store
+from crowdeck.state import store_health
+from tests import test_hops
+from tests import virtual
+
+ADDRESS = instances.Address("10.0.0.1", 7340)
+ENGINE = "engine-0"
+
+
+def load(sequences: int, seconds: float = 0.0) -> fleet_loads.EntryLoad:
+    engine = fleet_loads.EngineLoad(
+        sequences, sequences * 10.0, 0, seconds, 1.0 if seconds else 0.0
+    )
+    return fleet_loads.EntryLoad(
+        1, {ENGINE: engine}, {("model", 0): sequences}, {("a", "b"): 5.0}
+    )
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry of a fleet; holds as many requests as ``sequences`` says.
+
+    :ivar told: reports that it was told.
+    """
+
+    name: str
+    zone: str
+    fleet: "Fleet"
+    sequences: int = 1
+    client: load_exchange.LoadClient | None = None
+    is_enabled: bool = True
+    is_silent: bool = False
+    is_roster_unknown: bool = False
+    is_down: bool = False
+    told: int = 0
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    exchange: load_exchange.LoadExchange = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.exchange = load_exchange.LoadExchange(
+            self.name,
+            self.zone,
+            self,
+            self.client or self,
+            lambda: load(self.sequences),
+            lambda: self.is_enabled,
+        )
+
+    @property
+    def entry_count(self) -> int:
+        if self.is_roster_unknown:
+            return 0
+        return sum(len(names) for names in self.fleet.zones.values())
+
+    @property
+    def zone_count(self) -> int:
+        return len(self.fleet.zones[self.zone])
+
+    def ranking(self) -> tuple[peer_selection.Peer, ...]:
+        return self.fleet.ranking(self.zone)
+
+    def rankings_of_other_zones(
+        self,
+    ) -> dict[str, tuple[peer_selection.Peer, ...]]:
+        zones = [zone for zone in self.fleet.zones if zone != self.zone]
+        return {zone: self.fleet.ranking(zone) for zone in zones}
+
+    async def tell_load(
+        self, peer: peer_selection.Peer, report: messages.LoadReport
+    ) -> messages.LoadAnswer:
+        await anyio.sleep(0.001)
+        other = self.fleet.entries.get(peer.name)
+        if other is None or other.is_down or self.is_down:
+            raise errors.CrowdeckError(errors.Code.UPSTREAM_LOST, "refused")
+        if other.is_silent or self.fleet.is_cut(self.name, other.name):
+            await anyio.sleep_forever()
+        other.told += 1
+        content = messages.encode_report(report)
+        answer = other.exchange.respond(messages.decode_report(content))
+        return messages.decode_answer(messages.encode_answer(answer))
+
+    @property
+    def heard(self) -> int:
+        """Requests of others at the engine; -1 while it is not current."""
+        if not self.exchange.is_current:
+            return -1
+        engines = self.exchange.others.engines
+        return engines[ENGINE].sequences if ENGINE in engines else 0
+
+
+class Fleet:
+    """Entries of several zones, in virtual time.
+
+    :param zones: for each zone the registered names, preferred ones first.
+    """
+
+    def __init__(self, **zones: list[str]) -> None:
+        self.zones = zones
+        self.entries: dict[str, Entry] = {}
+        self.cut_off: frozenset[str] = frozenset()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    def is_cut(self, name: str, other: str) -> bool:
+        return (name in self.cut_off) != (other in self.cut_off)
+
+    def ranking(self, zone: str) -> tuple[peer_selection.Peer, ...]:
+        return tuple(
+            peer_selection.Peer(name, ADDRESS) for name in self.zones[zone]
+        )
+
+    def start(self, name: str) -> Entry:
+        """Start an entry, or replace it by a new process."""
+        assert self._tasks is not None
+        if name in self.entries:
+            self.entries[name].scope.cancel()
+        zone = next(zone for zone, all in self.zones.items() if name in all)
+        entry = self.entries[name] = Entry(name, zone, self)
+        self._tasks.start_soon(self._run, entry)
+        return entry
+
+    async def _run(self, entry: Entry) -> None:
+        with entry.scope:
+            await entry.exchange.run()
+
+    async def run(self, work: "Work", absent: typing.Container[str]) -> None:
+        async with anyio.create_task_group() as self._tasks:
+            for names in self.zones.values():
+                for name in names:
+                    if name not in absent:
+                        self.start(name)
+            await anyio.sleep(3.0)
+            await work(self)
+            self._tasks.cancel_scope.cancel()
+
+    def heard(self) -> list[int]:
+        return [
+            entry.heard for entry in self.entries.values() if not entry.is_down
+        ]
+
+
+Work = typing.Callable[[Fleet], typing.Awaitable[None]]
+
+
+def run(
+    work: Work, absent: typing.Container[str] = (), **zones: list[str]
+) -> None:
+    async def body() -> None:
+        await Fleet(**zones).run(work, absent)
+
+    virtual.run(body)
+
+
+def names(prefix: str, count: int) -> list[str]:
+    return [f"{prefix}{number}" for number in range(count)]
+
+
+def two_zones(count: int = 4) -> dict[str, list[str]]:
+    return {"x": names("x", count), "y": names("y", count)}
+
+
+class TestExchange:
+    """What entries know of one another."""
+
+    def test_everyone_knows_the_sum_of_the_others(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            fleet.entries["y3"].sequences = 100
+            await anyio.sleep(1.0)
+            assert fleet.heard() == [106] * 7 + [7]
+            others = fleet.entries["x1"].exchange.others
+            assert others.entry_count == 7
+            assert others.waiting == {("model", 0): 106}
+            assert others.zone_link_tokens == {("a", "b"): 35.0}
+
+        run(work, **two_zones())
+
+    def test_messages_grow_slowly_with_the_zone(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            before = fleet.entries["x0"].told
+            await anyio.sleep(5.0)
+            assert (fleet.entries["x0"].told - before) / 5.0 < 400
+            assert fleet.heard() == [129] * 130
+            assert sum(entry.told for entry in fleet.entries.values()) == (
+                pytest.approx(fleet.entries["x0"].told, rel=0.1)
+            )
+
+        run(work, x=names("x", 130))
+
+    def test_nothing_passes_while_it_is_off(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            for entry in fleet.entries.values():
+                entry.is_enabled = False
+            await anyio.sleep(0.5)
+            told = [entry.told for entry in fleet.entries.values()]
+            await anyio.sleep(5.0)
+            assert told == [entry.told for entry in fleet.entries.values()]
+            assert fleet.heard() == [-1] * 8
+            report = messages.LoadReport("x1", "x", "run", 1, load(1))
+            with pytest.raises(errors.CrowdeckError):
+                fleet.entries["x0"].exchange.respond(report)
+
+        run(work, **two_zones())
+
+    def test_entry_alone_knows_all(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            assert fleet.heard() == [0]
+            # Before it has listed the others it knows nothing.
+            fleet.entries["x0"].is_roster_unknown = True
+            await anyio.sleep(1.5)
+            assert fleet.heard() == [-1]
+
+        run(work, x=["x0"])
+
+    def test_entries_that_were_shut_down_are_passed_over(self) -> None:
+        # Most registered entries no longer run, the preferred ones first.
+        gone = names("x", 30)
+
+        async def work(fleet: Fleet) -> None:
+            await anyio.sleep(10.0)
+            assert fleet.heard() == [2, 2, 2]
+
+        run(work, gone, x=gone + ["z0", "z1", "z2"])
+
+
+class TestFaults:
+    """What entries know while others fail."""
+
+    @pytest.mark.parametrize("fault", ["is_down", "is_silent"])
+    def test_collector_is_replaced_within_a_second(self, fault: str) -> None:
+        async def work(fleet: Fleet) -> None:
+            setattr(fleet.entries["x0"], fault, True)
+            await anyio.sleep(1.0)
+            served = list(fleet.entries.values())[1:]
+            assert all(entry.heard >= 6 for entry in served)
+            await anyio.sleep(1.5)
+            # One that only does not answer still tells its load.
+            heard = 6 if fault == "is_down" else 7
+            assert [entry.heard for entry in served] == [heard] * 7
+            setattr(fleet.entries["x0"], fault, False)
+            await anyio.sleep(8.0)
+            assert fleet.heard() == [7] * 8
+            told = fleet.entries["x1"].told
+            await anyio.sleep(1.0)
+            assert fleet.entries["x1"].told == told
+
+        run(work, **two_zones())
+
+    def test_zone_is_cut_off(self) -> None:
+        # Each half knows that it no longer knows most of the others.
+        async def work(fleet: Fleet) -> None:
+            fleet.cut_off = frozenset(fleet.zones["y"][:3])
+            await anyio.sleep(3.0)
+            heard = [fleet.entries[name].heard for name in ("x0", "x3", "y3")]
+            assert heard == [4, 4, 4]
+            assert fleet.entries["y0"].heard == -1
+            assert not fleet.entries["y0"].exchange.others.engines
+            await anyio.sleep(load_coverage.MEMORY_SECONDS)
+            # Those that are left may be all that there are.
+            assert fleet.entries["y0"].heard == 2
+            fleet.cut_off = frozenset()
+            await anyio.sleep(70.0)
+            assert fleet.heard() == [7] * 8
+
+        run(work, **two_zones())
+
+    def test_entry_cut_off_from_all_relies_on_nothing(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            fleet.cut_off = frozenset(("y3",))
+            await anyio.sleep(load_coverage.MEMORY_SECONDS + 3.0)
+            assert fleet.entries["y3"].heard == -1
+            assert fleet.entries["y0"].heard == 6
+
+        run(work, **two_zones())
+
+    def test_ended_entry_counts_no_longer_than_its_news(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            fleet.entries["y2"].sequences = 50
+            await anyio.sleep(1.0)
+            fleet.entries["y2"].is_down = True
+            fleet.entries["y2"].scope.cancel()
+            await anyio.sleep(2.5)
+            assert fleet.heard() == [6] * 7
+
+        run(work, **two_zones())
+
+    def test_restarted_entry_replaces_its_earlier_process(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            fleet.entries["x2"].sequences = 50
+            await anyio.sleep(1.0)
+            assert fleet.entries["y1"].heard == 56
+            fleet.start("x2")
+            await anyio.sleep(0.8)
+            assert fleet.heard() == [7] * 8
+
+        run(work, **two_zones())
+
+    def test_joining_entry_knows_all_at_once(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            joined = fleet.start("y3")
+            await anyio.sleep(0.45)
+            assert joined.heard == 7
+            await anyio.sleep(1.0)
+            assert fleet.heard() == [7] * 8
+
+        run(work, ["y3"], **two_zones())
+
+    def test_late_reports_do_not_count(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            collector = fleet.entries["x0"].exchange
+            for run_id, number, sequences in (
+                ("new", 5, 10),
+                ("new", 4, 700),
+                ("newer", 1, 20),
+                ("new", 6, 700),
+            ):
+                collector.respond(
+                    messages.LoadReport(
+                        "guest", "x", run_id, number, load(sequences)
+                    )
+                )
+            await anyio.sleep(0.5)
+            assert fleet.entries["x1"].heard == 27
+            with pytest.raises(errors.CrowdeckError, match="share an address"):
+                collector.respond(
+                    messages.LoadReport("guest", "y", "r", 1, load(1))
+                )
+
+        run(work, **two_zones())
+
+
+class TestMessages:
+    """What a message has to be like."""
+
+    def test_nonsense_is_refused(self) -> None:
+        report = messages.LoadReport("x1", "x", "run", 1, load(1, 0.5))
+        content = messages.encode_report(report)
+        assert messages.decode_report(content) == report
+        for old, new in (
+            (b'"entries":1', b'"entries":2'),
+            (b'"entries":1', b'"entries":true'),
+            (b"[1,10.0,0,0.5,1.0]", b"[1,-10.0,0,0.5,1.0]"),
+            (b"[1,10.0,0,0.5,1.0]", b"[1,10.0,0,null,1.0]"),
+            (b"[1,10.0,0,0.5,1.0]", b"[1,1e300,0,0.5,1.0]"),
+            (b"[1,10.0,0,0.5,1.0]", b"[1.5,10.0,0,0.5,1.0]"),
+            (b"[1,10.0,0,0.5,1.0]", b"[1,10.0]"),
+            (b'"engines":{', b'"engine":{'),
+            (b'[["model",0,1]]', b"7"),
+            (content, b"[]"),
+            (content, b'{"sender":'),
+        ):
+            assert old in content
+            with pytest.raises(errors.CrowdeckError, match="finite") as raised:
+                messages.decode_report(content.replace(old, new))
+            assert raised.value.code is errors.Code.MALFORMED
+
+    def test_are_exchanged_over_http(self) -> None:
+        anyio.run(self._exchange_over_http)
+
+    async def _exchange_over_http(self) -> None:
+        fleet = HttpFleet(x=["x0", "x1"], y=["y0"])
+        client = http.HttpClient("")
+        peers = load_http.HttpLoadClient(client)
+        async with anyio.create_task_group() as tasks:
+            for zone, members in fleet.zones.items():
+                for name in members:
+                    entry = Entry(name, zone, fleet, client=peers)
+                    fleet.entries[name] = entry
+                    await fleet.serve(tasks, entry)
+            for entry in fleet.entries.values():
+                tasks.start_soon(entry.exchange.run)
+            with anyio.fail_after(10.0):
+                while fleet.heard() != [2, 2, 2]:
+                    await anyio.sleep(0.05)
+            report = messages.LoadReport(
+                "x1", "x", "r", 1, fleet_loads.EntryLoad()
+            )
+            with pytest.raises(errors.CrowdeckError, match="status 400"):
+                await peers.tell_load(fleet.ranking("x")[0], report)
+            tasks.cancel_scope.cancel()
+        await client.close()
+
+
+class HttpFleet(Fleet):
+    """Entries that reach one another over loopback."""
+
+    def __init__(self, **zones: list[str]) -> None:
+        super().__init__(**zones)
+        self._addresses: dict[str, instances.Address] = {}
+
+    def ranking(self, zone: str) -> tuple[peer_selection.Peer, ...]:
+        return tuple(
+            peer_selection.Peer(name, self._addresses[name])
+            for name in self.zones[zone]
+        )
+
+    async def serve(self, tasks: anyio.abc.TaskGroup, entry: Entry) -> None:
+        selector = peer_selection.PeerSelector(
+            entry.name,
+            lambda: (),
+            peer_http.HttpPeerClient(http.HttpClient("")),
+            store_health.StoreHealth(),
+        )
+        app = peer_http.PeerApp({}, selector)
+        app.add_app(load_http.LOAD_PATH, load_http.LoadApp(entry.exchange))
+        port = await tasks.start(http_server.serve_http, app, "127.0.0.1", 0)
+        self._addresses[entry.name] = instances.Address("127.0.0.1", port)
+
+
+@attrs.define
+class Others:
+    """A fixed view of the other entries."""
+
+    load: fleet_loads.EntryLoad
+    is_current: bool = True
+
+    @property
+    def others(self) -> fleet_loads.EntryLoad:
+        return self.load if self.is_current else fleet_loads.EntryLoad()
+
+
+class TestOperator:
+    """What an operator sees of it."""
+
+    def test_status_names_entries_that_do_not_know(self) -> None:
+        async def work(fleet: Fleet) -> None:
+            fleet.cut_off = frozenset(("y3",))
+            await anyio.sleep(3.0)
+            rows = [
+                {
+                    "instance": entry.name,
+                    "state": "up",
+                    "load": entry.exchange.as_fields(),
+                }
+                for entry in fleet.entries.values()
+            ]
+            lines = commands._load_exchange_lines(rows)
+            assert lines[1].startswith("7 of 8 entries know")
+            first = lines[2].splitlines()[1]
+            assert first.split()[:4] == ["y3", "outdated", "0", "7"]
+            assert not commands._load_exchange_lines([{"instance": "e"}])
+
+        run(work, **two_zones())
+
+    def test_each_zone_has_a_ranking(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            members = [
+                rosters.Roster(
+                    store,
+                    f"entry-{number}",
+                    rosters.EntryRecord(zone, ADDRESS, capacity),
+                )
+                for number, (zone, capacity) in enumerate(
+                    (("x", 1.0), ("y", 1.0), ("y", 9.0), ("z", 1.0))
+                )
+            ]
+            for member in members:
+                await member.register()
+            members[0].on_listed((await store.list(rosters.KIND)).objects)
+            rankings = members[0].rankings_of_other_zones()
+            assert set(rankings) == {"y", "z"}
+            assert [peer.name for peer in rankings["y"]] == [
+                "entry-2",
+                "entry-1",
+            ]
+
+        virtual.run(body)
+
+
+class TestUse:
+    """How the others' load counts beside an entry's own."""
+
+    def make(
+        self, others: fleet_loads.EntryLoad
+    ) -> tuple[usages.InFlight, list[chain.Upstream], Others]:
+        fleet = test_hops.engines([(0, 40, "a"), (40, 40, "b")])
+        usage = usages.InFlight()
+        usage.set_entry_count(4)
+        path = hops.HopPlanner(usage).plan(fleet, test_hops.REQUEST)
+        assert path is not None
+        usage.add_request(path, test_hops.REQUEST.tokens)
+        view = Others(others)
+        usage.set_fleet_load(view)
+        return usage, fleet, view
+
+    def test_counts_are_added_while_current(self) -> None:
+        async def body() -> None:
+            engine = fleet_loads.EngineLoad(6, 1000.0)
+            usage, fleet, view = self.make(fleet_loads.EntryLoad(3))
+            single = usage.cache_utilization(fleet[1], test_hops.PROFILE)
+            view.load = fleet_loads.EntryLoad(3, {fleet[1].name: engine})
+            assert usage.sequences(fleet[0]) == 1.0
+            assert usage.sequences(fleet[1]) == 7.0
+            token_layers = test_hops.PROFILE.token_capacity("large", 40) * 40
+            assert usage.cache_utilization(
+                fleet[1], test_hops.PROFILE
+            ) == pytest.approx(single + 1000.0 / token_layers)
+            view.is_current = False
+            assert usage.sequences(fleet[1]) == 4.0
+            assert (
+                usage.cache_utilization(fleet[1], test_hops.PROFILE)
+                == 4 * single
+            )
+
+        virtual.run(body)
+
+    def test_links_are_shared(self) -> None:
+        async def body() -> None:
+            usage, _, view = self.make(fleet_loads.EntryLoad(1))
+            profile = attrs.evolve(
+                test_hops.PROFILE, zone_link_bytes_per_second=1e9
+            )
+            single = usage.zone_link_utilization("b", "a", profile)
+            tokens = test_hops.REQUEST.tokens
+            view.load = fleet_loads.EntryLoad(
+                1, zone_link_tokens={("a", "b"): 9 * tokens}
+            )
+            assert usage.zone_link_utilization(
+                "b", "a", profile
+            ) == pytest.approx(10 * single)
+
+        virtual.run(body)
+
+    def test_own_load_has_first_events_and_paths(self) -> None:
+        async def body() -> None:
+            usage, fleet, _ = self.make(fleet_loads.EntryLoad())
+            records = heads.HeadRecords()
+            records.note_begun(fleet[0].name, "a")
+            records.note_begun(fleet[0].name, "b")
+            await anyio.sleep(0.2)
+            records.note_first_event(fleet[0].name, "a")
+            own = usage.own_load(
+                records.recent_first_events(), {("model", 1): 2}
+            )
+            tokens = int(test_hops.REQUEST.tokens)
+            assert own == fleet_loads.EntryLoad(
+                1,
+                {
+                    fleet[0].name: fleet_loads.EngineLoad(
+                        1, 40 * tokens, 1, 0.2, 1.0
+                    ),
+                    fleet[1].name: fleet_loads.EngineLoad(1, 40 * tokens),
+                },
+                {("model", 1): 2},
+                {("a", "b"): test_hops.REQUEST.tokens},
+            )
+            # The one that still waits takes longer by now.
+            await anyio.sleep(0.8)
+            found = records.recent_first_events()[fleet[0].name]
+            assert 0.5 < found.seconds < 0.75
+            await anyio.sleep(20.0)
+            records.note_ended(fleet[0].name, "b")
+            assert not records.recent_first_events()
+
+        virtual.run(body)
+
+    def test_heads_that_are_slow_for_others_are_left_out(self) -> None:
+        async def body() -> None:
+            usage, fleet, view = self.make(fleet_loads.EntryLoad())
+            engine = fleet_loads.EngineLoad(
+                first_event_seconds=0.8, first_event_count=3.0
+            )
+            view.load = fleet_loads.EntryLoad(1, {fleet[0].name: engine})
+            request = attrs.evolve(
+                test_hops.REQUEST, max_first_event_seconds=0.5
+            )
+            planner = hops.HopPlanner(usage)
+            assert planner.plan(fleet, request) is None
+            view.load = fleet_loads.EntryLoad(1)
+            assert planner.plan(fleet, request) is not None
+
+        virtual.run(body)
+
+    def test_means_are_weighted_by_their_streams(self) -> None:
+        total = fleet_loads.EngineLoad(1, 1.0, 1, 0.2, 3.0).plus(
+            fleet_loads.EngineLoad(2, 2.0, 0, 1.0, 1.0)
+        )
+        assert total == fleet_loads.EngineLoad(3, 3.0, 1, 0.4, 4.0)
+        assert total.minus(total) == fleet_loads.EngineLoad()
