--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -59,6 +59,7 @@
     fleet: "Fleet"
     sequences: int = 1
     client: load_exchange.LoadClient | None = None
+    roster: rosters.Roster | None = None
     is_enabled: bool = True
     is_silent: bool = False
     is_roster_unknown: bool = False
@@ -71,7 +72,7 @@
         self.exchange = load_exchange.LoadExchange(
             self.name,
             self.zone,
-            self,
+            self.roster or self,
             self.client or self,
             lambda: load(self.sequences),
             lambda: self.is_enabled,
@@ -358,6 +359,35 @@
         run(work, **two_zones())
 
 
+class TestStoreDown:
+    """The exchange beside a store that is down."""
+
+    def test_nothing_changes(self) -> None:
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            fleet = Fleet(x=["x0", "x1"])
+            for name in fleet.zones["x"]:
+                record = rosters.EntryRecord("x", ADDRESS)
+                roster = rosters.Roster(store, name, record)
+                await roster.register()
+                fleet.entries[name] = Entry(name, "x", fleet, roster=roster)
+            listing = await store.list(rosters.KIND)
+            async with anyio.create_task_group() as tasks:
+                for entry in fleet.entries.values():
+                    assert entry.roster is not None
+                    entry.roster.on_listed(listing.objects)
+                    tasks.start_soon(entry.exchange.run)
+                await anyio.sleep(1.0)
+                calls = store.calls.total()
+                store.is_down = True
+                await anyio.sleep(10.0)
+                assert fleet.heard() == [1, 1]
+                assert store.calls.total() == calls
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+
 class TestMessages:
     """What a message has to be like."""
 
