Count what others began since they told their load

Cause: all entries know the same loads at the same time and choose the same engines until they hear again. Summed from the logs of all entries, an engine that holds 2.2 million tokens times layers was given up to 2.9.

Change: what others hold at an engine counts for up to 0.3 of it more, drawn anew for each engine and each news of the others, so that entries differ and fewer choose an engine as it fills. Loads are told every 0.1 s in zones of up to 30 entries.

--- a/src/crowdeck/membership/load_collector.py
+++ b/src/crowdeck/membership/load_collector.py
@@ -18,7 +18,7 @@
 # or others may have taken them over.
 REPORT_TTL_SECONDS = 1.0
 # Sums are computed again after this: not for each of many members that ask.
-SUM_TTL_SECONDS = 0.1
+SUM_TTL_SECONDS = 0.05
 
 _Key = typing.TypeVar("_Key")
 
--- a/src/crowdeck/membership/load_exchange.py
+++ b/src/crowdeck/membership/load_exchange.py
@@ -29,7 +29,7 @@
 
 # Time between two reports of an entry; longer in large zones, so that their
 # collector gets a few hundred messages a second at most.
-MIN_INTERVAL_SECONDS = 0.2
+MIN_INTERVAL_SECONDS = 0.1
 MAX_INTERVAL_SECONDS = 0.4
 INTERVAL_SECONDS_PER_ENTRY = 1.0 / 300.0
 # An entry that has not answered a report after this is passed over. Two of
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -6,6 +6,7 @@
 """Load of upstreams, from requests in progress here and at other entries."""
 
 import collections
+import random
 import typing
 
 import anyio
@@ -22,6 +23,11 @@
 # Time over which the load that an engine had when this entry started is
 # reduced to zero.
 EXISTING_LOAD_SECONDS = 2.5
+# What others hold at an engine counts for up to this share more, drawn anew
+# for each engine and each news of them. It stands for what they began since,
+# and as all entries know the same, they would otherwise all choose the same
+# engines until they hear of one another again.
+MAX_UNSEEN_SHARE = 0.3
 _NO_LOAD = fleet_loads.EngineLoad()
 
 
@@ -58,9 +64,14 @@
     requests, multiplied by the ratio of the requests that the first engine
     reports as running to this entry's requests there. Without a recent report,
     each entry of the availability zone is assumed to send as much as this one.
+
+    :param rng: draws what others began since they told their load.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._unseen_factors: dict[str, float] = {}
+        self._known_others = fleet_loads.EntryLoad()
         # By engine, then by the first engine of the path.
         self._sequences: dict[str, collections.Counter[str]] = {}
         self._token_layers: dict[str, collections.Counter[str]] = {}
@@ -146,9 +157,23 @@
         others = self._fleet_load.others
         if others.entry_count:
             engine = others.engines.get(upstream.name, _NO_LOAD)
-            return float(_total(own_by_head) + engine.sequences)
+            factor = self._unseen_factor(upstream.name, others)
+            return _total(own_by_head) + factor * engine.sequences
         return self._estimate(own_by_head)
 
+    def _unseen_factor(
+        self, name: str, others: fleet_loads.EntryLoad
+    ) -> float:
+        """Return by how much others' load of an engine may have grown."""
+        if others is not self._known_others:
+            self._known_others = others
+            self._unseen_factors.clear()
+        factor = self._unseen_factors.get(name)
+        if factor is None:
+            factor = 1.0 + MAX_UNSEEN_SHARE * self._rng.random()
+            self._unseen_factors[name] = factor
+        return factor
+
     def first_event_seconds(self, upstream: chain.Upstream) -> float:
         """Return other entries' recent mean time to a first event.
 
@@ -214,7 +239,8 @@
         others = self._fleet_load.others
         if others.entry_count:
             engine = others.engines.get(upstream.name, _NO_LOAD)
-            used = _total(own_by_head) + engine.token_layers
+            factor = self._unseen_factor(upstream.name, others)
+            used = _total(own_by_head) + factor * engine.token_layers
             return used / max(1.0, capacity)
         used = self._estimate(own_by_head)
         if upstream.layers.first == 0 and not used:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -5,6 +5,8 @@
 
 """Exchange of the entries' loads."""
 
+import collections
+import random
 import typing
 
 import anyio
@@ -494,6 +496,13 @@
         run(work, **two_zones())
 
 
+class Lowest(random.Random):
+    """Draws the lowest numbers."""
+
+    def random(self) -> float:
+        return 0.0
+
+
 class TestUse:
     """How the others' load counts beside an entry's own."""
 
@@ -501,7 +510,7 @@
         self, others: fleet_loads.EntryLoad
     ) -> tuple[usages.InFlight, list[chain.Upstream], Others]:
         fleet = test_hops.engines([(0, 40, "a"), (40, 40, "b")])
-        usage = usages.InFlight()
+        usage = usages.InFlight(Lowest())
         usage.set_entry_count(4)
         path = hops.HopPlanner(usage).plan(fleet, test_hops.REQUEST)
         assert path is not None
@@ -541,6 +550,25 @@
 
         virtual.run(body)
 
+    def test_entries_that_know_the_same_choose_differently(self) -> None:
+        async def body() -> None:
+            fleet = test_hops.engines([(0, 80, "a")] * 4)
+            engine = fleet_loads.EngineLoad(20, 1000.0)
+            others = fleet_loads.EntryLoad(
+                25, dict.fromkeys((head.name for head in fleet), engine)
+            )
+            heads_chosen: collections.Counter[str] = collections.Counter()
+            for seed in range(100):
+                usage = usages.InFlight(random.Random(seed))
+                usage.set_fleet_load(Others(others))
+                path = hops.HopPlanner(usage).plan(fleet, test_hops.REQUEST)
+                assert path is not None
+                heads_chosen[path.head.name] += 1
+            assert min(heads_chosen.values()) > 10
+            assert len(heads_chosen) == 4
+
+        virtual.run(body)
+
     def test_own_load_has_first_events_and_paths(self) -> None:
         async def body() -> None:
             usage, fleet, _ = self.make(fleet_loads.EntryLoad())
