Bar engines by the least that others may hold, rank them by the most

Change: an engine is left out only where it is full with up to 0.15 of the others' load less, as much has ended since they told it. The spread upwards counts where engines are compared.

--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -45,6 +45,12 @@
         """Return the used share of an engine's cache."""
         ...
 
+    def min_cache_utilization(
+        self, upstream: chain.Upstream, profile: chain.EngineProfile
+    ) -> float:
+        """Return the least used share that is likely; it bars a path."""
+        ...
+
     def zone_link_utilization(
         self, zone: str, other_zone: str, profile: chain.EngineProfile
     ) -> float:
@@ -310,9 +316,12 @@
             )
         if token_capacity == float("inf"):
             return True
-        used = self._utilization(engine, request) * token_capacity
         limit = request.max_cache_utilization * token_capacity
-        return used + request.tokens <= limit
+        used = self._utilization(engine, request) * token_capacity
+        if used + request.tokens <= limit:
+            return True
+        least = self._usage.min_cache_utilization(engine, request.profile)
+        return least * token_capacity + request.tokens <= limit
 
     def _first_hops(
         self, usable: list[chain.Upstream], request: PathRequest
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -23,11 +23,14 @@
 # Time over which the load that an engine had when this entry started is
 # reduced to zero.
 EXISTING_LOAD_SECONDS = 2.5
-# What others hold at an engine counts for up to this share more, drawn anew
-# for each engine and each news of them. It stands for what they began since,
-# and as all entries know the same, they would otherwise all choose the same
-# engines until they hear of one another again.
-MAX_UNSEEN_SHARE = 0.3
+# What others hold at an engine counts for up to this share more where engines
+# are compared, drawn anew for each engine and each news of them. It stands for
+# what they began since, and as all entries know the same, they would otherwise
+# all choose the same engines until they hear of one another again.
+MAX_BEGUN_SHARE = 0.3
+# Up to this share of it may have ended since, as far as an engine is held to
+# be full: it refuses what it cannot take, and that is not run.
+MAX_ENDED_SHARE = 0.15
 _NO_LOAD = fleet_loads.EngineLoad()
 
 
@@ -65,12 +68,12 @@
     reports as running to this entry's requests there. Without a recent report,
     each entry of the availability zone is assumed to send as much as this one.
 
-    :param rng: draws what others began since they told their load.
+    :param rng: draws what others began and ended since they told their load.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
-        self._unseen_factors: dict[str, float] = {}
+        self._draws: dict[str, float] = {}
         self._known_others = fleet_loads.EntryLoad()
         # By engine, then by the first engine of the path.
         self._sequences: dict[str, collections.Counter[str]] = {}
@@ -157,22 +160,34 @@
         others = self._fleet_load.others
         if others.entry_count:
             engine = others.engines.get(upstream.name, _NO_LOAD)
-            factor = self._unseen_factor(upstream.name, others)
+            factor = 1.0 + MAX_BEGUN_SHARE * self._draw(upstream.name, others)
             return _total(own_by_head) + factor * engine.sequences
         return self._estimate(own_by_head)
 
-    def _unseen_factor(
-        self, name: str, others: fleet_loads.EntryLoad
+    def min_cache_utilization(
+        self, upstream: chain.Upstream, profile: chain.EngineProfile
     ) -> float:
-        """Return by how much others' load of an engine may have grown."""
+        """Return the used share of an engine's cache if others ended some."""
+        others = self._fleet_load.others
+        if upstream.layers is None or not others.entry_count:
+            return self.cache_utilization(upstream, profile)
+        count = upstream.layers.end - upstream.layers.first
+        capacity = profile.token_capacity(upstream.card, count) * count
+        engine = others.engines.get(upstream.name, _NO_LOAD)
+        draw = self._draw(upstream.name, others)
+        factor = 1.0 - MAX_ENDED_SHARE * (1.0 - draw)
+        own = _total(self._token_layers.get(upstream.name))
+        return (own + factor * engine.token_layers) / max(1.0, capacity)
+
+    def _draw(self, name: str, others: fleet_loads.EntryLoad) -> float:
+        """Return a random number from 0 to 1 for an engine and this news."""
         if others is not self._known_others:
             self._known_others = others
-            self._unseen_factors.clear()
-        factor = self._unseen_factors.get(name)
-        if factor is None:
-            factor = 1.0 + MAX_UNSEEN_SHARE * self._rng.random()
-            self._unseen_factors[name] = factor
-        return factor
+            self._draws.clear()
+        draw = self._draws.get(name)
+        if draw is None:
+            draw = self._draws[name] = self._rng.random()
+        return draw
 
     def first_event_seconds(self, upstream: chain.Upstream) -> float:
         """Return other entries' recent mean time to a first event.
@@ -239,7 +254,7 @@
         others = self._fleet_load.others
         if others.entry_count:
             engine = others.engines.get(upstream.name, _NO_LOAD)
-            factor = self._unseen_factor(upstream.name, others)
+            factor = 1.0 + MAX_BEGUN_SHARE * self._draw(upstream.name, others)
             used = _total(own_by_head) + factor * engine.token_layers
             return used / max(1.0, capacity)
         used = self._estimate(own_by_head)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -514,6 +514,9 @@
             assert usage.cache_utilization(
                 fleet[1], test_hops.PROFILE
             ) == pytest.approx(single + 1000.0 / token_layers)
+            assert usage.min_cache_utilization(
+                fleet[1], test_hops.PROFILE
+            ) == pytest.approx(single + 850.0 / token_layers)
             profile = attrs.evolve(
                 test_hops.PROFILE, zone_link_bytes_per_second=1e9
             )
@@ -526,10 +529,11 @@
             ) == pytest.approx(10 * link)
             view.is_current = False
             assert usage.sequences(fleet[1]) == 4.0
-            assert (
-                usage.cache_utilization(fleet[1], test_hops.PROFILE)
-                == 4 * single
-            )
+            for utilization in (
+                usage.cache_utilization,
+                usage.min_cache_utilization,
+            ):
+                assert utilization(fleet[1], test_hops.PROFILE) == 4 * single
 
         virtual.run(body)
 
