Decide by the exchanged load only which engines are full

Until 12 s, with few requests refused, first events came later already (at 8 s 165 ms, 79 ms before, in the middle), and from 12 s on the fleet stayed full, which it did not before. Quick engines looked as busy as they were, streams went to slow ones and lasted longer.

Ruled out: sums that are too large. From the logs of all entries, the mean fill of engines was 0.69 at 27 s, 0.58 before, and no engine was over 1.3.

--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -35,6 +35,11 @@
 class Usage(typing.Protocol):
     """Estimates of the load of engines and links."""
 
+    @property
+    def knows_load(self) -> bool:
+        """Whether the entries told one another their load."""
+        ...
+
     def sequences(self, upstream: chain.Upstream) -> float:
         """Return the number of sequences, one a request, at an engine."""
         ...
@@ -45,10 +50,13 @@
         """Return the used share of an engine's cache."""
         ...
 
-    def min_cache_utilization(
+    def known_cache_utilization(
         self, upstream: chain.Upstream, profile: chain.EngineProfile
     ) -> float:
-        """Return the least used share that is likely; it bars a path."""
+        """Return the used share of an engine's cache that all entries told.
+
+        Call it only where :attr:`knows_load`.
+        """
         ...
 
     def zone_link_utilization(
@@ -99,6 +107,7 @@
     def __init__(self, usage: Usage) -> None:
         self._usage = usage
         self._heads = head_records.HeadRecords()
+        self._knows_load = False
         # Caches for the choice of one path, which reads the values of each
         # engine many times.
         self._utilization_by_engine: dict[str, float] = {}
@@ -201,6 +210,7 @@
         return chain.ChainPath(tuple(new_hops))
 
     def _clear_caches(self) -> None:
+        self._knows_load = self._usage.knows_load
         self._utilization_by_engine.clear()
         self._layer_ms_by_engine.clear()
         self._token_capacity_by_size.clear()
@@ -317,11 +327,13 @@
         if token_capacity == float("inf"):
             return True
         limit = request.max_cache_utilization * token_capacity
-        used = self._utilization(engine, request) * token_capacity
-        if used + request.tokens <= limit:
-            return True
-        least = self._usage.min_cache_utilization(engine, request.profile)
-        return least * token_capacity + request.tokens <= limit
+        if self._knows_load:
+            utilization = self._usage.known_cache_utilization(
+                engine, request.profile
+            )
+        else:
+            utilization = self._utilization(engine, request)
+        return utilization * token_capacity + request.tokens <= limit
 
     def _first_hops(
         self, usable: list[chain.Upstream], request: PathRequest
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -23,13 +23,9 @@
 # Time over which the load that an engine had when this entry started is
 # reduced to zero.
 EXISTING_LOAD_SECONDS = 2.5
-# What others hold at an engine counts for up to this share more where engines
-# are compared, drawn anew for each engine and each news of them. It stands for
-# what they began since, and as all entries know the same, they would otherwise
-# all choose the same engines until they hear of one another again.
-MAX_BEGUN_SHARE = 0.3
-# Up to this share of it may have ended since, as far as an engine is held to
-# be full: it refuses what it cannot take, and that is not run.
+# Up to this share of what others hold may have ended since they told it, drawn
+# anew for each engine and each news: all entries know the same, and the fuller
+# an engine, the fewer should send to it.
 MAX_ENDED_SHARE = 0.15
 _NO_LOAD = fleet_loads.EngineLoad()
 
@@ -61,14 +57,12 @@
 class InFlight:
     """This entry's requests in progress, by upstream instance.
 
-    Other entries use the same engines. While they exchange their loads, the
-    load is the sum of this entry's and theirs. Otherwise it is estimated from
-    this entry's own
+    Other entries use the same engines. Load is estimated from this entry's own
     requests, multiplied by the ratio of the requests that the first engine
     reports as running to this entry's requests there. Without a recent report,
     each entry of the availability zone is assumed to send as much as this one.
 
-    :param rng: draws what others began and ended since they told their load.
+    :param rng: draws what others ended since they told their load.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
@@ -91,6 +85,11 @@
             fleet_loads.UnknownFleetLoad()
         )
 
+    @property
+    def knows_load(self) -> bool:
+        """Whether the entries told one another their load."""
+        return self._fleet_load.others.entry_count > 0
+
     def set_fleet_load(self, fleet_load: fleet_loads.FleetLoad) -> None:
         """Set the source of the other entries' load."""
         self._fleet_load = fleet_load
@@ -155,29 +154,26 @@
         self._existing[upstream.name] = _ExistingLoad(token_layers, now)
 
     def sequences(self, upstream: chain.Upstream) -> float:
-        """Return how many requests, of all entries, use an engine."""
-        own_by_head = self._sequences.get(upstream.name)
-        others = self._fleet_load.others
-        if others.entry_count:
-            engine = others.engines.get(upstream.name, _NO_LOAD)
-            factor = 1.0 + MAX_BEGUN_SHARE * self._draw(upstream.name, others)
-            return _total(own_by_head) + factor * engine.sequences
-        return self._estimate(own_by_head)
+        """Estimate how many requests, of all entries, use an engine."""
+        return self._estimate(self._sequences.get(upstream.name))
 
-    def min_cache_utilization(
+    def known_cache_utilization(
         self, upstream: chain.Upstream, profile: chain.EngineProfile
     ) -> float:
-        """Return the used share of an engine's cache if others ended some."""
+        """Return the used share of an engine's cache by what entries told.
+
+        It may exceed 1. Only own requests count unless :attr:`knows_load`.
+        """
+        if upstream.layers is None:
+            return 0.0
         others = self._fleet_load.others
-        if upstream.layers is None or not others.entry_count:
-            return self.cache_utilization(upstream, profile)
         count = upstream.layers.end - upstream.layers.first
         capacity = profile.token_capacity(upstream.card, count) * count
         engine = others.engines.get(upstream.name, _NO_LOAD)
-        draw = self._draw(upstream.name, others)
-        factor = 1.0 - MAX_ENDED_SHARE * (1.0 - draw)
+        ended_share = MAX_ENDED_SHARE * self._draw(upstream.name, others)
         own = _total(self._token_layers.get(upstream.name))
-        return (own + factor * engine.token_layers) / max(1.0, capacity)
+        used = own + (1.0 - ended_share) * engine.token_layers
+        return used / max(1.0, capacity)
 
     def _draw(self, name: str, others: fleet_loads.EntryLoad) -> float:
         """Return a random number from 0 to 1 for an engine and this news."""
@@ -245,19 +241,12 @@
     def cache_utilization(
         self, upstream: chain.Upstream, profile: chain.EngineProfile
     ) -> float:
-        """Return the used share of an engine's cache; it may exceed 1."""
+        """Estimate the used share of an engine's cache; it may exceed 1."""
         if upstream.layers is None:
             return 0.0
         count = upstream.layers.end - upstream.layers.first
         capacity = profile.token_capacity(upstream.card, count) * count
-        own_by_head = self._token_layers.get(upstream.name)
-        others = self._fleet_load.others
-        if others.entry_count:
-            engine = others.engines.get(upstream.name, _NO_LOAD)
-            factor = 1.0 + MAX_BEGUN_SHARE * self._draw(upstream.name, others)
-            used = _total(own_by_head) + factor * engine.token_layers
-            return used / max(1.0, capacity)
-        used = self._estimate(own_by_head)
+        used = self._estimate(self._token_layers.get(upstream.name))
         if upstream.layers.first == 0 and not used:
             # Without own requests the reported number cannot be applied as a
             # ratio, so it is used directly.
