--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -35,6 +35,11 @@
 class Usage(typing.Protocol):
     """Estimates of the load of engines and links."""
 
+    @property
+    def knows_load(self) -> bool:
+        """Whether the entries told one another their load."""
+        ...
+
     def sequences(self, upstream: chain.Upstream) -> float:
         """Return the number of sequences, one a request, at an engine."""
         ...
@@ -45,12 +50,28 @@
         """Return the used share of an engine's cache."""
         ...
 
+    def known_cache_utilization(
+        self, upstream: chain.Upstream, profile: chain.EngineProfile
+    ) -> float:
+        """Return the used share of an engine's cache that all entries told.
+
+        Call it only where :attr:`knows_load`.
+        """
+        ...
+
     def zone_link_utilization(
         self, zone: str, other_zone: str, profile: chain.EngineProfile
     ) -> float:
         """Return the used share of the link between two zones."""
         ...
 
+    def first_event_seconds(self, upstream: chain.Upstream) -> float:
+        """Return other entries' recent mean time to a first event.
+
+        It is 0 if they told none.
+        """
+        ...
+
 
 def _accept_any(_: chain.Upstream) -> bool:
     return True
@@ -89,6 +110,7 @@
     def __init__(self, usage: Usage) -> None:
         self._usage = usage
         self._heads = head_records.HeadRecords()
+        self._knows_load = False
         # Caches for the choice of one path, which reads the values of each
         # engine many times.
         self._utilization_by_engine: dict[str, float] = {}
@@ -206,6 +228,7 @@
         return chain.ChainPath(tuple(new_hops))
 
     def _clear_caches(self) -> None:
+        self._knows_load = self._usage.knows_load
         self._utilization_by_engine.clear()
         self._layer_ms_by_engine.clear()
         self._token_capacity_by_size.clear()
@@ -321,9 +344,14 @@
             )
         if token_capacity == float("inf"):
             return True
-        used = self._utilization(engine, request) * token_capacity
         limit = request.max_cache_utilization * token_capacity
-        return used + request.tokens <= limit
+        if self._knows_load:
+            utilization = self._usage.known_cache_utilization(
+                engine, request.profile
+            )
+        else:
+            utilization = self._utilization(engine, request)
+        return utilization * token_capacity + request.tokens <= limit
 
     def _first_hops(
         self, usable: list[chain.Upstream], request: PathRequest
@@ -364,7 +392,10 @@
     ) -> bool:
         if request.max_first_event_seconds == float("inf"):
             return False
-        first_event_seconds = self._heads.first_event_seconds(engine.name)
+        first_event_seconds = max(
+            self._heads.first_event_seconds(engine.name),
+            self._usage.first_event_seconds(engine),
+        )
         return first_event_seconds > request.max_first_event_seconds
 
     def _head_ms(self, engine: chain.Upstream, request: PathRequest) -> float:
