Leave out first engines whose slots are taken, where loads are known

Nothing compared the requests at a first engine with its slots.

Ruled out: the engine's report alone, which an entry has only of the engines that it asks about silent streams.

Change: where the entries tell one another their load, a first engine whose slots are taken is left out of paths; less urgent streams count only the part of the slots that they may fill under pressure.

--- a/src/crowdeck/routing/hops.py
+++ b/src/crowdeck/routing/hops.py
@@ -65,6 +65,13 @@
         """Return the used share of the link between two zones."""
         ...
 
+    def known_sequences(self, upstream: chain.Upstream) -> float:
+        """Return the number of sequences that all entries told.
+
+        Call it only where :attr:`knows_load`.
+        """
+        ...
+
     def first_event_seconds(self, upstream: chain.Upstream) -> float:
         """Return other entries' recent mean time to a first event.
 
@@ -365,6 +372,8 @@
                 continue
             if not request.may_be_head(engine):
                 continue
+            if not self._has_slot(engine, request):
+                continue
             if self._is_untimely(engine, request):
                 continue
             cost_ms = self._head_ms(engine, request)
@@ -387,6 +396,19 @@
             return self._is_too_slow(engine, request)
         return expected_seconds > request.max_first_event_seconds
 
+    def _has_slot(self, engine: chain.Upstream, request: PathRequest) -> bool:
+        """Whether a first engine would run another request at once.
+
+        It queues what comes beyond its slots, where a more urgent request
+        cannot pass the others and none can go elsewhere any more. Without
+        the load of other entries the number of requests is not known well
+        enough to leave an engine out.
+        """
+        if not self._knows_load:
+            return True
+        slots = request.max_cache_utilization * request.profile.slots
+        return self._usage.known_sequences(engine) + 1.0 <= slots
+
     def _is_too_slow(
         self, engine: chain.Upstream, request: PathRequest
     ) -> bool:
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -175,6 +175,14 @@
         used = own + (1.0 - ended_share) * engine.token_layers
         return used / max(1.0, capacity)
 
+    def known_sequences(self, upstream: chain.Upstream) -> float:
+        """Return how many requests use an engine by what entries told."""
+        others = self._fleet_load.others
+        engine = others.engines.get(upstream.name, _NO_LOAD)
+        ended_share = MAX_ENDED_SHARE * self._draw(upstream.name, others)
+        own = _total(self._sequences.get(upstream.name))
+        return own + (1.0 - ended_share) * engine.sequences
+
     def _draw(self, name: str, others: fleet_loads.EntryLoad) -> float:
         """Return a random number from 0 to 1 for an engine and this news."""
         if others is not self._known_others:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -606,6 +606,25 @@
 
         virtual.run(body)
 
+    def test_heads_without_a_free_slot_are_left_out(self) -> None:
+        async def body() -> None:
+            usage, fleet, view = self.make(fleet_loads.EntryLoad())
+            slots = test_hops.REQUEST.profile.slots
+            planner = hops.HopPlanner(usage)
+            # One request is this entry's own.
+            held = fleet_loads.EngineLoad(sequences=slots - 2)
+            view.load = fleet_loads.EntryLoad(1, {fleet[0].name: held})
+            assert planner.plan(fleet, test_hops.REQUEST) is not None
+            bounded = attrs.evolve(
+                test_hops.REQUEST, max_cache_utilization=0.9
+            )
+            assert planner.plan(fleet, bounded) is None
+            held = attrs.evolve(held, sequences=2 * slots)
+            view.load = fleet_loads.EntryLoad(1, {fleet[0].name: held})
+            assert planner.plan(fleet, test_hops.REQUEST) is None
+
+        virtual.run(body)
+
     def test_means_are_weighted_by_their_streams(self) -> None:
         total = fleet_loads.EngineLoad(1, 1.0, 1, 0.2, 3.0).plus(
             fleet_loads.EngineLoad(2, 2.0, 0, 1.0, 1.0)
