Judge silent streams of ranked services by what else shows life

Cause: a pause of a loaded engine was taken for a loss. Every check asked the first engine and each other engine of the path that had passed no event for 30 ms, a refusal checked all streams of the engine it named, and the mean pause began at 0, so young streams seemed silent.

Ruled out: checking later. Nearly all streams are checked at the latest time already. Asking the first engine alone: its report is too old to name a loss.

Change, only where kinds are ranked: an engine that passed an event after the silent stream's next one was due is not asked. Those that silent streams share come first, one answer serves all, and questions are bounded by the streams. First engines that reported requests are remembered. A failed search for a path is not repeated while nothing changed. explain shows culprits before the new reason of stream_silent.

Bounds: 5 questions a second and 1 for each stream, which has some ten engines and lives for seconds; 20 at once, the engines of two paths, and 20 more for shared engines. Silences are remembered with a half-life of 2 s, the patience of callers. The first engine is asked at 0.95 of the allowed pause.

--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -299,7 +299,7 @@
     if pause <= max_pause_seconds:
         return "", False
     reasons = [
-        f"{line.kind}: {line.fields.get('reason') or _describe_culprits(line)}"
+        f"{line.kind}: {_describe_culprits(line)}"
         for line in request_lines
         if line.kind in ("attempt_failed", "stream_silent", "path_changed")
     ]
@@ -314,5 +314,6 @@
     if culprits:
         return "delayed by " + ", ".join(str(name) for name in culprits)
     return str(
-        line.fields.get("outcome", "no engine was identified as the cause")
+        line.fields.get("reason")
+        or line.fields.get("outcome", "no engine was identified as the cause")
     )
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -44,6 +44,7 @@
     :ivar needs_check: whether to check it now though it is not silent.
     :ivar mean_pause_seconds: moving average of the pauses between its events,
         without the time before the attempt of the later event.
+    :ivar pause_count: number of pauses in that average.
     :ivar longest_pause: longest such pause, in seconds.
     :ivar first_event_at: when its first event arrived.
     :ivar is_starting: whether the current attempt has had no event yet.
@@ -68,6 +69,7 @@
     check_count: int = 0
     needs_check: bool = False
     mean_pause_seconds: float = 0.0
+    pause_count: int = 0
     longest_pause: float = 0.0
     first_event_at: float | None = None
     is_starting: bool = True
@@ -88,6 +90,17 @@
         """
         return self.check_may_resume()
 
+    @property
+    def usual_pause_seconds(self) -> float:
+        """The mean pause, without the start of its average at 0.
+
+        It is 0 before the second event.
+        """
+        if not self.pause_count:
+            return 0.0
+        weight = 1.0 - (1.0 - EWMA_WEIGHT) ** self.pause_count
+        return self.mean_pause_seconds / weight
+
     @property
     def fingerprint(self) -> fingerprint.Fingerprint:
         """Fingerprint of the request, computed when first needed."""
@@ -156,6 +169,7 @@
             self.mean_pause_seconds += EWMA_WEIGHT * (
                 pause - self.mean_pause_seconds
             )
+            self.pause_count += 1
             self.longest_pause = max(self.longest_pause, pause)
         if self.is_starting:
             self._attempt_first_event_at = now
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -96,10 +96,9 @@
             known = self._results.get(upstream.name)
             now = anyio.current_time()
             if known is not None:
-                reuse_seconds = (
-                    REUSE_SECONDS if known.report is None else max_age_seconds
-                )
-                if now - known.completed_at < reuse_seconds:
+                if now - known.completed_at < _reuse_seconds(
+                    known, max_age_seconds
+                ):
                     return known
             probe_done = self._in_progress.get(upstream.name)
             if probe_done is None:
@@ -110,6 +109,18 @@
                 return await self._run_probe(upstream)
             await probe_done.wait()
 
+    def has_answer(
+        self, upstream: chain.Upstream, max_age_seconds: float
+    ) -> bool:
+        """Whether :meth:`probe` needs no further question to the engine."""
+        known = self._results.get(upstream.name)
+        if upstream.name in self._in_progress:
+            return True
+        if known is None:
+            return False
+        age_seconds = anyio.current_time() - known.completed_at
+        return age_seconds < _reuse_seconds(known, max_age_seconds)
+
     async def _run_probe(self, upstream: chain.Upstream) -> Probe:
         done = self._in_progress[upstream.name] = anyio.Event()
         try:
@@ -187,6 +198,12 @@
     return others[:CONTROL_COUNT]
 
 
+def _reuse_seconds(probe: Probe, max_age_seconds: float) -> float:
+    if probe.report is None:
+        return min(REUSE_SECONDS, max_age_seconds)
+    return max_age_seconds
+
+
 async def _wait_for_silence() -> bool:
     """Wait for enough ticks on time; return whether there were enough."""
     on_time = 0
--- a/src/crowdeck/relay/rerouting.py
+++ b/src/crowdeck/relay/rerouting.py
@@ -16,6 +16,7 @@
 from crowdeck.relay import context as contexts
 from crowdeck.relay import interfaces
 from crowdeck.relay import live
+from crowdeck.relay import path_searches
 from crowdeck.relay import probes
 from crowdeck.routing import hops
 
@@ -42,6 +43,7 @@
         self._prober = prober
         self._verify = verify
         self._rerouting: set[live.LiveStream] = set()
+        self._failed_searches = path_searches.FailedPathSearches()
 
     async def reroute_around_all(
         self, culprits: typing.Iterable[chain.Upstream]
@@ -80,8 +82,26 @@
         path: chain.ChainPath,
         culprit: chain.Upstream,
     ) -> None:
+        failed = {engine.name for engine in self._context.registry.failed()}
+        excluded = {culprit.name}
+        excluded |= {hop.upstream.name for hop in path.hops} & failed
+        usable = self._context.registry.usable(stream.service.name)
+        search = path_searches.PathSearch(
+            path,
+            frozenset(excluded),
+            frozenset(engine.name for engine in usable),
+        )
         try:
-            await self._try_new_paths(stream, path, culprit)
+            if stream.urgency.is_ranked and self._failed_searches.is_futile(
+                stream, search, anyio.current_time()
+            ):
+                counters.COUNTERS.add("relay.reroutes_saved")
+                return
+            await self._try_new_paths(stream, path, culprit, excluded)
+            if stream.path is path and not stream.abandon_reason:
+                self._failed_searches.note(
+                    stream, search, anyio.current_time()
+                )
         finally:
             self._rerouting.discard(stream)
 
@@ -90,10 +110,8 @@
         stream: live.LiveStream,
         path: chain.ChainPath,
         culprit: chain.Upstream,
+        excluded: set[str],
     ) -> None:
-        failed = {engine.name for engine in self._context.registry.failed()}
-        excluded = {culprit.name}
-        excluded |= {hop.upstream.name for hop in path.hops} & failed
         while True:
             new_path = self._find_path(stream, path, excluded)
             if self._should_restart(stream, path, new_path):
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -7,66 +7,42 @@
 
 import anyio
 import anyio.abc
-import attrs
 
 from crowdeck import chain
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import context as contexts
+from crowdeck.relay import engine_activity
 from crowdeck.relay import live
+from crowdeck.relay import load_pauses
 from crowdeck.relay import probes
+from crowdeck.relay import question_budget
+from crowdeck.relay import questions
 from crowdeck.relay import rerouting
+from crowdeck.relay import silence
 
 # Minimum time between two checks of the streams.
 CHECK_SECONDS = 0.02
 # Maximum time between two checks. An idle entry checks only avoided engines,
 # and should use little processor time.
 IDLE_CHECK_SECONDS = 0.2
-# A stream is checked after PAUSE_FACTOR mean pauses without an event, but no
-# earlier than EARLIEST_SHARE and no later than LATEST_SHARE of its maximum
-# pause. The rest of that pause is for probing and rerouting.
-PAUSE_FACTOR = 2.5
-EARLIEST_SHARE = 0.3
-LATEST_SHARE = 0.45
-# Share of the latency objective after which a stream without a first event is
-# checked. The engines process the prompt in that time.
-FIRST_EVENT_SHARE = 0.4
 # A stream is checked again after this share of its maximum pause, and then
 # each time after twice as long.
 RECHECK_SHARE = 0.5
 
 # An engine may accept a request and never work on it, while its report and its
-# other streams look healthy. Share of the objective after which a stream
-# without a first event may count as hung.
-HUNG_SHARE = 0.8
-# Number of maximum pauses without an event after which another stream may.
+# other streams look healthy. A stream without a first event may count as hung
+# after silence.HUNG_SHARE of the objective, another one after this many
+# maximum pauses without an event.
 HUNG_PAUSES = 3.0
 # If streams at another first engine start within this share of the objective,
-# a stream without a first event after HUNG_SHARE counts as hung.
+# a stream without a first event after that time counts as hung.
 QUICK_SHARE = 0.5
 # After this share of the objective the first event is late.
 LATE_SHARE = 1.2
 # Another stream of the same first engine with an event within this many of its
 # mean pauses shows that the engine works.
 ACTIVE_STREAM_PAUSES = 3.0
-# Engines that an event passed within this time are not probed. Longer than an
-# event takes to pass all stages.
-RECENT_EVENT_SECONDS = 0.03
-
-
-@attrs.frozen
-class _Finding:
-    """The result of checking a silent stream.
-
-    :ivar culprits: engines that stall it.
-    :ivar is_sure: whether missing answers are due to the engines and not to
-        the lag of this entry.
-    :ivar head_report: the report of the first engine, if there is one.
-    """
-
-    culprits: list[chain.Upstream]
-    is_sure: bool
-    head_report: chain.EngineReport | None = None
 
 
 class StallMonitor:
@@ -83,6 +59,21 @@
         self._rerouter = rerouting.Rerouter(
             context, self._streams, self._prober, self.verify
         )
+        self._activity = engine_activity.EngineActivity()
+        self._pauses = load_pauses.LoadPauses()
+        self._judge = silence.SilenceJudge(self._activity, self._pauses)
+        self._question_budget = question_budget.QuestionBudget()
+        self._questioner = questions.Questioner(
+            self._prober,
+            self._question_budget,
+            self._activity,
+            self._update_activity,
+            self._is_lost,
+        )
+        # Silences without a culprit, by stream: its path and last event.
+        self._explained: dict[
+            live.LiveStream, tuple[chain.ChainPath, float]
+        ] = {}
         self._to_verify: dict[str, chain.Upstream] = {}
         self._woken = anyio.Event()
         context.registry.subscribe_lapses(self.verify)
@@ -100,6 +91,7 @@
     def drop(self, stream: live.LiveStream) -> None:
         """Stop monitoring a stream."""
         self._streams.discard(stream)
+        self._explained.pop(stream, None)
 
     def verify(self, upstream: chain.Upstream) -> None:
         """Probe an engine soon, and reroute its streams if it is lost."""
@@ -145,11 +137,15 @@
         """Check all streams that pass an engine as soon as possible.
 
         Called when a first engine refuses a request because of that engine,
-        which may happen before its streams are silent.
+        which may happen before its streams are silent. Where services are
+        full at times, most such refusals are due to load; only streams that
+        pause are checked then.
         """
         for stream in self._streams:
             path = stream.path
             if path is not None and path.passes(upstream.name):
+                if stream.urgency.is_ranked and not _pauses(stream):
+                    continue
                 stream.next_check_at = 0.0
                 stream.needs_check = True
                 self._woken.set()
@@ -168,10 +164,12 @@
                 if self._lag_meter.is_settling():
                     continue
                 now = anyio.current_time()
-                for stream in tuple(self._streams):
-                    if self._claim_check(stream, now):
-                        self._checking.add(stream)
-                        tasks.start_soon(self._check, stream)
+                self._question_budget.update(len(self._streams), now)
+                self._update_activity()
+                self._note_ended_silences(now)
+                for stream in self._streams_to_check(now):
+                    self._checking.add(stream)
+                    tasks.start_soon(self._check, stream)
 
     async def _wait_for_check(self) -> None:
         """Sleep until woken, or until a stream may be silent for too long."""
@@ -183,8 +181,9 @@
     def _next_check_at(self) -> float:
         """Return the loop time before which no stream has to be checked.
 
-        A first event may shorten a stream's limit to EARLIEST_SHARE of its
-        maximum pause, so the wait is never longer than that.
+        A first event may shorten a stream's limit to
+        ``silence.EARLIEST_SHARE`` of its maximum pause, so the wait is never
+        longer than that.
         """
         now = anyio.current_time()
         if self._lag_meter.is_settling():
@@ -194,12 +193,67 @@
             if stream in self._checking:
                 continue
             wait_seconds = min(
-                wait_seconds, EARLIEST_SHARE * stream.max_pause_seconds
+                wait_seconds, silence.EARLIEST_SHARE * stream.max_pause_seconds
             )
             if stream.path is not None:
                 wait_seconds = min(wait_seconds, self._silent_at(stream) - now)
         return now + wait_seconds
 
+    def _streams_to_check(self, now: float) -> list[live.LiveStream]:
+        """Return the streams to check now, the most telling first."""
+        counts: dict[live.LiveStream, int] = {}
+        for stream in tuple(self._streams):
+            if not self._claim_check(stream, now):
+                continue
+            counts[stream] = 0
+            if stream.urgency.is_ranked:
+                judgement = self._judge.judge(stream, now)
+                counts[stream] = judgement.silent_streams
+                if not judgement.asks:
+                    self._postpone(stream, judgement)
+                    del counts[stream]
+        return sorted(counts, key=lambda stream: -counts[stream])
+
+    def _update_activity(self) -> None:
+        self._activity.update(
+            (stream for stream in self._streams if stream.urgency.is_ranked),
+            anyio.current_time(),
+            silence.EARLIEST_SHARE,
+        )
+
+    def _note_ended_silences(self, now: float) -> None:
+        """Learn from silences that load explained and that have ended."""
+        for stream, (path, since) in tuple(self._explained.items()):
+            if stream.path is path and stream.progress_at == since:
+                continue
+            del self._explained[stream]
+            if stream.path is path and not stream.is_starting:
+                seconds = stream.progress_at - since
+                self._pauses.note_ended(path.head.name, seconds, now)
+
+    def _postpone(
+        self, stream: live.LiveStream, judgement: silence.Judgement
+    ) -> None:
+        """Postpone the check of a stream about which nobody is asked yet."""
+        assert stream.path is not None
+        stream.next_check_at = judgement.next_at
+        self._note_explained(stream, stream.path, silence.Reason.LIVELY)
+        counters.COUNTERS.add(
+            "relay.questions_saved.postponed", judgement.lively
+        )
+
+    def _note_explained(
+        self,
+        stream: live.LiveStream,
+        path: chain.ChainPath,
+        reason: silence.Reason,
+    ) -> None:
+        counters.COUNTERS.add(f"relay.silence.{reason}")
+        if reason is silence.Reason.LOADED:
+            self._pauses.note_loaded(path.head.name, anyio.current_time())
+        if not stream.is_starting:
+            self._explained[stream] = (path, stream.progress_at)
+
     async def _verify(self, upstream: chain.Upstream) -> None:
         probe = await self._prober.probe(upstream)
         if await self._is_lost(probe, ()):
@@ -250,39 +304,58 @@
 
     def _silent_at(self, stream: live.LiveStream) -> float:
         """Return when a stream counts as silent if no event arrives."""
+        if stream.urgency.is_ranked:
+            return self._judge.silent_at(stream, anyio.current_time())
         if stream.has_events:
-            limit_seconds = PAUSE_FACTOR * stream.mean_pause_seconds
+            limit_seconds = silence.PAUSE_FACTOR * stream.mean_pause_seconds
             limit_seconds = max(
-                limit_seconds, EARLIEST_SHARE * stream.max_pause_seconds
+                limit_seconds,
+                silence.EARLIEST_SHARE * stream.max_pause_seconds,
             )
             limit_seconds = min(
-                limit_seconds, LATEST_SHARE * stream.max_pause_seconds
+                limit_seconds, silence.LATEST_SHARE * stream.max_pause_seconds
             )
         else:
-            limit_seconds = FIRST_EVENT_SHARE * stream.objective_seconds
+            limit_seconds = (
+                silence.FIRST_EVENT_SHARE * stream.objective_seconds
+            )
         return max(stream.progress_at + limit_seconds, stream.next_check_at)
 
     async def _check(self, stream: live.LiveStream) -> None:
+        was_asked = True
         try:
-            await self._handle_silence(stream)
+            was_asked = await self._handle_silence(stream)
         finally:
-            stream.check_count += 1
-            delay = (
-                RECHECK_SHARE
-                * stream.max_pause_seconds
-                * 2.0 ** (stream.check_count - 1)
-            )
+            share = silence.EARLIEST_SHARE
+            if was_asked:
+                stream.check_count += 1
+                share = RECHECK_SHARE * 2.0 ** (stream.check_count - 1)
+            delay = share * stream.max_pause_seconds
             stream.next_check_at = anyio.current_time() + delay
             self._checking.discard(stream)
 
-    async def _handle_silence(self, stream: live.LiveStream) -> None:
+    async def _handle_silence(self, stream: live.LiveStream) -> bool:
+        """Find the cause of a silence and act on it.
+
+        :returns: whether engines were asked as far as needed.
+        """
         path = stream.path
         if path is None:
-            return
+            return True
         silent_since = stream.progress_at
-        finding = await self._find_culprits(stream, path)
+        if stream.urgency.is_ranked:
+            finding = await self._ask_candidates(stream, path)
+        else:
+            finding = await self._find_culprits(stream, path)
         if stream.path is not path or stream.progress_at != silent_since:
-            return
+            return True
+        if finding.reason is silence.Reason.BOUNDED:
+            counters.COUNTERS.add("relay.silence.bounded")
+            # A first check is made up for soon.
+            return stream.check_count > 0
+        reason_fields = {}
+        if finding.reason is not None:
+            reason_fields["reason"] = str(finding.reason)
         logs.decision(
             "stream_silent",
             stream.request.id,
@@ -297,15 +370,24 @@
             waiting=finding.head_report.waiting
             if finding.head_report
             else None,
+            **reason_fields,
         )
+        if finding.is_explained and finding.reason is not None:
+            self._note_explained(stream, path, finding.reason)
+        elif finding.reason is not None:
+            counters.COUNTERS.add(f"relay.silence.{finding.reason}")
         for culprit in finding.culprits:
             self._context.registry.avoid(culprit.name, "a stream waits for it")
         await self._rerouter.reroute_around_all(finding.culprits)
         if not finding.culprits and self._is_hung(stream, path, finding):
             self._abandon_hung(stream, path)
+        return True
 
     def _is_hung(
-        self, stream: live.LiveStream, path: chain.ChainPath, finding: _Finding
+        self,
+        stream: live.LiveStream,
+        path: chain.ChainPath,
+        finding: questions.Finding,
     ) -> bool:
         """Whether a stream's first engine does not work on it."""
         if not stream.may_resume or path.zone_crossings:
@@ -314,7 +396,7 @@
             return False
         limit_seconds = HUNG_PAUSES * stream.max_pause_seconds
         if stream.is_starting:
-            limit_seconds = HUNG_SHARE * stream.objective_seconds
+            limit_seconds = silence.HUNG_SHARE * stream.objective_seconds
         now = anyio.current_time()
         if now - stream.progress_at < limit_seconds:
             return False
@@ -372,9 +454,17 @@
         )
         stream.abandon(reason)
 
+    async def _ask_candidates(
+        self, stream: live.LiveStream, path: chain.ChainPath
+    ) -> questions.Finding:
+        now = anyio.current_time()
+        judgement = self._judge.judge(stream, now)
+        since = self._judge.evidence_since(stream, now)
+        return await self._questioner.ask(stream, path, judgement, now - since)
+
     async def _find_culprits(
         self, stream: live.LiveStream, path: chain.ChainPath
-    ) -> _Finding:
+    ) -> questions.Finding:
         """Return the engines that stall a stream.
 
         The first engine reports for which engines its requests wait; the
@@ -388,8 +478,8 @@
         if head.report is None:
             others = tuple(hop.upstream for hop in path.hops[1:])
             if await self._is_lost(head, others):
-                return _Finding([path.head], True)
-            return _Finding([], False)
+                return questions.Finding([path.head], True)
+            return questions.Finding([], False)
         named = [
             self._context.registry.find_by_address(stall.address)
             for stall in head.report.stalls
@@ -397,7 +487,7 @@
         ]
         found = [engine for engine in named if engine is not None]
         if found:
-            return _Finding(found, True, head.report)
+            return questions.Finding(found, True, head.report)
         answers: list[probes.Probe] = []
 
         async def ask(upstream: chain.Upstream) -> None:
@@ -412,11 +502,11 @@
             answer.upstream for answer in answers if answer.is_unreachable
         ]
         is_sure = all(answer.is_sure for answer in answers)
-        return _Finding(silent, is_sure, head.report)
+        return questions.Finding(silent, is_sure, head.report)
 
     def _recently_active(self) -> set[str]:
         """Return the names of engines that an event passed recently."""
-        since = anyio.current_time() - RECENT_EVENT_SECONDS
+        since = anyio.current_time() - silence.PASSAGE_SECONDS
         return {
             hop.upstream.name
             for stream in self._streams
@@ -425,3 +515,10 @@
             and stream.progress_at >= since
             for hop in stream.path.hops
         }
+
+
+def _pauses(stream: live.LiveStream) -> bool:
+    """Whether a stream that has begun may count as silent."""
+    silent_seconds = anyio.current_time() - stream.progress_at
+    earliest_seconds = silence.EARLIEST_SHARE * stream.max_pause_seconds
+    return not stream.is_starting and silent_seconds >= earliest_seconds
