Use connections to upstreams again where the settings call for it

Each request, report and order opened a connection of its own. Where the platform's contracts call for it, reports, streams that may be resumed and idempotent calls now use kept connections; what must not run twice, and orders, use fresh ones as before.

Ruled out: httpcore's own reuse. It reads ahead of the answer's end into buffers that it does not show, so that surplus bytes would become the start of the next answer.

Off by default; without the contract nothing changes, nor is any module more loaded.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -158,7 +158,7 @@
         revocation_seconds = float(fleet["revocation_ms"]) / 1000.0
         peers = peer_http.HttpPeerClient(self._open_client(stack, ""))
         view = store_view.StoreView(store, self._config, peers)
-        upstreams = self._open_upstream_client(stack)
+        upstreams = self._open_upstream_client(stack, tasks, view)
         context = self._build_context(upstreams, view)
         monitor = stalls.StallMonitor(context)
         self._relay = relays.Relay(
@@ -222,13 +222,29 @@
         self._initially_synced.set()
 
     def _open_upstream_client(
-        self, stack: contextlib.AsyncExitStack
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        view: store_view.StoreView,
     ) -> engines.UpstreamClient:
         client = http.HttpClient(
             "", keep_alive=False, connection_limit=MAX_UPSTREAM_CONNECTIONS
         )
         stack.push_async_callback(client.close)
-        return engines.UpstreamClient(client)
+        if not self._reuses_connections:
+            return engines.UpstreamClient(client)
+        return engines.UpstreamClient(
+            client, _open_reusing_client(stack, tasks, view)
+        )
+
+    @property
+    def _reuses_connections(self) -> bool:
+        fleet = self._config.fleet
+        if fleet["reuse_connections"] != "auto":
+            return fleet["reuse_connections"] == "on"
+        from crowdeck.platform import contracts
+
+        return contracts.reuse_connections(str(fleet["contracts"]))
 
     def _build_context(
         self, upstreams: engines.UpstreamClient, view: store_view.StoreView
@@ -285,6 +301,29 @@
         return client
 
 
+def _open_reusing_client(
+    stack: contextlib.AsyncExitStack,
+    tasks: anyio.abc.TaskGroup,
+    view: store_view.StoreView,
+) -> http.ReusingClient:
+    """Return a client that keeps connections, and start what closes them."""
+    # Entries that keep none start faster without these modules.
+    from crowdeck import reusing_client
+    from crowdeck.routing import connection_policy
+
+    policy = connection_policy.ConnectionPolicy(
+        view.registry,
+        lambda: view.holder.services,
+        lambda: view.roster.entry_count,
+    )
+    client = reusing_client.ReusingClient(policy, MAX_UPSTREAM_CONNECTIONS)
+    stack.callback(client.close)
+    view.registry.subscribe(client.kept.close_excess)
+    view.registry.subscribe_ends(client.kept.note_ended)
+    tasks.start_soon(client.kept.run)
+    return client
+
+
 async def _run_placement(
     lease: leases.Lease,
     registry: registries.UpstreamRegistry,
--- a/src/crowdeck/errors.py
+++ b/src/crowdeck/errors.py
@@ -147,6 +147,21 @@
         super().__init__(Code.UPSTREAM_LOST, message)
 
 
+class KeptConnectionFailed(CrowdeckError):
+    """A connection that was used before failed, or gave another answer.
+
+    This says little about the upstream, which may have closed the connection
+    just as the request was sent. The request may have run.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            Code.UPSTREAM_LOST,
+            message,
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        )
+
+
 class ConfigError(CrowdeckError):
     """A configuration file is invalid; the message says where and why."""
 
--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -6,12 +6,14 @@
 """HTTP client over httpcore; its errors say whether a request may have run."""
 
 import contextlib
+import enum
 import ssl
 import typing
 
 import attrs
 import httpcore
 
+from crowdeck import chain
 from crowdeck import errors
 from crowdeck import header as http_header
 from crowdeck import upstream
@@ -54,6 +56,39 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 
+class ExchangeKind(enum.StrEnum):
+    """What a request is to its upstream.
+
+    :ivar REPORT: asks for a report; it changes nothing.
+    :ivar STREAM: a request for a stream that may be resumed.
+    :ivar CALL: an idempotent call of a plain service.
+    :ivar SINGLE: a request that must not run twice.
+    :ivar ORDER: an order, which may have been taken without an answer.
+    """
+
+    REPORT = "report"
+    STREAM = "stream"
+    CALL = "call"
+    SINGLE = "single"
+    ORDER = "order"
+
+
+@attrs.frozen
+class Exchange:
+    """One request to an upstream.
+
+    :ivar id_header: header with the request's id, which the answer repeats.
+    """
+
+    upstream: chain.Upstream
+    kind: ExchangeKind
+    method: str
+    target: str
+    headers: RawHeaders
+    body: bytes
+    id_header: tuple[bytes, bytes] | None = None
+
+
 @attrs.frozen
 class Timeouts:
     """Timeouts of one call.
@@ -78,22 +113,29 @@
 class OpenResponse:
     """A response whose head has arrived and whose body may be incomplete."""
 
-    def __init__(self, response: httpcore.Response) -> None:
-        self._response = response
+    def __init__(
+        self,
+        status: int,
+        headers: RawHeaders,
+        content: typing.AsyncIterable[bytes],
+    ) -> None:
+        self._status = status
+        self._headers = headers
+        self._content = content
 
     @property
     def status(self) -> int:
         """The status code."""
-        return self._response.status
+        return self._status
 
     @property
     def headers(self) -> RawHeaders:
         """Headers in order, with names as they were sent."""
-        return self._response.headers
+        return self._headers
 
     def find(self, name: bytes) -> bytes:
         """Return a header's value by its lower-case name, empty if absent."""
-        for key, value in self._response.headers:
+        for key, value in self._headers:
             if key.lower() == name:
                 return value
         return b""
@@ -104,12 +146,10 @@
         :raises CrowdeckError: ``UPSTREAM_LOST`` when it ends early.
         """
         try:
-            async for chunk in self._response.aiter_stream():
+            async for chunk in self._content:
                 yield chunk
         except _MAY_BE_SENT as error:
-            raise _upstream_lost(
-                error, verdicts.Verdict.MAY_HAVE_RUN
-            ) from None
+            raise upstream_lost(error, verdicts.Verdict.MAY_HAVE_RUN) from None
 
     async def read(self, limit_bytes: int) -> bytes:
         """Return the whole body.
@@ -129,6 +169,21 @@
         return bytes(body)
 
 
+class ReusingClient(typing.Protocol):
+    """Sends requests to upstreams, on connections used before where safe."""
+
+    def open(
+        self, exchange: Exchange, timeouts: Timeouts
+    ) -> contextlib.AbstractAsyncContextManager[OpenResponse]:
+        """Send a request and yield its response once the head arrives.
+
+        :raises KeptConnectionFailed: if it was sent on a kept connection
+            that gave no answer to it.
+        :raises CrowdeckError: ``UPSTREAM_LOST``, with the verdict.
+        """
+        ...
+
+
 class HttpClient:
     """Sends requests; errors carry a verdict on whether they may have run.
 
@@ -181,17 +236,19 @@
                 content=body,
                 extensions={"timeout": timeouts.as_extension()},
             ) as response:
-                yield OpenResponse(response)
+                yield OpenResponse(
+                    response.status,
+                    response.headers,
+                    response.aiter_stream(),
+                )
         except _NOT_SENT as error:
             if _is_refused(error):
                 raise errors.InstanceGone(
                     "the upstream was lost (connection refused)"
                 ) from None
-            raise _upstream_lost(error, verdicts.Verdict.NOT_RUN) from None
+            raise upstream_lost(error, verdicts.Verdict.NOT_RUN) from None
         except _MAY_BE_SENT as error:
-            raise _upstream_lost(
-                error, verdicts.Verdict.MAY_HAVE_RUN
-            ) from None
+            raise upstream_lost(error, verdicts.Verdict.MAY_HAVE_RUN) from None
 
     async def send(
         self,
@@ -247,9 +304,10 @@
     return False
 
 
-def _upstream_lost(
+def upstream_lost(
     error: Exception, verdict: verdicts.Verdict
 ) -> errors.CrowdeckError:
+    """Return the error of a request whose upstream was lost."""
     return errors.CrowdeckError(
         errors.Code.UPSTREAM_LOST,
         f"the upstream was lost ({type(error).__name__})",
--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -8,6 +8,7 @@
 import contextlib
 import enum
 import math
+import secrets
 import typing
 
 import orjson
@@ -108,10 +109,19 @@
 
 
 class UpstreamClient:
-    """Calls upstream instances."""
+    """Calls upstream instances.
 
-    def __init__(self, client: http.HttpClient) -> None:
+    :param client: opens a connection for each call.
+    :param reusing_client: used instead of ``client`` if it is given.
+    """
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        reusing_client: http.ReusingClient | None = None,
+    ) -> None:
         self._client = client
+        self._reusing_client = reusing_client
         self._listeners: list[interfaces.NoticeListener] = []
 
     def subscribe(self, listener: interfaces.NoticeListener) -> None:
@@ -134,13 +144,21 @@
         :raises CrowdeckError: ``UPSTREAM_LOST``, with a verdict on whether the
             request ran.
         """
-        async with self._client.open(
+        kind = http.ExchangeKind.SINGLE
+        if dispatch.may_repeat and dispatch.path is not None:
+            kind = http.ExchangeKind.STREAM
+        elif dispatch.may_repeat:
+            kind = http.ExchangeKind.CALL
+        exchange = http.Exchange(
+            upstream,
+            kind,
             request.method,
-            f"http://{upstream.address}{request.target}",
+            request.target,
             callers.upstream_request_headers(request, upstream, dispatch),
             request.body,
-            timeouts,
-        ) as response:
+            (names.REQUEST_ID, request.id.encode()),
+        )
+        async with self._open(exchange, timeouts) as response:
             self._notify(upstream, response, answers_request=True)
             yield UpstreamAnswer(response)
 
@@ -148,10 +166,16 @@
         """Return an engine's report.
 
         :raises InstanceGone: if another instance or a later run answered.
+        :raises KeptConnectionFailed: if it was asked for on a kept
+            connection that failed; the next call uses a fresh one.
         :raises CrowdeckError: if there is no valid report.
         """
         status, body, _ = await self._exchange(
-            "GET", upstream, names.REPORT_PATH, b""
+            http.ExchangeKind.REPORT,
+            "GET",
+            upstream,
+            names.REPORT_PATH,
+            b"",
         )
         if status == _MISDIRECTED:
             raise errors.InstanceGone("another instance uses its address")
@@ -235,26 +259,56 @@
         self, upstream: chain.Upstream, order: typing.Mapping[str, object]
     ) -> tuple[int, bytes, http.RawHeaders]:
         return await self._exchange(
-            "POST", upstream, names.ORDER_PATH, orjson.dumps(order)
+            http.ExchangeKind.ORDER,
+            "POST",
+            upstream,
+            names.ORDER_PATH,
+            orjson.dumps(order),
         )
 
     async def _exchange(
-        self, method: str, upstream: chain.Upstream, path: str, body: bytes
+        self,
+        kind: http.ExchangeKind,
+        method: str,
+        upstream: chain.Upstream,
+        path: str,
+        body: bytes,
     ) -> tuple[int, bytes, http.RawHeaders]:
         headers = [(names.EXPECTED_INSTANCE, upstream.incarnation.id.encode())]
         if body:
             headers.append(_JSON_TYPE)
-        async with self._client.open(
-            method,
-            f"http://{upstream.address}{path}",
-            headers,
-            body,
-            http.Timeouts(CONNECT_TIMEOUT_SECONDS, EXCHANGE_TIMEOUT_SECONDS),
-        ) as response:
+        id_header = None
+        if (
+            self._reusing_client is not None
+            and kind is http.ExchangeKind.REPORT
+        ):
+            # A late answer to an earlier request has another id.
+            id_header = (names.REQUEST_ID, secrets.token_hex(8).encode())
+            headers.append(id_header)
+        exchange = http.Exchange(
+            upstream, kind, method, path, headers, body, id_header
+        )
+        timeouts = http.Timeouts(
+            CONNECT_TIMEOUT_SECONDS, EXCHANGE_TIMEOUT_SECONDS
+        )
+        async with self._open(exchange, timeouts) as response:
             self._notify(upstream, response, answers_request=False)
             content = await response.read(http.RESPONSE_LIMIT_BYTES)
             return response.status, content, response.headers
 
+    def _open(
+        self, exchange: http.Exchange, timeouts: http.Timeouts
+    ) -> contextlib.AbstractAsyncContextManager[http.OpenResponse]:
+        if self._reusing_client is not None:
+            return self._reusing_client.open(exchange, timeouts)
+        return self._client.open(
+            exchange.method,
+            f"http://{exchange.upstream.address}{exchange.target}",
+            exchange.headers,
+            exchange.body,
+            timeouts,
+        )
+
     def _notify(
         self,
         upstream: chain.Upstream,
--- a/src/crowdeck/platform/names.py
+++ b/src/crowdeck/platform/names.py
@@ -38,6 +38,9 @@
 ORDER_PATH = "/api/order"
 OBJECTS_PATH = "/api/objects"
 
+# Names of contracts.
+CONNECTION_CONTRACT = "pool"
+
 # The store's objects and answers.
 METADATA = "metadata"
 NAME = "name"
--- a/src/crowdeck/platform/orders.py
+++ b/src/crowdeck/platform/orders.py
@@ -9,6 +9,7 @@
 from crowdeck import errors
 from crowdeck.placement import plan
 from crowdeck.platform import engines
+from crowdeck.relay import probes
 from crowdeck import verdict as verdicts
 
 
@@ -20,7 +21,7 @@
 
     async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
         """Return an engine's report."""
-        return await self._client.report(upstream)
+        return await probes.request_report(self._client, upstream)
 
     async def place(
         self, move: plan.Move, expected_orders: int, fencing_token: int
--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -107,6 +107,7 @@
             seconds_left,
             self._path,
             self._stream.last_event_id,
+            may_repeat=self._route.is_resumable,
         )
         with anyio.move_on_after(seconds_left):
             async with self._context.client.open(
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -342,6 +342,7 @@
             self._admitted.priority,
             self._seconds_left(),
             last_event_id=self._request.last_event_id,
+            may_repeat=self._route.may_repeat,
         )
         timeouts = http.Timeouts(
             self._context.connect_seconds, self._seconds_left()
--- a/src/crowdeck/relay/interfaces.py
+++ b/src/crowdeck/relay/interfaces.py
@@ -25,6 +25,7 @@
         service.
     :ivar last_event_id: id of the last event already received, -1 to start
         with the first.
+    :ivar may_repeat: whether the request may run more than once.
     """
 
     team: str
@@ -32,6 +33,7 @@
     seconds_left: float
     path: chain.ChainPath | None = None
     last_event_id: int = -1
+    may_repeat: bool = False
 
 
 @attrs.frozen
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -46,6 +46,8 @@
         unanswered. A failure, such as a refused connection, counts as a sign
         that the network works.
     :ivar is_gone: whether its process is known to have ended.
+    :ivar is_inconclusive: whether only a kept connection failed, so that the
+        engine has to be probed again.
     """
 
     upstream: chain.Upstream
@@ -55,6 +57,7 @@
     completed_at: float
     has_error: bool = False
     is_gone: bool = False
+    is_inconclusive: bool = False
 
     @property
     def is_unreachable(self) -> bool:
@@ -114,6 +117,9 @@
         done = self._in_progress[upstream.name] = anyio.Event()
         try:
             probe = await self._exchange(upstream)
+            if probe.is_inconclusive:
+                # The time of silence begins anew on a fresh connection.
+                probe = await self._exchange(upstream)
             self._forget()
             self._results[upstream.name] = probe
             return probe
@@ -140,13 +146,20 @@
             reason = ""
             is_gone = False
             is_sure = True
+            is_inconclusive = False
             try:
                 report = await self._upstreams.report(upstream)
             except errors.CrowdeckError as error:
                 reason = error.message
                 is_gone = isinstance(error, errors.InstanceGone)
+                is_inconclusive = isinstance(
+                    error, errors.KeptConnectionFailed
+                )
                 # An unreadable answer still shows that the engine runs.
-                is_sure = error.code is not errors.Code.MALFORMED
+                is_sure = (
+                    error.code is not errors.Code.MALFORMED
+                    and not is_inconclusive
+                )
             now = anyio.current_time()
             results.append(
                 Probe(
@@ -157,6 +170,7 @@
                     now,
                     report is None and is_sure,
                     is_gone,
+                    is_inconclusive,
                 )
             )
             scope.cancel()
@@ -172,6 +186,27 @@
         return Probe(upstream, None, "no answer", is_sure, now)
 
 
+class ReportSource(typing.Protocol):
+    """Asks engines for reports."""
+
+    async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
+        """Request an engine's report of its state."""
+        ...
+
+
+async def request_report(
+    source: ReportSource, upstream: chain.Upstream
+) -> chain.EngineReport:
+    """Return an engine's report, asked for again if a connection failed.
+
+    :raises CrowdeckError: when there is no readable report.
+    """
+    try:
+        return await source.report(upstream)
+    except errors.KeptConnectionFailed:
+        return await source.report(upstream)
+
+
 def pick_controls(
     upstream: chain.Upstream, usable: typing.Iterable[chain.Upstream]
 ) -> list[chain.Upstream]:
--- a/src/crowdeck/relay/survey.py
+++ b/src/crowdeck/relay/survey.py
@@ -12,6 +12,7 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import context as contexts
+from crowdeck.relay import probes
 from crowdeck import route as routes
 
 # How often, and how many times, to check whether engines are listed.
@@ -70,7 +71,9 @@
     ) -> None:
         async with limiter:
             try:
-                report = await self._context.client.report(upstream)
+                report = await probes.request_report(
+                    self._context.client, upstream
+                )
             except errors.CrowdeckError as error:
                 counters.COUNTERS.add("relay.survey.silent")
                 logs.change(
--- a/src/crowdeck/settings/fleet_options.py
+++ b/src/crowdeck/settings/fleet_options.py
@@ -69,5 +69,17 @@
             0.1,
             600.0,
         ),
+        options.Text(
+            "reuse_connections",
+            "auto",
+            "whether connections to upstreams are kept and used again; auto: "
+            "if the contracts call for it",
+            choices=("auto", "on", "off"),
+        ),
+        options.Text(
+            "contracts",
+            "",
+            "the platform's contracts in force, separated by commas",
+        ),
     )
 )
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -26,6 +26,7 @@
 from crowdeck.cmd import http_server
 from crowdeck.cmd import start
 from crowdeck import errors
+from crowdeck.observe import counters
 from crowdeck.platform import names
 from crowdeck.platform import upstreams
 from crowdeck.settings import config as configs
@@ -50,6 +51,7 @@
     "bounds.retry_budget_slack": "100",
     "bounds.budget_window_s": "10",
     "bootstrap": "true",
+    "contracts": "base",
 }
 
 
@@ -109,6 +111,7 @@
 
 async def run_entry(
     scenario: typing.Callable[[RunningEntry], typing.Awaitable[None]],
+    listed_contracts: str = SETTINGS["contracts"],
 ) -> None:
     store = standin_store.StandinStore()
     fleet = chain_fleet.ChainFleet()
@@ -139,6 +142,7 @@
             TEMPLATE.read_text(),
             {
                 **SETTINGS,
+                "contracts": listed_contracts,
                 "platform.address": f"{HOST}:{port}",
                 "internal_port_range.0": str(internal),
                 "listen_addresses.frontend": f"{HOST}:{callers}",
@@ -195,6 +199,22 @@
 
         anyio.run(run_entry, scenario)
 
+    @pytest.mark.parametrize(
+        ("listed", "is_used"), [("base", False), ("base,pool", True)]
+    )
+    def test_connections_are_used_again_where_contracts_call_for_it(
+        self, listed: str, is_used: bool
+    ) -> None:
+        async def scenario(running: RunningEntry) -> None:
+            name = "upstream.connections.reused.stream"
+            before = counters.COUNTERS.get(name)
+            for number in range(3):
+                stream = await running.send("/a/x", f"s{number}")
+                assert stream.status == 200
+            assert (counters.COUNTERS.get(name) > before) == is_used
+
+        anyio.run(run_entry, scenario, listed)
+
     def test_refuses_unknown_keys_and_routes(self) -> None:
         async def scenario(running: RunningEntry) -> None:
             unknown_key = await running.send("/a/x", "w1", key=b"Token nobody")
--- /dev/null
+++ b/tests/test_kept_connections.py
@@ -0,0 +1,273 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Tests of which connections to upstreams are kept, and for which requests."""
+
+import typing
+
+import anyio
+import attrs
+import pytest
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import kept_connections
+from crowdeck.platform import contracts
+from crowdeck.relay import interfaces
+from crowdeck.relay import probes
+from crowdeck import route as routes
+from crowdeck.routing import connection_policy
+from tests import fleet_system
+from tests import virtual
+
+Kind = http.ExchangeKind
+Reason = connection_policy.CloseReason
+ENGINE = fleet_system.upstream("e-1")
+CONNECTION_LIMIT = 1088
+LONG_SECONDS = 100.0
+
+
+@attrs.define
+class Instances:
+    """Instances of one service, and which of them may get work."""
+
+    unusable: set[str] = attrs.field(factory=set)
+
+    def find(self, name: str) -> chain.Upstream | None:
+        return attrs.evolve(ENGINE, name=name)
+
+    def is_usable(self, name: str) -> bool:
+        return name not in self.unusable
+
+
+@attrs.define(eq=False)
+class Connection:
+    """An idle connection with a given fault."""
+
+    fault: connection_policy.CloseReason | None = None
+    is_closed: bool = False
+
+    def idle_fault(self) -> connection_policy.CloseReason | None:
+        return self.fault
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class System:
+    """A policy with the connections that are kept by it."""
+
+    def __init__(
+        self, entry_count: int = 8, connection_limit: int = CONNECTION_LIMIT
+    ) -> None:
+        self.instances = Instances()
+        self.entry_count = entry_count
+        service = routes.Service(fleet_system.MODEL, connection_limit)
+        self.policy = connection_policy.ConnectionPolicy(
+            self.instances, lambda: (service,), lambda: self.entry_count
+        )
+        self.kept: kept_connections.KeptConnections[Connection] = (
+            kept_connections.KeptConnections(self.policy)
+        )
+
+    def keep(self, count: int = 1, name: str = "e-1") -> list[Connection]:
+        added = [Connection() for _ in range(count)]
+        for connection in added:
+            self.kept.keep(name, connection, 4.0)
+        return added
+
+
+def completion(**changes: typing.Any) -> connection_policy.Completion:
+    sound = connection_policy.Completion(
+        200, True, True, False, True, False, True, False
+    )
+    return attrs.evolve(sound, **changes)
+
+
+class TestPolicy:
+    """Which requests use kept connections, and what is kept."""
+
+    def test_what_must_not_run_twice_uses_a_fresh_connection(self) -> None:
+        policy = System().policy
+        for kind in Kind:
+            is_fresh = policy.max_rest_seconds(kind) is None
+            assert is_fresh == (kind in (Kind.SINGLE, Kind.ORDER))
+
+    @pytest.mark.parametrize(
+        ("changes", "reason"),
+        [
+            ({}, None),
+            ({"is_whole": False}, Reason.UNFINISHED),
+            ({"has_own_id": False}, Reason.NO_ID),
+            ({"has_foreign_id": True}, Reason.FOREIGN_ANSWER),
+            ({"is_framed": False}, Reason.UNFRAMED),
+            ({"requests_close": True}, Reason.REQUESTED),
+            ({"was_sent_at_once": False}, Reason.SLOWLY_SENT),
+            ({"has_surplus": True}, Reason.SURPLUS),
+            ({"status": 503}, Reason.STATUS),
+        ],
+    )
+    def test_any_doubt_closes(
+        self,
+        changes: dict[str, typing.Any],
+        reason: connection_policy.CloseReason | None,
+    ) -> None:
+        found = System().policy.reason_to_close(completion(**changes))
+        assert found is reason
+
+    @pytest.mark.parametrize(
+        ("entries", "limit"), [(8, 34), (390, 0), (272, 1), (0, 0)]
+    )
+    def test_entries_together_keep_a_share_of_the_limit(
+        self, entries: int, limit: int
+    ) -> None:
+        async def body() -> None:
+            system = System(entries)
+            assert system.policy.idle_limit("e-1") == limit
+            system.keep(limit + 3)
+            assert system.kept.count == limit
+
+        virtual.run(body)
+
+    def test_idle_time_is_well_below_that_of_the_upstream(self) -> None:
+        async def body() -> None:
+            policy = System().policy
+            assert policy.idle_seconds("e-1", 2.0) == 1.0
+            assert policy.idle_seconds("e-1", 600.0) == 10.0
+            assert policy.idle_seconds("e-1", None) == 4.0
+
+        virtual.run(body)
+
+    def test_silently_dropped_connections_are_kept_shorter(self) -> None:
+        async def body() -> None:
+            policy = System().policy
+            policy.note_reuse_failed("e-1", 0.8)
+            policy.note_reuse_failed("e-2", 3.0)
+            assert policy.idle_seconds("e-3", None) == 0.4
+            await anyio.sleep(LONG_SECONDS)
+            assert policy.idle_seconds("e-3", None) == 4.0
+
+        virtual.run(body)
+
+
+class TestKeptConnections:
+    """Idle connections, and when they are closed."""
+
+    def test_the_newest_that_is_sound_is_taken(self) -> None:
+        async def body() -> None:
+            system = System()
+            first, second, third = system.keep(3)
+            third.fault = Reason.CLOSED_BY_UPSTREAM
+            taken = system.kept.take("e-1", LONG_SECONDS)
+            assert taken is not None and taken.connection is second
+            assert third.is_closed and not first.is_closed
+            await anyio.sleep(1.5)
+            assert system.kept.take("e-1", 1.0) is None
+            assert not first.is_closed
+            await anyio.sleep(3.0)
+            assert system.kept.take("e-1", LONG_SECONDS) is None
+            assert first.is_closed
+
+        virtual.run(body)
+
+    def test_surplus_bytes_close_all_of_the_instance_for_a_time(self) -> None:
+        async def body() -> None:
+            system = System()
+            kept = system.keep(3)
+            other = system.keep(1, "e-2")[0]
+            kept[-1].fault = Reason.SURPLUS
+            assert system.kept.take("e-1", LONG_SECONDS) is None
+            assert all(connection.is_closed for connection in kept)
+            assert not other.is_closed
+            assert system.keep()[0].is_closed
+            await anyio.sleep(LONG_SECONDS)
+            assert not system.keep()[0].is_closed
+
+        virtual.run(body)
+
+    def test_a_failure_closes_the_others_of_the_instance(self) -> None:
+        async def body() -> None:
+            system = System()
+            kept = system.keep(2)
+            system.kept.discard("e-1", Connection(), Reason.FAILED)
+            assert all(connection.is_closed for connection in kept)
+
+        virtual.run(body)
+
+    def test_unusable_and_ended_instances_keep_none(self) -> None:
+        async def body() -> None:
+            system = System()
+            kept = [system.keep(1, name)[0] for name in ("e-1", "e-2", "e-3")]
+            system.instances.unusable.add("e-1")
+            system.kept.close_excess()
+            system.kept.note_ended(attrs.evolve(ENGINE, name="e-2"))
+            assert [one.is_closed for one in kept] == [True, True, False]
+            system.instances.unusable.add("e-3")
+            assert system.kept.take("e-3", LONG_SECONDS) is None
+            assert system.kept.count == 0
+
+        virtual.run(body)
+
+    def test_entries_that_join_reduce_what_is_kept(self) -> None:
+        async def body() -> None:
+            system = System()
+            kept = system.keep(4)
+            system.entry_count = 136
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(system.kept.run)
+                await anyio.sleep(1.0)
+                tasks.cancel_scope.cancel()
+            open_count = sum(not connection.is_closed for connection in kept)
+            assert open_count == system.kept.count == 2
+
+        virtual.run(body)
+
+    def test_total_is_bounded(self) -> None:
+        async def body() -> None:
+            system = System(1)
+            oldest = system.keep(1, "e-0")[0]
+            for number in range(1, 4):
+                system.keep(200, f"e-{number}")
+            assert oldest.is_closed
+            assert system.kept.count == kept_connections.MAX_KEPT_CONNECTIONS
+
+        virtual.run(body)
+
+
+class TestProbe:
+    """Probes over a kept connection that fails."""
+
+    @pytest.mark.parametrize("failures", [1, 2])
+    def test_failed_kept_connection_is_no_loss(self, failures: int) -> None:
+        calls: list[float] = []
+
+        class Engine:
+            async def report(self, upstream: object) -> str:
+                calls.append(anyio.current_time())
+                await anyio.sleep(0.03)
+                if len(calls) <= failures:
+                    raise errors.KeptConnectionFailed("reset")
+                return "report"
+
+        async def body() -> None:
+            client = typing.cast(interfaces.Upstreams, Engine())
+            probe = await probes.Prober(client, lambda _: True).probe(ENGINE)
+            assert not probe.is_unreachable
+            assert (probe.report is None) == (failures == 2)
+            assert len(calls) == 2
+
+        virtual.run(body)
+
+
+class TestContracts:
+    """The platform's word for connections that are used again."""
+
+    @pytest.mark.parametrize(
+        ("listed", "is_on"),
+        [("base,pool,engine", True), ("base", False), ("", False)],
+    )
+    def test_decide(self, listed: str, is_on: bool) -> None:
+        assert contracts.reuse_connections(listed) == is_on
