Check reports by the absence of an id, and blame a rest only for frequent failures

Engines gave no id back. Engines that reset instead of answering made connections rest 1 ms at most for a minute; now a service's connections rest shorter only if more than 0.15 of recent uses after a rest of 0.1 s and more failed.

--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -77,7 +77,8 @@
 class Exchange:
     """One request to an upstream.
 
-    :ivar id_header: header with the request's id, which the answer repeats.
+    :ivar id_header: header with the request's id, which the answer repeats;
+        with an empty id, the answer has none. ``None`` if that is not known.
     """
 
     upstream: chain.Upstream
--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -8,7 +8,6 @@
 import contextlib
 import enum
 import math
-import secrets
 import typing
 
 import orjson
@@ -282,9 +281,9 @@
             self._reusing_client is not None
             and kind is http.ExchangeKind.REPORT
         ):
-            # A late answer to an earlier request has another id.
-            id_header = (names.REQUEST_ID, secrets.token_hex(8).encode())
-            headers.append(id_header)
+            # Engines take an id for that of a caller's request. An answer
+            # with an id belongs to an earlier request.
+            id_header = (names.REQUEST_ID, b"")
         exchange = http.Exchange(
             upstream, kind, method, path, headers, body, id_header
         )
--- a/src/crowdeck/reusing_client.py
+++ b/src/crowdeck/reusing_client.py
@@ -31,7 +31,7 @@
     """The use of a connection by one exchange.
 
     :ivar has_failed: whether the connection was lost.
-    :param rested_seconds: how long a kept connection was idle, ``None`` for a
+    :ivar rested_seconds: how long a kept connection was idle, ``None`` for a
         fresh one.
     """
 
@@ -45,7 +45,7 @@
         self._exchange = exchange
         self._connection = connection
         self._timeouts = timeouts
-        self._rested_seconds = rested_seconds
+        self.rested_seconds = rested_seconds
         self._head: connections.Head | None = None
         self.has_failed = False
 
@@ -54,11 +54,6 @@
         """The connection in use."""
         return self._connection
 
-    @property
-    def failed_after_rest(self) -> float | None:
-        """How long a kept connection that failed was idle, else ``None``."""
-        return self._rested_seconds if self.has_failed else None
-
     @property
     def keep_alive_seconds(self) -> float | None:
         """The idle time that the upstream states, if any."""
@@ -85,7 +80,7 @@
             head = self._head = await self._connection.read_head(
                 timeout_seconds
             )
-        if self._rested_seconds is not None and not self._has_own_id(head):
+        if self.rested_seconds is not None and not self._has_own_id(head):
             raise errors.KeptConnectionFailed(
                 "the answer has the id of another request"
             )
@@ -96,13 +91,14 @@
         head, connection = self._head, self._connection
         if head is None:
             return None
+        has_own_id = self._has_own_id(head)
         has_length = bool(head.find(b"content-length"))
         has_chunks = bool(head.find(b"transfer-encoding"))
         return connection_policy.Completion(
             status=head.status,
             is_whole=connection.is_whole,
-            has_own_id=self._has_own_id(head),
-            has_foreign_id=self._has_foreign_id(head),
+            has_own_id=has_own_id,
+            has_foreign_id=not has_own_id and self.rested_seconds is not None,
             is_framed=has_length != has_chunks,
             requests_close=connection.requests_close,
             was_sent_at_once=connection.was_sent_at_once,
@@ -115,16 +111,6 @@
         name, value = self._exchange.id_header
         return head.find(name) == value
 
-    def _has_foreign_id(self, head: connections.Head) -> bool:
-        if self._exchange.id_header is None:
-            return False
-        name, value = self._exchange.id_header
-        found = head.find(name)
-        # On a kept connection, an answer without an id may be a late one.
-        return found != value and (
-            bool(found) or self._rested_seconds is not None
-        )
-
     async def _chunks(self) -> typing.AsyncIterator[bytes]:
         with self._mapping_errors():
             async for chunk in self._connection.chunks(
@@ -147,7 +133,7 @@
             raise http.upstream_lost(error, _MAY_HAVE_RUN) from None
         except OSError as error:
             self.has_failed = True
-            if self._rested_seconds is not None:
+            if self.rested_seconds is not None:
                 raise errors.KeptConnectionFailed(
                     f"a kept connection was lost ({type(error).__name__})"
                 ) from None
@@ -233,8 +219,10 @@
         reason = self._reason_to_close(use)
         if reason is None and not is_finished:
             reason = _Reason.UNFINISHED
-        if use.failed_after_rest is not None:
-            self._policy.note_reuse_failed(name, use.failed_after_rest)
+        if use.rested_seconds is not None:
+            self._policy.note_reused(
+                name, use.rested_seconds, has_failed=use.has_failed
+            )
         if reason is not None:
             self.kept.discard(name, use.connection, reason)
             return
@@ -248,7 +236,7 @@
     def _reason_to_close(
         self, use: _Use
     ) -> connection_policy.CloseReason | None:
-        if use.failed_after_rest is not None:
+        if use.has_failed and use.rested_seconds is not None:
             return _Reason.FAILED
         completion = use.completion()
         if completion is None:
--- a/src/crowdeck/routing/connection_policy.py
+++ b/src/crowdeck/routing/connection_policy.py
@@ -29,12 +29,17 @@
 # Longest rest after which a connection is used for requests. A request on a
 # connection to a silent upstream takes longer to fail than a new connection,
 # and calls have no stall detection.
-MAX_STREAM_REST_SECONDS = 2.0
+MAX_STREAM_REST_SECONDS = 4.0
 MAX_CALL_REST_SECONDS = 1.0
-# After a kept connection failed, connections to the same service are kept for
-# this part of the time for which it had rested, for some time.
+# If kept connections of a service fail too often, its connections are kept for
+# this part of the time for which the last had rested, for some time.
 FAILED_REST_FRACTION = 0.5
-FAILED_REST_MEMORY_SECONDS = 60.0
+FAILED_REST_MEMORY_SECONDS = 30.0
+# A failure after a shorter rest than this is not due to the rest.
+MIN_FAILED_REST_SECONDS = 0.1
+MAX_FAILURE_RATE = 0.15
+# Weight of the newest use of a kept connection in the failure rate.
+EWMA_WEIGHT = 0.1
 # After a kept connection failed, the upstream's others are not used for this
 # long, so that a repeated report uses a fresh connection.
 FAILURE_PAUSE_SECONDS = 2.0
@@ -102,12 +107,18 @@
     has_surplus: bool
 
 
-@attrs.frozen
-class _FailedRest:
-    """For how long connections to a service may rest, and until when."""
+@attrs.define
+class _Rests:
+    """How connections to a service bear to be idle.
+
+    :ivar failure_rate: moving average, 1 for a failed use.
+    :ivar max_rest_seconds: for how long they may be idle, until the loop time
+        ``limited_until``.
+    """
 
-    max_rest_seconds: float
-    until: float
+    failure_rate: float = 0.0
+    max_rest_seconds: float = MAX_IDLE_SECONDS
+    limited_until: float = float("-inf")
 
 
 class Instances(typing.Protocol):
@@ -139,7 +150,7 @@
         self._services = services
         self._entry_count = entry_count
         self._paused_until: dict[str, float] = {}
-        self._failed_rests: dict[str, _FailedRest] = {}
+        self._rests_by_service: dict[str, _Rests] = {}
 
     def max_rest_seconds(self, kind: http.ExchangeKind) -> float | None:
         """Return how long a connection may have rested before a request.
@@ -179,10 +190,10 @@
             seconds = min(
                 KEEP_ALIVE_FRACTION * keep_alive_seconds, MAX_IDLE_SECONDS
             )
-        failed = self._failed_rests.get(self._service_of(name))
-        if failed is None or failed.until <= anyio.current_time():
+        rests = self._rests_by_service.get(self._service_of(name))
+        if rests is None or rests.limited_until <= anyio.current_time():
             return seconds
-        return min(seconds, failed.max_rest_seconds)
+        return min(seconds, rests.max_rest_seconds)
 
     def idle_limit(self, name: str) -> int:
         """Return how many idle connections to an instance may be kept."""
@@ -200,29 +211,39 @@
                 return math.floor(allowed / entry_count)
         return 0
 
-    def note_reuse_failed(self, name: str, rested_seconds: float) -> None:
-        """Keep connections to a service for a shorter time.
+    def note_reused(
+        self, name: str, rested_seconds: float, *, has_failed: bool
+    ) -> None:
+        """Keep connections to a service for a shorter time if many fail.
 
         Upstreams may drop idle connections without telling, and those of one
         service are likely to do so alike.
 
-        :param rested_seconds: how long the failed connection had been idle.
+        :param rested_seconds: how long the connection had been idle.
         """
-        now = anyio.current_time()
+        if rested_seconds < MIN_FAILED_REST_SECONDS:
+            return
         service = self._service_of(name)
-        max_rest_seconds = FAILED_REST_FRACTION * rested_seconds
-        failed = self._failed_rests.get(service)
-        if failed is not None and failed.until > now:
-            max_rest_seconds = min(max_rest_seconds, failed.max_rest_seconds)
-        self._failed_rests[service] = _FailedRest(
-            max_rest_seconds, now + FAILED_REST_MEMORY_SECONDS
+        rests = self._rests_by_service.setdefault(service, _Rests())
+        rests.failure_rate += EWMA_WEIGHT * (has_failed - rests.failure_rate)
+        if not has_failed or rests.failure_rate < MAX_FAILURE_RATE:
+            return
+        now = anyio.current_time()
+        if rests.limited_until <= now:
+            rests.max_rest_seconds = MAX_IDLE_SECONDS
+        rests.max_rest_seconds = min(
+            rests.max_rest_seconds,
+            max(
+                MIN_FAILED_REST_SECONDS, FAILED_REST_FRACTION * rested_seconds
+            ),
         )
+        rests.limited_until = now + FAILED_REST_MEMORY_SECONDS
         logs.change(
             "connections_kept_shorter",
             upstream=name,
             service=service,
             rested=round(rested_seconds, 3),
-            seconds=round(max_rest_seconds, 3),
+            seconds=round(rests.max_rest_seconds, 3),
         )
 
     def _service_of(self, name: str) -> str:
@@ -241,9 +262,11 @@
             if until <= now
         ]:
             del self._paused_until[expired]
-        if self._paused_until.get(name, 0.0) >= now + seconds:
+        until = max(now + seconds, self._paused_until.get(name, 0.0))
+        is_paused = name in self._paused_until
+        self._paused_until[name] = until
+        if is_paused:
             return
-        self._paused_until[name] = now + seconds
         logs.change(
             "connections_not_kept",
             upstream=name,
