--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -15,7 +15,6 @@
 from crowdeck import errors
 from crowdeck import http
 from crowdeck import kept_connections
-from crowdeck.platform import contracts
 from crowdeck.relay import interfaces
 from crowdeck.relay import probes
 from crowdeck import route as routes
@@ -273,14 +272,3 @@
             assert len(calls) == 2
 
         virtual.run(body)
-
-
-class TestContracts:
-    """The platform's word for connections that are used again."""
-
-    @pytest.mark.parametrize(
-        ("listed", "is_on"),
-        [("base,pool,engine", True), ("base", False), ("", False)],
-    )
-    def test_decide(self, listed: str, is_on: bool) -> None:
-        assert contracts.reuse_connections(listed) == is_on
