Tell a lack of descriptors as a request that was not sent

Opening a socket stood outside of the mapping of errors, so that EMFILE left connect() as a plain OSError, which no caller handles.

--- a/src/crowdeck/connection.py
+++ b/src/crowdeck/connection.py
@@ -5,6 +5,7 @@
 
 """An HTTP/1.1 connection that can be used for several requests."""
 
+import contextlib
 import errno
 import os
 import socket
@@ -206,29 +207,28 @@
     :raises CrowdeckError: ``UPSTREAM_LOST`` if it cannot be opened in time.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    new_socket = socket.socket(family, socket.SOCK_STREAM)
-    is_connected = False
     try:
-        new_socket.setblocking(False)
-        new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with anyio.fail_after(timeout_seconds):
-            await _connect(new_socket, address)
-        is_connected = True
+        with contextlib.ExitStack() as stack:
+            new_socket = stack.enter_context(
+                socket.socket(family, socket.SOCK_STREAM)
+            )
+            with anyio.fail_after(timeout_seconds):
+                await _connect(new_socket, address)
+            stack.pop_all()
     except ConnectionRefusedError:
         raise errors.InstanceGone(
             "the upstream was lost (connection refused)"
         ) from None
     except OSError as error:
         raise http.upstream_lost(error, verdicts.Verdict.NOT_RUN) from None
-    finally:
-        if not is_connected:
-            new_socket.close()
     return Connection(new_socket)
 
 
 async def _connect(
     new_socket: socket.socket, address: instances.Address
 ) -> None:
+    new_socket.setblocking(False)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     code = new_socket.connect_ex((address.host, address.port))
     if code == errno.EINPROGRESS:
         await anyio.wait_writable(new_socket)
