Blame a kept connection only for losses before an answer

A loss within an answer counted as a failed rest, paused the instance's kept connections and made its reports inconclusive, though the connection had just carried an answer: the loss is the upstream's, as on a fresh one. Silence, and callers that left before an answer, counted as sound uses and hid failures of rests. Now the first is a plain loss (may have run), the second is not counted.

--- a/src/crowdeck/reusing_client.py
+++ b/src/crowdeck/reusing_client.py
@@ -30,7 +30,7 @@
 class _Use:
     """The use of a connection by one exchange.
 
-    :ivar has_failed: whether the connection was lost.
+    :ivar has_failed: whether a kept connection was lost before an answer.
     :ivar rested_seconds: how long a kept connection was idle, ``None`` for a
         fresh one.
     """
@@ -54,6 +54,11 @@
         """The connection in use."""
         return self._connection
 
+    @property
+    def has_answer(self) -> bool:
+        """Whether the head of an answer was read."""
+        return self._head is not None
+
     @property
     def keep_alive_seconds(self) -> float | None:
         """The idle time that the upstream states, if any."""
@@ -132,8 +137,8 @@
         except TimeoutError as error:
             raise http.upstream_lost(error, _MAY_HAVE_RUN) from None
         except OSError as error:
-            self.has_failed = True
-            if self.rested_seconds is not None:
+            if self.rested_seconds is not None and not self.has_answer:
+                self.has_failed = True
                 raise errors.KeptConnectionFailed(
                     f"a kept connection was lost ({type(error).__name__})"
                 ) from None
@@ -219,7 +224,9 @@
         reason = self._reason_to_close(use)
         if reason is None and not is_finished:
             reason = _Reason.UNFINISHED
-        if use.rested_seconds is not None:
+        if use.rested_seconds is not None and (
+            use.has_answer or use.has_failed
+        ):
             self._policy.note_reused(
                 name, use.rested_seconds, has_failed=use.has_failed
             )
@@ -236,7 +243,7 @@
     def _reason_to_close(
         self, use: _Use
     ) -> connection_policy.CloseReason | None:
-        if use.has_failed and use.rested_seconds is not None:
+        if use.has_failed:
             return _Reason.FAILED
         completion = use.completion()
         if completion is None:
