--- a/src/crowdeck/routing/connection_policy.py
+++ b/src/crowdeck/routing/connection_policy.py
@@ -246,10 +246,6 @@
             seconds=round(rests.max_rest_seconds, 3),
         )
 
-    def _service_of(self, name: str) -> str:
-        upstream = self._instances.find(name)
-        return upstream.service if upstream is not None else ""
-
     def note_closed(self, name: str, reason: CloseReason) -> None:
         """Keep no connections to an instance for a time if one failed."""
         seconds = _PAUSE_SECONDS.get(reason)
@@ -273,3 +269,7 @@
             reason=str(reason),
             seconds=seconds,
         )
+
+    def _service_of(self, name: str) -> str:
+        upstream = self._instances.find(name)
+        return upstream.service if upstream is not None else ""
