Find the loss of an engine under load as soon as before

Cause: streams of ranked services were checked after 0.45 of the allowed pause in nearly all cases, where others are checked earlier. An engine that a single silent stream passed was left for the second check, half an allowed pause later, whenever that stream shared another engine with silent streams.

Change: the latest time of ranked streams is 0.36 of the allowed pause. Engines left out of a first check are asked 0.1 of the allowed pause later: answers of the shared ones are there by then, and events have cleared what only pauses. Engines left are no longer counted as lively.

--- a/src/crowdeck/relay/questions.py
+++ b/src/crowdeck/relay/questions.py
@@ -34,12 +34,14 @@
         the lag of this entry.
     :ivar head_report: the report of the first engine, if there is one.
     :ivar reason: what the answers show, if the silence was judged.
+    :ivar is_partial: whether engines that may be culprits were not asked.
     """
 
     culprits: list[chain.Upstream]
     is_sure: bool
     head_report: chain.EngineReport | None = None
     reason: silence.Reason | None = None
+    is_partial: bool = False
 
     @property
     def is_explained(self) -> bool:
--- a/src/crowdeck/relay/silence.py
+++ b/src/crowdeck/relay/silence.py
@@ -15,10 +15,12 @@
 
 # A stream is silent after PAUSE_FACTOR usual pauses or the silence that load
 # is known to cause, but no earlier than EARLIEST_SHARE and no later than
-# LATEST_SHARE of its maximum pause. The rest is for probing and rerouting.
+# LATEST_SHARE of its maximum pause, or RANKED_LATEST_SHARE if its engines are
+# judged by other streams' events first. The rest is for probing and rerouting.
 PAUSE_FACTOR = 2.5
 EARLIEST_SHARE = 0.3
 LATEST_SHARE = 0.45
+RANKED_LATEST_SHARE = 0.36
 # Share of the latency objective after which a stream without a first event is
 # silent.
 FIRST_EVENT_SHARE = 0.4
@@ -34,6 +36,10 @@
 # Age up to which an event or answer shows that an engine of a stream without
 # a first event works, as for the reports that such streams share.
 MAX_EVIDENCE_SECONDS = 0.25
+# A stream is checked again after this share of its maximum pause, and then
+# each time after twice as long; sooner if some engines were left.
+RECHECK_SHARE = 0.5
+PARTIAL_RECHECK_SHARE = 0.1
 # Number of silent streams through one engine that point to its loss.
 COMMON_STREAMS = 2
 
@@ -82,12 +88,15 @@
     :ivar asks_head: whether to ask the first engine which engines stall.
     :ivar lively: number of engines that need not be asked.
     :ivar next_at: loop time of the next judgement if nobody is asked.
+    :ivar is_partial: whether engines that may be the cause as well are left
+        for the next check.
     """
 
     candidates: tuple[Candidate, ...]
     asks_head: bool
     lively: int
     next_at: float
+    is_partial: bool = False
 
     @property
     def silent_streams(self) -> int:
@@ -140,6 +149,7 @@
         ]
         # The sort is stable: of equals, the first engine stays first.
         candidates.sort(key=lambda candidate: -candidate.silent_streams)
+        suspects = len(candidates)
         if stream.has_events and not stream.check_count:
             candidates = _most_telling(candidates)
         ask_head_at = self._ask_head_at(stream, now)
@@ -150,8 +160,9 @@
             or any(
                 candidate.upstream.name == head for candidate in candidates
             ),
-            len(stream.path.hops) - len(candidates),
+            len(stream.path.hops) - suspects,
             ask_head_at,
+            len(candidates) < suspects,
         )
 
     def evidence_since(self, stream: live.LiveStream, now: float) -> float:
@@ -169,7 +180,7 @@
         )
 
     def _pause_limit(self, stream: live.LiveStream, now: float) -> float:
-        latest_seconds = LATEST_SHARE * stream.max_pause_seconds
+        latest_seconds = RANKED_LATEST_SHARE * stream.max_pause_seconds
         if not stream.pause_count or stream.path is None:
             return latest_seconds
         limit_seconds = max(
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -5,8 +5,11 @@
 
 """Detects stalled streams, finds the cause and reroutes them."""
 
+import enum
+
 import anyio
 import anyio.abc
+import attrs
 
 from crowdeck import chain
 from crowdeck.observe import counters
@@ -26,9 +29,6 @@
 # Maximum time between two checks. An idle entry checks only avoided engines,
 # and should use little processor time.
 IDLE_CHECK_SECONDS = 0.2
-# A stream is checked again after this share of its maximum pause, and then
-# each time after twice as long.
-RECHECK_SHARE = 0.5
 
 # An engine may accept a request and never work on it, while its report and its
 # other streams look healthy. A stream without a first event may count as hung
@@ -45,6 +45,18 @@
 ACTIVE_STREAM_PAUSES = 3.0
 
 
+class CheckExtent(enum.Enum):
+    """How many of the engines that a check needs were asked.
+
+    ``WHOLE``: all. ``PARTIAL``: all but those left for the next check.
+    ``BOUNDED``: fewer, as too many questions were asked.
+    """
+
+    WHOLE = enum.auto()
+    PARTIAL = enum.auto()
+    BOUNDED = enum.auto()
+
+
 class StallMonitor:
     """Monitors the streams of one entry for stalls."""
 
@@ -322,37 +334,38 @@
         return max(stream.progress_at + limit_seconds, stream.next_check_at)
 
     async def _check(self, stream: live.LiveStream) -> None:
-        was_asked = True
+        extent = CheckExtent.WHOLE
         try:
-            was_asked = await self._handle_silence(stream)
+            extent = await self._handle_silence(stream)
         finally:
             share = silence.EARLIEST_SHARE
-            if was_asked:
+            if extent is not CheckExtent.BOUNDED:
                 stream.check_count += 1
-                share = RECHECK_SHARE * 2.0 ** (stream.check_count - 1)
+                share = silence.RECHECK_SHARE * 2.0 ** (stream.check_count - 1)
+            if extent is CheckExtent.PARTIAL:
+                share = silence.PARTIAL_RECHECK_SHARE
             delay = share * stream.max_pause_seconds
             stream.next_check_at = anyio.current_time() + delay
             self._checking.discard(stream)
 
-    async def _handle_silence(self, stream: live.LiveStream) -> bool:
-        """Find the cause of a silence and act on it.
-
-        :returns: whether engines were asked as far as needed.
-        """
+    async def _handle_silence(self, stream: live.LiveStream) -> CheckExtent:
+        """Find the cause of a silence and act on it."""
         path = stream.path
         if path is None:
-            return True
+            return CheckExtent.WHOLE
         silent_since = stream.progress_at
         if stream.urgency.is_ranked:
             finding = await self._ask_candidates(stream, path)
         else:
             finding = await self._find_culprits(stream, path)
         if stream.path is not path or stream.progress_at != silent_since:
-            return True
+            return CheckExtent.WHOLE
         if finding.reason is silence.Reason.BOUNDED:
             counters.COUNTERS.add("relay.silence.bounded")
             # A first check is made up for soon.
-            return stream.check_count > 0
+            if stream.check_count:
+                return CheckExtent.WHOLE
+            return CheckExtent.BOUNDED
         reason_fields = {}
         if finding.reason is not None:
             reason_fields["reason"] = str(finding.reason)
@@ -381,7 +394,9 @@
         await self._rerouter.reroute_around_all(finding.culprits)
         if not finding.culprits and self._is_hung(stream, path, finding):
             self._abandon_hung(stream, path)
-        return True
+        if finding.is_partial and not finding.culprits:
+            return CheckExtent.PARTIAL
+        return CheckExtent.WHOLE
 
     def _is_hung(
         self,
@@ -460,7 +475,10 @@
         now = anyio.current_time()
         judgement = self._judge.judge(stream, now)
         since = self._judge.evidence_since(stream, now)
-        return await self._questioner.ask(stream, path, judgement, now - since)
+        finding = await self._questioner.ask(
+            stream, path, judgement, now - since
+        )
+        return attrs.evolve(finding, is_partial=judgement.is_partial)
 
     async def _find_culprits(
         self, stream: live.LiveStream, path: chain.ChainPath
--- a/tests/test_silence_under_load.py
+++ b/tests/test_silence_under_load.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import statistics
 import typing
 
 import anyio
@@ -14,6 +15,7 @@
 import pytest
 
 from crowdeck import chain
+from crowdeck.relay import engine_activity
 from crowdeck.relay import load_pauses
 from crowdeck.relay import path_searches
 from crowdeck.relay import question_budget
@@ -150,6 +152,24 @@
     return system.fleet.at(engine.address)
 
 
+def seconds_until_found(
+    seeds: typing.Iterable[int], *, is_ranked: bool = True
+) -> list[float]:
+    """Return how long it takes to find a silent later engine, by seed."""
+    found: list[float] = []
+
+    async def lose(system: fleet_system.FleetSystem) -> None:
+        used_engine(system, 2).is_unresponsive = True
+        lost_at = anyio.current_time()
+        while not system.registry.failed():
+            await anyio.sleep(0.001)
+        found.append(anyio.current_time() - lost_at)
+
+    for seed in seeds:
+        play(lose, is_ranked=is_ranked, seed=seed).assert_whole()
+    return found
+
+
 class TestLoad:
     """No engine has failed."""
 
@@ -230,6 +250,27 @@
         assert loaded.longest_pause < 0.5 * CALLER_PATIENCE_SECONDS
         assert loaded.questions < before.questions
 
+    def test_engine_that_one_silent_stream_passes_is_found_in_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Silent streams share the engines of its path that work."""
+
+        def shared(_: object, name: str) -> int:
+            return 1 if name.endswith("-2") else 2
+
+        monkeypatch.setattr(
+            engine_activity.EngineActivity, "silent_streams", shared
+        )
+        limit_seconds = 0.5 * MAX_PAUSE_SECONDS + 0.5 * PROBE_SECONDS
+        assert max(seconds_until_found(range(4, 9))) < limit_seconds
+
+    def test_loss_is_found_as_soon_as_before(self) -> None:
+        now, before = (
+            seconds_until_found(range(1, 10), is_ranked=is_ranked)
+            for is_ranked in (True, False)
+        )
+        assert statistics.median(now) <= statistics.median(before)
+
     def test_lost_link_between_engines_is_found(self) -> None:
         """All engines answer, and pass events of other streams."""
         cut_ids: list[str] = []
@@ -324,9 +365,11 @@
             shared = {hop.upstream.name for hop in first.path.hops[1:3]}
             judged = monitor._judge.judge(first, now)
             assert {s.upstream.name for s in judged.candidates} == shared
+            assert judged.is_partial
             first.check_count = 1
             judged = monitor._judge.judge(first, now)
             assert judged.asks_head
+            assert not judged.is_partial
             assert [s.is_common for s in judged.candidates] == [
                 True,
                 True,
