Compute the sums of large zones less often

Cause: a collector computed its sums each 0.05 s however many entries report; for 130 members of 60 engines one takes 11.6 ms of processor time, 23% of a core, and for 300 engines 55.7 ms. Members of such a zone report each 0.4 s.

Change: sums count for a 600th of a second for each member, half of the time between two reports; zones of up to 30 entries are served as before.

Figures, this machine: 15 sums of 130 members in 1.2 s before, at most 5 now. One exchange over HTTP, both sides, 26 members of 40 engines: 1.1 ms; encoding 60 engines 0.06 ms, decoding 0.17 ms.

Conclusion: what is told is up to 0.22 s older in zones of 130, within the second for which it counts.

--- a/src/crowdeck/membership/load_collector.py
+++ b/src/crowdeck/membership/load_collector.py
@@ -17,8 +17,10 @@
 # A load counts for this long after it was told: the requests may have ended,
 # or others may have taken them over.
 REPORT_TTL_SECONDS = 1.0
-# Sums are computed again after this: not for each of many members that ask.
+# Sums are computed again after this, or later in large zones, whose sums take
+# longer and whose members report less often.
 SUM_TTL_SECONDS = 0.05
+SUM_SECONDS_PER_MEMBER = 1.0 / 600.0
 
 _Key = typing.TypeVar("_Key")
 
@@ -130,7 +132,10 @@
     def _current_sums(self) -> _Sums:
         now = anyio.current_time()
         sums = self._sums
-        if sums is None or now - sums.computed_at > SUM_TTL_SECONDS:
+        ttl_seconds = max(
+            SUM_TTL_SECONDS, SUM_SECONDS_PER_MEMBER * len(self._members)
+        )
+        if sums is None or now - sums.computed_at > ttl_seconds:
             sums = self._sums = self._compute_sums(now)
         return sums
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -19,6 +19,7 @@
 from crowdeck import errors
 from crowdeck import http
 from crowdeck import instance as instances
+from crowdeck.membership import load_collector
 from crowdeck.membership import load_coverage
 from crowdeck.membership import load_exchange
 from crowdeck.membership import load_http
@@ -216,6 +217,36 @@
 
         run(work, x=names("x", 130))
 
+    def test_sums_of_large_zones_are_computed_less_often(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        combine = fleet_loads.combine
+        sizes: list[int] = []
+
+        def count(
+            loads: typing.Iterable[fleet_loads.EntryLoad],
+        ) -> fleet_loads.EntryLoad:
+            sizes.append(len(loads := list(loads)))
+            return combine(loads)
+
+        async def body() -> None:
+            names = [f"e{number}" for number in range(130)]
+            collector = load_collector.LoadCollector("e0", "a")
+            for number in range(3):
+                for name in names:
+                    report = messages.LoadReport(
+                        name, "a", "run", number + 1, load(1)
+                    )
+                    collector.accept(report)
+                    others = collector.others_than(name)
+                    await anyio.sleep(load_exchange.MAX_INTERVAL_SECONDS / 130)
+            assert others.entry_count == 129
+            assert others.engines[ENGINE].sequences == 129
+
+        monkeypatch.setattr(fleet_loads, "combine", count)
+        virtual.run(body)
+        assert sum(size >= 129 for size in sizes) <= 5
+
     def test_nothing_passes_while_it_is_off(self) -> None:
         async def work(fleet: Fleet) -> None:
             for entry in fleet.entries.values():
