--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -59,8 +59,8 @@
 # roster. After it the entry accepts connections and refuses what it cannot
 # serve yet.
 MAX_INITIAL_SYNC_SECONDS = 0.5
-# While the config calls for no exchange of loads, it is checked this often.
-SHARE_LOAD_CHECK_SECONDS = 1.0
+# While the config ranks no streams, it is checked this often.
+RANKED_CHECK_SECONDS = 1.0
 
 
 class FleetProcess:
@@ -191,6 +191,7 @@
         tasks.start_soon(
             _run_placement, lease, view.registry, upstreams, view.holder
         )
+        tasks.start_soon(_prepare_ranking, context, view)
         tasks.start_soon(self._sync_initially, context, view)
         status = statuses.EntryStatus(
             self._config.name, context, view.holder, self._relay
@@ -221,7 +222,7 @@
 
         await view.holder.wait_known()
         while not is_enabled():
-            await anyio.sleep(SHARE_LOAD_CHECK_SECONDS)
+            await anyio.sleep(RANKED_CHECK_SECONDS)
         # Most fleets exchange no load; their entries start faster without
         # these modules.
         from crowdeck.membership import load_exchange
@@ -327,6 +328,19 @@
         return client
 
 
+async def _prepare_ranking(
+    context: contexts.RelayContext, view: store_view.StoreView
+) -> None:
+    """Load the parts for ranked streams once the config ranks any.
+
+    Otherwise the first ranked request would wait for it.
+    """
+    await view.holder.wait_known()
+    while not view.has_ranked_service():
+        await anyio.sleep(RANKED_CHECK_SECONDS)
+    context.ranked_parts()
+
+
 async def _run_placement(
     lease: leases.Lease,
     registry: registries.UpstreamRegistry,
--- a/src/crowdeck/membership/load_collector.py
+++ b/src/crowdeck/membership/load_collector.py
@@ -13,6 +13,7 @@
 from crowdeck import errors
 from crowdeck.membership import load_messages as messages
 from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck.routing import usage as usages
 
 # A load counts for this long after it was told: the requests may have ended,
 # or others may have taken them over.
@@ -33,7 +34,7 @@
     :ivar previous_run: the process that told its sender's load before.
     """
 
-    load: fleet_loads.EntryLoad
+    load: usages.EntryLoad
     told_at: float
     run: str = ""
     number: int = 0
@@ -51,9 +52,9 @@
     :ivar computed_at: loop time.
     """
 
-    members: dict[str, fleet_loads.EntryLoad]
-    zone: fleet_loads.EntryLoad
-    fleet: fleet_loads.EntryLoad
+    members: dict[str, usages.EntryLoad]
+    zone: usages.EntryLoad
+    fleet: usages.EntryLoad
     computed_at: float
 
 
@@ -103,17 +104,17 @@
             self._members[report.sender] = _replace(known, report)
 
     def accept_answer(
-        self, zone: str, sender: str, load: fleet_loads.EntryLoad
+        self, zone: str, sender: str, load: usages.EntryLoad
     ) -> None:
         """Take another zone's sum from the answer of one of its entries."""
         now = anyio.current_time()
         self._zone_sums[zone, sender, True] = _Told(load, now)
 
-    def zone_sum(self) -> fleet_loads.EntryLoad:
+    def zone_sum(self) -> usages.EntryLoad:
         """Return the load of this zone's entries, this one included."""
         return self._current_sums().zone
 
-    def others_than(self, name: str) -> fleet_loads.EntryLoad:
+    def others_than(self, name: str) -> usages.EntryLoad:
         """Return the load of all entries of the fleet but one."""
         sums = self._current_sums()
         own = sums.members.get(name)
@@ -142,7 +143,7 @@
         fleet = fleet_loads.combine([zone, *self._largest_zone_sums()])
         return _Sums(members, zone, fleet, now)
 
-    def _largest_zone_sums(self) -> list[fleet_loads.EntryLoad]:
+    def _largest_zone_sums(self) -> list[usages.EntryLoad]:
         """Return for each other zone the sum that covers most entries."""
         largest: dict[str, _Told] = {}
         for (zone, _, _), told in self._zone_sums.items():
--- a/src/crowdeck/membership/load_exchange.py
+++ b/src/crowdeck/membership/load_exchange.py
@@ -25,7 +25,7 @@
 from crowdeck.membership import peer_selection
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck.routing import usage as usages
 
 # Time between two reports of an entry; longer in large zones, so that their
 # collector gets a few hundred messages a second at most.
@@ -79,7 +79,7 @@
         ...
 
 
-OwnLoad = typing.Callable[[], fleet_loads.EntryLoad]
+OwnLoad = typing.Callable[[], usages.EntryLoad]
 EnabledSource = typing.Callable[[], bool]
 
 
@@ -91,7 +91,7 @@
     :ivar is_enough: whether it covers enough entries.
     """
 
-    load: fleet_loads.EntryLoad = fleet_loads.EntryLoad()
+    load: usages.EntryLoad = usages.EntryLoad()
     asked_at: float = float("-inf")
     is_enough: bool = False
 
@@ -139,9 +139,9 @@
         )
 
     @property
-    def others(self) -> fleet_loads.EntryLoad:
+    def others(self) -> usages.EntryLoad:
         """The load of all other entries; empty while it is not current."""
-        return self._view.load if self.is_current else fleet_loads.EntryLoad()
+        return self._view.load if self.is_current else usages.EntryLoad()
 
     @property
     def _age_seconds(self) -> float:
@@ -288,7 +288,7 @@
             self._view = attrs.evolve(view, is_enough=is_enough)
 
     def _report(
-        self, load: fleet_loads.EntryLoad, is_zone_sum: bool = False
+        self, load: usages.EntryLoad, is_zone_sum: bool = False
     ) -> messages.LoadReport:
         self._report_count += 1
         return messages.LoadReport(
--- a/src/crowdeck/membership/load_messages.py
+++ b/src/crowdeck/membership/load_messages.py
@@ -11,7 +11,7 @@
 import orjson
 
 from crowdeck import errors
-from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck.routing import usage as usages
 
 # Larger numbers are taken for errors.
 MAX_NUMBER = 1e15
@@ -35,7 +35,7 @@
     zone: str
     run: str
     number: int
-    load: fleet_loads.EntryLoad
+    load: usages.EntryLoad
     is_zone_sum: bool = False
 
 
@@ -49,7 +49,7 @@
         its own name if it collects itself.
     """
 
-    load: fleet_loads.EntryLoad
+    load: usages.EntryLoad
     collector: str
 
 
@@ -116,7 +116,7 @@
     )
 
 
-def _encode_load(load: fleet_loads.EntryLoad) -> _Json:
+def _encode_load(load: usages.EntryLoad) -> _Json:
     return {
         "entries": load.entry_count,
         "engines": {
@@ -140,11 +140,11 @@
     }
 
 
-def _decode_load(body: _Json) -> fleet_loads.EntryLoad:
+def _decode_load(body: _Json) -> usages.EntryLoad:
     engines = body["engines"]
     if not isinstance(engines, dict):
         _refuse(engines)
-    return fleet_loads.EntryLoad(
+    return usages.EntryLoad(
         _count(body["entries"]),
         {name: _decode_engine(*numbers) for name, numbers in engines.items()},
         {
@@ -164,8 +164,8 @@
     starting: _Json,
     first_event_seconds: _Json,
     first_event_count: _Json,
-) -> fleet_loads.EngineLoad:
-    return fleet_loads.EngineLoad(
+) -> usages.EngineLoad:
+    return usages.EngineLoad(
         _count(sequences),
         _number(token_layers),
         _count(starting),
--- a/src/crowdeck/relay/beginning.py
+++ b/src/crowdeck/relay/beginning.py
@@ -15,13 +15,14 @@
 class Beginning:
     """Tells the admission of one stream, and refuses what it keeps out.
 
-    Does nothing for streams of services with a single urgency.
+    Only for streams of services with requests of different urgency.
     """
 
     def __init__(
         self, context: contexts.RelayContext, stream: live.LiveStream
     ) -> None:
         self._context = context
+        self._ranked = context.ranked_parts()
         self._stream = stream
         self._service = stream.service.name
         self._urgency = stream.urgency
@@ -32,7 +33,7 @@
 
         :raises CrowdeckError: ``NO_PATH`` with the verdict ``NOT_RUN``.
         """
-        if not self._urgency.is_ranked or not self._limits().is_bounded:
+        if not self._limits().is_bounded:
             return
         objective_seconds = self._stream.objective_seconds
         if self._soonest_seconds() <= objective_seconds:
@@ -48,22 +49,20 @@
 
     def note_let_in(self) -> None:
         """Note that the stream has a path; later paths have no effect."""
-        if self._was_let_in or not self._urgency.is_ranked:
+        if self._was_let_in:
             return
         self._was_let_in = True
-        self._context.stream_notes.note_begun(self._service, self._urgency)
+        self._ranked.notes.note_begun(self._service, self._urgency)
 
     def note_refused(self) -> None:
         """Note that an engine refused the stream without running it."""
-        self._context.stream_notes.note_refused(self._service, self._urgency)
+        self._ranked.notes.note_refused(self._service, self._urgency)
 
     def note_no_path(self) -> None:
         """Note that the stream found no path in time.
 
         Missing layers are no lack of capacity.
         """
-        if not self._urgency.is_ranked:
-            return
         profile = self._stream.profile
         if self._context.gaps.find_gap(self._service, profile) is not None:
             return
@@ -74,7 +73,7 @@
         self.note_refused()
 
     def _limits(self) -> stream_admission.PathLimits:
-        return self._context.admission.limits(
+        return self._ranked.admission.limits(
             self._service, self._urgency, self._stream.objective_seconds
         )
 
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -23,19 +23,18 @@
 from crowdeck.relay import gaps as layer_gaps
 from crowdeck.relay import interfaces
 from crowdeck.relay import loop_lag
-from crowdeck.relay import ranked_waiting
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import budget as budgets
-from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import heads
 from crowdeck.routing import hops
 from crowdeck.routing import rate_limits
-from crowdeck.routing import stream_admission
 from crowdeck.routing import subset as subsets
-from crowdeck.routing import urgency_admission
 from crowdeck.routing import usage as usages
-from crowdeck.routing import waiting_order
+
+if typing.TYPE_CHECKING:
+    # Entries of fleets that rank no streams must not load this module.
+    from crowdeck.relay import ranked_service
 
 
 # Restarting a stream spends the retry budget. This share of it is reserved
@@ -45,9 +44,6 @@
 CONNECT_SECONDS = 0.25
 # A connection takes two iterations of the event loop, and each may be late.
 LAG_FACTOR = 2.0
-# Streams that are believed to wait at one engine for a first event, whatever
-# other entries tell.
-MAX_STARTING_ELSEWHERE = 1_000
 
 
 @attrs.frozen
@@ -75,8 +71,6 @@
     :ivar membership: the entries that share limits and budgets with it.
     :ivar lag_meter: measures the lag of the entry's event loop.
     :ivar fleet_load: what other entries hold on engines.
-    :ivar admission: bounds the paths of new streams.
-    :ivar stream_notes: is told what becomes of streams.
     :ivar quarantine: requests that were running when instances ended.
     """
 
@@ -96,9 +90,7 @@
     quarantine: trackers.QuarantineTracker = attrs.field(
         factory=trackers.QuarantineTracker
     )
-    fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
-    admission: stream_admission.StreamAdmission = attrs.field(init=False)
-    stream_notes: stream_admission.StreamNotes = attrs.field(init=False)
+    fleet_load: usages.FleetLoad = usages.UnknownFleetLoad()
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
     gaps: layer_gaps.LayerGapTracker = attrs.field(init=False)
@@ -108,20 +100,12 @@
     subset: subsets.EngineSubset = attrs.field(init=False)
     _budgets: dict[str, budgets.SharedRetryBudget] = attrs.field(factory=dict)
     _wait_queues: dict[str, waiting.WaitQueue] = attrs.field(factory=dict)
-    _ranked_queues: dict[str, ranked_waiting.RankedQueue] = attrs.field(
-        factory=dict
+    _ranked_parts: "ranked_service.RankedParts | None" = attrs.field(
+        default=None, init=False
     )
 
     def __attrs_post_init__(self) -> None:
         self.retry_advisor = retry_advice.RetryAdvisor(self.rng)
-        urgency = urgency_admission.UrgencyAdmission(
-            self.waiting_by_rank,
-            lambda: self.fleet_load,
-            lambda: self.membership.entry_count,
-        )
-        self.admission = urgency
-        self.stream_notes = urgency
-        self.heads.use_starting_elsewhere(self._starting_elsewhere)
         self.gaps = layer_gaps.LayerGapTracker(self.registry)
         self.subset = subsets.EngineSubset(self.name, self.zone)
         self.limits = rate_limits.RateLimits(self.usage, self.rng)
@@ -145,15 +129,6 @@
         """Records of how first engines served this entry's streams."""
         return self.planner.heads
 
-    def _starting_elsewhere(self, name: str) -> int:
-        """Return how many streams of other entries wait at an engine."""
-        if not self.fleet_load.is_current:
-            return 0
-        engine_load = self.fleet_load.others.engines.get(name)
-        if engine_load is None:
-            return 0
-        return min(max(0, engine_load.starting), MAX_STARTING_ELSEWHERE)
-
     def budget(self, service: str) -> budgets.SharedRetryBudget:
         """Return this entry's share of a service's retry budget."""
         budget = self._budgets.get(service)
@@ -266,20 +241,20 @@
     def wait_queue(self, service: str) -> waiting.WaitQueue:
         """Return the queue of requests that wait for a service.
 
-        Those of a service with requests of different urgency are in
-        :meth:`ranked_queue`.
+        Those of a service with requests of different urgency are in a queue
+        of :meth:`ranked_parts`.
         """
         return self._wait_queues.setdefault(service, waiting.WaitQueue())
 
-    def ranked_queue(self, service: str) -> ranked_waiting.RankedQueue:
-        """Return the queue of a service whose requests are ranked."""
-        queue = self._ranked_queues.get(service)
-        if queue is None:
-            queue = ranked_waiting.RankedQueue(
-                self.retry_advisor.seconds_until_capacity
-            )
-            self._ranked_queues[service] = queue
-        return queue
+    def ranked_parts(self) -> "ranked_service.RankedParts":
+        """Return what decides about ranked streams, created on first use."""
+        if self._ranked_parts is None:
+            # Most fleets rank no streams; their entries start faster without
+            # these modules.
+            from crowdeck.relay import ranked_service
+
+            self._ranked_parts = ranked_service.RankedParts(self)
+        return self._ranked_parts
 
     def waiting_by_rank(self) -> dict[tuple[str, int], int]:
         """Return how many requests wait here, by service and rank."""
@@ -289,32 +264,17 @@
                 for service, wait_queue in self._wait_queues.items()
             }
         )
-        for service, ranked_queue in self._ranked_queues.items():
-            for rank, count in ranked_queue.count_by_rank().items():
-                counts[service, rank] += count
+        if self._ranked_parts is not None:
+            counts += self._ranked_parts.waiting_by_rank()
         return dict(+counts)
 
-    def waiting_elsewhere(self, service: str, rank: int) -> float:
-        """Return how many more urgent requests wait at each other entry."""
-        return waiting_order.waiting_elsewhere(
-            self.fleet_load, service, rank, waiting.MAX_WAITING
-        )
-
-    def note_stream_ended(
-        self, service: str, request: typing.Hashable
-    ) -> None:
-        """Note that a stream ended, so that its team uses less."""
-        ranked_queue = self._ranked_queues.get(service)
-        if ranked_queue is not None:
-            ranked_queue.teams.note_ended(request)
-
-    def own_load(self) -> fleet_loads.EntryLoad:
+    def own_load(self) -> usages.EntryLoad:
         """Return what this entry has in progress."""
         return self.usage.own_load(
             self.heads.recent_first_events(), self.waiting_by_rank()
         )
 
-    def use_fleet_load(self, fleet_load: fleet_loads.FleetLoad) -> None:
+    def use_fleet_load(self, fleet_load: usages.FleetLoad) -> None:
         """Take what other entries hold from ``fleet_load``."""
         self.fleet_load = fleet_load
         self.usage.set_fleet_load(fleet_load)
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -17,7 +17,6 @@
 from crowdeck import route as routes
 from crowdeck.routing import budget as budgets
 from crowdeck.routing import usage as usages
-from crowdeck import urgency as urgencies
 
 # Weight of the newest pause in a stream's mean pause.
 EWMA_WEIGHT = 0.1
@@ -73,7 +72,7 @@
     is_starting: bool = True
     abandon_reason: str = ""
     team: str = ""
-    urgency: urgencies.Urgency = urgencies.Urgency()
+    urgency: routes.Urgency = routes.Urgency()
     _attempt_first_event_at: float | None = None
     _fingerprint: fingerprint.Fingerprint | None = None
     _path: chain.ChainPath | None = None
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -5,6 +5,10 @@
 
 """Finds a path for one stream, waiting for capacity if needed."""
 
+from __future__ import annotations
+
+import typing
+
 import anyio
 import attrs
 
@@ -15,12 +19,14 @@
 from crowdeck.relay import context as contexts
 from crowdeck.relay import gaps
 from crowdeck.relay import live
-from crowdeck.relay import ranked_waiting
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import hops
-from crowdeck.routing import stream_admission
-from crowdeck.routing import waiting_order
+
+if typing.TYPE_CHECKING:
+    # Entries of fleets that rank no streams must not load these modules.
+    from crowdeck.relay import ranked_waiting
+    from crowdeck.routing import waiting_order
 
 # How long a new request waits for capacity. Leaves an engine time to send the
 # first event before the caller gives up.
@@ -100,7 +106,7 @@
 
     async def _find_by_rank(self) -> chain.ChainPath | None:
         """Return a path for a stream of a service with ranks."""
-        queue = self._context.ranked_queue(self._service)
+        queue = self._context.ranked_parts().queue(self._service)
         claim = self._ranked_claim(queue)
         self._is_displaced = False
         path = None
@@ -131,20 +137,16 @@
     def _new_claim(
         self, queue: ranked_waiting.RankedQueue
     ) -> waiting_order.Claim:
-        rank = self._stream.urgency.rank
-        must_yield = queue.order.must_yield(rank, self._waiting_elsewhere())
-        if must_yield:
-            ranked_waiting.count("yielded", rank)
-        return waiting_order.Claim(
-            rank,
+        return queue.make_claim(
+            self._stream.urgency.rank,
             self._stream.team,
             self._arrived,
             self._arrived + IN_TIME_SHARE * self._stream.objective_seconds,
-            must_yield,
+            self._waiting_elsewhere(),
         )
 
     def _waiting_elsewhere(self) -> float:
-        return self._context.waiting_elsewhere(
+        return self._context.ranked_parts().waiting_elsewhere(
             self._service, self._stream.urgency.rank
         )
 
@@ -174,7 +176,7 @@
             or not queue.make_room(claim)
         ):
             return None
-        next_try_at = now + ranked_waiting.POLL_SECONDS * has_tried
+        next_try_at = now + queue.poll_seconds * has_tried
         with queue.join(claim, until, next_try_at) as place:
             path = await self._poll_by_rank(
                 queue, place, min(until, self._early_until())
@@ -283,7 +285,7 @@
         """Return how many of the waiting are served before this request."""
         if self._claim is None:
             return len(self._context.wait_queue(self._service))
-        queue = self._context.ranked_queue(self._service)
+        queue = self._context.ranked_parts().queue(self._service)
         return queue.count_ahead(self._claim)
 
     def _seconds_until_backoffs_end(self) -> float:
@@ -338,7 +340,8 @@
         rng = self._context.rng
         delay = self.record_refusal()
         if self._stream.urgency.is_ranked:
-            ranked_waiting.count("refused", self._stream.urgency.rank)
+            queue = self._context.ranked_parts().queue(self._service)
+            queue.note_refused(self._stream.urgency.rank)
         gap = self._gap()
         if gap is not None:
             counters.COUNTERS.add("relay.unheld")
@@ -403,17 +406,7 @@
 
     def _plan(self) -> chain.ChainPath | None:
         registry = self._context.registry
-        limits = self._path_limits()
-        path_request = hops.PathRequest(
-            self._stream.profile,
-            self._stream.tokens,
-            self._context.zone,
-            self._stream.objective_seconds,
-            self._context.limits.allows,
-            limits.max_cache_utilization,
-            limits.max_first_event_seconds,
-            limits.accepts_late_head,
-        )
+        path_request = self._path_request()
         usable = [
             engine
             for engine in registry.usable(self._service)
@@ -438,12 +431,26 @@
             self._context.limits.take(path.head)
         return path
 
-    def _path_limits(self) -> stream_admission.PathLimits:
-        """Return the bounds on a path; a stream that has begun has none."""
-        if self._stream.has_events:
-            return stream_admission.PathLimits()
-        return self._context.admission.limits(
-            self._service, self._stream.urgency, self._stream.objective_seconds
+    def _path_request(self) -> hops.PathRequest:
+        stream = self._stream
+        path_request = hops.PathRequest(
+            stream.profile,
+            stream.tokens,
+            self._context.zone,
+            stream.objective_seconds,
+            self._context.limits.allows,
+        )
+        # A stream that has begun has no bounds on its path.
+        if stream.has_events or not stream.urgency.is_ranked:
+            return path_request
+        limits = self._context.ranked_parts().admission.limits(
+            self._service, stream.urgency, stream.objective_seconds
+        )
+        return attrs.evolve(
+            path_request,
+            max_cache_utilization=limits.max_cache_utilization,
+            max_first_event_seconds=limits.max_first_event_seconds,
+            accepts_late_head=limits.accepts_late_head,
         )
 
     def _plan_over(
--- a/src/crowdeck/relay/ranked_waiting.py
+++ b/src/crowdeck/relay/ranked_waiting.py
@@ -66,12 +66,14 @@
 
     :param seconds_until_capacity: returns the time in which a number of
         requests get capacity, 0 if that is not known.
+    :ivar poll_seconds: least time between two looks for a path.
     """
 
     def __init__(
         self, seconds_until_capacity: typing.Callable[[float], float]
     ) -> None:
         self._seconds_until_capacity = seconds_until_capacity
+        self.poll_seconds = POLL_SECONDS
         self.teams = team_usage.TeamUsage()
         self.order = waiting_order.WaitingOrder(self.teams)
         self._places: list[Place] = []
@@ -84,6 +86,24 @@
         """Return how many requests wait, by rank."""
         return collections.Counter(place.claim.rank for place in self._places)
 
+    def make_claim(
+        self,
+        rank: int,
+        team: str,
+        arrived: float,
+        late_at: float,
+        waiting_elsewhere: float,
+    ) -> waiting_order.Claim:
+        """Return what decides when a new request is served.
+
+        :param waiting_elsewhere: more urgent requests that wait at each other
+            entry.
+        """
+        must_yield = self.order.must_yield(rank, waiting_elsewhere)
+        if must_yield:
+            count("yielded", rank)
+        return waiting_order.Claim(rank, team, arrived, late_at, must_yield)
+
     def may_pass(self, claim: waiting_order.Claim) -> bool:
         """Whether a new request may look for a path without waiting.
 
@@ -239,6 +259,10 @@
             await place.rest(min(until, until_try))
         return False
 
+    def note_refused(self, rank: int) -> None:
+        """Record that a request of a rank was refused."""
+        count("refused", rank)
+
     def note_granted(
         self, request: typing.Hashable, claim: waiting_order.Claim
     ) -> None:
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -12,16 +12,12 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import attempt as attempts
-from crowdeck.relay import beginning
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
 from crowdeck.relay import paths
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
-from crowdeck.routing import fleet_room
-from crowdeck.routing import retry_reserve
 from crowdeck.routing import routes as route_tables
-from crowdeck import urgency as urgencies
 from crowdeck import verdict as verdicts
 
 # Number of attempts that engines may refuse without running them. The request
@@ -52,7 +48,6 @@
     ) -> None:
         self._context = context
         self._monitor = monitor
-        self._room = fleet_room.FleetRoom(context.registry.usable)
 
     async def serve(
         self,
@@ -60,7 +55,7 @@
         admitted: route_tables.AdmittedRequest,
         service: routes.Service,
         sink: requests.Sink,
-        urgency: urgencies.Urgency = urgencies.Urgency(),
+        urgency: routes.Urgency = routes.Urgency(),
     ) -> None:
         """Answer one request for a stream.
 
@@ -89,23 +84,17 @@
             urgency=urgency,
         )
         self._monitor.add(stream)
-        self._note_arrival(stream)
+        if urgency.is_ranked:
+            self._context.ranked_parts().note_arrival(stream)
         try:
             await self._create_run(stream, admitted, sink).run()
         finally:
-            self._context.stream_notes.note_ended(service.name, stream)
+            if urgency.is_ranked:
+                self._context.ranked_parts().note_ended(stream)
             send_tracker.close()
             stream.end_attempt()
-            self._context.note_stream_ended(service.name, stream)
             self._monitor.drop(stream)
 
-    def _note_arrival(self, stream: live.LiveStream) -> None:
-        if not stream.urgency.is_ranked:
-            return
-        service = stream.service.name
-        room_share = self._room.share(service, stream.profile, stream.tokens)
-        self._context.stream_notes.note_arrival(service, stream, room_share)
-
     def _create_run(
         self,
         stream: live.LiveStream,
@@ -142,7 +131,11 @@
         )
         self._ran_on: set[str] = set()
         self._refusals = 0
-        self._beginning = beginning.Beginning(context, stream)
+        self._beginning = (
+            context.ranked_parts().begin(stream)
+            if stream.urgency.is_ranked
+            else None
+        )
         self._path_search = paths.PathSearch(
             context, stream, self._deadline - MIN_ATTEMPT_SECONDS
         )
@@ -164,8 +157,11 @@
 
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting briefly if there is none yet."""
-        if not self._ran_on and not self._stream.has_events:
-            self._beginning.refuse_if_too_late()
+        beginning = self._beginning
+        if beginning is not None and not (
+            self._ran_on or self._stream.has_events
+        ):
+            beginning.refuse_if_too_late()
         path = None
         with anyio.CancelScope() as scope:
             self._stream.note_waiting(scope)
@@ -174,9 +170,11 @@
             )
         await self._refuse_if_quarantined()
         if path is not None:
-            self._beginning.note_let_in()
+            if beginning is not None:
+                beginning.note_let_in()
             return path
-        self._beginning.note_no_path()
+        if beginning is not None:
+            beginning.note_no_path()
         raise self._final_error(self._path_search.refusal_error())
 
     async def _refuse_if_quarantined(self) -> None:
@@ -297,7 +295,7 @@
             self._path_search.exclude(path.head.name)
         elif error.culprit:
             self._path_search.exclude(error.culprit)
-        if _is_refusal(error):
+        if self._beginning is not None and _is_refusal(error):
             self._beginning.note_refused()
         logs.decision(
             "attempt_failed",
@@ -410,17 +408,14 @@
         if not urgency.is_ranked:
             return False
         service = self._stream.service.name
-        need = retry_reserve.RetryNeed(
-            urgency,
-            self._context.stream_notes.position(service, urgency),
-            self._sink.has_started,
-            _is_refusal(error),
+        reserved_share = self._context.ranked_parts().reserved_retry_share(
+            self._stream, self._sink.has_started, _is_refusal(error)
         )
         budget = self._context.budget(service)
-        if not need.reserved_share or budget.remaining < 1.0:
+        if not reserved_share or budget.remaining < 1.0:
             return False
         remaining_share = budget.remaining_share
-        if remaining_share >= need.reserved_share:
+        if remaining_share >= reserved_share:
             return False
         counters.COUNTERS.add(f"relay.retry_left.{service}.{urgency.rank}")
         logs.decision(
@@ -429,7 +424,7 @@
             service=service,
             rank=urgency.rank,
             left=round(remaining_share, 3),
-            reserved=round(need.reserved_share, 3),
+            reserved=round(reserved_share, 3),
             reason=error.message,
         )
         return True
--- a/src/crowdeck/routing/heads.py
+++ b/src/crowdeck/routing/heads.py
@@ -9,12 +9,16 @@
 only the outcomes of real streams count.
 """
 
+from __future__ import annotations
+
 import typing
 
 import anyio
 import attrs
 
-from crowdeck.routing import head_queue
+if typing.TYPE_CHECKING:
+    # Entries of fleets that rank no streams must not load this module.
+    from crowdeck.routing import head_queue
 
 # Weight of the newest sample in the moving averages.
 EWMA_WEIGHT = 0.25
@@ -83,7 +87,8 @@
         the engine was barred.
     :ivar waiting: start times of attempts without an event, by the
         attempt's key, oldest first.
-    :ivar queue: how the time to a first event grows with those waiting.
+    :ivar queue: how the time to a first event grows with those waiting;
+        ``None`` where it is not used.
     """
 
     first_event_seconds: float = 0.0
@@ -96,7 +101,7 @@
     bar_count: int = 0
     awaits_first_event: bool = False
     waiting: dict[typing.Hashable, float] = attrs.field(factory=dict)
-    queue: head_queue.HeadQueue = attrs.field(factory=head_queue.HeadQueue)
+    queue: head_queue.HeadQueue | None = None
 
 
 class HeadRecords:
@@ -108,27 +113,38 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._make_queue: typing.Callable[[], head_queue.HeadQueue] | None = (
+            None
+        )
         self._starting_elsewhere: typing.Callable[[str], int] = lambda _: 0
 
     def __len__(self) -> int:
         """Return the number of engines with a record."""
         return len(self._records)
 
-    def use_starting_elsewhere(
-        self, starting: typing.Callable[[str], int]
+    def use_queues(
+        self,
+        make_queue: typing.Callable[[], head_queue.HeadQueue],
+        starting_elsewhere: typing.Callable[[str], int],
     ) -> None:
-        """Count streams of other entries that wait at an engine.
+        """Foretell first events from the streams that wait at an engine.
 
-        :param starting: returns how many do, by name of the engine.
+        :param make_queue: returns a new queue; called for each engine.
+        :param starting_elsewhere: returns how many streams of other entries
+            wait, by name of the engine.
         """
-        self._starting_elsewhere = starting
+        self._make_queue = make_queue
+        self._starting_elsewhere = starting_elsewhere
 
     def note_begun(self, name: str, attempt: typing.Hashable) -> None:
         """Record that an attempt at a stream was sent to an engine."""
         if len(self._records) > MAX_RECORDS:
             self._drop_stale()
         record = self._records.setdefault(name, _Record())
-        record.queue.note_begun(attempt, self._starting(name))
+        if record.queue is None and self._make_queue is not None:
+            record.queue = self._make_queue()
+        if record.queue is not None:
+            record.queue.note_begun(attempt, self._starting(name))
         record.waiting[attempt] = anyio.current_time()
 
     def note_first_event(self, name: str, attempt: typing.Hashable) -> None:
@@ -138,7 +154,8 @@
         if record is None or began_at is None:
             return
         now = anyio.current_time()
-        record.queue.note_first_event(attempt, now - began_at)
+        if record.queue is not None:
+            record.queue.note_first_event(attempt, now - began_at)
         decay = _decay(now - record.first_event_at)
         average_seconds = record.first_event_seconds * decay
         record.first_event_seconds = average_seconds + EWMA_WEIGHT * (
@@ -159,7 +176,8 @@
         if record is None:
             return
         record.waiting.pop(attempt, None)
-        record.queue.note_ended(attempt)
+        if record.queue is not None:
+            record.queue.note_ended(attempt)
 
     def note_failure(self, name: str) -> bool:
         """Record a failed stream; return whether this bars the engine."""
@@ -221,7 +239,7 @@
         it cannot be told that each of them adds to it.
         """
         record = self._records.get(name)
-        if record is None:
+        if record is None or record.queue is None:
             return None
         seconds = record.queue.expected_seconds(self._starting(name))
         if seconds is None:
--- a/src/crowdeck/routing/retry_reserve.py
+++ b/src/crowdeck/routing/retry_reserve.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from crowdeck import route as routes
 from crowdeck.routing import arrival_rates
-from crowdeck import urgency as urgencies
 
 # Share of this entry's retry budget that the least urgent streams leave after
 # a refusal. More urgent ones leave a proportional part.
@@ -25,7 +25,7 @@
         Its caller loses nothing and can ask again later.
     """
 
-    urgency: urgencies.Urgency
+    urgency: routes.Urgency
     position: arrival_rates.RankPosition
     has_started: bool
     was_refused: bool
--- a/src/crowdeck/routing/routes.py
+++ b/src/crowdeck/routing/routes.py
@@ -11,7 +11,6 @@
 
 from crowdeck import errors
 from crowdeck import route as routes
-from crowdeck import urgency as urgencies
 
 
 @attrs.frozen
@@ -106,7 +105,7 @@
 
     def urgency(
         self, admitted: AdmittedRequest, service: str
-    ) -> urgencies.Urgency:
+    ) -> routes.Urgency:
         """Return the urgency of an admitted request of a service.
 
         Requests are ranked by the priority of their team, which takes
@@ -116,9 +115,9 @@
         """
         keys = self._urgency_keys_by_service.get(service, ())
         if not _are_ranked(keys):
-            return urgencies.Urgency()
+            return routes.Urgency()
         key = (admitted.team_priority, admitted.route.priority)
-        return urgencies.Urgency(keys.index(key), len(keys))
+        return routes.Urgency(keys.index(key), len(keys))
 
 
 def _are_ranked(keys: tuple[tuple[int, int], ...]) -> bool:
--- a/src/crowdeck/routing/stream_admission.py
+++ b/src/crowdeck/routing/stream_admission.py
@@ -12,8 +12,8 @@
 
 import attrs
 
+from crowdeck import route as routes
 from crowdeck.routing import arrival_rates
-from crowdeck import urgency as urgencies
 
 
 @attrs.frozen
@@ -45,7 +45,7 @@
     """A stream that waits for its first event or has had it."""
 
     @property
-    def urgency(self) -> urgencies.Urgency:
+    def urgency(self) -> routes.Urgency:
         """Its urgency beside other streams of the service."""
         ...
 
@@ -64,7 +64,7 @@
     """Bounds the paths of new streams."""
 
     def limits(
-        self, service: str, urgency: urgencies.Urgency, objective: float
+        self, service: str, urgency: routes.Urgency, objective: float
     ) -> PathLimits:
         """Return the bounds for a stream that begins now.
 
@@ -86,16 +86,16 @@
         ...
 
     def position(
-        self, service: str, urgency: urgencies.Urgency
+        self, service: str, urgency: routes.Urgency
     ) -> arrival_rates.RankPosition:
         """Return the place of a rank among those that arrived lately."""
         ...
 
-    def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
+    def note_begun(self, service: str, urgency: routes.Urgency) -> None:
         """Note that a stream was let in: it has its first path."""
         ...
 
-    def note_refused(self, service: str, urgency: urgencies.Urgency) -> None:
+    def note_refused(self, service: str, urgency: routes.Urgency) -> None:
         """Note that a stream was refused for lack of capacity."""
         ...
 
@@ -109,7 +109,7 @@
     """Lets every stream use whatever is free."""
 
     def limits(
-        self, service: str, urgency: urgencies.Urgency, objective: float
+        self, service: str, urgency: routes.Urgency, objective: float
     ) -> PathLimits:
         """Return no bounds."""
         return PathLimits()
--- a/src/crowdeck/routing/urgency_admission.py
+++ b/src/crowdeck/routing/urgency_admission.py
@@ -9,11 +9,11 @@
 
 import anyio
 
+from crowdeck import route as routes
 from crowdeck.routing import arrival_rates
-from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import stream_admission
 from crowdeck.routing import urgency_pressure
-from crowdeck import urgency as urgencies
+from crowdeck.routing import usage as usages
 
 # Bounds on the share of each engine's KV cache that the least urgent streams
 # leave free under pressure. Ranks between leave a proportional part.
@@ -44,7 +44,7 @@
     def __init__(
         self,
         waiting: Waiting,
-        fleet_load: typing.Callable[[], fleet_loads.FleetLoad],
+        fleet_load: typing.Callable[[], usages.FleetLoad],
         entry_count: typing.Callable[[], int],
     ) -> None:
         self._waiting = waiting
@@ -61,7 +61,7 @@
         ] = collections.defaultdict(dict)
 
     def limits(
-        self, service: str, urgency: urgencies.Urgency, objective: float
+        self, service: str, urgency: routes.Urgency, objective: float
     ) -> stream_admission.PathLimits:
         """Return the bounds for a stream that begins now.
 
@@ -108,19 +108,19 @@
         self._saved_streams[key] = min(saved, MAX_SAVED_STREAMS)
 
     def position(
-        self, service: str, urgency: urgencies.Urgency
+        self, service: str, urgency: routes.Urgency
     ) -> arrival_rates.RankPosition:
         """Return the place of a rank among those that arrived lately."""
         return self._rates.position(service, urgency.rank)
 
-    def note_begun(self, service: str, urgency: urgencies.Urgency) -> None:
+    def note_begun(self, service: str, urgency: routes.Urgency) -> None:
         """Note that a stream was let in: it has its first path."""
         key = (service, urgency.rank)
         saved = self._saved_streams.get(key)
         if saved is not None:
             self._saved_streams[key] = max(0.0, saved - 1.0)
 
-    def note_refused(self, service: str, urgency: urgencies.Urgency) -> None:
+    def note_refused(self, service: str, urgency: routes.Urgency) -> None:
         """Note that a stream was refused for lack of capacity."""
         self._note(service, urgency, urgency_pressure.Reason.REFUSED)
 
@@ -132,14 +132,14 @@
         if due_at is not None:
             self._note_if_late(service, stream, due_at)
 
-    def _must_yield(self, service: str, urgency: urgencies.Urgency) -> bool:
+    def _must_yield(self, service: str, urgency: routes.Urgency) -> bool:
         if not self._pressure.is_on(service, urgency.rank):
             return False
         saved = self._saved_streams.get((service, urgency.rank), 0.0)
         # The sum of the shares may be just below 1 by rounding.
         return round(saved, 6) < 1.0
 
-    def _headroom(self, service: str, urgency: urgencies.Urgency) -> float:
+    def _headroom(self, service: str, urgency: routes.Urgency) -> float:
         """Return the share of each engine's cache to leave free."""
         position = self._rates.position(service, urgency.rank)
         part = position.ahead / max(1, position.count - 1)
@@ -148,9 +148,7 @@
         least = MIN_HEADROOM_SHARE * part
         return max(least, min(fleet_room, MAX_HEADROOM_SHARE * part))
 
-    def _update_pressure(
-        self, service: str, urgency: urgencies.Urgency
-    ) -> None:
+    def _update_pressure(self, service: str, urgency: routes.Urgency) -> None:
         """Note signs of pressure that no event has told of."""
         for stream, due_at in list(self._starting[service].items()):
             if stream.first_event_at is not None:
@@ -186,7 +184,7 @@
     def _note_waiting(
         self,
         service: str,
-        urgency: urgencies.Urgency,
+        urgency: routes.Urgency,
         waiting: typing.Mapping[tuple[str, int], int],
         reason: urgency_pressure.Reason,
     ) -> None:
@@ -194,14 +192,14 @@
             if waiting.get((service, rank), 0) > 0:
                 self._note(
                     service,
-                    urgencies.Urgency(rank, urgency.rank_count),
+                    routes.Urgency(rank, urgency.rank_count),
                     reason,
                 )
 
     def _note(
         self,
         service: str,
-        urgency: urgencies.Urgency,
+        urgency: routes.Urgency,
         reason: urgency_pressure.Reason,
         at: float | None = None,
     ) -> None:
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -13,7 +13,6 @@
 import attrs
 
 from crowdeck import chain
-from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import heads as head_records
 
 # Age at which a load report expires.
@@ -27,7 +26,104 @@
 # anew for each engine and each news: all entries know the same, and the fuller
 # an engine, the fewer should send to it.
 MAX_ENDED_SHARE = 0.15
-_NO_LOAD = fleet_loads.EngineLoad()
+# A mean of less than this many streams is the rest of a subtraction.
+MIN_FIRST_EVENT_COUNT = 1e-3
+
+
+@attrs.frozen
+class EngineLoad:
+    """What requests in progress hold on one engine.
+
+    :ivar sequences: requests whose path passes the engine.
+    :ivar token_layers: expected tokens in its KV cache, times layers.
+    :ivar starting: requests that begin at the engine and have had no event.
+    :ivar first_event_seconds: recent mean time to the first event of the
+        streams that begin at the engine, 0 if there were none.
+    :ivar first_event_count: number of streams on which this mean rests;
+        older ones count less.
+    """
+
+    sequences: int = 0
+    token_layers: float = 0.0
+    starting: int = 0
+    first_event_seconds: float = 0.0
+    first_event_count: float = 0.0
+
+    def plus(self, other: "EngineLoad") -> "EngineLoad":
+        """Return both loads together."""
+        count = self.first_event_count + other.first_event_count
+        seconds = (
+            self.first_event_seconds * self.first_event_count
+            + other.first_event_seconds * other.first_event_count
+        )
+        return EngineLoad(
+            self.sequences + other.sequences,
+            self.token_layers + other.token_layers,
+            self.starting + other.starting,
+            seconds / count if count else 0.0,
+            count,
+        )
+
+    def minus(self, part: "EngineLoad") -> "EngineLoad":
+        """Return this load without a part of it."""
+        # Differences of decimal numbers may be slightly below zero.
+        count = max(0.0, self.first_event_count - part.first_event_count)
+        seconds = (
+            self.first_event_seconds * self.first_event_count
+            - part.first_event_seconds * part.first_event_count
+        )
+        has_mean = count >= MIN_FIRST_EVENT_COUNT
+        return EngineLoad(
+            max(0, self.sequences - part.sequences),
+            max(0.0, self.token_layers - part.token_layers),
+            max(0, self.starting - part.starting),
+            max(0.0, seconds / count) if has_mean else 0.0,
+            count if has_mean else 0.0,
+        )
+
+
+_NO_LOAD = EngineLoad()
+
+
+@attrs.frozen
+class EntryLoad:
+    """What one entry, or several together, have in progress.
+
+    :ivar entry_count: number of entries that it covers.
+    :ivar engines: load by name of the engine.
+    :ivar waiting: requests that wait for a path, by service and rank.
+    :ivar zone_link_tokens: tokens sent between two availability zones in the
+        last second, by the pair of zones in alphabetical order.
+    """
+
+    entry_count: int = 0
+    engines: typing.Mapping[str, EngineLoad] = attrs.field(factory=dict)
+    waiting: typing.Mapping[tuple[str, int], int] = attrs.field(factory=dict)
+    zone_link_tokens: typing.Mapping[tuple[str, str], float] = attrs.field(
+        factory=dict
+    )
+
+
+class FleetLoad(typing.Protocol):
+    """What the other entries of the fleet have in progress."""
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the others were heard recently enough to rely on it."""
+        ...
+
+    @property
+    def others(self) -> EntryLoad:
+        """The load of all other entries; empty while it is not current."""
+        ...
+
+
+@attrs.frozen
+class UnknownFleetLoad:
+    """The view of an entry that exchanges no load."""
+
+    is_current: bool = False
+    others: EntryLoad = EntryLoad()
 
 
 @attrs.frozen
@@ -68,7 +164,7 @@
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
         self._draws: dict[str, float] = {}
-        self._known_others = fleet_loads.EntryLoad()
+        self._known_others = EntryLoad()
         # By engine, then by the first engine of the path.
         self._sequences: dict[str, collections.Counter[str]] = {}
         self._token_layers: dict[str, collections.Counter[str]] = {}
@@ -81,16 +177,14 @@
         ] = {}
         self._zone_entry_count = 1
         self._entry_count = 1
-        self._fleet_load: fleet_loads.FleetLoad = (
-            fleet_loads.UnknownFleetLoad()
-        )
+        self._fleet_load: FleetLoad = UnknownFleetLoad()
 
     @property
     def knows_load(self) -> bool:
         """Whether the entries told one another their load."""
         return self._fleet_load.others.entry_count > 0
 
-    def set_fleet_load(self, fleet_load: fleet_loads.FleetLoad) -> None:
+    def set_fleet_load(self, fleet_load: FleetLoad) -> None:
         """Set the source of the other entries' load."""
         self._fleet_load = fleet_load
 
@@ -183,7 +277,7 @@
         own = _total(self._sequences.get(upstream.name))
         return own + (1.0 - ended_share) * engine.sequences
 
-    def _draw(self, name: str, others: fleet_loads.EntryLoad) -> float:
+    def _draw(self, name: str, others: EntryLoad) -> float:
         """Return a random number from 0 to 1 for an engine and this news."""
         if others is not self._known_others:
             self._known_others = others
@@ -205,7 +299,7 @@
         self,
         first_events: typing.Mapping[str, head_records.FirstEvents],
         waiting: typing.Mapping[tuple[str, int], int],
-    ) -> fleet_loads.EntryLoad:
+    ) -> EntryLoad:
         """Return what this entry has in progress.
 
         :param first_events: recent first events by name of the engine.
@@ -219,7 +313,7 @@
             _sorted_pair(*zones): self._crossed_tokens(zones)
             for zones in self._crossings
         }
-        return fleet_loads.EntryLoad(
+        return EntryLoad(
             1,
             engines,
             dict(waiting),
@@ -228,8 +322,8 @@
 
     def _own_engine_load(
         self, name: str, first_events: head_records.FirstEvents | None
-    ) -> fleet_loads.EngineLoad:
-        load = fleet_loads.EngineLoad(
+    ) -> EngineLoad:
+        load = EngineLoad(
             _total(self._sequences.get(name)),
             _total(self._token_layers.get(name)),
         )
--- a/src/crowdeck/routing/waiting_order.py
+++ b/src/crowdeck/routing/waiting_order.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import team_usage
+from crowdeck.routing import usage as usages
 
 # Grants to more urgent requests after which the next is for a less urgent
 # rank that waits, so that no kind of request is never served.
@@ -125,7 +125,7 @@
 
 
 def waiting_elsewhere(
-    load: fleet_loads.FleetLoad, service: str, rank: int, max_waiting: int
+    load: usages.FleetLoad, service: str, rank: int, max_waiting: int
 ) -> float:
     """Return how many more urgent requests wait at each other entry.
 
--- a/tests/test_admission_by_urgency.py
+++ b/tests/test_admission_by_urgency.py
@@ -122,7 +122,8 @@
 
 
 async def run_unlimited(unlimited: Play) -> None:
-    unlimited.system.context.admission = stream_admission.UnlimitedAdmission()
+    ranked_parts = unlimited.system.context.ranked_parts()
+    ranked_parts.admission = stream_admission.UnlimitedAdmission()
     await unlimited.run()
 
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -26,7 +26,6 @@
 from crowdeck.membership import peer_http
 from crowdeck.membership import peer_selection
 from crowdeck.membership import roster as rosters
-from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import heads
 from crowdeck.routing import hops
 from crowdeck.routing import usage as usages
@@ -39,11 +38,11 @@
 ENGINE = "engine-0"
 
 
-def load(sequences: int, seconds: float = 0.0) -> fleet_loads.EntryLoad:
-    engine = fleet_loads.EngineLoad(
+def load(sequences: int, seconds: float = 0.0) -> usages.EntryLoad:
+    engine = usages.EngineLoad(
         sequences, sequences * 10.0, 0, seconds, 1.0 if seconds else 0.0
     )
-    return fleet_loads.EntryLoad(
+    return usages.EntryLoad(
         1, {ENGINE: engine}, {("model", 0): sequences}, {("a", "b"): 5.0}
     )
 
@@ -437,9 +436,7 @@
             with anyio.fail_after(10.0):
                 while fleet.heard() != [2, 2, 2]:
                     await anyio.sleep(0.05)
-            report = messages.LoadReport(
-                "x1", "x", "r", 1, fleet_loads.EntryLoad()
-            )
+            report = messages.LoadReport("x1", "x", "r", 1, usages.EntryLoad())
             with pytest.raises(errors.CrowdeckError, match="status 400"):
                 await peers.tell_load(fleet.ranking("x")[0], report)
             tasks.cancel_scope.cancel()
@@ -450,12 +447,12 @@
 class Others:
     """A fixed view of the other entries."""
 
-    load: fleet_loads.EntryLoad
+    load: usages.EntryLoad
     is_current: bool = True
 
     @property
-    def others(self) -> fleet_loads.EntryLoad:
-        return self.load if self.is_current else fleet_loads.EntryLoad()
+    def others(self) -> usages.EntryLoad:
+        return self.load if self.is_current else usages.EntryLoad()
 
 
 class TestOperator:
@@ -486,7 +483,7 @@
     """How the others' load counts beside an entry's own."""
 
     def make(
-        self, others: fleet_loads.EntryLoad
+        self, others: usages.EntryLoad
     ) -> tuple[usages.InFlight, list[chain.Upstream], Others]:
         fleet = test_hops.engines([(0, 40, "a"), (40, 40, "b")])
         rng = random.Random()
@@ -503,11 +500,11 @@
 
     def test_counts_are_added_while_current(self) -> None:
         async def body() -> None:
-            engine = fleet_loads.EngineLoad(6, 1000.0)
-            usage, fleet, view = self.make(fleet_loads.EntryLoad(3))
+            engine = usages.EngineLoad(6, 1000.0)
+            usage, fleet, view = self.make(usages.EntryLoad(3))
             profile = test_hops.PROFILE
             single = usage.known_cache_utilization(fleet[1], profile)
-            view.load = fleet_loads.EntryLoad(3, {fleet[1].name: engine})
+            view.load = usages.EntryLoad(3, {fleet[1].name: engine})
             token_layers = profile.token_capacity("large", 40) * 40
             assert usage.known_cache_utilization(
                 fleet[1], profile
@@ -519,7 +516,7 @@
                 test_hops.PROFILE, zone_link_bytes_per_second=1e9
             )
             link = usage.zone_link_utilization("b", "a", profile)
-            view.load = fleet_loads.EntryLoad(
+            view.load = usages.EntryLoad(
                 1, {}, {}, {("a", "b"): 9 * test_hops.REQUEST.tokens}
             )
             assert usage.zone_link_utilization(
@@ -550,17 +547,17 @@
     def is_chosen(
         self, fleet: list[chain.Upstream], token_layers: float, seed: int
     ) -> bool:
-        engine = fleet_loads.EngineLoad(20, token_layers)
+        engine = usages.EngineLoad(20, token_layers)
         usage = usages.InFlight(random.Random(seed))
         usage.set_fleet_load(
-            Others(fleet_loads.EntryLoad(25, {fleet[0].name: engine}))
+            Others(usages.EntryLoad(25, {fleet[0].name: engine}))
         )
         planner = hops.HopPlanner(usage)
         return planner.plan(fleet, test_hops.REQUEST) is not None
 
     def test_own_load_has_first_events_and_paths(self) -> None:
         async def body() -> None:
-            usage, fleet, _ = self.make(fleet_loads.EntryLoad())
+            usage, fleet, _ = self.make(usages.EntryLoad())
             records = heads.HeadRecords()
             records.note_begun(fleet[0].name, "a")
             records.note_begun(fleet[0].name, "b")
@@ -570,7 +567,7 @@
                 records.recent_first_events(), {("model", 1): 2}
             )
             tokens = int(test_hops.REQUEST.tokens)
-            held = fleet_loads.EngineLoad(1, 40 * tokens)
+            held = usages.EngineLoad(1, 40 * tokens)
             begun = attrs.evolve(
                 held,
                 starting=1,
@@ -591,43 +588,43 @@
 
     def test_heads_that_are_slow_for_others_are_left_out(self) -> None:
         async def body() -> None:
-            usage, fleet, view = self.make(fleet_loads.EntryLoad())
-            engine = fleet_loads.EngineLoad(
+            usage, fleet, view = self.make(usages.EntryLoad())
+            engine = usages.EngineLoad(
                 first_event_seconds=0.8, first_event_count=3.0
             )
-            view.load = fleet_loads.EntryLoad(1, {fleet[0].name: engine})
+            view.load = usages.EntryLoad(1, {fleet[0].name: engine})
             request = attrs.evolve(
                 test_hops.REQUEST, max_first_event_seconds=0.5
             )
             planner = hops.HopPlanner(usage)
             assert planner.plan(fleet, request) is None
-            view.load = fleet_loads.EntryLoad(1)
+            view.load = usages.EntryLoad(1)
             assert planner.plan(fleet, request) is not None
 
         virtual.run(body)
 
     def test_heads_without_a_free_slot_are_left_out(self) -> None:
         async def body() -> None:
-            usage, fleet, view = self.make(fleet_loads.EntryLoad())
+            usage, fleet, view = self.make(usages.EntryLoad())
             slots = test_hops.REQUEST.profile.slots
             planner = hops.HopPlanner(usage)
             # One request is this entry's own.
-            held = fleet_loads.EngineLoad(sequences=slots - 2)
-            view.load = fleet_loads.EntryLoad(1, {fleet[0].name: held})
+            held = usages.EngineLoad(sequences=slots - 2)
+            view.load = usages.EntryLoad(1, {fleet[0].name: held})
             assert planner.plan(fleet, test_hops.REQUEST) is not None
             bounded = attrs.evolve(
                 test_hops.REQUEST, max_cache_utilization=0.9
             )
             assert planner.plan(fleet, bounded) is None
             held = attrs.evolve(held, sequences=2 * slots)
-            view.load = fleet_loads.EntryLoad(1, {fleet[0].name: held})
+            view.load = usages.EntryLoad(1, {fleet[0].name: held})
             assert planner.plan(fleet, test_hops.REQUEST) is None
 
         virtual.run(body)
 
     def test_means_are_weighted_by_their_streams(self) -> None:
-        total = fleet_loads.EngineLoad(1, 1.0, 1, 0.2, 3.0).plus(
-            fleet_loads.EngineLoad(2, 2.0, 0, 1.0, 1.0)
+        total = usages.EngineLoad(1, 1.0, 1, 0.2, 3.0).plus(
+            usages.EngineLoad(2, 2.0, 0, 1.0, 1.0)
         )
-        assert total == fleet_loads.EngineLoad(3, 3.0, 1, 0.4, 4.0)
-        assert total.minus(total) == fleet_loads.EngineLoad()
+        assert total == usages.EngineLoad(3, 3.0, 1, 0.4, 4.0)
+        assert total.minus(total) == usages.EngineLoad()
--- a/tests/test_ranked_waiting.py
+++ b/tests/test_ranked_waiting.py
@@ -12,6 +12,7 @@
 import anyio
 import attrs
 
+from crowdeck.cmd import fleet_process
 from crowdeck import errors
 from crowdeck.observe import counters
 from crowdeck.relay import ranked_waiting
@@ -19,11 +20,10 @@
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck import route as routes
-from crowdeck.routing import fleet_load as fleet_loads
 from crowdeck.routing import stream_admission
 from crowdeck.routing import team_usage
+from crowdeck.routing import usage as usages
 from crowdeck.routing import waiting_order
-from crowdeck import urgency as urgencies
 from tests import fleet_system
 from tests import virtual
 
@@ -119,15 +119,26 @@
     is_current: bool = True
 
     @property
-    def others(self) -> fleet_loads.EntryLoad:
-        return fleet_loads.EntryLoad(10, waiting={(MODEL, 0): self.waiting})
+    def others(self) -> usages.EntryLoad:
+        return usages.EntryLoad(10, waiting={(MODEL, 0): self.waiting})
+
+
+class StandinView:
+    """The config in force, as the store tells it to an entry."""
+
+    def __init__(self, system: fleet_system.FleetSystem) -> None:
+        self.holder = system.holder
+
+    def has_ranked_service(self) -> bool:
+        table = self.holder.table
+        return table is not None and table.has_ranked_service
 
 
 class BoundedAdmission:
     """Leaves no room to any but the most urgent."""
 
     def limits(
-        self, service: str, urgency: urgencies.Urgency, objective: float
+        self, service: str, urgency: routes.Urgency, objective: float
     ) -> stream_admission.PathLimits:
         share = 0.0 if urgency.rank else 1.0
         return stream_admission.PathLimits(max_cache_utilization=share)
@@ -171,7 +182,7 @@
         self, play: Play
     ) -> None:
         context = play.context
-        queue = context.ranked_queue(MODEL)
+        queue = context.ranked_parts().queue(MODEL)
         async with anyio.create_task_group() as tasks:
             await play.fill(tasks)
             tasks.start_soon(play.send, 2)
@@ -196,7 +207,7 @@
             await play.send_each(tasks, kinds[:BURST])
             play.fleet.upstreams[1].is_dead = True
             await play.send_each(tasks, kinds[BURST:])
-        assert not len(play.context.ranked_queue(MODEL))
+        assert not len(play.context.ranked_parts().queue(MODEL))
         urgent = len(play.served[0, "small"])
         others = len(play.served[2, "small"])
         assert 0.2 < others / (urgent + others) < 0.4
@@ -205,8 +216,8 @@
     async def test_bounded_rank_does_not_block_the_more_urgent(
         self, play: Play
     ) -> None:
-        play.context.admission = BoundedAdmission()
-        order = play.context.ranked_queue(MODEL).order
+        play.context.ranked_parts().admission = BoundedAdmission()
+        order = play.context.ranked_parts().queue(MODEL).order
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(play.send, 2)
             await play.send_each(tasks, [(0, "small")] * 5)
@@ -236,6 +247,35 @@
         assert counted - yielded == 6
 
 
+class TestParts:
+    """The parts that only ranked streams need."""
+
+    def test_are_created_once_the_config_ranks_streams(self) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            context = system.context
+            ranked = Play().config
+            system.add_model(copies=1)
+            system.install(fleet_system.make_config())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    fleet_process._prepare_ranking,
+                    context,
+                    StandinView(system),
+                )
+                caller = await system.ask(system.request(STREAM))
+                assert caller.is_complete
+                await anyio.sleep(10.0)
+                assert context._ranked_parts is None
+                system.install(attrs.evolve(ranked, version=2))
+                await anyio.sleep(fleet_process.RANKED_CHECK_SECONDS)
+                assert context._ranked_parts is not None
+
+        async def body() -> None:
+            await fleet_system.run_with(fleet_system.FleetSystem(), work)
+
+        virtual.run(body)
+
+
 class TestDecisions:
     """Decisions without a fleet."""
 
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -9,7 +9,6 @@
 
 from crowdeck import route as routes
 from crowdeck.routing import routes as route_tables
-from crowdeck import urgency as urgencies
 from tests import fleet_system
 
 STREAM = routes.RepeatPolicy.STREAM
@@ -34,7 +33,7 @@
 
 def urgency(
     route_table: route_tables.RouteTable, path: str, key: str
-) -> urgencies.Urgency:
+) -> routes.Urgency:
     admitted = route_table.admit("desk", path, key)
     return route_table.urgency(admitted, fleet_system.MODEL)
 
@@ -60,4 +59,4 @@
 
     def test_teams_without_a_priority_have_that_of_the_route(self) -> None:
         ranked = table((0, 2), (None,))
-        assert urgency(ranked, "/2/x", "key-0") == urgencies.Urgency(1, 2)
+        assert urgency(ranked, "/2/x", "key-0") == routes.Urgency(1, 2)
--- a/tests/test_urgency_admission.py
+++ b/tests/test_urgency_admission.py
@@ -11,25 +11,25 @@
 import attrs
 import pytest
 
-from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck import route as routes
 from crowdeck.routing import head_queue
 from crowdeck.routing import retry_reserve
 from crowdeck.routing import stream_admission
 from crowdeck.routing import urgency_admission
 from crowdeck.routing import urgency_pressure
-from crowdeck import urgency as urgencies
+from crowdeck.routing import usage as usages
 from tests import virtual
 
 SERVICE = "assistant"
 OBJECTIVE_SECONDS = 0.5
-RANKS = [urgencies.Urgency(rank, 3) for rank in range(3)]
+RANKS = [routes.Urgency(rank, 3) for rank in range(3)]
 MAX_HEADROOM = urgency_admission.MAX_HEADROOM_SHARE
 MIN_HEADROOM = urgency_admission.MIN_HEADROOM_SHARE
 
 
 @attrs.define(eq=False)
 class Stream:
-    urgency: urgencies.Urgency
+    urgency: routes.Urgency
     objective_seconds: float = OBJECTIVE_SECONDS
     first_event_at: float | None = None
 
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         self.waiting: dict[tuple[str, int], int] = {}
-        self.fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
+        self.fleet_load: usages.FleetLoad = usages.UnknownFleetLoad()
         self.entry_count = 1
         self.admission = urgency_admission.UrgencyAdmission(
             lambda: self.waiting,
@@ -59,8 +59,8 @@
         return stream
 
     def tell(self, is_current: bool, waiting: dict[typing.Any, int]) -> None:
-        others = fleet_loads.EntryLoad(entry_count=25, waiting=waiting)
-        self.fleet_load = fleet_loads.UnknownFleetLoad(is_current, others)
+        others = usages.EntryLoad(entry_count=25, waiting=waiting)
+        self.fleet_load = usages.UnknownFleetLoad(is_current, others)
 
 
 def run(work: typing.Callable[[Fixture], typing.Awaitable[None]]) -> None:
@@ -81,7 +81,7 @@
             assert bounded == [False, False, True]
             await anyio.sleep(urgency_pressure.PRESSURE_SECONDS)
             assert not fixture.is_bounded(2)
-            alone = urgencies.Urgency()
+            alone = routes.Urgency()
             fixture.admission.note_refused(SERVICE, alone)
             limits = fixture.admission.limits(SERVICE, alone, 0.5)
             assert limits == stream_admission.PathLimits()
