Leave more of the retry budget to streams that have run

Change: 0.4 after any refusal, and up to 0.4 by rank. An engine's end interrupts a part of all streams of an entry at once; those need retries when refused ones have taken theirs.

--- a/src/crowdeck/routing/retry_reserve.py
+++ b/src/crowdeck/routing/retry_reserve.py
@@ -9,9 +9,12 @@
 from crowdeck.routing import arrival_rates
 from crowdeck import urgency as urgencies
 
-# Share of this entry's retry budget that the least urgent streams leave after
-# a refusal. More urgent ones leave a proportional part.
-MAX_RESERVED_SHARE = 0.6
+# Share of this entry's retry budget that the least urgent streams leave to more
+# urgent ones. Ranks between leave a proportional part.
+MAX_RANK_SHARE = 0.4
+# Further share that a refused stream leaves to those that have run, which an
+# engine's end interrupts many at a time.
+REFUSED_SHARE = 0.4
 
 
 @attrs.frozen
@@ -39,5 +42,6 @@
         """
         if self.has_started or not self.urgency.is_ranked:
             return 0.0
-        steps = self.position.ahead + (1 if self.was_refused else 0)
-        return MAX_RESERVED_SHARE * steps / self.position.count
+        last = max(1, self.position.count - 1)
+        rank_share = MAX_RANK_SHARE * self.position.ahead / last
+        return rank_share + (REFUSED_SHARE if self.was_refused else 0.0)
--- a/tests/test_admission_by_urgency.py
+++ b/tests/test_admission_by_urgency.py
@@ -150,7 +150,8 @@
     ) -> None:
         limited = play(lose_engine)
         assert all(caller.is_complete for caller in limited.outcomes[0])
-        monkeypatch.setattr(retry_reserve, "MAX_RESERVED_SHARE", 0.0)
+        monkeypatch.setattr(retry_reserve, "MAX_RANK_SHARE", 0.0)
+        monkeypatch.setattr(retry_reserve, "REFUSED_SHARE", 0.0)
         spent = play(lose_engine)
         assert not all(caller.is_complete for caller in spent.outcomes[0])
 
--- a/tests/test_urgency_admission.py
+++ b/tests/test_urgency_admission.py
@@ -206,11 +206,12 @@
                 need = retry_reserve.RetryNeed(urgency, position, False, True)
                 return attrs.evolve(need, **changes).reserved_share
 
-            most = retry_reserve.MAX_RESERVED_SHARE
+            rank_share = retry_reserve.MAX_RANK_SHARE
+            refused_share = retry_reserve.REFUSED_SHARE
             lost = [reserved(rank, was_refused=False) for rank in (1, 2)]
-            assert lost == pytest.approx([0.0, most / 2])
+            assert lost == pytest.approx([0.0, rank_share])
             refused = [reserved(rank) for rank in (1, 2)]
-            assert refused == pytest.approx([most / 2, most])
+            assert refused == [share + refused_share for share in lost]
             assert reserved(2, has_started=True) == 0.0
 
         run(work)
