--- a/src/crowdeck/routing/retry_reserve.py
+++ b/src/crowdeck/routing/retry_reserve.py
@@ -9,8 +9,8 @@
 from crowdeck.routing import arrival_rates
 from crowdeck import urgency as urgencies
 
-# Share of this entry's retry budget that the least urgent streams leave to more
-# urgent ones. Ranks between leave a proportional part.
+# Share of this entry's retry budget that the least urgent streams leave to
+# more urgent ones. Ranks between leave a proportional part.
 MAX_RANK_SHARE = 0.4
 # Further share that a refused stream leaves to those that have run, which an
 # engine's end interrupts many at a time.
