Keep an engine out that is found lost during a pause

Cause: a refusal that names an engine in the middle of a path pauses that engine and has it probed. A probe that found it lost called avoid(), which did nothing during a pause, so that no failure was recorded and the engine got work again after the pause, without a probe.

Ruled out: to let every avoid() outlast a pause. An engine that only a first engine's report names may be full, so just what a probe of this process showed does.

Change: avoid() is told whether a probe found the engine lost. Such a finding is recorded also during a pause and never shortens it. The registry tells what was found lost; the monitor returns a verdict.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -63,6 +63,8 @@
     :ivar refusals: refusals that followed soon after one another.
     :ivar is_probed: whether a probe of it may be in progress.
     :ivar has_ended: whether its process is known to have ended.
+    :ivar found_lost_at: when this process found by a probe that it is lost,
+        ``None`` if it did not, or if it was healthy since.
     :ivar leaving_at: when this process learned that it is leaving.
     :ivar lapsed_at: when its record was removed around an outage.
     """
@@ -74,6 +76,7 @@
     refusals: int = 0
     is_probed: bool = False
     has_ended: bool = False
+    found_lost_at: float | None = None
     leaving_at: float | None = None
     lapsed_at: float | None = None
 
@@ -241,6 +244,24 @@
             state.upstream for state in self._states.values() if state.failures
         )
 
+    def found_lost(self) -> tuple[str, ...]:
+        """Return the engines found lost and not healthy since, latest first.
+
+        Only those that :meth:`avoid` was told were found by a probe.
+        """
+        found_at_by_name = {
+            state.upstream.name: state.found_lost_at
+            for state in self._states.values()
+            if state.needs_probe and state.found_lost_at is not None
+        }
+        return tuple(
+            sorted(
+                found_at_by_name,
+                key=lambda name: found_at_by_name[name],
+                reverse=True,
+            )
+        )
+
     def is_usable(self, name: str) -> bool:
         """Whether an instance may get new work."""
         state = self._states.get(name)
@@ -321,27 +342,40 @@
         return state is None or state.has_ended
 
     def avoid(
-        self, name: str, reason: str, *, has_ended: bool = False
+        self,
+        name: str,
+        reason: str,
+        *,
+        has_ended: bool = False,
+        is_found_lost: bool = False,
     ) -> None:
         """Give a failed instance no work for a time, longer at each failure.
 
         :param has_ended: whether its process is known to have ended.
+        :param is_found_lost: whether a probe by this process showed it.
         """
         state = self._states.get(name)
         now = anyio.current_time()
         if state is None:
             return
+        if is_found_lost and state.found_lost_at is None:
+            state.found_lost_at = now
         if has_ended and not state.has_ended:
             # Listeners are notified even if it is avoided already.
             state.has_ended = True
             self._notify_end(state.upstream)
-        if state.unusable_until > now and not state.is_probed:
+        is_unused = state.unusable_until > now and not state.is_probed
+        # A pause after a refusal ends without a probe; a loss found meanwhile
+        # must outlast it.
+        if is_unused and (state.failures or not is_found_lost):
             return
         state.is_probed = False
         state.has_ended = has_ended
         state.failures += 1
         avoid_seconds = AVOID_SECONDS * 2.0 ** (state.failures - 1)
-        state.unusable_until = now + min(avoid_seconds, MAX_AVOID_SECONDS)
+        state.unusable_until = max(
+            state.unusable_until, now + min(avoid_seconds, MAX_AVOID_SECONDS)
+        )
         counters.COUNTERS.add("upstream.avoided")
         logs.change(
             "upstream_avoided",
@@ -387,6 +421,7 @@
             return
         state.failures = 0
         state.has_ended = False
+        state.found_lost_at = None
         state.unusable_until = 0.0
         logs.change(
             "upstream_trusted",
@@ -463,6 +498,7 @@
         state.version = version
         if state.lapsed_at is not None:
             state.lapsed_at = None
+            state.found_lost_at = None
             state.failures = 0
             state.unusable_until = 0.0
         if state.upstream == upstream:
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -5,6 +5,7 @@
 
 """Probes of engines; simultaneous probes of an engine share one request."""
 
+import enum
 import typing
 
 import anyio
@@ -32,6 +33,14 @@
 CONTROL_COUNT = 2
 
 
+class Verdict(enum.StrEnum):
+    """What a probe and its controls show of an engine."""
+
+    LOST = "lost"
+    WORKS = "works"
+    UNSURE = "unsure"
+
+
 @attrs.frozen
 class Probe:
     """The result of probing an engine.
@@ -112,6 +121,11 @@
                 return await self._run_probe(upstream)
             await probe_done.wait()
 
+    def knows_unreachable(self, name: str) -> bool:
+        """Whether the latest probe found an engine unreachable."""
+        known = self._results.get(name)
+        return known is not None and known.is_unreachable
+
     def has_answer(
         self, upstream: chain.Upstream, max_age_seconds: float
     ) -> bool:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -98,6 +98,20 @@
         self._to_verify[upstream.name] = upstream
         self._woken.set()
 
+    async def verify_report(self, upstream: chain.Upstream) -> probes.Verdict:
+        """Probe an engine that other entries found lost.
+
+        Avoid it and reroute its streams if it is lost for this entry too. If
+        an event passed it meanwhile, it is only too busy to answer.
+        """
+        passage_at = anyio.current_time() + silence.PASSAGE_SECONDS
+        probe = await self._prober.probe(upstream)
+        self._update_activity()
+        has_passed = self._activity.last_event_at(upstream.name) >= passage_at
+        if has_passed and not probe.has_error:
+            return probes.Verdict.WORKS
+        return await self._conclude(probe)
+
     async def has_ended(self, upstream: chain.Upstream) -> bool:
         """Probe an instance whose connection broke.
 
@@ -110,7 +124,10 @@
         probe = await self._prober.probe(upstream)
         if probe.is_gone:
             self._context.registry.avoid(
-                upstream.name, probe.reason, has_ended=True
+                upstream.name,
+                probe.reason,
+                has_ended=True,
+                is_found_lost=True,
             )
             await self._rerouter.reroute_around(upstream)
         elif upstream.card:
@@ -255,14 +272,24 @@
             self._explained[stream] = (path, stream.progress_at)
 
     async def _verify(self, upstream: chain.Upstream) -> None:
-        probe = await self._prober.probe(upstream)
+        await self._conclude(await self._prober.probe(upstream))
+
+    async def _conclude(self, probe: probes.Probe) -> probes.Verdict:
+        """Act on a probe, and return what it shows."""
+        upstream = probe.upstream
         if await self._is_lost(probe, ()):
             self._context.registry.avoid(
-                upstream.name, probe.reason, has_ended=probe.is_gone
+                upstream.name,
+                probe.reason,
+                has_ended=probe.is_gone,
+                is_found_lost=True,
             )
             await self._rerouter.reroute_around(upstream)
-        elif probe.report is not None:
-            self._context.registry.note_healthy(upstream.name)
+            return probes.Verdict.LOST
+        if probe.report is None:
+            return probes.Verdict.UNSURE
+        self._context.registry.note_healthy(upstream.name)
+        return probes.Verdict.WORKS
 
     async def _is_lost(
         self, probe: probes.Probe, others: tuple[chain.Upstream, ...]
@@ -377,7 +404,13 @@
         elif finding.reason is not None:
             counters.COUNTERS.add(f"relay.silence.{finding.reason}")
         for culprit in finding.culprits:
-            self._context.registry.avoid(culprit.name, "a stream waits for it")
+            # An engine that its first engine names may work: its link may be
+            # lost, of which other entries learn nothing by asking.
+            self._context.registry.avoid(
+                culprit.name,
+                "a stream waits for it",
+                is_found_lost=self._prober.knows_unreachable(culprit.name),
+            )
         await self._rerouter.reroute_around_all(finding.culprits)
         if not finding.culprits and self._is_hung(stream, path, finding):
             self._abandon_hung(stream, path)
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -428,6 +428,23 @@
 
         virtual.run(body)
 
+    def test_loss_found_during_a_pause_outlasts_it(self) -> None:
+        async def body() -> None:
+            registry, instances_by_record = make_registry()
+            apply_record(registry, instances_by_record, "a")
+            registry.pause("a", 2.0, "refused with 503")
+            registry.avoid("a", "nobody listens", is_found_lost=True)
+            assert registry.found_lost() == ("a",)
+            await anyio.sleep(1.9)
+            assert not registry.due_for_probe()
+            await anyio.sleep(0.2)
+            assert not registry.is_usable("a")
+            assert registry.due_for_probe()
+            registry.note_healthy("a")
+            assert not registry.found_lost()
+
+        virtual.run(body)
+
     def test_removed_record_is_dropped_at_once_without_an_outage(self) -> None:
         async def body() -> None:
             registry, instances_by_record = make_registry()
