Tell lost engines among entries

Cause: each entry found out by itself that an engine is lost, by streams that paused or by attempts that were refused because of it.

Ruled out: avoiding on hearsay, as a zone whose links are lost would take engines from all others; the age of each finding, as a load expires within a second and its finder renews it; telling engines that only another engine's report names, as their link may be lost while they answer.

Change: loads name the engines that an entry's own probes found lost and that it still avoids. Who hears of one that it uses holds it back for new paths, asks it, and avoids it and moves its streams only if it is lost for this entry too. Runs only while loads are exchanged.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -200,12 +200,15 @@
             mirrors_by_kind, view.peer_selector, status.read
         )
         await self._listen_to_peers(tasks, peer_app)
-        tasks.start_soon(self._share_load, context, view, status, peer_app)
+        tasks.start_soon(
+            self._share_load, context, monitor, view, status, peer_app
+        )
         await self._listen(tasks, self._relay)
 
     async def _share_load(
         self,
         context: contexts.RelayContext,
+        monitor: stalls.StallMonitor,
         view: store_view.StoreView,
         status: statuses.EntryStatus,
         peer_app: peer_http.PeerApp,
@@ -226,8 +229,10 @@
         # these modules.
         from crowdeck.membership import load_exchange
         from crowdeck.membership import load_http
+        from crowdeck.relay import peer_reports
 
         async with contextlib.AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
             exchange = load_exchange.LoadExchange(
                 self._config.name,
                 self._config.availability_zone,
@@ -239,6 +244,7 @@
             context.use_fleet_load(exchange)
             status.use_load_exchange(exchange)
             peer_app.add_app(load_http.LOAD_PATH, load_http.LoadApp(exchange))
+            tasks.start_soon(peer_reports.PeerReports(context, monitor).run)
             await exchange.run()
 
     async def _listen_to_peers(
--- a/src/crowdeck/membership/load_messages.py
+++ b/src/crowdeck/membership/load_messages.py
@@ -5,6 +5,7 @@
 
 """Messages by which entries tell one another their load, as JSON."""
 
+import collections
 import typing
 
 import attrs
@@ -15,6 +16,8 @@
 
 # Larger numbers are taken for errors.
 MAX_NUMBER = 1e15
+# Engines found lost that one message names; those most entries found first.
+MAX_LOST_ENGINES = 100
 
 _Json = typing.Any
 
@@ -137,6 +140,11 @@
             [zone, other_zone, tokens]
             for (zone, other_zone), tokens in load.zone_link_tokens.items()
         ],
+        "lost_engines": dict(
+            collections.Counter(load.lost_engines).most_common(
+                MAX_LOST_ENGINES
+            )
+        ),
     }
 
 
@@ -144,8 +152,9 @@
     engines = body["engines"]
     if not isinstance(engines, dict):
         _refuse(engines)
+    entry_count = _count(body["entries"])
     return fleet_loads.EntryLoad(
-        _count(body["entries"]),
+        entry_count,
         {name: _decode_engine(*numbers) for name, numbers in engines.items()},
         {
             (_text(service), _count(rank)): _count(count)
@@ -155,9 +164,20 @@
             (_text(zone), _text(other_zone)): _number(tokens)
             for zone, other_zone, tokens in body["zone_link_tokens"]
         },
+        # Entries of an earlier release do not tell it.
+        _decode_lost_engines(body.get("lost_engines", {}), entry_count),
     )
 
 
+def _decode_lost_engines(body: _Json, entry_count: int) -> dict[str, int]:
+    if not isinstance(body, dict) or len(body) > MAX_LOST_ENGINES:
+        _refuse(body)
+    for count in body.values():
+        if not 1 <= _count(count) <= entry_count:
+            _refuse(count)
+    return body
+
+
 def _decode_engine(
     sequences: _Json,
     token_layers: _Json,
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -48,6 +48,8 @@
 # Streams that are believed to wait at one engine for a first event, whatever
 # other entries tell.
 MAX_STARTING_ELSEWHERE = 1_000
+# Lost engines that an entry tells others; those found last.
+MAX_LOST_ENGINES_TOLD = 30
 
 
 @attrs.frozen
@@ -75,6 +77,8 @@
     :ivar membership: the entries that share limits and budgets with it.
     :ivar lag_meter: measures the lag of the entry's event loop.
     :ivar fleet_load: what other entries hold on engines.
+    :ivar held_back: returns the names of engines that new paths pass only if
+        there is no other path.
     :ivar admission: bounds the paths of new streams.
     :ivar stream_notes: is told what becomes of streams.
     :ivar quarantine: requests that were running when instances ended.
@@ -97,6 +101,7 @@
         factory=trackers.QuarantineTracker
     )
     fleet_load: fleet_loads.FleetLoad = fleet_loads.UnknownFleetLoad()
+    held_back: typing.Callable[[], frozenset[str]] = frozenset
     admission: stream_admission.StreamAdmission = attrs.field(init=False)
     stream_notes: stream_admission.StreamNotes = attrs.field(init=False)
     limits: rate_limits.RateLimits = attrs.field(init=False)
@@ -310,9 +315,11 @@
 
     def own_load(self) -> fleet_loads.EntryLoad:
         """Return what this entry has in progress."""
-        return self.usage.own_load(
+        load = self.usage.own_load(
             self.heads.recent_first_events(), self.waiting_by_rank()
         )
+        found_lost = self.registry.found_lost()[:MAX_LOST_ENGINES_TOLD]
+        return attrs.evolve(load, lost_engines=dict.fromkeys(found_lost, 1))
 
     def use_fleet_load(self, fleet_load: fleet_loads.FleetLoad) -> None:
         """Take what other entries hold from ``fleet_load``."""
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -402,6 +402,21 @@
         )
 
     def _plan(self) -> chain.ChainPath | None:
+        held_back = self._context.held_back() - self._excluded
+        path = None
+        if held_back:
+            path = self._plan_without(self._excluded | held_back)
+        if path is None:
+            path = self._plan_without(self._excluded)
+        if path is None and self._excluded:
+            # Engines that failed or refused may serve the next attempt.
+            self._excluded.clear()
+        if path is not None:
+            # Counted at once, so that other tasks do not exceed the limit.
+            self._context.limits.take(path.head)
+        return path
+
+    def _plan_without(self, excluded: set[str]) -> chain.ChainPath | None:
         registry = self._context.registry
         limits = self._path_limits()
         path_request = hops.PathRequest(
@@ -417,7 +432,7 @@
         usable = [
             engine
             for engine in registry.usable(self._service)
-            if engine.name not in self._excluded
+            if engine.name not in excluded
         ]
         path = self._plan_over(usable, path_request)
         # Use leaving engines if the others leave no path, or only one through
@@ -426,16 +441,10 @@
             leaving = [
                 engine
                 for engine in registry.usable_while_leaving(self._service)
-                if engine.name not in self._excluded
+                if engine.name not in excluded
             ]
             if leaving:
                 path = self._plan_over(usable + leaving, path_request)
-        if path is None and self._excluded:
-            # Engines that failed or refused may serve the next attempt.
-            self._excluded.clear()
-        if path is not None:
-            # Counted at once, so that other tasks do not exceed the limit.
-            self._context.limits.take(path.head)
         return path
 
     def _path_limits(self) -> stream_admission.PathLimits:
--- a/src/crowdeck/routing/fleet_load.py
+++ b/src/crowdeck/routing/fleet_load.py
@@ -78,6 +78,8 @@
     :ivar waiting: requests that wait for a path, by service and rank.
     :ivar zone_link_tokens: tokens sent between two availability zones in the
         last second, by the pair of zones in alphabetical order.
+    :ivar lost_engines: how many of the entries found an engine lost by
+        themselves and still avoid it, by name of the engine.
     """
 
     entry_count: int = 0
@@ -86,6 +88,7 @@
     zone_link_tokens: typing.Mapping[tuple[str, str], float] = attrs.field(
         factory=dict
     )
+    lost_engines: typing.Mapping[str, int] = attrs.field(factory=dict)
 
 
 def combine(loads: typing.Iterable[EntryLoad]) -> EntryLoad:
@@ -94,15 +97,19 @@
     engines: dict[str, EngineLoad] = {}
     waiting: collections.Counter[tuple[str, int]] = collections.Counter()
     link_tokens: dict[tuple[str, str], float] = {}
+    lost_engines: collections.Counter[str] = collections.Counter()
     for load in loads:
         entry_count += load.entry_count
         for name, engine in load.engines.items():
             known = engines.get(name)
             engines[name] = engine if known is None else known.plus(engine)
         waiting.update(load.waiting)
+        lost_engines.update(load.lost_engines)
         for zones, tokens in load.zone_link_tokens.items():
             link_tokens[zones] = link_tokens.get(zones, 0.0) + tokens
-    return EntryLoad(entry_count, engines, dict(waiting), link_tokens)
+    return EntryLoad(
+        entry_count, engines, dict(waiting), link_tokens, dict(lost_engines)
+    )
 
 
 def without(total: EntryLoad, part: EntryLoad) -> EntryLoad:
@@ -118,11 +125,14 @@
     link_tokens = dict(total.zone_link_tokens)
     for zones, tokens in part.zone_link_tokens.items():
         link_tokens[zones] = max(0.0, link_tokens.get(zones, 0.0) - tokens)
+    lost_engines = collections.Counter(total.lost_engines)
+    lost_engines.subtract(part.lost_engines)
     return EntryLoad(
         max(0, total.entry_count - part.entry_count),
         engines,
         {key: count for key, count in waiting.items() if count},
         {zones: tokens for zones, tokens in link_tokens.items() if tokens},
+        dict(+lost_engines),
     )
 
 
