--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -44,6 +44,8 @@
 CONNECT_SECONDS = 0.25
 # A connection takes two iterations of the event loop, and each may be late.
 LAG_FACTOR = 2.0
+# Lost engines that an entry tells others; those found last.
+MAX_LOST_ENGINES_TOLD = 30
 
 
 @attrs.frozen
@@ -71,6 +73,8 @@
     :ivar membership: the entries that share limits and budgets with it.
     :ivar lag_meter: measures the lag of the entry's event loop.
     :ivar fleet_load: what other entries hold on engines.
+    :ivar held_back: returns the names of engines that new paths pass only if
+        there is no other path.
     :ivar quarantine: requests that were running when instances ended.
     """
 
@@ -91,6 +95,7 @@
         factory=trackers.QuarantineTracker
     )
     fleet_load: usages.FleetLoad = usages.UnknownFleetLoad()
+    held_back: typing.Callable[[], frozenset[str]] = frozenset
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
     gaps: layer_gaps.LayerGapTracker = attrs.field(init=False)
@@ -270,9 +275,11 @@
 
     def own_load(self) -> usages.EntryLoad:
         """Return what this entry has in progress."""
-        return self.usage.own_load(
+        load = self.usage.own_load(
             self.heads.recent_first_events(), self.waiting_by_rank()
         )
+        found_lost = self.registry.found_lost()[:MAX_LOST_ENGINES_TOLD]
+        return attrs.evolve(load, lost_engines=dict.fromkeys(found_lost, 1))
 
     def use_fleet_load(self, fleet_load: usages.FleetLoad) -> None:
         """Take what other entries hold from ``fleet_load``."""
--- a/src/crowdeck/routing/usage.py
+++ b/src/crowdeck/routing/usage.py
@@ -94,6 +94,8 @@
     :ivar waiting: requests that wait for a path, by service and rank.
     :ivar zone_link_tokens: tokens sent between two availability zones in the
         last second, by the pair of zones in alphabetical order.
+    :ivar lost_engines: how many of the entries found an engine lost by
+        themselves and still avoid it, by name of the engine.
     """
 
     entry_count: int = 0
@@ -102,6 +104,7 @@
     zone_link_tokens: typing.Mapping[tuple[str, str], float] = attrs.field(
         factory=dict
     )
+    lost_engines: typing.Mapping[str, int] = attrs.field(factory=dict)
 
 
 class FleetLoad(typing.Protocol):
