--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -59,8 +59,8 @@
 # roster. After it the entry accepts connections and refuses what it cannot
 # serve yet.
 MAX_INITIAL_SYNC_SECONDS = 0.5
-# While the config calls for no exchange of loads, it is checked this often.
-SHARE_LOAD_CHECK_SECONDS = 1.0
+# While the config ranks no streams, it is checked this often.
+RANKED_CHECK_SECONDS = 1.0
 
 
 class FleetProcess:
@@ -191,6 +191,7 @@
         tasks.start_soon(
             _run_placement, lease, view.registry, upstreams, view.holder
         )
+        tasks.start_soon(_prepare_ranking, context, view)
         tasks.start_soon(self._sync_initially, context, view)
         status = statuses.EntryStatus(
             self._config.name, context, view.holder, self._relay
@@ -200,12 +201,15 @@
             mirrors_by_kind, view.peer_selector, status.read
         )
         await self._listen_to_peers(tasks, peer_app)
-        tasks.start_soon(self._share_load, context, view, status, peer_app)
+        tasks.start_soon(
+            self._share_load, context, monitor, view, status, peer_app
+        )
         await self._listen(tasks, self._relay)
 
     async def _share_load(
         self,
         context: contexts.RelayContext,
+        monitor: stalls.StallMonitor,
         view: store_view.StoreView,
         status: statuses.EntryStatus,
         peer_app: peer_http.PeerApp,
@@ -221,13 +225,15 @@
 
         await view.holder.wait_known()
         while not is_enabled():
-            await anyio.sleep(SHARE_LOAD_CHECK_SECONDS)
+            await anyio.sleep(RANKED_CHECK_SECONDS)
         # Most fleets exchange no load; their entries start faster without
         # these modules.
         from crowdeck.membership import load_exchange
         from crowdeck.membership import load_http
+        from crowdeck.relay import peer_reports
 
         async with contextlib.AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
             exchange = load_exchange.LoadExchange(
                 self._config.name,
                 self._config.availability_zone,
@@ -239,6 +245,7 @@
             context.use_fleet_load(exchange)
             status.use_load_exchange(exchange)
             peer_app.add_app(load_http.LOAD_PATH, load_http.LoadApp(exchange))
+            tasks.start_soon(peer_reports.PeerReports(context, monitor).run)
             await exchange.run()
 
     async def _listen_to_peers(
@@ -346,6 +353,19 @@
         return client
 
 
+async def _prepare_ranking(
+    context: contexts.RelayContext, view: store_view.StoreView
+) -> None:
+    """Load the parts for ranked streams once the config ranks any.
+
+    Otherwise the first ranked request would wait for it.
+    """
+    await view.holder.wait_known()
+    while not view.has_ranked_service():
+        await anyio.sleep(RANKED_CHECK_SECONDS)
+    context.ranked_parts()
+
+
 def _open_reusing_client(
     stack: contextlib.AsyncExitStack,
     tasks: anyio.abc.TaskGroup,
--- a/src/crowdeck/membership/load_messages.py
+++ b/src/crowdeck/membership/load_messages.py
@@ -5,16 +5,19 @@
 
 """Messages by which entries tell one another their load, as JSON."""
 
+import collections
 import typing
 
 import attrs
 import orjson
 
 from crowdeck import errors
-from crowdeck.routing import fleet_load as fleet_loads
+from crowdeck.routing import usage as usages
 
 # Larger numbers are taken for errors.
 MAX_NUMBER = 1e15
+# Engines found lost that one message names; those most entries found first.
+MAX_LOST_ENGINES = 100
 
 _Json = typing.Any
 
@@ -35,7 +38,7 @@
     zone: str
     run: str
     number: int
-    load: fleet_loads.EntryLoad
+    load: usages.EntryLoad
     is_zone_sum: bool = False
 
 
@@ -49,7 +52,7 @@
         its own name if it collects itself.
     """
 
-    load: fleet_loads.EntryLoad
+    load: usages.EntryLoad
     collector: str
 
 
@@ -116,7 +119,7 @@
     )
 
 
-def _encode_load(load: fleet_loads.EntryLoad) -> _Json:
+def _encode_load(load: usages.EntryLoad) -> _Json:
     return {
         "entries": load.entry_count,
         "engines": {
@@ -137,15 +140,21 @@
             [zone, other_zone, tokens]
             for (zone, other_zone), tokens in load.zone_link_tokens.items()
         ],
+        "lost_engines": dict(
+            collections.Counter(load.lost_engines).most_common(
+                MAX_LOST_ENGINES
+            )
+        ),
     }
 
 
-def _decode_load(body: _Json) -> fleet_loads.EntryLoad:
+def _decode_load(body: _Json) -> usages.EntryLoad:
     engines = body["engines"]
     if not isinstance(engines, dict):
         _refuse(engines)
-    return fleet_loads.EntryLoad(
-        _count(body["entries"]),
+    entry_count = _count(body["entries"])
+    return usages.EntryLoad(
+        entry_count,
         {name: _decode_engine(*numbers) for name, numbers in engines.items()},
         {
             (_text(service), _count(rank)): _count(count)
@@ -155,17 +164,28 @@
             (_text(zone), _text(other_zone)): _number(tokens)
             for zone, other_zone, tokens in body["zone_link_tokens"]
         },
+        # Entries of an earlier release do not tell it.
+        _decode_lost_engines(body.get("lost_engines", {}), entry_count),
     )
 
 
+def _decode_lost_engines(body: _Json, entry_count: int) -> dict[str, int]:
+    if not isinstance(body, dict) or len(body) > MAX_LOST_ENGINES:
+        _refuse(body)
+    for count in body.values():
+        if not 1 <= _count(count) <= entry_count:
+            _refuse(count)
+    return body
+
+
 def _decode_engine(
     sequences: _Json,
     token_layers: _Json,
     starting: _Json,
     first_event_seconds: _Json,
     first_event_count: _Json,
-) -> fleet_loads.EngineLoad:
-    return fleet_loads.EngineLoad(
+) -> usages.EngineLoad:
+    return usages.EngineLoad(
         _count(sequences),
         _number(token_layers),
         _count(starting),
--- a/tests/test_admission_by_urgency.py
+++ b/tests/test_admission_by_urgency.py
@@ -122,7 +122,8 @@
 
 
 async def run_unlimited(unlimited: Play) -> None:
-    unlimited.system.context.admission = stream_admission.UnlimitedAdmission()
+    ranked_parts = unlimited.system.context.ranked_parts()
+    ranked_parts.admission = stream_admission.UnlimitedAdmission()
     await unlimited.run()
 
 
@@ -150,7 +151,8 @@
     ) -> None:
         limited = play(lose_engine)
         assert all(caller.is_complete for caller in limited.outcomes[0])
-        monkeypatch.setattr(retry_reserve, "MAX_RESERVED_SHARE", 0.0)
+        monkeypatch.setattr(retry_reserve, "MAX_RANK_SHARE", 0.0)
+        monkeypatch.setattr(retry_reserve, "REFUSED_SHARE", 0.0)
         spent = play(lose_engine)
         assert not all(caller.is_complete for caller in spent.outcomes[0])
 
