Neither bound nor displace streams that may have run

Cause: a stream whose engine was lost before its first event, or that its caller resumed with an event id, was treated as a new one: bounded by its urgency, refused as late or as expected too late, or displaced by more urgent newcomers. Refused, a lost stream is one that may have run and cannot safely be sent again; a resumed one was refused as not run though it had.

Ruled out: serving them like streams whose answer has started, which poll every 20 ms beside the queue; an engine's end may bring many at a time.

Change: the claim says whether the stream may have run. Such a stream looks for a path at once without bounds, then waits 1.2 s first in its rank, keeps its place in a full queue and yields to no other entry.

Both new tests fail without the change.

--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -38,6 +38,8 @@
         engine.
     :ivar last_event_id: id of the last event forwarded, -1 for none.
     :ivar has_events: whether an event was forwarded in any attempt.
+    :ivar may_have_run: whether an engine may have run it in an earlier
+        attempt, here or before its caller resumed it.
     :ivar progress_at: when its last event arrived or its attempt began.
     :ivar next_check_at: earliest time of its next check for a stall.
     :ivar check_count: number of checks since its last event.
@@ -64,6 +66,7 @@
     check_may_resume: typing.Callable[[], bool] = lambda: False
     last_event_id: int = -1
     has_events: bool = False
+    may_have_run: bool = False
     progress_at: float = 0.0
     next_check_at: float = 0.0
     check_count: int = 0
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -104,7 +104,11 @@
         claim = self._ranked_claim(queue)
         self._is_displaced = False
         path = None
-        has_tried = queue.may_pass(claim) or self._gap() is not None
+        has_tried = (
+            claim.may_have_run
+            or queue.may_pass(claim)
+            or self._gap() is not None
+        )
         if has_tried:
             path = self._plan()
         if path is None:
@@ -124,15 +128,22 @@
         """
         if self._claim is None:
             self._claim = self._new_claim(queue)
-        elif self._claim.must_yield:
-            self._claim = attrs.evolve(self._claim, must_yield=False)
+        else:
+            self._claim = attrs.evolve(
+                self._claim,
+                must_yield=False,
+                may_have_run=self._stream.may_have_run,
+            )
         return self._claim
 
     def _new_claim(
         self, queue: ranked_waiting.RankedQueue
     ) -> waiting_order.Claim:
         rank = self._stream.urgency.rank
-        must_yield = queue.order.must_yield(rank, self._waiting_elsewhere())
+        may_have_run = self._stream.may_have_run
+        must_yield = not may_have_run and queue.order.must_yield(
+            rank, self._waiting_elsewhere()
+        )
         if must_yield:
             ranked_waiting.count("yielded", rank)
         return waiting_order.Claim(
@@ -141,6 +152,7 @@
             self._arrived,
             self._arrived + IN_TIME_SHARE * self._stream.objective_seconds,
             must_yield,
+            may_have_run,
         )
 
     def _waiting_elsewhere(self) -> float:
@@ -156,8 +168,9 @@
     ) -> chain.ChainPath | None:
         """Return a path once it is this request's turn and there is one.
 
-        Does not wait if the turn is not expected in time. This is decided
-        again while a refusal still lets the caller be served in time.
+        Does not wait if the turn is not expected in time, unless it may have
+        run. This is decided again while a refusal still lets the caller be
+        served in time.
         """
         queue.order.note_asked(claim.rank)
         now = anyio.current_time()
@@ -166,10 +179,13 @@
             # An engine that refused it took the time in which a refusal lets
             # the caller return in time, so that a late answer is worth more.
             wait_until = max(wait_until, self._arrived + QUEUE_WAIT_SECONDS)
+        if claim.may_have_run:
+            wait_until = now + QUEUE_WAIT_SECONDS
         until = self._bounded_by_gap(wait_until)
-        if (
-            now >= until
-            or now + self.seconds_until_accepted() > until
+        if now >= until:
+            return None
+        if not claim.may_have_run and (
+            now + self.seconds_until_accepted() > until
             or not queue.can_serve(claim, until, self._waiting_elsewhere())
             or not queue.make_room(claim)
         ):
@@ -179,8 +195,11 @@
             path = await self._poll_by_rank(
                 queue, place, min(until, self._early_until())
             )
-            if path is None and queue.can_serve(
-                place.claim, until, self._waiting_elsewhere()
+            if path is None and (
+                claim.may_have_run
+                or queue.can_serve(
+                    place.claim, until, self._waiting_elsewhere()
+                )
             ):
                 path = await self._poll_by_rank(queue, place, until)
             self._is_displaced = place.is_displaced
@@ -439,8 +458,8 @@
         return path
 
     def _path_limits(self) -> stream_admission.PathLimits:
-        """Return the bounds on a path; a stream that has begun has none."""
-        if self._stream.has_events:
+        """Return the bounds on a path; none for one that may have run."""
+        if self._stream.has_events or self._stream.may_have_run:
             return stream_admission.PathLimits()
         return self._context.admission.limits(
             self._service, self._stream.urgency, self._stream.objective_seconds
--- a/src/crowdeck/relay/ranked_waiting.py
+++ b/src/crowdeck/relay/ranked_waiting.py
@@ -134,7 +134,8 @@
     def make_room(self, claim: waiting_order.Claim) -> bool:
         """Displace those that a new request leaves no capacity in time.
 
-        Also displaces the last if the queue is full.
+        Also displaces the last if the queue is full. Those that may have run
+        keep their places.
 
         :returns: whether the new request may join.
         """
@@ -143,13 +144,18 @@
             waiting_places = [
                 place for place in self._places if not place.is_displaced
             ]
-            if not waiting_places:
-                return True
+            is_full = len(waiting_places) >= waiting.MAX_WAITING
             last = max(
-                waiting_places,
+                (
+                    place
+                    for place in waiting_places
+                    if not place.claim.may_have_run
+                ),
                 key=lambda place: self.order.key(place.claim, now),
+                default=None,
             )
-            is_full = len(waiting_places) >= waiting.MAX_WAITING
+            if last is None:
+                return not is_full
             if last.claim.rank <= claim.rank:
                 if not is_full:
                     return True
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -85,6 +85,7 @@
             usage=self._context.usage,
             send_tracker=send_tracker,
             last_event_id=request.last_event_id,
+            may_have_run=request.last_event_id >= 0,
             team=admitted.team,
             urgency=urgency,
         )
@@ -164,7 +165,7 @@
 
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting briefly if there is none yet."""
-        if not self._ran_on and not self._stream.has_events:
+        if not self._stream.may_have_run and not self._stream.has_events:
             self._beginning.refuse_if_too_late()
         path = None
         with anyio.CancelScope() as scope:
@@ -294,6 +295,7 @@
             self._note_failed(path.head)
         if error.verdict is _MAY_HAVE_RUN:
             self._ran_on.add(path.head.name)
+            self._stream.may_have_run = True
             self._path_search.exclude(path.head.name)
         elif error.culprit:
             self._path_search.exclude(error.culprit)
--- a/src/crowdeck/routing/waiting_order.py
+++ b/src/crowdeck/routing/waiting_order.py
@@ -28,6 +28,8 @@
     :ivar late_at: loop time from which on its answer would begin late.
     :ivar must_yield: whether it leaves room to more urgent requests that
         wait at other entries.
+    :ivar may_have_run: whether an engine may have run it. Its caller could
+        not safely send it again, so it keeps its place.
     """
 
     rank: int
@@ -35,14 +37,15 @@
     arrived: float
     late_at: float = float("inf")
     must_yield: bool = False
+    may_have_run: bool = False
 
 
 class WaitingOrder:
     """Order of the requests that wait for one service at one entry.
 
-    The more urgent rank comes first; within a rank those that can be served
-    in time, then the team that has used least lately, then the request that
-    arrived first. Times are loop times.
+    The more urgent rank comes first; within a rank those that may have run,
+    then those that can be served in time, then the team that has used least
+    lately, then the request that arrived first. Times are loop times.
 
     :param teams: what each team has used.
     """
@@ -53,10 +56,18 @@
         self._asking: set[int] = set()
         self._owed_yields: dict[int, float] = {}
 
-    def key(self, claim: Claim, now: float) -> tuple[int, bool, float, float]:
+    def key(
+        self, claim: Claim, now: float
+    ) -> tuple[int, bool, bool, float, float]:
         """Return the sort key of a request, the next to be served first."""
         used = self._teams.used(claim.team, now)
-        return (claim.rank, now >= claim.late_at, used, claim.arrived)
+        return (
+            claim.rank,
+            not claim.may_have_run,
+            now >= claim.late_at,
+            used,
+            claim.arrived,
+        )
 
     def overdue_rank(self, waiting_ranks: typing.Iterable[int]) -> int | None:
         """Return the rank that is served next though it is less urgent.
--- a/tests/test_ranked_waiting.py
+++ b/tests/test_ranked_waiting.py
@@ -68,11 +68,17 @@
         self.refused: Waits = collections.defaultdict(list)
         self.errors: list[errors.CrowdeckError] = []
 
-    async def send(self, rank: int, team: str = "small") -> None:
+    async def send(
+        self, rank: int, team: str = "small", last_event_id: int = -1
+    ) -> None:
         arrived = anyio.current_time()
         caller = await self.ask(
             self.request(
-                STREAM, path=f"/{rank}/x", key=team, token_counts=TOKENS
+                STREAM,
+                path=f"/{rank}/x",
+                key=team,
+                token_counts=TOKENS,
+                last_event_id=last_event_id,
             )
         )
         if caller.error is None:
@@ -228,6 +234,18 @@
             await play.send_each(tasks, [(2, "small")] * 7, 0.05)
         assert play.served[0, "first"][0] < 0.7
 
+    @played
+    async def test_resumed_stream_is_neither_bounded_nor_refused_early(
+        self, play: Play
+    ) -> None:
+        play.context.admission = BoundedAdmission()
+        await play.send(2, "first", last_event_id=2)
+        assert play.served[2, "first"][0] < 0.1
+        async with anyio.create_task_group() as tasks:
+            await play.send_each(tasks, [(0, "large")] * 2 * BURST)
+            await play.send(2, last_event_id=2)
+        assert len(play.served[2, "small"]) == 1
+
     @played
     async def test_outdated_or_wrong_load_leaves_the_guaranteed_share(
         self, play: Play
@@ -272,6 +290,22 @@
 
         virtual.run(body)
 
+    def test_request_that_may_have_run_keeps_its_place(self) -> None:
+        async def body() -> None:
+            queue = ranked_waiting.RankedQueue(lambda count: 10.0 * count)
+            ran = waiting_order.Claim(2, "small", 1.0, 0.0, may_have_run=True)
+            new = waiting_order.Claim(2, "small", 0.0, 1.0)
+            with (
+                queue.join(ran, 5.0, 0.0) as ran_place,
+                queue.join(new, 5.0, 0.0) as new_place,
+            ):
+                assert queue.count_ahead(ran) == 0
+                assert queue.make_room(waiting_order.Claim(0, "small", 2.0))
+                assert new_place.is_displaced
+                assert not ran_place.is_displaced
+
+        virtual.run(body)
+
     def test_share_that_yields_follows_what_waits(self) -> None:
         for count, yields in ((0, 0), (1, 10), (5, 50), (10**9, 75)):
             order = waiting_order.WaitingOrder(team_usage.TeamUsage())
