Give streams refused as late the retry advice of their rank

Cause: a bounded stream that no first engine begins in time was refused with the advice for services without ranks: a random part of the time in which all refused return. Less urgent callers came back before more urgent ones, and the refusal did not count for those that follow, nor in relay.rank.N.refused.

Change: the refusal is recorded as all others of the rank.

--- a/src/crowdeck/relay/beginning.py
+++ b/src/crowdeck/relay/beginning.py
@@ -4,10 +4,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """The time of a stream until it has a path, by its urgency."""
 
+import typing
+
 from crowdeck import errors
 from crowdeck.observe import counters
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
+from crowdeck.relay import ranked_waiting
 from crowdeck.routing import first_engines
 from crowdeck.routing import stream_admission
 
@@ -27,9 +30,13 @@
         self._urgency = stream.urgency
         self._was_let_in = False
 
-    def refuse_if_too_late(self) -> None:
+    def refuse_if_too_late(
+        self, record_refusal: typing.Callable[[], float]
+    ) -> None:
         """Refuse a bounded stream that no first engine begins in time.
 
+        :param record_refusal: records it, and returns the seconds after
+            which the caller may retry.
         :raises CrowdeckError: ``NO_PATH`` with the verdict ``NOT_RUN``.
         """
         if not self._urgency.is_ranked or not self._limits().is_bounded:
@@ -38,12 +45,13 @@
         if self._soonest_seconds() <= objective_seconds:
             return
         self._count_kept_out("late")
+        ranked_waiting.count("refused", self._urgency.rank)
         raise errors.CrowdeckError(
             errors.Code.NO_PATH,
             f"streams begin after the objective of {objective_seconds:g} s "
             "at every first engine, and more urgent requests lack capacity; "
             "retry later",
-            retry_after=self._context.retry_advisor.record_refusal(),
+            retry_after=record_refusal(),
         )
 
     def note_let_in(self) -> None:
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -166,7 +166,9 @@
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting briefly if there is none yet."""
         if not self._stream.may_have_run and not self._stream.has_events:
-            self._beginning.refuse_if_too_late()
+            self._beginning.refuse_if_too_late(
+                self._path_search.record_refusal
+            )
         path = None
         with anyio.CancelScope() as scope:
             self._stream.note_waiting(scope)
--- a/tests/test_ranked_waiting.py
+++ b/tests/test_ranked_waiting.py
@@ -169,6 +169,15 @@
         assert len(play.served[0, "large"]) >= 18
 
 
+class LateAdmission(stream_admission.UnlimitedAdmission):
+    """Asks for a first engine that begins at once."""
+
+    def limits(
+        self, service: str, urgency: urgencies.Urgency, objective: float
+    ) -> stream_admission.PathLimits:
+        return stream_admission.PathLimits(max_first_event_seconds=0.1)
+
+
 class TestFailures:
     """What goes wrong while requests wait."""
 
@@ -220,6 +229,23 @@
         assert len(play.refused[2, "small"]) == 1
         assert max(play.served[0, "small"]) < 0.1
 
+    @played
+    async def test_first_engines_are_late_and_the_more_urgent_return_first(
+        self, play: Play
+    ) -> None:
+        play.context.admission = LateAdmission()
+        for name in play.listed:
+            play.context.heads.note_begun(name, "overdue")
+        await anyio.sleep(2.0 * max(OBJECTIVES))
+        refused = counters.COUNTERS.get("relay.rank.2.refused")
+        for rank in (2, 2, 1, 1, 1, 1, 0):
+            await play.send(rank)
+        await play.send(2)
+        delays = [error.retry_after or 0.0 for error in play.errors]
+        assert delays[-2] == retry_advice.MIN_DELAY_SECONDS
+        assert delays[-1] > max(delays[:2])
+        assert counters.COUNTERS.get("relay.rank.2.refused") == refused + 3
+
     @played
     async def test_stream_that_an_engine_passed_over_is_moved(
         self, play: Play
