--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -110,7 +110,11 @@
         claim = self._ranked_claim(queue)
         self._is_displaced = False
         path = None
-        has_tried = queue.may_pass(claim) or self._gap() is not None
+        has_tried = (
+            claim.may_have_run
+            or queue.may_pass(claim)
+            or self._gap() is not None
+        )
         if has_tried:
             path = self._plan()
         if path is None:
@@ -130,19 +134,22 @@
         """
         if self._claim is None:
             self._claim = self._new_claim(queue)
-        elif self._claim.must_yield:
-            self._claim = attrs.evolve(self._claim, must_yield=False)
+        else:
+            self._claim = attrs.evolve(
+                self._claim,
+                must_yield=False,
+                may_have_run=self._stream.may_have_run,
+            )
         return self._claim
 
     def _new_claim(
         self, queue: ranked_waiting.RankedQueue
     ) -> waiting_order.Claim:
+        late_at = (
+            self._arrived + IN_TIME_SHARE * self._stream.objective_seconds
+        )
         return queue.make_claim(
-            self._stream.urgency.rank,
-            self._stream.team,
-            self._arrived,
-            self._arrived + IN_TIME_SHARE * self._stream.objective_seconds,
-            self._waiting_elsewhere(),
+            self._stream, late_at, self._waiting_elsewhere()
         )
 
     def _waiting_elsewhere(self) -> float:
@@ -158,8 +165,9 @@
     ) -> chain.ChainPath | None:
         """Return a path once it is this request's turn and there is one.
 
-        Does not wait if the turn is not expected in time. This is decided
-        again while a refusal still lets the caller be served in time.
+        Does not wait if the turn is not expected in time, unless it may have
+        run. This is decided again while a refusal still lets the caller be
+        served in time.
         """
         queue.order.note_asked(claim.rank)
         now = anyio.current_time()
@@ -168,10 +176,13 @@
             # An engine that refused it took the time in which a refusal lets
             # the caller return in time, so that a late answer is worth more.
             wait_until = max(wait_until, self._arrived + QUEUE_WAIT_SECONDS)
+        if claim.may_have_run:
+            wait_until = now + QUEUE_WAIT_SECONDS
         until = self._bounded_by_gap(wait_until)
-        if (
-            now >= until
-            or now + self.seconds_until_accepted() > until
+        if now >= until:
+            return None
+        if not claim.may_have_run and (
+            now + self.seconds_until_accepted() > until
             or not queue.can_serve(claim, until, self._waiting_elsewhere())
             or not queue.make_room(claim)
         ):
@@ -181,8 +192,11 @@
             path = await self._poll_by_rank(
                 queue, place, min(until, self._early_until())
             )
-            if path is None and queue.can_serve(
-                place.claim, until, self._waiting_elsewhere()
+            if path is None and (
+                claim.may_have_run
+                or queue.can_serve(
+                    place.claim, until, self._waiting_elsewhere()
+                )
             ):
                 path = await self._poll_by_rank(queue, place, until)
             self._is_displaced = place.is_displaced
@@ -449,8 +463,10 @@
             stream.objective_seconds,
             self._context.limits.allows,
         )
-        # A stream that has begun has no bounds on its path.
-        if stream.has_events or not stream.urgency.is_ranked:
+        has_bounds = stream.urgency.is_ranked and not (
+            stream.has_events or stream.may_have_run
+        )
+        if not has_bounds:
             return path_request
         limits = self._context.ranked_parts().admission.limits(
             self._service, stream.urgency, stream.objective_seconds
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -80,6 +80,7 @@
             usage=self._context.usage,
             send_tracker=send_tracker,
             last_event_id=request.last_event_id,
+            may_have_run=request.last_event_id >= 0,
             team=admitted.team,
             urgency=urgency,
         )
@@ -158,10 +159,12 @@
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting briefly if there is none yet."""
         beginning = self._beginning
-        if beginning is not None and not (
-            self._ran_on or self._stream.has_events
+        if (
+            beginning is not None
+            and not self._stream.may_have_run
+            and not self._stream.has_events
         ):
-            beginning.refuse_if_too_late()
+            beginning.refuse_if_too_late(self._path_search.record_refusal)
         path = None
         with anyio.CancelScope() as scope:
             self._stream.note_waiting(scope)
@@ -292,6 +295,7 @@
             self._note_failed(path.head)
         if error.verdict is _MAY_HAVE_RUN:
             self._ran_on.add(path.head.name)
+            self._stream.may_have_run = True
             self._path_search.exclude(path.head.name)
         elif error.culprit:
             self._path_search.exclude(error.culprit)
