--- a/src/crowdeck/relay/ranked_waiting.py
+++ b/src/crowdeck/relay/ranked_waiting.py
@@ -12,6 +12,7 @@
 import attrs
 
 from crowdeck.observe import counters
+from crowdeck.relay import live
 from crowdeck.relay import waiting
 from crowdeck.routing import team_usage
 from crowdeck.routing import waiting_order
@@ -88,21 +89,32 @@
 
     def make_claim(
         self,
-        rank: int,
-        team: str,
-        arrived: float,
+        stream: live.LiveStream,
         late_at: float,
         waiting_elsewhere: float,
     ) -> waiting_order.Claim:
-        """Return what decides when a new request is served.
+        """Return what decides when a request that asks now is served.
 
+        One that may have run keeps its place and never yields.
+
+        :param late_at: loop time from which on its answer would begin late.
         :param waiting_elsewhere: more urgent requests that wait at each other
             entry.
         """
-        must_yield = self.order.must_yield(rank, waiting_elsewhere)
+        rank = stream.urgency.rank
+        must_yield = not stream.may_have_run and self.order.must_yield(
+            rank, waiting_elsewhere
+        )
         if must_yield:
             count("yielded", rank)
-        return waiting_order.Claim(rank, team, arrived, late_at, must_yield)
+        return waiting_order.Claim(
+            rank,
+            stream.team,
+            stream.request.arrived,
+            late_at,
+            must_yield,
+            stream.may_have_run,
+        )
 
     def may_pass(self, claim: waiting_order.Claim) -> bool:
         """Whether a new request may look for a path without waiting.
@@ -154,7 +166,8 @@
     def make_room(self, claim: waiting_order.Claim) -> bool:
         """Displace those that a new request leaves no capacity in time.
 
-        Also displaces the last if the queue is full.
+        Also displaces the last if the queue is full. Those that may have run
+        keep their places.
 
         :returns: whether the new request may join.
         """
@@ -163,13 +176,18 @@
             waiting_places = [
                 place for place in self._places if not place.is_displaced
             ]
-            if not waiting_places:
-                return True
+            is_full = len(waiting_places) >= waiting.MAX_WAITING
             last = max(
-                waiting_places,
+                (
+                    place
+                    for place in waiting_places
+                    if not place.claim.may_have_run
+                ),
                 key=lambda place: self.order.key(place.claim, now),
+                default=None,
             )
-            is_full = len(waiting_places) >= waiting.MAX_WAITING
+            if last is None:
+                return not is_full
             if last.claim.rank <= claim.rank:
                 if not is_full:
                     return True
--- a/tests/test_ranked_waiting.py
+++ b/tests/test_ranked_waiting.py
@@ -68,11 +68,17 @@
         self.refused: Waits = collections.defaultdict(list)
         self.errors: list[errors.CrowdeckError] = []
 
-    async def send(self, rank: int, team: str = "small") -> None:
+    async def send(
+        self, rank: int, team: str = "small", last_event_id: int = -1
+    ) -> None:
         arrived = anyio.current_time()
         caller = await self.ask(
             self.request(
-                STREAM, path=f"/{rank}/x", key=team, token_counts=TOKENS
+                STREAM,
+                path=f"/{rank}/x",
+                key=team,
+                token_counts=TOKENS,
+                last_event_id=last_event_id,
             )
         )
         if caller.error is None:
@@ -174,6 +180,15 @@
         assert len(play.served[0, "large"]) >= 18
 
 
+class LateAdmission(stream_admission.UnlimitedAdmission):
+    """Asks for a first engine that begins at once."""
+
+    def limits(
+        self, service: str, urgency: routes.Urgency, objective: float
+    ) -> stream_admission.PathLimits:
+        return stream_admission.PathLimits(max_first_event_seconds=0.1)
+
+
 class TestFailures:
     """What goes wrong while requests wait."""
 
@@ -225,6 +240,49 @@
         assert len(play.refused[2, "small"]) == 1
         assert max(play.served[0, "small"]) < 0.1
 
+    @played
+    async def test_first_engines_are_late_and_the_more_urgent_return_first(
+        self, play: Play
+    ) -> None:
+        play.context.ranked_parts().admission = LateAdmission()
+        for name in play.listed:
+            play.context.heads.note_begun(name, "overdue")
+        await anyio.sleep(2.0 * max(OBJECTIVES))
+        refused = counters.COUNTERS.get("relay.rank.2.refused")
+        for rank in (2, 2, 1, 1, 1, 1, 0):
+            await play.send(rank)
+        await play.send(2)
+        delays = [error.retry_after or 0.0 for error in play.errors]
+        assert delays[-2] == retry_advice.MIN_DELAY_SECONDS
+        assert delays[-1] > max(delays[:2])
+        assert counters.COUNTERS.get("relay.rank.2.refused") == refused + 3
+
+    @played
+    async def test_stream_that_an_engine_passed_over_is_moved(
+        self, play: Play
+    ) -> None:
+        for upstream in play.fleet.upstreams:
+            upstream.hanging_streams = 1
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(play.send, 0, "first")
+            await anyio.sleep(0.1)
+            for upstream in play.fleet.upstreams:
+                upstream.hanging_streams = 0
+            await play.send_each(tasks, [(2, "small")] * 7, 0.05)
+        assert play.served[0, "first"][0] < 0.7
+
+    @played
+    async def test_resumed_stream_is_neither_bounded_nor_refused_early(
+        self, play: Play
+    ) -> None:
+        play.context.ranked_parts().admission = BoundedAdmission()
+        await play.send(2, "first", last_event_id=2)
+        assert play.served[2, "first"][0] < 0.1
+        async with anyio.create_task_group() as tasks:
+            await play.send_each(tasks, [(0, "large")] * 2 * BURST)
+            await play.send(2, last_event_id=2)
+        assert len(play.served[2, "small"]) == 1
+
     @played
     async def test_outdated_or_wrong_load_leaves_the_guaranteed_share(
         self, play: Play
@@ -298,6 +356,22 @@
 
         virtual.run(body)
 
+    def test_request_that_may_have_run_keeps_its_place(self) -> None:
+        async def body() -> None:
+            queue = ranked_waiting.RankedQueue(lambda count: 10.0 * count)
+            ran = waiting_order.Claim(2, "small", 1.0, 0.0, may_have_run=True)
+            new = waiting_order.Claim(2, "small", 0.0, 1.0)
+            with (
+                queue.join(ran, 5.0, 0.0) as ran_place,
+                queue.join(new, 5.0, 0.0) as new_place,
+            ):
+                assert queue.count_ahead(ran) == 0
+                assert queue.make_room(waiting_order.Claim(0, "small", 2.0))
+                assert new_place.is_displaced
+                assert not ran_place.is_displaced
+
+        virtual.run(body)
+
     def test_share_that_yields_follows_what_waits(self) -> None:
         for count, yields in ((0, 0), (1, 10), (5, 50), (10**9, 75)):
             order = waiting_order.WaitingOrder(team_usage.TeamUsage())
