Go through the streams in the order in which they began

Cause: the monitor kept its streams in a set of objects that hash by address, so which stream was rerouted first depended on where it was stored.

Change: a dict keeps the order of arrival.

Conclusion: decisions of the monitor no longer depend on addresses.

--- a/src/crowdeck/relay/rerouting.py
+++ b/src/crowdeck/relay/rerouting.py
@@ -26,7 +26,7 @@
 class Rerouter:
     """Changes the paths of an entry's streams.
 
-    :param streams: streams in progress; the owner of the set updates it.
+    :param streams: streams in progress; their owner updates the collection.
     :param prober: probes the engines of a new path.
     :param verify: called with each engine that did not answer a probe.
     """
@@ -34,7 +34,7 @@
     def __init__(
         self,
         context: contexts.RelayContext,
-        streams: set[live.LiveStream],
+        streams: typing.Collection[live.LiveStream],
         prober: probes.Prober,
         verify: VerifyCallback,
     ) -> None:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -66,10 +66,12 @@
         self._prober = probes.Prober(
             context.client, context.registry.claim_probe
         )
-        self._streams: set[live.LiveStream] = set()
+        # In the order in which they began, so that decisions do not depend on
+        # where the objects are stored.
+        self._streams: dict[live.LiveStream, None] = {}
         self._checking: set[live.LiveStream] = set()
         self._rerouter = rerouting.Rerouter(
-            context, self._streams, self._prober, self.verify
+            context, self._streams.keys(), self._prober, self.verify
         )
         self._activity = engine_activity.EngineActivity()
         self._pauses = load_pauses.LoadPauses()
@@ -98,11 +100,11 @@
 
     def add(self, stream: live.LiveStream) -> None:
         """Start monitoring a stream."""
-        self._streams.add(stream)
+        self._streams[stream] = None
 
     def drop(self, stream: live.LiveStream) -> None:
         """Stop monitoring a stream."""
-        self._streams.discard(stream)
+        self._streams.pop(stream, None)
         self._explained.pop(stream, None)
 
     def verify(self, upstream: chain.Upstream) -> None:
--- a/tests/test_silence_under_load.py
+++ b/tests/test_silence_under_load.py
@@ -6,6 +6,7 @@
 """Silent streams of a service that is full at times."""
 
 import asyncio
+import copy
 import random
 import statistics
 import typing
@@ -305,6 +306,26 @@
         half_life = load_pauses.HALF_LIFE_SECONDS
         assert pauses.expected("a", 10.0 + half_life) == pytest.approx(0.1)
 
+    def test_streams_are_checked_in_the_order_in_which_they_began(
+        self,
+    ) -> None:
+        async def work(system: fleet_system.FleetSystem) -> None:
+            streams = list(system.monitor._streams)
+            # Kept until the end, so that no two have the same address.
+            copies = [copy.copy(stream) for stream in streams * 8]
+            for stream in streams:
+                system.monitor.drop(stream)
+            expected = copies[::2] + copies[1::2]
+            for stream in expected:
+                system.monitor.add(stream)
+            assert list(system.monitor._streams) == expected
+            for stream in copies:
+                system.monitor.drop(stream)
+            for stream in streams:
+                system.monitor.add(stream)
+
+        play(work)
+
     def test_questions_grow_with_streams_and_keep_an_urgent_reserve(
         self,
     ) -> None:
