Load what judges ranked silences only for ranked streams

Change: relay/ranked_silence.py holds the judge, activity, pauses, budget and questioner; StallMonitor has RankedParts create it with its first ranked stream. RankedParts holds failed searches for paths. Constants that both use, and Finding, are in stalls.py. DownloadPace moves into http.py: its pace is asked before the config is known. Streams are kept in the order in which they were added.

--- a/src/crowdeck/cmd/store_view.py
+++ b/src/crowdeck/cmd/store_view.py
@@ -8,7 +8,6 @@
 import contextlib
 import typing
 
-from crowdeck import download_pace
 from crowdeck import http
 from crowdeck import instance as instances
 from crowdeck.membership import peer_selection
@@ -143,7 +142,7 @@
     :param has_ranked_streams: returns whether the entry serves callers while
         its config ranks streams; large responses are read slowly then.
     """
-    pace = download_pace.DownloadPace(
+    pace = http.DownloadPace(
         float(config.fleet["link_mbps"]),
         DOWNLOAD_FRACTION * float(config.fleet["revocation_ms"]) / 1000.0,
         has_ranked_streams,
--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -15,7 +15,6 @@
 import httpcore
 
 from crowdeck import chain
-from crowdeck import download_pace
 from crowdeck import errors
 from crowdeck import header as http_header
 from crowdeck import upstream
@@ -25,6 +24,12 @@
 CONNECTION_LIMIT = 64
 KEEPALIVE_SECONDS = 2.0
 RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
+# Share of the link that a large response may take. The rest is for the events
+# of streams, which would pause for as long as the response takes.
+LINK_SHARE = 0.5
+# Smaller responses are read at once.
+UNPACED_BYTES = 64 * 1024
+BYTES_PER_MEGABIT = 125_000.0
 # Hop-by-hop headers, and those that each hop sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -113,6 +118,42 @@
         }
 
 
+class DownloadPace:
+    """Delays the reads of a large response; its sender then sends slower.
+
+    This keeps part of the link of the instance free.
+
+    :param link_mbps: bandwidth of the link, 0 if unknown; nothing is delayed
+        then.
+    :param max_seconds: a response is not delayed for longer than this after
+        it has begun.
+    :param is_enabled: returns whether to delay reads now.
+    """
+
+    def __init__(
+        self,
+        link_mbps: float,
+        max_seconds: float,
+        is_enabled: typing.Callable[[], bool],
+    ) -> None:
+        self._bytes_per_second = LINK_SHARE * BYTES_PER_MEGABIT * link_mbps
+        self._max_seconds = max_seconds
+        self._is_enabled = is_enabled
+
+    async def wait(self, read_bytes: int, began_at: float) -> None:
+        """Wait until more of a response may be read.
+
+        :param read_bytes: number of bytes of it that were read so far.
+        :param began_at: loop time at which its body began.
+        """
+        if read_bytes <= UNPACED_BYTES or not self._bytes_per_second:
+            return
+        if not self._is_enabled():
+            return
+        seconds = read_bytes / self._bytes_per_second
+        await anyio.sleep_until(began_at + min(seconds, self._max_seconds))
+
+
 class OpenResponse:
     """A response whose head has arrived and whose body may be incomplete."""
 
@@ -157,7 +198,7 @@
     async def read(
         self,
         limit_bytes: int,
-        pace: download_pace.DownloadPace | None = None,
+        pace: DownloadPace | None = None,
     ) -> bytes:
         """Return the whole body.
 
@@ -213,7 +254,7 @@
         *,
         keep_alive: bool = True,
         connection_limit: int = CONNECTION_LIMIT,
-        pace: download_pace.DownloadPace | None = None,
+        pace: DownloadPace | None = None,
     ) -> None:
         self._pace = pace
         self._base_url = base_url.rstrip("/")
--- a/src/crowdeck/relay/questions.py
+++ b/src/crowdeck/relay/questions.py
@@ -7,7 +7,6 @@
 import typing
 
 import anyio
-import attrs
 
 from crowdeck import chain
 from crowdeck.observe import counters
@@ -16,6 +15,7 @@
 from crowdeck.relay import probes
 from crowdeck.relay import question_budget
 from crowdeck.relay import silence
+from crowdeck.relay import stalls
 
 # How long a first engine's report is reused for the engines that it names.
 # The report itself is older than that.
@@ -25,34 +25,6 @@
 MAX_JOINT_LOSSES = 2
 
 
-@attrs.frozen
-class Finding:
-    """The result of checking a silent stream.
-
-    :ivar culprits: engines that stall it.
-    :ivar is_sure: whether missing answers are due to the engines and not to
-        the lag of this entry.
-    :ivar head_report: the report of the first engine, if there is one.
-    :ivar reason: what the answers show, if the silence was judged.
-    :ivar is_partial: whether engines that may be culprits were not asked.
-    """
-
-    culprits: list[chain.Upstream]
-    is_sure: bool
-    head_report: chain.EngineReport | None = None
-    reason: silence.Reason | None = None
-    is_partial: bool = False
-
-    @property
-    def is_explained(self) -> bool:
-        """Whether the engines that were asked work."""
-        return self.reason in (
-            silence.Reason.LIVELY,
-            silence.Reason.LOADED,
-            silence.Reason.ANSWERED,
-        )
-
-
 class LossCheck(typing.Protocol):
     """Says whether a probed engine is lost."""
 
@@ -90,7 +62,7 @@
         path: chain.ChainPath,
         judgement: silence.Judgement,
         max_age_seconds: float,
-    ) -> Finding:
+    ) -> stalls.Finding:
         """Ask about a silent stream, and return what was found.
 
         :param max_age_seconds: age up to which an answer shows that an
@@ -113,7 +85,7 @@
             if not stream.is_starting:
                 head_age_seconds = HEAD_REUSE_SECONDS
             if not self._may_ask(path.head, head_age_seconds, is_common):
-                return Finding([], False, reason=silence.Reason.BOUNDED)
+                return stalls.Finding([], False, reason=silence.Reason.BOUNDED)
             head = await self._probe(path.head, head_age_seconds)
             if head.report is None:
                 return await self._judge_head(head, others)
@@ -125,27 +97,27 @@
                 in head_report.stalls
             ]
             if named:
-                return Finding(
+                return stalls.Finding(
                     named, True, head_report, silence.Reason.STALLED
                 )
         return await self._ask_others(others, head_report, max_age_seconds)
 
     async def _judge_head(
         self, head: probes.Probe, others: list[silence.Candidate]
-    ) -> Finding:
+    ) -> stalls.Finding:
         asked = tuple(candidate.upstream for candidate in others)
         if await self._is_lost(head, asked):
-            return Finding(
+            return stalls.Finding(
                 [head.upstream], True, reason=silence.Reason.UNREACHABLE
             )
-        return Finding([], False, reason=silence.Reason.UNSURE)
+        return stalls.Finding([], False, reason=silence.Reason.UNSURE)
 
     async def _ask_others(
         self,
         candidates: list[silence.Candidate],
         head_report: chain.EngineReport | None,
         max_age_seconds: float,
-    ) -> Finding:
+    ) -> stalls.Finding:
         asked = [
             candidate.upstream
             for candidate in candidates
@@ -165,7 +137,7 @@
             silent += self._unreachable(again, asked_at)
         is_sure = all(answer.is_sure for answer in answers)
         if silent:
-            return Finding(
+            return stalls.Finding(
                 [answer.upstream for answer in silent],
                 is_sure,
                 head_report,
@@ -178,7 +150,7 @@
             reason = silence.Reason.BOUNDED
         elif head_report and (head_report.running or head_report.waiting):
             reason = silence.Reason.LOADED
-        return Finding([], is_sure, head_report, reason)
+        return stalls.Finding([], is_sure, head_report, reason)
 
     def _unreachable(
         self, answers: list[probes.Probe], asked_at: float
@@ -196,7 +168,7 @@
             and (
                 answer.has_error
                 or self._activity.last_event_at(answer.upstream.name)
-                < asked_at + silence.PASSAGE_SECONDS
+                < asked_at + stalls.PASSAGE_SECONDS
             )
         ]
 
--- a/src/crowdeck/relay/ranked_service.py
+++ b/src/crowdeck/relay/ranked_service.py
@@ -6,10 +6,16 @@
 """What decides about streams of services with several urgencies."""
 
 import collections
+import typing
 
+from crowdeck import chain
 from crowdeck.relay import beginning
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
+from crowdeck.relay import path_searches
+from crowdeck.relay import probes
+from crowdeck.relay import questions
+from crowdeck.relay import ranked_silence
 from crowdeck.relay import ranked_waiting
 from crowdeck.relay import waiting
 from crowdeck.routing import fleet_room
@@ -29,6 +35,7 @@
 
     :ivar admission: bounds the paths of new streams.
     :ivar notes: is told what becomes of streams.
+    :ivar failed_searches: searches for another path that failed.
     """
 
     def __init__(self, context: contexts.RelayContext) -> None:
@@ -39,6 +46,7 @@
         )
         self.admission: stream_admission.StreamAdmission = urgency
         self.notes: stream_admission.StreamNotes = urgency
+        self.failed_searches = path_searches.FailedPathSearches()
         self._context = context
         self._room = fleet_room.FleetRoom(context.registry.usable)
         self._queues: dict[str, ranked_waiting.RankedQueue] = {}
@@ -76,6 +84,37 @@
             self._context.fleet_load, service, rank, waiting.MAX_WAITING
         )
 
+    def judge_silence(
+        self,
+        streams: typing.Collection[live.LiveStream],
+        prober: probes.Prober,
+        is_lost: questions.LossCheck,
+    ) -> ranked_silence.RankedSilence:
+        """Return what judges silences of ``streams``, updated by the caller.
+
+        :param is_lost: checks a first engine without a report.
+        """
+        return ranked_silence.RankedSilence(
+            streams, self._context.heads, prober, is_lost
+        )
+
+    def path_search(
+        self,
+        stream: live.LiveStream,
+        path: chain.ChainPath,
+        excluded: set[str],
+    ) -> path_searches.PathSearch:
+        """Return a search for another path among the usable engines.
+
+        :param excluded: names of the engines to avoid.
+        """
+        usable = self._context.registry.usable(stream.service.name)
+        return path_searches.PathSearch(
+            path,
+            frozenset(excluded),
+            frozenset(engine.name for engine in usable),
+        )
+
     def note_arrival(self, stream: live.LiveStream) -> None:
         """Note that a stream has arrived; :meth:`note_ended` has to follow."""
         service = stream.service.name
--- a/src/crowdeck/relay/rerouting.py
+++ b/src/crowdeck/relay/rerouting.py
@@ -16,7 +16,6 @@
 from crowdeck.relay import context as contexts
 from crowdeck.relay import interfaces
 from crowdeck.relay import live
-from crowdeck.relay import path_searches
 from crowdeck.relay import probes
 from crowdeck.routing import hops
 
@@ -26,7 +25,7 @@
 class Rerouter:
     """Changes the paths of an entry's streams.
 
-    :param streams: streams in progress; the owner of the set updates it.
+    :param streams: streams in progress; their owner updates them.
     :param prober: probes the engines of a new path.
     :param verify: called with each engine that did not answer a probe.
     """
@@ -34,7 +33,7 @@
     def __init__(
         self,
         context: contexts.RelayContext,
-        streams: set[live.LiveStream],
+        streams: typing.Collection[live.LiveStream],
         prober: probes.Prober,
         verify: VerifyCallback,
     ) -> None:
@@ -43,7 +42,6 @@
         self._prober = prober
         self._verify = verify
         self._rerouting: set[live.LiveStream] = set()
-        self._failed_searches = path_searches.FailedPathSearches()
 
     async def reroute_around_all(
         self, culprits: typing.Iterable[chain.Upstream]
@@ -85,26 +83,32 @@
         failed = {engine.name for engine in self._context.registry.failed()}
         excluded = {culprit.name}
         excluded |= {hop.upstream.name for hop in path.hops} & failed
-        usable = self._context.registry.usable(stream.service.name)
-        search = path_searches.PathSearch(
-            path,
-            frozenset(excluded),
-            frozenset(engine.name for engine in usable),
-        )
         try:
-            if stream.urgency.is_ranked and self._failed_searches.is_futile(
-                stream, search, anyio.current_time()
-            ):
-                counters.COUNTERS.add("relay.reroutes_saved")
-                return
-            await self._try_new_paths(stream, path, culprit, excluded)
-            if stream.path is path and not stream.abandon_reason:
-                self._failed_searches.note(
-                    stream, search, anyio.current_time()
-                )
+            if stream.urgency.is_ranked:
+                await self._try_again(stream, path, culprit, excluded)
+            else:
+                await self._try_new_paths(stream, path, culprit, excluded)
         finally:
             self._rerouting.discard(stream)
 
+    async def _try_again(
+        self,
+        stream: live.LiveStream,
+        path: chain.ChainPath,
+        culprit: chain.Upstream,
+        excluded: set[str],
+    ) -> None:
+        """Try new paths unless the same search failed shortly before."""
+        parts = self._context.ranked_parts()
+        searches = parts.failed_searches
+        search = parts.path_search(stream, path, excluded)
+        if searches.is_futile(stream, search, anyio.current_time()):
+            counters.COUNTERS.add("relay.reroutes_saved")
+            return
+        await self._try_new_paths(stream, path, culprit, excluded)
+        if stream.path is path and not stream.abandon_reason:
+            searches.note(stream, search, anyio.current_time())
+
     async def _try_new_paths(
         self,
         stream: live.LiveStream,
--- a/src/crowdeck/relay/silence.py
+++ b/src/crowdeck/relay/silence.py
@@ -12,34 +12,18 @@
 from crowdeck.relay import engine_activity
 from crowdeck.relay import live
 from crowdeck.relay import load_pauses
+from crowdeck.relay import stalls
 
-# A stream is silent after PAUSE_FACTOR usual pauses or the silence that load
-# is known to cause, but no earlier than EARLIEST_SHARE and no later than
-# LATEST_SHARE of its maximum pause, or RANKED_LATEST_SHARE if its engines are
-# judged by other streams' events first. The rest is for probing and rerouting.
-PAUSE_FACTOR = 2.5
-EARLIEST_SHARE = 0.3
-LATEST_SHARE = 0.45
+# A ranked stream is silent no later than this share of its maximum pause, as
+# its engines are judged by other streams' events first.
 RANKED_LATEST_SHARE = 0.36
-# Share of the latency objective after which a stream without a first event is
-# silent.
-FIRST_EVENT_SHARE = 0.4
 # If all engines of a silent stream show life, its first engine is asked after
 # this share of its maximum pause, or as late as its whole maximum pause if
 # load is known to cause such silences.
 FIRST_ENGINE_SHARE = 0.95
-# Share of the objective after which a stream without a first event may count
-# as hung, for which its first engine is asked again.
-HUNG_SHARE = 0.8
-# Time that an event takes to pass all stages.
-PASSAGE_SECONDS = 0.03
 # Age up to which an event or answer shows that an engine of a stream without
 # a first event works, as for the reports that such streams share.
 MAX_EVIDENCE_SECONDS = 0.25
-# A stream is checked again after this share of its maximum pause, and then
-# each time after twice as long; sooner if some engines were left.
-RECHECK_SHARE = 0.5
-PARTIAL_RECHECK_SHARE = 0.1
 # Number of silent streams through one engine that point to its loss.
 COMMON_STREAMS = 2
 
@@ -131,7 +115,7 @@
     def silent_at(self, stream: live.LiveStream, now: float) -> float:
         """Return when a stream counts as silent if no event arrives."""
         if not stream.has_events:
-            limit_seconds = FIRST_EVENT_SHARE * stream.objective_seconds
+            limit_seconds = stalls.FIRST_EVENT_SHARE * stream.objective_seconds
         else:
             limit_seconds = self._pause_limit(stream, now)
         return max(stream.progress_at + limit_seconds, stream.next_check_at)
@@ -173,10 +157,11 @@
         """
         if stream.is_starting:
             return max(stream.progress_at, now - MAX_EVIDENCE_SECONDS)
-        usual_seconds = max(stream.usual_pause_seconds, PASSAGE_SECONDS)
+        usual_seconds = max(stream.usual_pause_seconds, stalls.PASSAGE_SECONDS)
         due_at = stream.progress_at + usual_seconds
         return max(
-            min(due_at, now - PASSAGE_SECONDS), now - MAX_EVIDENCE_SECONDS
+            min(due_at, now - stalls.PASSAGE_SECONDS),
+            now - MAX_EVIDENCE_SECONDS,
         )
 
     def _pause_limit(self, stream: live.LiveStream, now: float) -> float:
@@ -184,9 +169,9 @@
         if not stream.pause_count or stream.path is None:
             return latest_seconds
         limit_seconds = max(
-            PAUSE_FACTOR * stream.usual_pause_seconds,
+            stalls.PAUSE_FACTOR * stream.usual_pause_seconds,
             self._pauses.expected(stream.path.head.name, now),
-            EARLIEST_SHARE * stream.max_pause_seconds,
+            stalls.EARLIEST_SHARE * stream.max_pause_seconds,
         )
         return min(limit_seconds, latest_seconds)
 
@@ -197,7 +182,7 @@
             is_loaded = self._pauses.is_loaded(stream.path.head.name, now)
             if not stream.check_count and not is_loaded:
                 return now
-            hung_seconds = HUNG_SHARE * stream.objective_seconds
+            hung_seconds = stalls.HUNG_SHARE * stream.objective_seconds
             return stream.progress_at + hung_seconds
         expected_seconds = self._pauses.expected(stream.path.head.name, now)
         ask_seconds = min(
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -6,6 +6,7 @@
 """Detects stalled streams, finds the cause and reroutes them."""
 
 import enum
+import typing
 
 import anyio
 import anyio.abc
@@ -15,14 +16,13 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.relay import context as contexts
-from crowdeck.relay import engine_activity
 from crowdeck.relay import live
-from crowdeck.relay import load_pauses
 from crowdeck.relay import probes
-from crowdeck.relay import question_budget
-from crowdeck.relay import questions
 from crowdeck.relay import rerouting
-from crowdeck.relay import silence
+
+if typing.TYPE_CHECKING:
+    # Entries of fleets that rank no streams must not load this module.
+    from crowdeck.relay import ranked_silence
 
 # Minimum time between two checks of the streams.
 CHECK_SECONDS = 0.02
@@ -30,10 +30,27 @@
 # and should use little processor time.
 IDLE_CHECK_SECONDS = 0.2
 
+# A stream is silent after PAUSE_FACTOR mean pauses without an event, but no
+# earlier than EARLIEST_SHARE and no later than LATEST_SHARE of its maximum
+# pause. The rest of that pause is for probing and rerouting.
+PAUSE_FACTOR = 2.5
+EARLIEST_SHARE = 0.3
+LATEST_SHARE = 0.45
+# Share of the latency objective after which a stream without a first event is
+# silent. The engines process the prompt in that time.
+FIRST_EVENT_SHARE = 0.4
+# A stream is checked again after this share of its maximum pause, and then
+# each time after twice as long; sooner if some engines were left.
+RECHECK_SHARE = 0.5
+PARTIAL_RECHECK_SHARE = 0.1
+# Time that an event takes to pass all stages.
+PASSAGE_SECONDS = 0.03
+
 # An engine may accept a request and never work on it, while its report and its
-# other streams look healthy. A stream without a first event may count as hung
-# after silence.HUNG_SHARE of the objective, another one after this many
-# maximum pauses without an event.
+# other streams look healthy. Share of the objective after which a stream
+# without a first event may count as hung.
+HUNG_SHARE = 0.8
+# Number of maximum pauses without an event after which another stream may.
 HUNG_PAUSES = 3.0
 # If streams at another first engine start within this share of the objective,
 # a stream without a first event after that time counts as hung.
@@ -57,6 +74,25 @@
     BOUNDED = enum.auto()
 
 
+@attrs.frozen
+class Finding:
+    """The result of checking a silent stream.
+
+    :ivar culprits: engines that stall it.
+    :ivar is_sure: whether missing answers are due to the engines and not to
+        the lag of this entry.
+    :ivar head_report: the report of the first engine, if there is one.
+    :ivar reason: what the answers show, empty if the silence was not judged.
+    :ivar extent: whether engines that may be culprits were not asked.
+    """
+
+    culprits: list[chain.Upstream]
+    is_sure: bool
+    head_report: chain.EngineReport | None = None
+    reason: str = ""
+    extent: CheckExtent = CheckExtent.WHOLE
+
+
 class StallMonitor:
     """Monitors the streams of one entry for stalls."""
 
@@ -66,26 +102,13 @@
         self._prober = probes.Prober(
             context.client, context.registry.claim_probe
         )
-        self._streams: set[live.LiveStream] = set()
+        # A dictionary keeps the order in which they were added.
+        self._streams: dict[live.LiveStream, None] = {}
         self._checking: set[live.LiveStream] = set()
         self._rerouter = rerouting.Rerouter(
             context, self._streams, self._prober, self.verify
         )
-        self._activity = engine_activity.EngineActivity()
-        self._pauses = load_pauses.LoadPauses()
-        self._judge = silence.SilenceJudge(self._activity, self._pauses)
-        self._question_budget = question_budget.QuestionBudget()
-        self._questioner = questions.Questioner(
-            self._prober,
-            self._question_budget,
-            self._activity,
-            self._update_activity,
-            self._is_lost,
-        )
-        # Silences without a culprit, by stream: its path and last event.
-        self._explained: dict[
-            live.LiveStream, tuple[chain.ChainPath, float]
-        ] = {}
+        self._ranked_silence: ranked_silence.RankedSilence | None = None
         self._to_verify: dict[str, chain.Upstream] = {}
         self._woken = anyio.Event()
         context.registry.subscribe_lapses(self.verify)
@@ -98,12 +121,18 @@
 
     def add(self, stream: live.LiveStream) -> None:
         """Start monitoring a stream."""
-        self._streams.add(stream)
+        if stream.urgency.is_ranked and self._ranked_silence is None:
+            parts = self._context.ranked_parts()
+            self._ranked_silence = parts.judge_silence(
+                self._streams, self._prober, self._is_lost
+            )
+        self._streams[stream] = None
 
     def drop(self, stream: live.LiveStream) -> None:
         """Stop monitoring a stream."""
-        self._streams.discard(stream)
-        self._explained.pop(stream, None)
+        self._streams.pop(stream, None)
+        if self._ranked_silence is not None:
+            self._ranked_silence.drop(stream)
 
     def verify(self, upstream: chain.Upstream) -> None:
         """Probe an engine soon, and reroute its streams if it is lost."""
@@ -116,10 +145,12 @@
         Avoid it and reroute its streams if it is lost for this entry too. If
         an event passed it meanwhile, it is only too busy to answer.
         """
-        passage_at = anyio.current_time() + silence.PASSAGE_SECONDS
+        passage_at = anyio.current_time() + PASSAGE_SECONDS
         probe = await self._prober.probe(upstream)
-        self._update_activity()
-        has_passed = self._activity.last_event_at(upstream.name) >= passage_at
+        has_passed = (
+            self._ranked_silence is not None
+            and self._ranked_silence.has_passed_event(upstream, passage_at)
+        )
         if has_passed and not probe.has_error:
             return probes.Verdict.WORKS
         return await self._conclude(probe)
@@ -173,7 +204,8 @@
         for stream in self._streams:
             path = stream.path
             if path is not None and path.passes(upstream.name):
-                if stream.urgency.is_ranked and not _pauses(stream):
+                ranked = self._ranked(stream)
+                if ranked is not None and not ranked.is_paused(stream):
                     continue
                 stream.next_check_at = 0.0
                 stream.needs_check = True
@@ -193,9 +225,8 @@
                 if self._lag_meter.is_settling():
                     continue
                 now = anyio.current_time()
-                self._question_budget.update(len(self._streams), now)
-                self._update_activity()
-                self._note_ended_silences(now)
+                if self._ranked_silence is not None:
+                    self._ranked_silence.update(now)
                 for stream in self._streams_to_check(now):
                     self._checking.add(stream)
                     tasks.start_soon(self._check, stream)
@@ -211,7 +242,7 @@
         """Return the loop time before which no stream has to be checked.
 
         A first event may shorten a stream's limit to
-        ``silence.EARLIEST_SHARE`` of its maximum pause, so the wait is never
+        ``EARLIEST_SHARE`` of its maximum pause, so the wait is never
         longer than that.
         """
         now = anyio.current_time()
@@ -222,7 +253,7 @@
             if stream in self._checking:
                 continue
             wait_seconds = min(
-                wait_seconds, silence.EARLIEST_SHARE * stream.max_pause_seconds
+                wait_seconds, EARLIEST_SHARE * stream.max_pause_seconds
             )
             if stream.path is not None:
                 wait_seconds = min(wait_seconds, self._silent_at(stream) - now)
@@ -234,54 +265,20 @@
         for stream in tuple(self._streams):
             if not self._claim_check(stream, now):
                 continue
-            counts[stream] = 0
-            if stream.urgency.is_ranked:
-                judgement = self._judge.judge(stream, now)
-                counts[stream] = judgement.silent_streams
-                if not judgement.asks:
-                    self._postpone(stream, judgement)
-                    del counts[stream]
+            ranked = self._ranked(stream)
+            if ranked is None:
+                counts[stream] = 0
+                continue
+            silent_streams = ranked.claim_check(stream, now)
+            if silent_streams is not None:
+                counts[stream] = silent_streams
         return sorted(counts, key=lambda stream: -counts[stream])
 
-    def _update_activity(self) -> None:
-        self._activity.update(
-            (stream for stream in self._streams if stream.urgency.is_ranked),
-            anyio.current_time(),
-            silence.EARLIEST_SHARE,
-        )
-
-    def _note_ended_silences(self, now: float) -> None:
-        """Learn from silences that load explained and that have ended."""
-        for stream, (path, since) in tuple(self._explained.items()):
-            if stream.path is path and stream.progress_at == since:
-                continue
-            del self._explained[stream]
-            if stream.path is path and not stream.is_starting:
-                seconds = stream.progress_at - since
-                self._pauses.note_ended(path.head.name, seconds, now)
-
-    def _postpone(
-        self, stream: live.LiveStream, judgement: silence.Judgement
-    ) -> None:
-        """Postpone the check of a stream about which nobody is asked yet."""
-        assert stream.path is not None
-        stream.next_check_at = judgement.next_at
-        self._note_explained(stream, stream.path, silence.Reason.LIVELY)
-        counters.COUNTERS.add(
-            "relay.questions_saved.postponed", judgement.lively
-        )
-
-    def _note_explained(
-        self,
-        stream: live.LiveStream,
-        path: chain.ChainPath,
-        reason: silence.Reason,
-    ) -> None:
-        counters.COUNTERS.add(f"relay.silence.{reason}")
-        if reason is silence.Reason.LOADED:
-            self._pauses.note_loaded(path.head.name, anyio.current_time())
-        if not stream.is_starting:
-            self._explained[stream] = (path, stream.progress_at)
+    def _ranked(
+        self, stream: live.LiveStream
+    ) -> "ranked_silence.RankedSilence | None":
+        """Return what judges the silence of a stream, if it is ranked."""
+        return self._ranked_silence if stream.urgency.is_ranked else None
 
     async def _verify(self, upstream: chain.Upstream) -> None:
         await self._conclude(await self._prober.probe(upstream))
@@ -343,21 +340,20 @@
 
     def _silent_at(self, stream: live.LiveStream) -> float:
         """Return when a stream counts as silent if no event arrives."""
-        if stream.urgency.is_ranked:
-            return self._judge.silent_at(stream, anyio.current_time())
+        ranked = self._ranked(stream)
+        if ranked is not None:
+            return ranked.silent_at(stream, anyio.current_time())
         if stream.has_events:
-            limit_seconds = silence.PAUSE_FACTOR * stream.mean_pause_seconds
+            limit_seconds = PAUSE_FACTOR * stream.mean_pause_seconds
             limit_seconds = max(
                 limit_seconds,
-                silence.EARLIEST_SHARE * stream.max_pause_seconds,
+                EARLIEST_SHARE * stream.max_pause_seconds,
             )
             limit_seconds = min(
-                limit_seconds, silence.LATEST_SHARE * stream.max_pause_seconds
+                limit_seconds, LATEST_SHARE * stream.max_pause_seconds
             )
         else:
-            limit_seconds = (
-                silence.FIRST_EVENT_SHARE * stream.objective_seconds
-            )
+            limit_seconds = FIRST_EVENT_SHARE * stream.objective_seconds
         return max(stream.progress_at + limit_seconds, stream.next_check_at)
 
     async def _check(self, stream: live.LiveStream) -> None:
@@ -365,12 +361,12 @@
         try:
             extent = await self._handle_silence(stream)
         finally:
-            share = silence.EARLIEST_SHARE
+            share = EARLIEST_SHARE
             if extent is not CheckExtent.BOUNDED:
                 stream.check_count += 1
-                share = silence.RECHECK_SHARE * 2.0 ** (stream.check_count - 1)
+                share = RECHECK_SHARE * 2.0 ** (stream.check_count - 1)
             if extent is CheckExtent.PARTIAL:
-                share = silence.PARTIAL_RECHECK_SHARE
+                share = PARTIAL_RECHECK_SHARE
             delay = share * stream.max_pause_seconds
             stream.next_check_at = anyio.current_time() + delay
             self._checking.discard(stream)
@@ -381,21 +377,22 @@
         if path is None:
             return CheckExtent.WHOLE
         silent_since = stream.progress_at
-        if stream.urgency.is_ranked:
-            finding = await self._ask_candidates(stream, path)
+        ranked = self._ranked(stream)
+        if ranked is not None:
+            finding = await ranked.ask(stream, path)
         else:
             finding = await self._find_culprits(stream, path)
         if stream.path is not path or stream.progress_at != silent_since:
             return CheckExtent.WHOLE
-        if finding.reason is silence.Reason.BOUNDED:
-            counters.COUNTERS.add("relay.silence.bounded")
+        if ranked is not None:
+            ranked.note_finding(stream, path, finding)
+        if finding.extent is CheckExtent.BOUNDED:
             # A first check is made up for soon.
             if stream.check_count:
                 return CheckExtent.WHOLE
             return CheckExtent.BOUNDED
-        reason_fields = {}
-        if finding.reason is not None:
-            reason_fields["reason"] = str(finding.reason)
+        reason_fields = {"reason": finding.reason} if finding.reason else {}
+        report = finding.head_report
         logs.decision(
             "stream_silent",
             stream.request.id,
@@ -404,18 +401,10 @@
             after=stream.last_event_id,
             culprits=[str(engine.address) for engine in finding.culprits],
             is_sure=finding.is_sure,
-            running=finding.head_report.running
-            if finding.head_report
-            else None,
-            waiting=finding.head_report.waiting
-            if finding.head_report
-            else None,
+            running=report.running if report else None,
+            waiting=report.waiting if report else None,
             **reason_fields,
         )
-        if finding.is_explained and finding.reason is not None:
-            self._note_explained(stream, path, finding.reason)
-        elif finding.reason is not None:
-            counters.COUNTERS.add(f"relay.silence.{finding.reason}")
         for culprit in finding.culprits:
             # An engine that its first engine names may work: its link may be
             # lost, of which other entries learn nothing by asking.
@@ -427,15 +416,13 @@
         await self._rerouter.reroute_around_all(finding.culprits)
         if not finding.culprits and self._is_hung(stream, path, finding):
             self._abandon_hung(stream, path)
-        if finding.is_partial and not finding.culprits:
-            return CheckExtent.PARTIAL
-        return CheckExtent.WHOLE
+        return CheckExtent.WHOLE if finding.culprits else finding.extent
 
     def _is_hung(
         self,
         stream: live.LiveStream,
         path: chain.ChainPath,
-        finding: questions.Finding,
+        finding: Finding,
     ) -> bool:
         """Whether a stream's first engine does not work on it."""
         if not stream.may_resume or path.zone_crossings:
@@ -444,7 +431,7 @@
             return False
         limit_seconds = HUNG_PAUSES * stream.max_pause_seconds
         if stream.is_starting:
-            limit_seconds = silence.HUNG_SHARE * stream.objective_seconds
+            limit_seconds = HUNG_SHARE * stream.objective_seconds
         now = anyio.current_time()
         if now - stream.progress_at < limit_seconds:
             return False
@@ -452,7 +439,10 @@
             return False
         if stream.is_starting and self._is_quicker_elsewhere(stream, path):
             return True
-        if finding.head_report.waiting or self._may_be_queued(stream, path):
+        ranked = self._ranked(stream)
+        if finding.head_report.waiting or (
+            ranked is not None and ranked.may_be_queued(stream, path)
+        ):
             return False
         return any(
             other.path is not None
@@ -464,20 +454,6 @@
             if other is not stream
         )
 
-    def _may_be_queued(
-        self, stream: live.LiveStream, path: chain.ChainPath
-    ) -> bool:
-        """Whether earlier streams may keep one from its first event.
-
-        A first engine's report may be too old to tell of its queue. Only for
-        services that are expected to be full at times.
-        """
-        return (
-            stream.urgency.is_ranked
-            and stream.is_starting
-            and not self._context.heads.has_passed_over(path.head.name, stream)
-        )
-
     def _is_quicker_elsewhere(
         self, stream: live.LiveStream, path: chain.ChainPath
     ) -> bool:
@@ -518,20 +494,9 @@
         )
         stream.abandon(reason)
 
-    async def _ask_candidates(
-        self, stream: live.LiveStream, path: chain.ChainPath
-    ) -> questions.Finding:
-        now = anyio.current_time()
-        judgement = self._judge.judge(stream, now)
-        since = self._judge.evidence_since(stream, now)
-        finding = await self._questioner.ask(
-            stream, path, judgement, now - since
-        )
-        return attrs.evolve(finding, is_partial=judgement.is_partial)
-
     async def _find_culprits(
         self, stream: live.LiveStream, path: chain.ChainPath
-    ) -> questions.Finding:
+    ) -> Finding:
         """Return the engines that stall a stream.
 
         The first engine reports for which engines its requests wait; the
@@ -545,8 +510,8 @@
         if head.report is None:
             others = tuple(hop.upstream for hop in path.hops[1:])
             if await self._is_lost(head, others):
-                return questions.Finding([path.head], True)
-            return questions.Finding([], False)
+                return Finding([path.head], True)
+            return Finding([], False)
         named = [
             self._context.registry.find_by_address(stall.address)
             for stall in head.report.stalls
@@ -554,7 +519,7 @@
         ]
         found = [engine for engine in named if engine is not None]
         if found:
-            return questions.Finding(found, True, head.report)
+            return Finding(found, True, head.report)
         answers: list[probes.Probe] = []
 
         async def ask(upstream: chain.Upstream) -> None:
@@ -569,11 +534,11 @@
             answer.upstream for answer in answers if answer.is_unreachable
         ]
         is_sure = all(answer.is_sure for answer in answers)
-        return questions.Finding(silent, is_sure, head.report)
+        return Finding(silent, is_sure, head.report)
 
     def _recently_active(self) -> set[str]:
         """Return the names of engines that an event passed recently."""
-        since = anyio.current_time() - silence.PASSAGE_SECONDS
+        since = anyio.current_time() - PASSAGE_SECONDS
         return {
             hop.upstream.name
             for stream in self._streams
@@ -582,10 +547,3 @@
             and stream.progress_at >= since
             for hop in stream.path.hops
         }
-
-
-def _pauses(stream: live.LiveStream) -> bool:
-    """Whether a stream that has begun may count as silent."""
-    silent_seconds = anyio.current_time() - stream.progress_at
-    earliest_seconds = silence.EARLIEST_SHARE * stream.max_pause_seconds
-    return not stream.is_starting and silent_seconds >= earliest_seconds
--- a/tests/test_download_pace.py
+++ b/tests/test_download_pace.py
@@ -10,7 +10,6 @@
 import anyio
 import pytest
 
-from crowdeck import download_pace
 from crowdeck import http
 from tests import virtual
 
@@ -26,7 +25,7 @@
         self._chunks = chunks
 
     async def carry(self) -> typing.AsyncIterator[bytes]:
-        rate = LINK_MBPS * download_pace.BYTES_PER_MEGABIT
+        rate = LINK_MBPS * http.BYTES_PER_MEGABIT
         for _ in range(self._chunks):
             await anyio.sleep(len(CHUNK) / rate)
             yield CHUNK
@@ -38,9 +37,7 @@
     """Return how long it takes to read a response."""
 
     async def body() -> float:
-        pace = download_pace.DownloadPace(
-            link_mbps, MAX_SECONDS, lambda: is_enabled
-        )
+        pace = http.DownloadPace(link_mbps, MAX_SECONDS, lambda: is_enabled)
         response = http.OpenResponse(200, [], Link(chunks).carry())
         began_at = anyio.current_time()
         content = await response.read(http.RESPONSE_LIMIT_BYTES, pace)
@@ -53,14 +50,14 @@
 def link_seconds(chunks: int) -> float:
     """Return how long the whole link needs."""
     size = chunks * len(CHUNK)
-    return size / (LINK_MBPS * download_pace.BYTES_PER_MEGABIT)
+    return size / (LINK_MBPS * http.BYTES_PER_MEGABIT)
 
 
 class TestDownloadPace:
     """Reads of one response."""
 
     def test_large_response_takes_its_share_of_the_link(self) -> None:
-        expected_seconds = link_seconds(24) / download_pace.LINK_SHARE
+        expected_seconds = link_seconds(24) / http.LINK_SHARE
         assert read_seconds(24) == pytest.approx(expected_seconds)
 
     def test_response_is_not_delayed_beyond_the_limit(self) -> None:
--- a/tests/test_silence_under_load.py
+++ b/tests/test_silence_under_load.py
@@ -19,7 +19,7 @@
 from crowdeck.relay import load_pauses
 from crowdeck.relay import path_searches
 from crowdeck.relay import question_budget
-from crowdeck.relay import silence
+from crowdeck.relay import stalls
 from crowdeck import route as routes
 from crowdeck.standin import chain_fleet
 from tests import fleet_system
@@ -174,7 +174,7 @@
     """No engine has failed."""
 
     def test_allowed_pauses_cause_few_questions(self) -> None:
-        latest_seconds = silence.LATEST_SHARE * MAX_PAUSE_SECONDS
+        latest_seconds = stalls.LATEST_SHARE * MAX_PAUSE_SECONDS
         questions = questions_before = 0
         for seed in range(4, 9):
             loaded = play(seed=seed)
@@ -316,6 +316,10 @@
         budget.update(100, 0.1)
         assert budget.claim(is_urgent=False)
 
+    def test_only_ranked_streams_are_judged(self) -> None:
+        assert play(is_ranked=False).system.monitor._ranked_silence is None
+        assert play().system.monitor._ranked_silence is not None
+
     def test_same_search_for_a_path_waits(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
             stream = next(iter(system.monitor._streams))
@@ -334,18 +338,18 @@
 
     def test_events_before_a_change_of_path_do_not_count(self) -> None:
         async def work(system: fleet_system.FleetSystem) -> None:
-            activity = system.monitor._activity
+            activity = system.monitor._ranked_silence._activity
             stream = next(
                 s for s in system.monitor._streams if not s.is_starting
             )
             assert stream.path is not None
-            system.monitor._update_activity()
+            system.monitor._ranked_silence._update_activity()
             hop = attrs.evolve(stream.path.hops[0], upstream=OTHER)
             stream.switch_path(chain.ChainPath((hop,)))
-            system.monitor._update_activity()
+            system.monitor._ranked_silence._update_activity()
             assert activity.last_event_at("other") < 0.0
             stream.note_event()
-            system.monitor._update_activity()
+            system.monitor._ranked_silence._update_activity()
             assert activity.last_event_at("other") == anyio.current_time()
 
         play(work)
@@ -361,13 +365,13 @@
                 chain.ChainPath((first.path.hops[2], first.path.hops[1]))
             )
             second.note_event()
-            monitor._activity.update([first, second], now, 0.3)
+            monitor._ranked_silence._activity.update([first, second], now, 0.3)
             shared = {hop.upstream.name for hop in first.path.hops[1:3]}
-            judged = monitor._judge.judge(first, now)
+            judged = monitor._ranked_silence._judge.judge(first, now)
             assert {s.upstream.name for s in judged.candidates} == shared
             assert judged.is_partial
             first.check_count = 1
-            judged = monitor._judge.judge(first, now)
+            judged = monitor._ranked_silence._judge.judge(first, now)
             assert judged.asks_head
             assert not judged.is_partial
             assert [s.is_common for s in judged.candidates] == [
@@ -377,8 +381,8 @@
                 False,
             ]
             second.progress_at = now
-            monitor._activity.update([first, second], now, 0.3)
-            judged = monitor._judge.judge(first, now)
+            monitor._ranked_silence._activity.update([first, second], now, 0.3)
+            judged = monitor._ranked_silence._judge.judge(first, now)
             assert not shared & {s.upstream.name for s in judged.candidates}
 
         play(work)
