--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -27,7 +27,9 @@
 # Minimum time between two checks of the streams.
 CHECK_SECONDS = 0.02
 # Maximum time between two checks. An idle entry checks only avoided engines,
-# and should use little processor time.
+# and should use little processor time. Engines are avoided for a second or
+# more. With checks every 0.02 s and ticks of 9 ms an idle entry would be woken
+# 200 times a second and use 2 % of a core.
 IDLE_CHECK_SECONDS = 0.2
 
 # A stream is silent after PAUSE_FACTOR mean pauses without an event, but no
@@ -48,7 +50,8 @@
 
 # An engine may accept a request and never work on it, while its report and its
 # other streams look healthy. Share of the objective after which a stream
-# without a first event may count as hung.
+# without a first event may count as hung. An engine that is merely slow has
+# nearly always begun by then.
 HUNG_SHARE = 0.8
 # Number of maximum pauses without an event after which another stream may.
 HUNG_PAUSES = 3.0
