Take no silence for a loss while a large response fills the link

Reading slowly: events wait behind the response in any case, only for longer.

Change: responses are read at once again. While one of more than 64 KiB is read, and for 0.1 s after, an entry whose config ranks streams checks no silent stream, and a probe without an answer shows nothing.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -81,6 +81,7 @@
         self._listener = listener
         self._initially_synced = anyio.Event()
         self._relay: relays.Relay | None = None
+        self._downloads = http.LargeDownloads()
         self._server: http_server.EmbeddedServer | None = None
         self._lease: leases.Lease | None = None
         self._stopped = anyio.Event()
@@ -98,9 +99,7 @@
             stack.callback(tasks.cancel_scope.cancel)
             if self._listener is not None:
                 stack.callback(self._listener.close)
-            store = store_view.open_store(
-                stack, self._config, self._has_ranked_streams
-            )
+            store = store_view.open_store(stack, self._config, self._downloads)
             await self._build(stack, tasks, store)
             logs.change(
                 "started",
@@ -183,6 +182,7 @@
         )
         self._lease = lease
         context.use_roster(view.roster)
+        context.is_link_full = self._is_link_full
         for background_task in (
             *view.background_tasks,
             lease.run,
@@ -345,8 +345,16 @@
         )
         await tasks.start(_run_server, self._server, self._listener)
 
-    def _has_ranked_streams(self) -> bool:
-        return self._relay is not None and self._relay.has_ranked_streams
+    def _is_link_full(self) -> bool:
+        """Whether silence may be due to this entry's link.
+
+        Not considered where no streams are ranked.
+        """
+        return (
+            self._downloads.fill_link
+            and self._relay is not None
+            and self._relay.has_ranked_streams
+        )
 
     def _open_client(
         self, stack: contextlib.AsyncExitStack, url: str
--- a/src/crowdeck/cmd/store_view.py
+++ b/src/crowdeck/cmd/store_view.py
@@ -31,9 +31,6 @@
 # that lost the store would refuse callers after 1.4 to 3.5 s with 0.4, and
 # after 2.7 s at the earliest with 0.22.
 CONFIG_WAIT_FRACTION = 0.16
-# A large config may be delayed for this fraction of the revocation time, in
-# favour of streams.
-DOWNLOAD_FRACTION = 0.12
 UPSTREAM_WAIT_SECONDS = 10.0
 # Pause between two watches of the config.
 CONFIG_WATCH_PAUSE_SECONDS = 0.1
@@ -138,19 +135,13 @@
 def open_store(
     stack: contextlib.AsyncExitStack,
     config: configs.Config,
-    has_ranked_streams: typing.Callable[[], bool],
+    downloads: http.LargeDownloads,
 ) -> platform_store.HttpStore:
     """Return the store, which ``stack`` closes.
 
-    :param has_ranked_streams: returns whether the entry serves callers while
-        its config ranks streams; large responses are read slowly then.
+    :param downloads: is told of large responses of the store.
     """
-    pace = http.DownloadPace(
-        float(config.fleet["link_mbps"]),
-        DOWNLOAD_FRACTION * float(config.fleet["revocation_ms"]) / 1000.0,
-        has_ranked_streams,
-    )
-    client = http.HttpClient(config.platform_url, pace=pace)
+    client = http.HttpClient(config.platform_url, downloads=downloads)
     stack.push_async_callback(client.close)
     return platform_store.HttpStore(client)
 
--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -24,12 +24,11 @@
 CONNECTION_LIMIT = 64
 KEEPALIVE_SECONDS = 2.0
 RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
-# Share of the link that a large response may take. The rest is for the events
-# of streams, which would pause for as long as the response takes.
-LINK_SHARE = 0.5
-# Smaller responses are read at once.
-UNPACED_BYTES = 64 * 1024
-BYTES_PER_MEGABIT = 125_000.0
+# Larger responses hold up other bytes for longer than upstreams may be silent:
+# this much takes 26 ms of a link of 20 Mbit/s.
+LARGE_BYTES = 64 * 1024
+# After a large response, what waited behind it arrives within this time.
+DOWNLOAD_SETTLE_SECONDS = 0.1
 # Hop-by-hop headers, and those that each hop sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -118,40 +117,32 @@
         }
 
 
-class DownloadPace:
-    """Delays the reads of a large response; its sender then sends slower.
+class LargeDownloads:
+    """Large responses that are being read, which fill a narrow link.
 
-    This keeps part of the link of the instance free.
-
-    :param link_mbps: bandwidth of the link, 0 if unknown; nothing is delayed
-        then.
-    :param max_seconds: a response is not delayed for longer than this after
-        it has begun.
-    :param is_enabled: returns whether to delay reads now.
+    Whatever else arrives at the instance waits behind them, so that its
+    upstreams seem silent.
     """
 
-    def __init__(
-        self,
-        link_mbps: float,
-        max_seconds: float,
-        is_enabled: typing.Callable[[], bool],
-    ) -> None:
-        self._bytes_per_second = LINK_SHARE * BYTES_PER_MEGABIT * link_mbps
-        self._max_seconds = max_seconds
-        self._is_enabled = is_enabled
+    def __init__(self) -> None:
+        self._count = 0
+        self._ended_at = float("-inf")
+
+    @property
+    def fill_link(self) -> bool:
+        """Whether other bytes may be held up behind a large response."""
+        if self._count:
+            return True
+        return anyio.current_time() - self._ended_at < DOWNLOAD_SETTLE_SECONDS
 
-    async def wait(self, read_bytes: int, began_at: float) -> None:
-        """Wait until more of a response may be read.
+    def begin(self) -> None:
+        """Note that a response turned out to be large."""
+        self._count += 1
 
-        :param read_bytes: number of bytes of it that were read so far.
-        :param began_at: loop time at which its body began.
-        """
-        if read_bytes <= UNPACED_BYTES or not self._bytes_per_second:
-            return
-        if not self._is_enabled():
-            return
-        seconds = read_bytes / self._bytes_per_second
-        await anyio.sleep_until(began_at + min(seconds, self._max_seconds))
+    def end(self) -> None:
+        """Note that a large response was read or given up."""
+        self._count -= 1
+        self._ended_at = anyio.current_time()
 
 
 class OpenResponse:
@@ -198,26 +189,29 @@
     async def read(
         self,
         limit_bytes: int,
-        pace: DownloadPace | None = None,
+        downloads: LargeDownloads | None = None,
     ) -> bytes:
         """Return the whole body.
 
-        :param pace: delays the reads of a large body.
+        :param downloads: is told of a large body.
         :raises CrowdeckError: ``UPSTREAM_LOST`` when it ends early,
             ``TOO_LARGE`` beyond ``limit_bytes``.
         """
         body = bytearray()
-        began_at = anyio.current_time()
-        async for chunk in self.chunks():
-            body += chunk
-            if len(body) > limit_bytes:
-                raise errors.CrowdeckError(
-                    errors.Code.TOO_LARGE,
-                    f"the upstream's answer is over {limit_bytes} bytes",
-                    verdict=verdicts.Verdict.RAN,
-                )
-            if pace is not None:
-                await pace.wait(len(body), began_at)
+        with contextlib.ExitStack() as stack:
+            async for chunk in self.chunks():
+                was_large = len(body) > LARGE_BYTES
+                body += chunk
+                if len(body) > limit_bytes:
+                    raise errors.CrowdeckError(
+                        errors.Code.TOO_LARGE,
+                        f"the upstream's answer is over {limit_bytes} bytes",
+                        verdict=verdicts.Verdict.RAN,
+                    )
+                is_large = len(body) > LARGE_BYTES
+                if downloads is not None and is_large and not was_large:
+                    downloads.begin()
+                    stack.callback(downloads.end)
         return bytes(body)
 
 
@@ -244,7 +238,7 @@
         request needs a handshake, but cannot fail because the server closes
         an idle connection, nor receive the rest of an earlier answer.
     :param connection_limit: maximum number of open connections.
-    :param pace: delays the reads of large responses to :meth:`send`.
+    :param downloads: is told of large responses to :meth:`send`.
     """
 
     def __init__(
@@ -254,9 +248,9 @@
         *,
         keep_alive: bool = True,
         connection_limit: int = CONNECTION_LIMIT,
-        pace: DownloadPace | None = None,
+        downloads: LargeDownloads | None = None,
     ) -> None:
-        self._pace = pace
+        self._downloads = downloads
         self._base_url = base_url.rstrip("/")
         self._pool = httpcore.AsyncConnectionPool(
             ssl_context=ssl_context,
@@ -326,7 +320,9 @@
         async with self.open(
             method, path, headers, body, timeouts
         ) as response:
-            content = await response.read(RESPONSE_LIMIT_BYTES, self._pace)
+            content = await response.read(
+                RESPONSE_LIMIT_BYTES, self._downloads
+            )
             return upstream.ServiceResponse(
                 response.status, _decode(response.headers), content
             )
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -76,6 +76,8 @@
     :ivar membership: the entries that share limits and budgets with it.
     :ivar lag_meter: measures the lag of the entry's event loop.
     :ivar fleet_load: what other entries hold on engines.
+    :ivar is_link_full: returns whether answers may wait behind other bytes, so
+        that silence shows nothing.
     :ivar held_back: returns the names of engines that new paths pass only if
         there is no other path.
     :ivar quarantine: requests that were running when instances ended.
@@ -98,6 +100,7 @@
         factory=trackers.QuarantineTracker
     )
     fleet_load: usages.FleetLoad = usages.UnknownFleetLoad()
+    is_link_full: typing.Callable[[], bool] = lambda: False
     held_back: typing.Callable[[], frozenset[str]] = frozenset
     limits: rate_limits.RateLimits = attrs.field(init=False)
     retry_advisor: retry_advice.RetryAdvisor = attrs.field(init=False)
--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -85,15 +85,19 @@
     :param may_probe: returns whether the engine of this name may be probed
         now. An engine that is backing off may not; it does not count as
         unreachable then.
+    :param is_link_full: returns whether answers may wait behind other bytes at
+        this entry, so that silence shows nothing.
     """
 
     def __init__(
         self,
         upstreams: interfaces.Upstreams,
         may_probe: typing.Callable[[str], bool],
+        is_link_full: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self._upstreams = upstreams
         self._may_probe = may_probe
+        self._is_link_full = is_link_full
         self._results: dict[str, Probe] = {}
         self._in_progress: dict[str, anyio.Event] = {}
 
@@ -208,7 +212,7 @@
         is_sure = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(request_report, tasks.cancel_scope)
-            is_sure = await _wait_for_silence()
+            is_sure = await _wait_for_silence(self._is_link_full)
             tasks.cancel_scope.cancel()
         if results:
             return results[0]
@@ -258,11 +262,12 @@
     return max_age_seconds
 
 
-async def _wait_for_silence() -> bool:
+async def _wait_for_silence(is_link_full: typing.Callable[[], bool]) -> bool:
     """Wait for enough ticks on time; return whether there were enough."""
     on_time = 0
     for _ in range(MAX_TICKS):
-        if await loop_lag.tick() <= loop_lag.ON_TIME_SECONDS:
+        lag = await loop_lag.tick()
+        if lag <= loop_lag.ON_TIME_SECONDS and not is_link_full():
             on_time += 1
         if on_time >= SILENT_TICKS:
             return True
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -103,7 +103,9 @@
         self._context = context
         self._lag_meter = context.lag_meter
         self._prober = probes.Prober(
-            context.client, context.registry.claim_probe
+            context.client,
+            context.registry.claim_probe,
+            lambda: context.is_link_full(),
         )
         # In the order in which they began, so that decisions do not depend on
         # where the objects are stored.
@@ -226,7 +228,7 @@
                 self._to_verify.clear()
                 for upstream in self._context.registry.due_for_probe():
                     tasks.start_soon(self._verify, upstream)
-                if self._lag_meter.is_settling():
+                if self._is_unreliable():
                     continue
                 now = anyio.current_time()
                 if self._ranked_silence is not None:
@@ -235,6 +237,10 @@
                     self._checking.add(stream)
                     tasks.start_soon(self._check, stream)
 
+    def _is_unreliable(self) -> bool:
+        """Whether streams may seem silent because of this entry."""
+        return self._lag_meter.is_settling() or self._context.is_link_full()
+
     async def _wait_for_check(self) -> None:
         """Sleep until woken, or until a stream may be silent for too long."""
         await anyio.sleep(CHECK_SECONDS)
@@ -250,7 +256,7 @@
         longer than that.
         """
         now = anyio.current_time()
-        if self._lag_meter.is_settling():
+        if self._is_unreliable():
             return now
         wait_seconds = IDLE_CHECK_SECONDS
         for stream in self._streams:
