Name a local variable for what it says

Cause: the name was that of a field of the platform's interface, which stands in the adapter alone. Change: renamed; no behaviour changes.

--- a/src/crowdeck/membership/load_http.py
+++ b/src/crowdeck/membership/load_http.py
@@ -102,11 +102,11 @@
     :raises CrowdeckError: ``TOO_LARGE`` beyond ``MAX_REPORT_BYTES``.
     """
     body = bytearray()
-    has_more = True
-    while has_more:
+    is_incomplete = True
+    while is_incomplete:
         message = await receive()
         body += message.get("body", b"")
-        has_more = bool(message.get("more_body"))
+        is_incomplete = bool(message.get("more_body"))
         if len(body) > MAX_REPORT_BYTES:
             raise errors.CrowdeckError(
                 errors.Code.TOO_LARGE,
