Rank requests of routes that do not stream to a model service

Cause: only streaming routes give a service its ranks, and the rank was looked up by the exact pair of priorities. A request of another kind of route to a ranked model service had no such pair and failed (ValueError).

Ruled out: giving these routes ranks of their own; a route that does not stream would switch ranking on where streams are equal.

Change: such a request has the rank of the streams that it would come before, the last rank at most. The priority of the team had two fields of the same value; one is gone.

Before: the new test fails with ValueError. After: it passes.

--- a/src/crowdeck/routing/routes.py
+++ b/src/crowdeck/routing/routes.py
@@ -5,6 +5,7 @@
 
 """Look-up of a request's route, team and service in the config."""
 
+import bisect
 import random
 
 import attrs
@@ -18,15 +19,13 @@
     """The route, team and priority of one request.
 
     :ivar team: name of the team, empty on a route that needs no key.
-    :ivar priority: sent to engines; the team's where it has one.
-    :ivar team_priority: the team's priority, else the route's.
+    :ivar priority: the team's priority, else the route's.
     """
 
     route: routes.Route
     team: str
     priority: int
     config_version: int
-    team_priority: int = 0
 
 
 class RouteTable:
@@ -99,9 +98,7 @@
         if team is not None and team.priority is not None:
             priority = team.priority
         name = team.name if team is not None else ""
-        return AdmittedRequest(
-            route, name, priority, self.version, team_priority=priority
-        )
+        return AdmittedRequest(route, name, priority, self.version)
 
     def urgency(
         self, admitted: AdmittedRequest, service: str
@@ -112,12 +109,15 @@
         precedence, and within it by that of their route. They are ranked
         only where the streaming routes of the service differ in priority:
         with equal routes, the config asks for no order of kinds of request.
+        A request of another route has the rank of the streams that it would
+        come before.
         """
         keys = self._urgency_keys_by_service.get(service, ())
         if not _are_ranked(keys):
             return routes.Urgency()
-        key = (admitted.team_priority, admitted.route.priority)
-        return routes.Urgency(keys.index(key), len(keys))
+        key = (admitted.priority, admitted.route.priority)
+        rank = bisect.bisect_left(keys, key)
+        return routes.Urgency(min(rank, len(keys) - 1), len(keys))
 
 
 def _are_ranked(keys: tuple[tuple[int, int], ...]) -> bool:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -60,3 +60,19 @@
     def test_teams_without_a_priority_have_that_of_the_route(self) -> None:
         ranked = table((0, 2), (None,))
         assert urgency(ranked, "/2/x", "key-0") == routes.Urgency(1, 2)
+
+    def test_routes_of_other_kinds_are_ranked_among_the_streams(self) -> None:
+        config_routes = tuple(
+            fleet_system.make_route(
+                repeat, prefix=f"/{number}/", priority=rank
+            )
+            for number, (repeat, rank) in enumerate(
+                [(STREAM, 0), (STREAM, 2), (routes.RepeatPolicy.ONCE, 1)]
+                + [(routes.RepeatPolicy.ONCE, 9)]
+            )
+        )
+        ranked = route_tables.RouteTable(
+            fleet_system.make_config(config_routes=config_routes)
+        )
+        for path, rank in (("/2/x", 1), ("/3/x", 1), ("/1/x", 1), ("/0/x", 0)):
+            assert urgency(ranked, path, "secret") == routes.Urgency(rank, 2)
