Ask engines that do not answer again after a growing delay

Cause: an entry that got no answer from an engine within 36 ms closed the connection and asked again 50 ms later, on a fresh one, for each of its silent streams. The questions took the time that engines, links and the entries themselves needed to answer: a state of overload that lasts without the load that began it.

Event loops of the stand-ins and of the soak were late by 1.0 to 1.3 s while they got 0.2 to 0.5 of a core: they waited for a processor. Outside imports, half of what entries ran was opening connections. A probe of an engine without answer asked 74 times in 10 s.

Change: a question stays open for 0.24 s, probes meanwhile wait for its answer, and a late answer counts. After that the next question waits for 0.25 s, doubled up to 1 s; probes until then show nothing, so no engine is taken for lost by an old silence. The first probe of a silence ends after 36 ms as before.

--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -9,6 +9,7 @@
 import typing
 
 import anyio
+import anyio.abc
 import attrs
 
 from crowdeck import chain
@@ -32,6 +33,15 @@
 # a fleet is full, and their probes would overload its engines. With 50 ms, 29
 # entries send the engines six probes for each request.
 STARTING_REUSE_SECONDS = 0.25
+# How long a question stays open. An answer after the engine counted as silent
+# still shows that it works, and its connection is kept. Shorter than the time
+# in which a connection must open, whose end would look like a failure.
+ANSWER_SECONDS = 0.24
+# Time until an engine is asked again after an unanswered question; it doubles
+# with each further one. Entries that keep asking engines without processor
+# time, each time on a fresh connection, take what the engines need to answer.
+MIN_RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 1.0
 
 # Other engines probed beside a silent one. If none answers either, the entry's
 # own network may be at fault.
@@ -79,9 +89,37 @@
         return self.report is None and self.is_sure
 
 
+@attrs.define(eq=False)
+class _Question:
+    """A request for a report that is under way.
+
+    :ivar result: the probe, ``None`` if the question was given up.
+    """
+
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    result: Probe | None = None
+
+
+@attrs.frozen
+class _Unanswered:
+    """Questions to an engine since its last answer.
+
+    :ivar count: number of questions that were given up.
+    :ivar retry_at: loop time from which on the engine is asked again.
+    """
+
+    count: int
+    retry_at: float
+
+
 class Prober:
     """Probes engines, each at most once at a time.
 
+    A probe ends when the engine counts as silent. Its question stays open a
+    little longer, and further probes wait for the same answer. An engine
+    that leaves questions unanswered is asked again after an exponential delay;
+    until then its probes show nothing.
+
     :param may_probe: returns whether the engine of this name may be probed
         now. An engine that is backing off may not; it does not count as
         unreachable then.
@@ -100,12 +138,24 @@
         self._is_link_full = is_link_full
         self._results: dict[str, Probe] = {}
         self._in_progress: dict[str, anyio.Event] = {}
+        self._questions: dict[str, _Question] = {}
+        self._unanswered: dict[str, _Unanswered] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
 
     @property
     def is_probing(self) -> bool:
         """Whether any probe is in progress."""
         return bool(self._in_progress)
 
+    def keep_questions_open(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Let questions outlast their probes.
+
+        Without it, a question is given up at the end of its probe.
+
+        :param tasks: runs the questions; must last as long as the prober.
+        """
+        self._tasks = tasks
+
     async def probe(
         self, upstream: chain.Upstream, max_age_seconds: float = REUSE_SECONDS
     ) -> Probe:
@@ -127,6 +177,11 @@
                     return Probe(
                         upstream, None, "it is backing off", False, now
                     )
+                if self._must_wait(upstream.name, now):
+                    counters.COUNTERS.add("relay.probes_delayed")
+                    return Probe(
+                        upstream, None, "its answer is overdue", False, now
+                    )
                 return await self._run_probe(upstream)
             await probe_done.wait()
 
@@ -171,54 +226,89 @@
         ]:
             del self._results[stale]
 
-    async def _exchange(self, upstream: chain.Upstream) -> Probe:
-        counters.COUNTERS.add("relay.probed")
-        results: list[Probe] = []
-
-        async def request_report(scope: anyio.CancelScope) -> None:
-            report: chain.EngineReport | None = None
-            reason = ""
-            is_gone = False
-            is_sure = True
-            is_inconclusive = False
-            try:
-                report = await self._upstreams.report(upstream)
-            except errors.CrowdeckError as error:
-                reason = error.message
-                is_gone = isinstance(error, errors.InstanceGone)
-                is_inconclusive = isinstance(
-                    error, errors.KeptConnectionFailed
-                )
-                # An unreadable answer still shows that the engine runs.
-                is_sure = (
-                    error.code is not errors.Code.MALFORMED
-                    and not is_inconclusive
-                )
-            now = anyio.current_time()
-            results.append(
-                Probe(
-                    upstream,
-                    report,
-                    reason,
-                    is_sure,
-                    now,
-                    report is None and is_sure,
-                    is_gone,
-                    is_inconclusive,
-                )
-            )
-            scope.cancel()
+    def _must_wait(self, name: str, now: float) -> bool:
+        """Whether an engine may not be asked again yet."""
+        unanswered = self._unanswered.get(name)
+        return (
+            unanswered is not None
+            and now < unanswered.retry_at
+            and name not in self._questions
+        )
 
+    async def _exchange(self, upstream: chain.Upstream) -> Probe:
+        """Wait for an answer until the engine counts as silent."""
         is_sure = False
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(request_report, tasks.cancel_scope)
+            question = self._questions.get(upstream.name)
+            if question is None:
+                counters.COUNTERS.add("relay.probed")
+                question = self._questions[upstream.name] = _Question()
+                (self._tasks or tasks).start_soon(
+                    self._ask, upstream, question
+                )
+            tasks.start_soon(_await_end, question, tasks.cancel_scope)
             is_sure = await _wait_for_silence(self._is_link_full)
             tasks.cancel_scope.cancel()
-        if results:
-            return results[0]
+        if question.result is not None:
+            return question.result
         now = anyio.current_time()
         return Probe(upstream, None, "no answer", is_sure, now)
 
+    async def _ask(
+        self, upstream: chain.Upstream, question: _Question
+    ) -> None:
+        """Ask an engine for a report, and take in a late one too."""
+        name = upstream.name
+        try:
+            with anyio.move_on_after(ANSWER_SECONDS) as scope:
+                question.result = await self._request_report(upstream)
+        finally:
+            del self._questions[name]
+            question.done.set()
+        if scope.cancelled_caught:
+            self._note_unanswered(name)
+        else:
+            self._unanswered.pop(name, None)
+        if question.result is not None and question.result.report is not None:
+            self._results[name] = question.result
+
+    def _note_unanswered(self, name: str) -> None:
+        known = self._unanswered.get(name)
+        count = known.count + 1 if known is not None else 1
+        delay_seconds = min(
+            MIN_RETRY_SECONDS * 2.0 ** (count - 1), MAX_RETRY_SECONDS
+        )
+        self._unanswered[name] = _Unanswered(
+            count, anyio.current_time() + delay_seconds
+        )
+
+    async def _request_report(self, upstream: chain.Upstream) -> Probe:
+        report: chain.EngineReport | None = None
+        reason = ""
+        is_gone = False
+        is_sure = True
+        is_inconclusive = False
+        try:
+            report = await self._upstreams.report(upstream)
+        except errors.CrowdeckError as error:
+            reason = error.message
+            is_gone = isinstance(error, errors.InstanceGone)
+            is_inconclusive = isinstance(error, errors.KeptConnectionFailed)
+            # An unreadable answer still shows that the engine runs.
+            is_sure = (
+                error.code is not errors.Code.MALFORMED and not is_inconclusive
+            )
+        return Probe(
+            upstream,
+            report,
+            reason,
+            is_sure,
+            anyio.current_time(),
+            report is None and is_sure,
+            is_gone,
+            is_inconclusive,
+        )
+
 
 class ReportSource(typing.Protocol):
     """Asks engines for reports."""
@@ -262,6 +352,13 @@
     return max_age_seconds
 
 
+async def _await_end(question: _Question, scope: anyio.CancelScope) -> None:
+    """Cancel the scope once the question has a result."""
+    await question.done.wait()
+    if question.result is not None:
+        scope.cancel()
+
+
 async def _wait_for_silence(is_link_full: typing.Callable[[], bool]) -> bool:
     """Wait for enough ticks on time; return whether there were enough."""
     on_time = 0
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -221,6 +221,7 @@
         """Check all streams at intervals, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._lag_meter.run)
+            self._prober.keep_questions_open(tasks)
             while True:
                 await self._wait_for_check()
                 for upstream in self._to_verify.values():
