--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -238,11 +238,12 @@
     async def _exchange(self, upstream: chain.Upstream) -> Probe:
         """Wait for an answer until the engine counts as silent."""
         is_sure = False
+        open_question = self._questions.get(upstream.name)
+        question = open_question or _Question()
         async with anyio.create_task_group() as tasks:
-            question = self._questions.get(upstream.name)
-            if question is None:
+            if open_question is None:
                 counters.COUNTERS.add("relay.probed")
-                question = self._questions[upstream.name] = _Question()
+                self._questions[upstream.name] = question
                 (self._tasks or tasks).start_soon(
                     self._ask, upstream, question
                 )
