Take no engine for lost that answers late

Cause: silence of 36 ms counted as the loss of an engine, also where the engine's answer was on its way. On a machine without free processor time that entry avoided u3 and u4 and, 0.13 s later, u2 and u5, "a stream waits for it", although events of its streams passed all four until then and after. Of six engines two were left, and the next probes, as late, doubled the time for which the others were avoided.

Change: a late answer, which a question now outlasts its probe to get, ends the avoidance of its engine (as any answered probe does), and for 5 s the same engine counts as silent only after 1.5 times that delay, 0.144 s at most. Engines that never answered late are found lost after 36 ms as before. New: log `upstream_answered_late`, timer `relay.late_answer`.

Ruled out: a shorter time of avoidance (an engine that is lost costs streams), a longer limit for all (36 ms is what streams around a lost engine have).

test_engine_that_answered_late_is_awaited_longer and test_late_answer_is_told fail without the change.

--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -6,6 +6,7 @@
 """Probes of engines; simultaneous probes of an engine share one request."""
 
 import enum
+import math
 import typing
 
 import anyio
@@ -37,6 +38,11 @@
 # still shows that it works, and its connection is kept. Shorter than the time
 # in which a connection must open, whose end would look like a failure.
 ANSWER_SECONDS = 0.24
+# An engine that answered late counts as silent only after this many times its
+# delay, for a while: it works, but it or the links to it lack time.
+LATE_FACTOR = 1.5
+LATE_MEMORY_SECONDS = 5.0
+MAX_SILENT_TICKS = 16
 # Time until an engine is asked again after an unanswered question; it doubles
 # with each further one. Entries that keep asking engines without processor
 # time, each time on a fresh connection, take what the engines need to answer.
@@ -93,9 +99,11 @@
 class _Question:
     """A request for a report that is under way.
 
+    :ivar asked_at: loop time in seconds.
     :ivar result: the probe, ``None`` if the question was given up.
     """
 
+    asked_at: float
     done: anyio.Event = attrs.field(factory=anyio.Event)
     result: Probe | None = None
 
@@ -112,6 +120,14 @@
     retry_at: float
 
 
+@attrs.frozen
+class _LateAnswer:
+    """The latest answer of an engine that had counted as silent."""
+
+    seconds: float
+    answered_at: float
+
+
 class Prober:
     """Probes engines, each at most once at a time.
 
@@ -125,6 +141,8 @@
         unreachable then.
     :param is_link_full: returns whether answers may wait behind other bytes at
         this entry, so that silence shows nothing.
+    :param note_late_answer: called with an engine that counted as silent and
+        then answered.
     """
 
     def __init__(
@@ -132,10 +150,15 @@
         upstreams: interfaces.Upstreams,
         may_probe: typing.Callable[[str], bool],
         is_link_full: typing.Callable[[], bool] = lambda: False,
+        note_late_answer: typing.Callable[[chain.Upstream], None] = lambda _: (
+            None
+        ),
     ) -> None:
         self._upstreams = upstreams
         self._may_probe = may_probe
         self._is_link_full = is_link_full
+        self._note_late_answer = note_late_answer
+        self._late_answers: dict[str, _LateAnswer] = {}
         self._results: dict[str, Probe] = {}
         self._in_progress: dict[str, anyio.Event] = {}
         self._questions: dict[str, _Question] = {}
@@ -239,7 +262,7 @@
         """Wait for an answer until the engine counts as silent."""
         is_sure = False
         open_question = self._questions.get(upstream.name)
-        question = open_question or _Question()
+        question = open_question or _Question(anyio.current_time())
         async with anyio.create_task_group() as tasks:
             if open_question is None:
                 counters.COUNTERS.add("relay.probed")
@@ -248,7 +271,9 @@
                     self._ask, upstream, question
                 )
             tasks.start_soon(_await_end, question, tasks.cancel_scope)
-            is_sure = await _wait_for_silence(self._is_link_full)
+            is_sure = await _wait_for_silence(
+                self._is_link_full, self._silent_ticks(upstream.name)
+            )
             tasks.cancel_scope.cancel()
         if question.result is not None:
             return question.result
@@ -270,8 +295,37 @@
             self._note_unanswered(name)
         else:
             self._unanswered.pop(name, None)
-        if question.result is not None and question.result.report is not None:
-            self._results[name] = question.result
+        if question.result is None or question.result.report is None:
+            return
+        known = self._results.get(name)
+        self._results[name] = question.result
+        if (
+            known is not None
+            and known.report is None
+            and known.completed_at >= question.asked_at
+        ):
+            self._take_late_answer(upstream, question)
+
+    def _take_late_answer(
+        self, upstream: chain.Upstream, question: _Question
+    ) -> None:
+        """Wait longer for an engine that had counted as silent."""
+        now = anyio.current_time()
+        seconds = now - question.asked_at
+        self._late_answers[upstream.name] = _LateAnswer(seconds, now)
+        counters.COUNTERS.time("relay.late_answer", seconds)
+        self._note_late_answer(upstream)
+
+    def _silent_ticks(self, name: str) -> int:
+        """Return the ticks on time after which an engine counts as silent."""
+        late = self._late_answers.get(name)
+        if late is None:
+            return SILENT_TICKS
+        if anyio.current_time() - late.answered_at > LATE_MEMORY_SECONDS:
+            del self._late_answers[name]
+            return SILENT_TICKS
+        ticks = math.ceil(LATE_FACTOR * late.seconds / loop_lag.TICK_SECONDS)
+        return min(MAX_SILENT_TICKS, max(SILENT_TICKS, ticks))
 
     def _note_unanswered(self, name: str) -> None:
         known = self._unanswered.get(name)
@@ -360,13 +414,15 @@
         scope.cancel()
 
 
-async def _wait_for_silence(is_link_full: typing.Callable[[], bool]) -> bool:
+async def _wait_for_silence(
+    is_link_full: typing.Callable[[], bool], ticks: int
+) -> bool:
     """Wait for enough ticks on time; return whether there were enough."""
     on_time = 0
     for _ in range(MAX_TICKS):
         lag = await loop_lag.tick()
         if lag <= loop_lag.ON_TIME_SECONDS and not is_link_full():
             on_time += 1
-        if on_time >= SILENT_TICKS:
+        if on_time >= ticks:
             return True
     return False
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -106,6 +106,7 @@
             context.client,
             context.registry.claim_probe,
             lambda: context.is_link_full(),
+            self._note_late_answer,
         )
         # In the order in which they began, so that decisions do not depend on
         # where the objects are stored.
@@ -161,6 +162,15 @@
             return probes.Verdict.WORKS
         return await self._conclude(probe)
 
+    def _note_late_answer(self, upstream: chain.Upstream) -> None:
+        """Use an engine again that was taken for lost and works."""
+        logs.change(
+            "upstream_answered_late",
+            upstream=upstream.name,
+            address=str(upstream.address),
+        )
+        self._context.registry.note_healthy(upstream.name)
+
     async def has_ended(self, upstream: chain.Upstream) -> bool:
         """Probe an instance whose connection broke.
 
--- a/tests/test_unanswered_probes.py
+++ b/tests/test_unanswered_probes.py
@@ -106,6 +106,55 @@
 
         run_prober(LateEngine(0.1), body)
 
+    def test_engine_that_answered_late_is_awaited_longer(self) -> None:
+        """Guards against working engines that are avoided as lost.
+
+        On a machine without free processor time an entry avoided four of six
+        engines that worked, and refused streams for want of a path.
+        """
+
+        async def body(prober: probes.Prober) -> None:
+            assert (await prober.probe(ENGINE)).is_unreachable
+            for _ in range(3):
+                await anyio.sleep(0.3)
+                assert (await prober.probe(ENGINE)).report is not None
+
+        run_prober(LateEngine(0.08), body)
+
+    def test_late_answer_is_told(self) -> None:
+        late: list[str] = []
+
+        async def run() -> None:
+            engine = typing.cast(interfaces.Upstreams, LateEngine(0.08))
+            async with anyio.create_task_group() as tasks:
+                prober = probes.Prober(
+                    engine,
+                    lambda _: True,
+                    note_late_answer=lambda found: late.append(found.name),
+                )
+                prober.keep_questions_open(tasks)
+                await prober.probe(ENGINE)
+                assert not late
+                await anyio.sleep(0.1)
+
+        virtual.run(run)
+        assert late == [ENGINE.name]
+
+    def test_silence_is_found_in_time_once_late_answers_are_past(
+        self,
+    ) -> None:
+        engine = LateEngine(0.1)
+
+        async def body(prober: probes.Prober) -> None:
+            await prober.probe(ENGINE)
+            await anyio.sleep(probes.LATE_MEMORY_SECONDS + 1.0)
+            engine.answer_seconds = float("inf")
+            started_at = anyio.current_time()
+            assert (await prober.probe(ENGINE)).is_unreachable
+            assert anyio.current_time() - started_at < 0.04
+
+        run_prober(engine, body)
+
     def test_first_probe_still_finds_silence_in_time(self) -> None:
         async def body(prober: probes.Prober) -> None:
             started_at = anyio.current_time()
