Await all engines longer where several answered late

Cause: each entry learned of each engine by itself that its answers are late, by taking it for lost once.

Change: once two engines answered late within 5 s, what they share is the cause (the link, the machine, the entry), and all are awaited that long. One late engine teaches of no other, so that a single slow engine does not delay finding the loss of another. test_engines_that_are_late_together_teach_of_all fails without it.

--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -42,6 +42,9 @@
 # delay, for a while: it works, but it or the links to it lack time.
 LATE_FACTOR = 1.5
 LATE_MEMORY_SECONDS = 5.0
+# If this many engines answered late, all are awaited as long: the cause is
+# something that they share, such as the link or the machine.
+COMMON_LATE_ENGINES = 2
 MAX_SILENT_TICKS = 16
 # Time until an engine is asked again after an unanswered question; it doubles
 # with each further one. Entries that keep asking engines without processor
@@ -318,12 +321,19 @@
 
     def _silent_ticks(self, name: str) -> int:
         """Return the ticks on time after which an engine counts as silent."""
+        since = anyio.current_time() - LATE_MEMORY_SECONDS
+        self._late_answers = {
+            engine: late
+            for engine, late in self._late_answers.items()
+            if late.answered_at >= since
+        }
         late = self._late_answers.get(name)
+        if len(self._late_answers) >= COMMON_LATE_ENGINES:
+            late = max(
+                self._late_answers.values(), key=lambda late: late.seconds
+            )
         if late is None:
             return SILENT_TICKS
-        if anyio.current_time() - late.answered_at > LATE_MEMORY_SECONDS:
-            del self._late_answers[name]
-            return SILENT_TICKS
         ticks = math.ceil(LATE_FACTOR * late.seconds / loop_lag.TICK_SECONDS)
         return min(MAX_SILENT_TICKS, max(SILENT_TICKS, ticks))
 
--- a/tests/test_unanswered_probes.py
+++ b/tests/test_unanswered_probes.py
@@ -121,6 +121,30 @@
 
         run_prober(LateEngine(0.08), body)
 
+    def test_engines_that_are_late_together_teach_of_all(self) -> None:
+        """Guards against the loss of each engine in turn on a slow machine."""
+
+        async def body(prober: probes.Prober) -> None:
+            for name in ("engine-a", "engine-b"):
+                await prober.probe(fleet_system.upstream(name))
+            await anyio.sleep(0.1)
+            assert (await prober.probe(ENGINE)).report is not None
+
+        run_prober(LateEngine(0.08), body)
+
+    def test_one_late_engine_teaches_of_no_other(self) -> None:
+        engine = LateEngine(0.08)
+
+        async def body(prober: probes.Prober) -> None:
+            await prober.probe(fleet_system.upstream("engine-a"))
+            await anyio.sleep(0.1)
+            engine.answer_seconds = float("inf")
+            started_at = anyio.current_time()
+            assert (await prober.probe(ENGINE)).is_unreachable
+            assert anyio.current_time() - started_at < 0.04
+
+        run_prober(engine, body)
+
     def test_late_answer_is_told(self) -> None:
         late: list[str] = []
 
