End open questions with the monitor that runs them

Callers would have seen: streams that end with an error of the entry while its process stops. A request outlasts the monitor then, and a probe for it started a task in a task group that had ended (RuntimeError).

Change: questions outlast their probes only within the monitor's task group; after it a question is given up at the end of its probe, as before. test_probe_after_the_questions_task_group_has_ended fails without it, as did test_restart_together and test_all_start_during_a_store_outage for streams.

--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -5,6 +5,7 @@
 
 """Probes of engines; simultaneous probes of an engine share one request."""
 
+import contextlib
 import enum
 import math
 import typing
@@ -173,14 +174,23 @@
         """Whether any probe is in progress."""
         return bool(self._in_progress)
 
-    def keep_questions_open(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Let questions outlast their probes.
+    @contextlib.contextmanager
+    def keep_questions_open(
+        self, tasks: anyio.abc.TaskGroup
+    ) -> typing.Iterator[None]:
+        """Let questions outlast their probes in the body.
 
-        Without it, a question is given up at the end of its probe.
+        Elsewhere a question is given up at the end of its probe.
 
-        :param tasks: runs the questions; must last as long as the prober.
+        :param tasks: runs the questions.
         """
         self._tasks = tasks
+        try:
+            yield
+        finally:
+            # Requests may outlast the task group while the process stops.
+            self._tasks = None
+            self._questions.clear()
 
     async def probe(
         self, upstream: chain.Upstream, max_age_seconds: float = REUSE_SECONDS
@@ -292,7 +302,8 @@
             with anyio.move_on_after(ANSWER_SECONDS) as scope:
                 question.result = await self._request_report(upstream)
         finally:
-            del self._questions[name]
+            if self._questions.get(name) is question:
+                del self._questions[name]
             question.done.set()
         if scope.cancelled_caught:
             self._note_unanswered(name)
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -231,22 +231,26 @@
         """Check all streams at intervals, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._lag_meter.run)
-            self._prober.keep_questions_open(tasks)
-            while True:
-                await self._wait_for_check()
-                for upstream in self._to_verify.values():
-                    tasks.start_soon(self._verify, upstream)
-                self._to_verify.clear()
-                for upstream in self._context.registry.due_for_probe():
-                    tasks.start_soon(self._verify, upstream)
-                if self._is_unreliable():
-                    continue
-                now = anyio.current_time()
-                if self._ranked_silence is not None:
-                    self._ranked_silence.update(now)
-                for stream in self._streams_to_check(now):
-                    self._checking.add(stream)
-                    tasks.start_soon(self._check, stream)
+            with self._prober.keep_questions_open(tasks):
+                while True:
+                    await self._wait_for_check()
+                    self._start_checks(tasks)
+
+    def _start_checks(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start the probes and the checks of streams that are due."""
+        for upstream in self._to_verify.values():
+            tasks.start_soon(self._verify, upstream)
+        self._to_verify.clear()
+        for upstream in self._context.registry.due_for_probe():
+            tasks.start_soon(self._verify, upstream)
+        if self._is_unreliable():
+            return
+        now = anyio.current_time()
+        if self._ranked_silence is not None:
+            self._ranked_silence.update(now)
+        for stream in self._streams_to_check(now):
+            self._checking.add(stream)
+            tasks.start_soon(self._check, stream)
 
     def _is_unreliable(self) -> bool:
         """Whether streams may seem silent because of this entry."""
--- a/tests/test_unanswered_probes.py
+++ b/tests/test_unanswered_probes.py
@@ -62,8 +62,8 @@
         client = typing.cast(interfaces.Upstreams, engine)
         async with anyio.create_task_group() as tasks:
             prober = probes.Prober(client, lambda _: True)
-            prober.keep_questions_open(tasks)
-            await body(prober)
+            with prober.keep_questions_open(tasks):
+                await body(prober)
             tasks.cancel_scope.cancel()
 
     virtual.run(run)
@@ -156,10 +156,10 @@
                     lambda _: True,
                     note_late_answer=lambda found: late.append(found.name),
                 )
-                prober.keep_questions_open(tasks)
-                await prober.probe(ENGINE)
-                assert not late
-                await anyio.sleep(0.1)
+                with prober.keep_questions_open(tasks):
+                    await prober.probe(ENGINE)
+                    assert not late
+                    await anyio.sleep(0.1)
 
         virtual.run(run)
         assert late == [ENGINE.name]
@@ -179,6 +179,20 @@
 
         run_prober(engine, body)
 
+    def test_probe_after_the_questions_task_group_has_ended(self) -> None:
+        """Guards against requests that fail while their process stops."""
+
+        async def run() -> None:
+            engine = typing.cast(interfaces.Upstreams, LateEngine(0.01))
+            prober = probes.Prober(engine, lambda _: True)
+            async with anyio.create_task_group() as tasks:
+                with prober.keep_questions_open(tasks):
+                    await prober.probe(ENGINE)
+            await anyio.sleep(1.0)
+            assert (await prober.probe(ENGINE)).report is not None
+
+        virtual.run(run)
+
     def test_first_probe_still_finds_silence_in_time(self) -> None:
         async def body(prober: probes.Prober) -> None:
             started_at = anyio.current_time()
