Reckon with an entry that joins unseen in the retry budget

Cause: an entry divided the slack by the number of entries of its last listing, however old that was.

Evidence: failures from 1 s after the start on are over the budget only once the new entry has its full part, at 15 s; with n and j entries that do not count one another the parts are 0.8 (1 + j / (n + j)) of the slack, below 1 only up to j = n / 3, which is why three and more bore it.

Change: an entry that has not confirmed its listing for 12 s divides by one more than it knows; a new entry has its full part once the repeats of such entries are past, 12 s later than before.

--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -41,6 +41,10 @@
 WRITE_DELAY_SECONDS = 0.1
 # Entries that start together have all written their records after this.
 SETTLE_SECONDS = 2.0
+# An entry whose records are older than this is cut off from the store: it may
+# not know of entries that registered since. Longer than a watch of the store,
+# at whose end the records are confirmed.
+MAX_RECORD_AGE_SECONDS = 12.0
 
 
 Listener = typing.Callable[[], None]
@@ -127,6 +131,19 @@
             )
         return self._is_settled
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether entries may have registered that are not counted."""
+        return self._get_age() > MAX_RECORD_AGE_SECONDS
+
+    @property
+    def all_know_since(self) -> float:
+        """Loop time from which every other entry counts this one.
+
+        Those that are cut off from the store know by then that they are.
+        """
+        return self._registered_at + MAX_RECORD_AGE_SECONDS
+
     @property
     def known_entry_count(self) -> int:
         """Number of all known entries, this one included."""
--- a/src/crowdeck/routing/budget.py
+++ b/src/crowdeck/routing/budget.py
@@ -54,6 +54,19 @@
         """Whether entries that started at the same time are counted too."""
         ...
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether entries may have registered that are not counted."""
+        ...
+
+    @property
+    def all_know_since(self) -> float:
+        """Loop time from which each other entry counts this one.
+
+        Entries that cannot know of it are outdated from then on.
+        """
+        ...
+
 
 @attrs.frozen
 class FixedMembership:
@@ -62,6 +75,8 @@
     entry_count: int = 1
     registered_at: float = float("-inf")
     is_settled: bool = True
+    is_outdated: bool = False
+    all_know_since: float = float("-inf")
 
 
 class _BucketCounter:
@@ -118,6 +133,7 @@
     changes: int
     entries: int
     is_settled: bool
+    is_outdated: bool
 
 
 class _RetryCounts:
@@ -263,6 +279,7 @@
             self._retries.changes,
             self._membership.entry_count,
             self._membership.is_settled,
+            self._membership.is_outdated,
         )
         if cache_key != self._cache_key:
             self._remaining = self._compute_remaining()
@@ -338,17 +355,28 @@
         """Return this entry's part of the slack, in retries.
 
         It is 0 while the number of entries is unknown. While that number is
-        not settled, it is limited to the part of a new process.
+        not settled, or others may not count this entry, it is limited to the
+        part of a new process. An entry whose number is outdated reckons with
+        one more: together with the parts of as many as three that join one,
+        or of half as many as are cut off, the slack is not exceeded.
         """
-        entry_count = self._membership.entry_count
+        membership = self._membership
+        entry_count = membership.entry_count
         if not entry_count:
             return 0.0
-        since = max(self._started_at, self._membership.registered_at)
+        since = max(self._started_at, membership.registered_at)
         fraction = self._spendable_fraction(since)
-        if not self._membership.is_settled:
+        if not membership.is_settled or not self._is_counted_by_all():
             fraction = min(fraction, RESTART_SHARE)
+        if membership.is_outdated:
+            entry_count += 1
         return fraction * self._slack / entry_count
 
+    def _is_counted_by_all(self) -> bool:
+        """Whether no retry counts that others sent without counting this."""
+        age_seconds = anyio.current_time() - self._membership.all_know_since
+        return age_seconds >= STEADY_AFTER_WINDOWS * self._window_seconds
+
     def _spendable_fraction(self, since: float) -> float:
         """Return the fraction of a share that may be spent now, 0 to 1.
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -153,6 +153,44 @@
         peak = repeats_system.simulate(body, count).peak
         assert not peak.is_over, peak
 
+    @pytest.mark.parametrize(
+        "there, cut_off, joining",
+        ((1, 1, 3), (2, 1, 1), (2, 2, 1), (3, 3, 3), (4, 3, 4)),
+    )
+    def test_while_some_are_cut_off(
+        self, there: int, cut_off: int, joining: int
+    ) -> None:
+        """Guards against shares of entries that do not count one another."""
+
+        async def body(traffic: repeats_system.Traffic) -> None:
+            await traffic.send(FAILURE_FREE_SECONDS, fails=False)
+            for number in range(cut_off):
+                traffic.entries.cut_off(number)
+            for _ in range(joining):
+                traffic.entries.start()
+            await traffic.send(30.0, LOW_PER_SECOND, fails=False)
+            await traffic.send(12.0, LOW_PER_SECOND)
+
+        peak = repeats_system.simulate(body, there).peak
+        assert not peak.is_over, peak
+
+    @pytest.mark.parametrize("per_second", (LOW_PER_SECOND, 60.0))
+    @pytest.mark.parametrize("seconds_before", (0.0, 1.0, 15.0))
+    def test_while_the_only_one_is_cut_off(
+        self, seconds_before: float, per_second: float
+    ) -> None:
+        """Guards against a share that grows before the others have shrunk."""
+
+        async def body(traffic: repeats_system.Traffic) -> None:
+            await traffic.send(FAILURE_FREE_SECONDS, fails=False)
+            traffic.entries.cut_off(0)
+            traffic.entries.start()
+            await traffic.send(seconds_before, per_second, fails=False)
+            await traffic.send(45.0, per_second)
+
+        peak = repeats_system.simulate(body, 1).peak
+        assert not peak.is_over, peak
+
 
 class TestMovingCallers:
     """Requests earn repeats once, whichever entries receive them."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -32,6 +32,8 @@
     entry_count: int = 1
     registered_at: float = float("-inf")
     is_settled: bool = True
+    is_outdated: bool = False
+    all_know_since: float = float("-inf")
 
 
 def _budget(
@@ -97,6 +99,25 @@
 
         virtual.run(body)
 
+    def test_reckons_with_one_more_entry_while_outdated(self) -> None:
+        async def body() -> None:
+            members = Members(entry_count=4, is_outdated=True)
+            assert _spend_all(_budget(membership=members)) == 16
+
+        virtual.run(body)
+
+    def test_is_small_until_all_others_count_this_entry(self) -> None:
+        async def body() -> None:
+            full_at = 12.0 + budgets.STEADY_AFTER_WINDOWS * WINDOW_SECONDS
+            members = Members(entry_count=1, all_know_since=12.0)
+            budget = _budget(membership=members)
+            await anyio.sleep(full_at - 1.0)
+            assert _spend_all(budget) <= budgets.RESTART_SHARE * SLACK + 0.001
+            await anyio.sleep(1.0 + BUCKET_SECONDS)
+            assert _spend_all(budget) > budgets.RESTART_SHARE * SLACK
+
+        virtual.run(body)
+
     def test_of_a_new_process_is_small_while_old_retries_may_arrive(
         self,
     ) -> None:
