Close the callers' socket after the server that uses it

Operators saw: a planned stop of an entry on a busy machine that ended with "ValueError: Invalid file descriptor: -1" and an exit code other than 0 (1 of 8).

Cause: the exit stack closed the listening socket, then cancelled the tasks. A server whose tick was due in the same pass of the event loop is not cancelled at once; it saw its exit flag and closed a server whose socket was closed already.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -95,10 +95,12 @@
     async def run(self) -> None:
         """Serve until :meth:`stop` completes, or until cancelled."""
         async with contextlib.AsyncExitStack() as stack:
-            tasks = await stack.enter_async_context(anyio.create_task_group())
-            stack.callback(tasks.cancel_scope.cancel)
             if self._listener is not None:
+                # Closed after the tasks: a server that has begun to stop
+                # cannot close a socket that is closed already.
                 stack.callback(self._listener.close)
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
             store = store_view.open_store(stack, self._config, self._downloads)
             await self._build(stack, tasks, store)
             logs.change(
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -5,10 +5,12 @@
 
 """Tests of an entry over real sockets with stand-in upstreams."""
 
+import contextlib
 import gc
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import typing
@@ -497,6 +499,65 @@
         anyio.run(body)
 
 
+class WatchedProcess(fleet_process.FleetProcess):
+    """A process whose only task notes the state of the listener at its end.
+
+    :ivar was_open: whether the listener was open then.
+    """
+
+    was_open: bool | None = None
+
+    async def _build(
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        store: object,
+    ) -> None:
+        tasks.start_soon(self._watch)
+
+    async def _watch(self) -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            assert self._listener is not None
+            self.was_open = self._listener.fileno() != -1
+
+
+class TestStop:
+    """The end of a process after a planned stop."""
+
+    def test_listener_outlives_the_server_that_uses_it(self) -> None:
+        """Guards against planned stops that end with an error.
+
+        A server that begins to stop as its process ends found its socket
+        closed (ValueError: Invalid file descriptor), and the exit code was
+        not 0.
+        """
+        text = render_template(
+            TEMPLATE.read_text(),
+            {
+                **SETTINGS,
+                "platform.address": f"{HOST}:1",
+                "listen_addresses.frontend": f"{HOST}:2",
+                "listen_addresses.readiness": f"{HOST}:3",
+            },
+        )
+
+        async def body() -> None:
+            with socket.socket() as listener:
+                listener.bind((HOST, 0))
+                listener.listen()
+                process = WatchedProcess(configs.parse(text), listener)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(process.run)
+                    await anyio.wait_all_tasks_blocked()
+                    await process.stop()
+                assert process.was_open
+                assert listener.fileno() == -1
+
+        anyio.run(body)
+
+
 class TestConfig:
     """The configuration that the platform writes for an entry."""
 
