Drop what is known of unanswered questions after a time

Read as a newcomer: names of engines that ended without an answer stayed in the prober for good, one for each run of an engine. The listener of late answers has a name.

--- a/src/crowdeck/relay/probes.py
+++ b/src/crowdeck/relay/probes.py
@@ -132,6 +132,9 @@
     answered_at: float
 
 
+LateAnswerListener = typing.Callable[[chain.Upstream], None]
+
+
 class Prober:
     """Probes engines, each at most once at a time.
 
@@ -154,9 +157,7 @@
         upstreams: interfaces.Upstreams,
         may_probe: typing.Callable[[str], bool],
         is_link_full: typing.Callable[[], bool] = lambda: False,
-        note_late_answer: typing.Callable[[chain.Upstream], None] = lambda _: (
-            None
-        ),
+        note_late_answer: LateAnswerListener | None = None,
     ) -> None:
         self._upstreams = upstreams
         self._may_probe = may_probe
@@ -253,7 +254,10 @@
             done.set()
 
     def _forget(self) -> None:
-        """Drop probes that are too old to be reused."""
+        """Drop probes that are too old to be reused, and engines not asked.
+
+        Engines that start again have other names.
+        """
         since = anyio.current_time() - STARTING_REUSE_SECONDS
         for stale in [
             name
@@ -261,6 +265,12 @@
             if probe.completed_at < since
         ]:
             del self._results[stale]
+        since = anyio.current_time() - LATE_MEMORY_SECONDS
+        self._unanswered = {
+            name: unanswered
+            for name, unanswered in self._unanswered.items()
+            if unanswered.retry_at >= since
+        }
 
     def _must_wait(self, name: str, now: float) -> bool:
         """Whether an engine may not be asked again yet."""
@@ -328,7 +338,8 @@
         seconds = now - question.asked_at
         self._late_answers[upstream.name] = _LateAnswer(seconds, now)
         counters.COUNTERS.time("relay.late_answer", seconds)
-        self._note_late_answer(upstream)
+        if self._note_late_answer is not None:
+            self._note_late_answer(upstream)
 
     def _silent_ticks(self, name: str) -> int:
         """Return the ticks on time after which an engine counts as silent."""
