Type the soak's load samples, and test that its proxies keep the order

Read as a newcomer: the soak's load log had counts that nothing counts and untyped lines. Samples are typed now, without the counts.

--- a/bench/soak/process_load.py
+++ b/bench/soak/process_load.py
@@ -9,42 +9,46 @@
 processor time, rather than the entries.
 """
 
-import collections
 import pathlib
 import time
-import typing
 
 import anyio
+import attrs
 import orjson
 
 SAMPLE_SECONDS = 0.05
 REPORT_SECONDS = 1.0
 
 
-class ProcessLoad:
-    """Writes one JSON line a second about the calling process.
+@attrs.frozen
+class Sample:
+    """The load of a process in one second.
 
-    Each line has the share of a processor that the process used, the longest
-    delay of its event loop in seconds, and how often each counted thing
-    happened since the last line.
+    :ivar at: start of the second on the machine's monotonic clock.
+    :ivar cpu_share: share of one processor that the process used.
+    :ivar worst_lag: longest delay of its event loop in seconds.
     """
 
+    at: float
+    cpu_share: float
+    worst_lag: float
+
+
+class ProcessLoad:
+    """Writes a sample of the calling process each second, as JSON lines."""
+
     def __init__(self, path: pathlib.Path) -> None:
         self._path = path
-        self._counts: collections.Counter[str] = collections.Counter()
-
-    def count(self, name: str) -> None:
-        """Count something that the next line tells."""
-        self._counts[name] += 1
 
     async def run(self) -> None:
         """Write lines until cancelled."""
         with self._path.open("ab") as lines:
             while True:
-                lines.write(orjson.dumps(await self._measure()) + b"\n")
+                sample = await self._measure()
+                lines.write(orjson.dumps(attrs.asdict(sample)) + b"\n")
                 lines.flush()
 
-    async def _measure(self) -> dict[str, typing.Any]:
+    async def _measure(self) -> Sample:
         started_at, cpu_at_start = time.monotonic(), time.process_time()
         worst_lag = 0.0
         while time.monotonic() - started_at < REPORT_SECONDS:
@@ -54,11 +58,8 @@
             worst_lag = max(worst_lag, lag)
         seconds = time.monotonic() - started_at
         cpu_seconds = time.process_time() - cpu_at_start
-        counts = dict(self._counts)
-        self._counts.clear()
-        return {
-            "at": round(started_at, 2),
-            "cpu_share": round(cpu_seconds / seconds, 2),
-            "worst_lag": round(worst_lag, 3),
-            "counts": counts,
-        }
+        return Sample(
+            at=round(started_at, 2),
+            cpu_share=round(cpu_seconds / seconds, 2),
+            worst_lag=round(worst_lag, 3),
+        )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,11 +9,15 @@
 tests assert guarantees and not how many requests were served.
 """
 
+import anyio
+import anyio.abc
 import attrs
 import pytest
 
 from bench.soak import budget
 from bench.soak import callers
+from bench.soak import ports as free_ports
+from bench.soak import proxy as proxies
 from bench.soak import run as soak
 
 SHORT = soak.Options(seed=1, seconds=4.0, entries=2, callers=3)
@@ -66,6 +70,52 @@
         assert result.violations == []
 
 
+class TestProxy:
+    """The proxies between entries and stand-ins."""
+
+    def test_later_bytes_do_not_overtake_delayed_or_held_ones(self) -> None:
+        """Guards against answers that a proxy garbles itself."""
+
+        async def echo(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                async for data in stream:
+                    await stream.send(data)
+
+        async def receive(stream: anyio.abc.SocketStream, size: int) -> bytes:
+            received = b""
+            while len(received) < size:
+                received += await stream.receive()
+            return received
+
+        async def body() -> None:
+            target, port = free_ports.find_free(2, 1)
+            listener = await anyio.create_tcp_listener(
+                local_host=proxies.HOST, local_port=target
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, echo)
+                proxy = proxies.Proxy(port, target)
+                await tasks.start(proxy.run)
+                stream = await anyio.connect_tcp(proxies.HOST, port)
+                proxy.mode = proxies.Mode.DELAY
+                await stream.send(b"a")
+                await anyio.wait_all_tasks_blocked()
+                proxy.mode = proxies.Mode.PASS
+                await stream.send(b"b")
+                assert await receive(stream, 2) == b"ab"
+                proxy.mode = proxies.Mode.HOLD_REPLIES
+                await stream.send(b"c")
+                proxy.mode = proxies.Mode.PASS
+                await stream.send(b"d")
+                await stream.send_eof()
+                assert await receive(stream, 2) == b"cd"
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(body)
+
+
 class TestBudget:
     """The retry budget of a service, over all entries and processes."""
 
