Name the parts of prompts in the logs of attempts

Logs could not tell whether engines end under one part of prompts or without a cause: the header that lists the parts was passed on and never decoded. The adapter decodes it and the model, attempt_failed and stream_ended name the parts that other requests may share. A part that stands in failed attempts without an event at most ends, and in no stream_ended, is the cause.

No decision changes.

--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -76,6 +76,8 @@
         last_event_id=int(
             _parse_number(first_values.get(names.LAST_EVENT_ID, b"")) or -1
         ),
+        model=first_values.get(names.MODEL, b"").decode("latin-1"),
+        prompt_parts=_prompt_parts(headers),
     )
 
 
@@ -167,6 +169,17 @@
     return requests.TokenCounts(int(prompt), int(max_answer), int(answer_hint))
 
 
+def _prompt_parts(headers: http.RawHeaders) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, in order.
+
+    A list header that is sent in several lines is one list.
+    """
+    values = [value for name, value in headers if name == names.PROMPT_PARTS]
+    entries = b",".join(values).decode("latin-1").lower().split(",")
+    ids = (entry.partition(":")[0].strip() for entry in entries)
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _parse_number(text: bytes) -> float | None:
     try:
         return float(text)
--- a/src/crowdeck/relay/request.py
+++ b/src/crowdeck/relay/request.py
@@ -57,6 +57,9 @@
     :ivar timeout_seconds: how long the caller waits, ``None`` if not given.
     :ivar arrived: loop time at which its headers had been read.
     :ivar last_event_id: id of the last event that the caller has, or -1.
+    :ivar model: name of the model, empty if not given.
+    :ivar prompt_parts: ids of the parts of its prompt, in order. The last part
+        is its own or its session's; others may be shared with any request.
     """
 
     id: str
@@ -71,6 +74,13 @@
     arrived: float
     token_counts: TokenCounts | None = None
     last_event_id: int = -1
+    model: str = ""
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return self.prompt_parts[:-1]
 
 
 def fingerprint_of(
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -32,6 +32,8 @@
 ANSWER_MARGIN_SECONDS = 0.05
 # No attempt is made with less time left than this.
 MIN_ATTEMPT_SECONDS = 0.1
+# Callers choose the ids of parts, so their number and length are not bounded.
+MAX_LOGGED_PARTS_LENGTH = 200
 
 _MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 # Errors that the first engine of a path causes.
@@ -287,6 +289,7 @@
             last_event=stream.last_event_id,
             seconds=round(now - arrived, 3),
             attempts=len(self._ran_on) + 1,
+            parts=_logged_parts(self._request),
         )
 
     async def _record_failure(
@@ -313,6 +316,7 @@
             verdict=str(error.verdict),
             after=self._stream.last_event_id,
             content=str(self._stream.fingerprint),
+            parts=_logged_parts(self._request),
             has_begun=not self._stream.is_starting,
         )
 
@@ -470,6 +474,11 @@
         )
 
 
+def _logged_parts(request: requests.CallerRequest) -> str:
+    """Return the ids of the parts that other requests may share."""
+    return ",".join(request.shared_parts)[:MAX_LOGGED_PARTS_LENGTH]
+
+
 def _is_refusal(error: errors.CrowdeckError) -> bool:
     """Whether an engine refused an attempt without running it."""
     return (
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -241,6 +241,23 @@
         assert request.token_counts == requests.TokenCounts(642, 430, 64)
         assert "k1" not in repr(request)
 
+    def test_prompt_parts_are_decoded(self) -> None:
+        headers = [
+            (b"x-request-id", b"r1"),
+            (b"x-model", b"daka51"),
+            (b"x-prompt-prefix", b"5c1E07a2:800, 91bd3f06:410"),
+            (b"x-prompt-prefix", b"e4402b7d:250,,:3"),
+        ]
+        request = callers.decode("POST", b"/", b"", headers, b"", 0.0)
+        assert request is not None
+        assert request.model == "daka51"
+        assert request.prompt_parts == ("5c1e07a2", "91bd3f06", "e4402b7d")
+        assert request.shared_parts == ("5c1e07a2", "91bd3f06")
+
+    def test_request_without_prompt_parts_has_none(self) -> None:
+        request = caller_request()
+        assert request.prompt_parts == () == request.shared_parts
+
     def test_request_without_an_id_is_none(self) -> None:
         assert callers.decode("GET", b"/", b"", [], b"", 0.0) is None
 
