Test a prompt part that crashes engines, failing

A part of prompts crashes each engine that begins to answer it; no two requests with it are alike, others share their caller and other parts (virtual time, decoded by the platform's adapter, 22 s, bad each 0.4 s, sound each 0.1 s, the part at each position of three).

--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -139,6 +139,7 @@
     team: str
     body: bytes = b""
     started_at: float = 0.0
+    prompt_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -161,6 +162,8 @@
     :ivar repaths: ids of the requests that moved to another path.
     :ivar crashing_bodies: a request with one of these bodies crashes each
         upstream that begins it.
+    :ivar crashing_parts: a request crashes each upstream that begins it if
+        one of these is a part of its prompt, other than the last.
     :ivar crashes: the crashes so far.
     :ivar repeat_counters: requests and arrivals by service name.
     :ivar is_link_stalled: while set, messages wait; none is lost.
@@ -178,6 +181,7 @@
         self.rejection_counts: collections.Counter[str] = collections.Counter()
         self.repaths: list[str] = []
         self.crashing_bodies: set[bytes] = set()
+        self.crashing_parts: set[str] = set()
         self.crashes: list[EngineCrash] = []
         self.repeat_counters: dict[str, repeats.RepeatCounter] = (
             collections.defaultdict(repeats.RepeatCounter)
@@ -238,6 +242,7 @@
                 dispatch.team,
                 request.body,
                 anyio.current_time(),
+                request.prompt_parts,
             )
         )
         target.running += 1
@@ -475,8 +480,11 @@
     async def _crash_if_requested(
         self, target: StandinUpstream, request: requests.CallerRequest
     ) -> None:
-        """Crash the upstream if the request has a crashing body."""
-        if request.body not in self.crashing_bodies:
+        """Crash the upstream if the request has a crashing body or part."""
+        has_crashing_part = not self.crashing_parts.isdisjoint(
+            request.shared_parts
+        )
+        if request.body not in self.crashing_bodies and not has_crashing_part:
             return
         await anyio.sleep(CRASH_DELAY_SECONDS)
         if not target.is_dead:
--- a/tests/entries_system.py
+++ b/tests/entries_system.py
@@ -161,10 +161,17 @@
                 self._list_instance(attrs.evolve(listed, is_leaving=True))
 
     def start_request(
-        self, number: int, repeat: routes.RepeatPolicy, body: bytes
+        self,
+        number: int,
+        repeat: routes.RepeatPolicy,
+        body: bytes,
+        **changes: typing.Any,
     ) -> None:
-        """Send a request to an entry; its outcome is added to ``outcomes``."""
-        request = self[number].request(repeat, body=body)
+        """Send a request to an entry; its outcome is added to ``outcomes``.
+
+        :param changes: fields of the request that differ from the defaults.
+        """
+        request = self[number].request(repeat, body=body, **changes)
         self._tasks.start_soon(self._ask, self[number], request)
 
     async def send_repeatedly(
