--- a/src/crowdeck/quarantine/evidence.py
+++ b/src/crowdeck/quarantine/evidence.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import fingerprint
 
 # Numbers of ends and served requests that one entry reports; those added last
@@ -17,9 +18,15 @@
 # with 10 Mbit/s reads in 16 ms.
 MAX_ENDS = 32
 MAX_SERVED = 32
-# Number of suspects reported per end. Those that were present at the most ends
-# are kept, and among equals those that had not produced an event.
+# Number of requests reported per end. Those whose fingerprints were present at
+# the most ends are kept, and among equals those that had not produced an
+# event.
 MAX_SUSPECTS = 24
+# Number of fingerprints reported per end, and by one entry in all. A prompt
+# has several parts, so the oldest ends give way to those of many parts. Ends
+# in a row that have the most fingerprints are still enough for a quarantine.
+MAX_FINGERPRINTS_PER_END = 4 * MAX_SUSPECTS
+MAX_FINGERPRINTS = MAX_ENDS * MAX_SUSPECTS
 
 EndCounter = typing.Callable[[fingerprint.Fingerprint], int]
 
@@ -38,14 +45,19 @@
 
     instance: str
     at: float
-    unbegun: frozenset[fingerprint.Fingerprint] = frozenset()
-    begun: frozenset[fingerprint.Fingerprint] = frozenset()
+    unbegun: frozenset[contents.RequestContent] = frozenset()
+    begun: frozenset[contents.RequestContent] = frozenset()
 
     @property
-    def suspects(self) -> frozenset[fingerprint.Fingerprint]:
+    def requests(self) -> frozenset[contents.RequestContent]:
         """All requests that may have caused it."""
         return self.unbegun | self.begun
 
+    @property
+    def fingerprint_count(self) -> int:
+        """Number of fingerprints with which it is reported."""
+        return sum(1 + len(content.parts) for content in self.requests)
+
     def merged_with(self, other: "InstanceEnd") -> "InstanceEnd":
         """Return the combined evidence of two entries on the same end."""
         unbegun = self.unbegun | other.unbegun
@@ -58,14 +70,14 @@
 
 
 @attrs.frozen
-class ServedRequest:
-    """A suspect that was served completely.
+class ServedSuspect:
+    """A suspect that was served, in any request.
 
-    :ivar at: wall-clock time in seconds; ends before it are not attributed to
-        the request.
+    :ivar at: wall-clock time in seconds at which it began to be served; ends
+        before it are not attributed to the suspect.
     """
 
-    request: fingerprint.Fingerprint
+    suspect: fingerprint.Fingerprint
     at: float
 
 
@@ -74,13 +86,13 @@
     """All evidence of one entry."""
 
     ends: tuple[InstanceEnd, ...] = ()
-    served: tuple[ServedRequest, ...] = ()
+    served: tuple[ServedSuspect, ...] = ()
 
     @property
     def newest_at(self) -> float:
         """Wall-clock time of the newest item, 0 if there is none."""
         ended = max((end.at for end in self.ends), default=0.0)
-        served = max((request.at for request in self.served), default=0.0)
+        served = max((served.at for served in self.served), default=0.0)
         return max(ended, served)
 
     def __bool__(self) -> bool:
@@ -92,9 +104,7 @@
         return Evidence(
             tuple(end for end in self.ends if first <= end.at <= last),
             tuple(
-                request
-                for request in self.served
-                if first <= request.at <= last
+                served for served in self.served if first <= served.at <= last
             ),
         )
 
@@ -102,39 +112,65 @@
         """Return the evidence with an end added or merged.
 
         :param count_ends: returns the number of known ends at which a
-            request was present.
+            suspect was present.
         """
         by_instance = {known.instance: known for known in self.ends}
         if end.instance in by_instance:
             end = by_instance[end.instance].merged_with(end)
         by_instance[end.instance] = _truncated(end, count_ends)
-        return attrs.evolve(self, ends=tuple(by_instance.values())[-MAX_ENDS:])
-
-    def with_served(self, served: ServedRequest) -> "Evidence":
-        """Return the evidence with a served request added."""
-        by_request = {known.request: known for known in self.served}
-        before = by_request.get(served.request, served)
-        by_request[served.request] = max(
-            before, served, key=lambda request: request.at
+        return attrs.evolve(
+            self, ends=_newest_within_limits(tuple(by_instance.values()))
+        )
+
+    def with_served(self, served: ServedSuspect) -> "Evidence":
+        """Return the evidence with a served suspect added."""
+        by_suspect = {known.suspect: known for known in self.served}
+        # Removed first, so that it counts as added last.
+        before = by_suspect.pop(served.suspect, served)
+        by_suspect[served.suspect] = max(
+            before, served, key=lambda suspect: suspect.at
         )
         return attrs.evolve(
-            self, served=tuple(by_request.values())[-MAX_SERVED:]
+            self, served=tuple(by_suspect.values())[-MAX_SERVED:]
         )
 
 
+def _newest_within_limits(
+    ends: tuple[InstanceEnd, ...],
+) -> tuple[InstanceEnd, ...]:
+    """Return the ends that were added last, as many as may be reported."""
+    kept: list[InstanceEnd] = []
+    fingerprint_count = 0
+    for end in reversed(ends[-MAX_ENDS:]):
+        fingerprint_count += end.fingerprint_count
+        if fingerprint_count > MAX_FINGERPRINTS:
+            break
+        kept.append(end)
+    return tuple(reversed(kept))
+
+
 def _truncated(end: InstanceEnd, count_ends: EndCounter) -> InstanceEnd:
     """Return an end with its most likely suspects only."""
-    if len(end.suspects) <= MAX_SUSPECTS:
+    if (
+        len(end.requests) <= MAX_SUSPECTS
+        and end.fingerprint_count <= MAX_FINGERPRINTS_PER_END
+    ):
         return end
     order = sorted(
-        end.suspects,
-        key=lambda request: (
-            -count_ends(request),
-            request not in end.unbegun,
-            str(request),
+        end.requests,
+        key=lambda content: (
+            -sum(map(count_ends, content.fingerprints)),
+            content not in end.unbegun,
+            str(content),
         ),
     )
-    kept = frozenset(order[:MAX_SUSPECTS])
+    kept: set[contents.RequestContent] = set()
+    fingerprint_count = 0
+    for content in order[:MAX_SUSPECTS]:
+        fingerprint_count += 1 + len(content.parts)
+        if fingerprint_count > MAX_FINGERPRINTS_PER_END:
+            break
+        kept.add(content)
     return attrs.evolve(
         end, unbegun=end.unbegun & kept, begun=end.begun & kept
     )
@@ -153,7 +189,7 @@
             for end in evidence.ends
         ],
         "served": [
-            [str(served.request), served.at] for served in evidence.served
+            [str(served.suspect), served.at] for served in evidence.served
         ],
     }
 
@@ -168,8 +204,8 @@
         return Evidence(
             tuple(_decode_end(end) for end in fields.get("ends", ())),
             tuple(
-                ServedRequest(fingerprint.Fingerprint(str(request)), float(at))
-                for request, at in fields.get("served", ())
+                ServedSuspect(fingerprint.Fingerprint(str(suspect)), float(at))
+                for suspect, at in fields.get("served", ())
             ),
         )
     except (
@@ -186,12 +222,6 @@
     return InstanceEnd(
         str(fields["instance"]),
         float(fields["at"]),
-        frozenset(
-            fingerprint.Fingerprint(str(request))
-            for request in fields["unbegun"]
-        ),
-        frozenset(
-            fingerprint.Fingerprint(str(request))
-            for request in fields["begun"]
-        ),
+        frozenset(contents.parse(str(text)) for text in fields["unbegun"]),
+        frozenset(contents.parse(str(text)) for text in fields["begun"]),
     )
--- a/src/crowdeck/quarantine/tracker.py
+++ b/src/crowdeck/quarantine/tracker.py
@@ -6,12 +6,12 @@
 """Tracking of requests that crash the instances they are sent to.
 
 One request may crash each instance that begins it, while its caller repeats
-it at any entry. So entries share their evidence and quarantine such requests
+it at any entry. So may many different requests that have a part of their
+prompts in common. So entries share their evidence and quarantine such requests
 before they bring down the fleet. Without that, one request can end 18 of 39
 engines within 15 s, and half of the other requests are not served.
 """
 
-import collections
 import time
 import typing
 
@@ -22,8 +22,10 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.quarantine import attribution
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
 from crowdeck.quarantine import fingerprint
+from crowdeck.quarantine import trials
 from crowdeck import verdict as verdicts
 
 # How long an end counts as evidence, and so about how long a request may
@@ -41,20 +43,24 @@
 LOST_ATTEMPT_TTL_SECONDS = 8.0
 # A cancelled attempt counts if its instance ends within this time.
 CANCELLED_ATTEMPT_TTL_SECONDS = 1.0
-# The evidence of the other entries arrives within this time after an end.
-# Until then only requests without an event count as suspects of that end. It
-# takes up to 0.4 s. Entries that judge earlier, each by its own evidence,
-# blame requests that merely ran beside the culprit.
-SETTLE_SECONDS = 0.5
-# Number of recently served requests that are remembered. Twice what a small
-# entry serves at peak, 16 a second, in SERVED_EXEMPTION_SECONDS.
-MAX_SERVED = 1_024
+SETTLE_SECONDS = attribution.SETTLE_SECONDS
+# Number of recently served fingerprints that are remembered. Twice what a
+# small entry serves at peak, 16 requests a second of four fingerprints, in
+# SERVED_EXEMPTION_SECONDS.
+MAX_SERVED = 4_096
+# Suspects that were present at fewer ends need not be reported as served: one
+# more end does not quarantine them.
+MIN_REPORTED_ENDS = attribution.QUARANTINE_THRESHOLD - 1
 # Clocks of entries may differ. Evidence that is further in the future than
 # this is dropped, since it would not expire in time.
 CLOCK_SKEW_SECONDS = 600.0
 # Longest time between reviews while there are suspects, so that expired
 # evidence stops counting.
 REVIEW_SECONDS = 60.0
+# A refused request is told to return no sooner than this.
+MIN_RETRY_AFTER_SECONDS = 1.0
+# Number of fingerprints and instances that one log line names.
+MAX_LOGGED = 16
 
 WallClock = typing.Callable[[], float]
 Listener = typing.Callable[[], None]
@@ -68,7 +74,7 @@
         was none.
     """
 
-    request: fingerprint.Fingerprint
+    request: contents.RequestContent
     seconds_since_first_event: float | None
 
     @property
@@ -86,6 +92,29 @@
     expires_at: float
 
 
+@attrs.frozen
+class _SuspectRecord:
+    """The ends of which something is suspected, and that it was served.
+
+    :ivar first_end_at: wall-clock time of the first of these ends.
+    :ivar served_at: when any entry has last reported it as served.
+    """
+
+    end_count: int
+    first_end_at: float
+    served_at: float
+
+    def is_changed_by(self, served_at: float) -> bool:
+        """Whether the evidence says more if it was served at that time."""
+        exemption = attribution.SERVED_EXEMPTION_SECONDS
+        return self.end_count >= MIN_REPORTED_ENDS and (
+            served_at >= self.first_end_at
+            or self.served_at + exemption
+            < self.first_end_at
+            <= served_at + exemption
+        )
+
+
 class QuarantineTracker:
     """Decides by the evidence of all entries which requests to quarantine.
 
@@ -97,15 +126,16 @@
         self._own_evidence = evidence.Evidence()
         self._evidence_by_entry: dict[str, evidence.Evidence] = {}
         self._pending: dict[str, list[_PendingAttempt]] = {}
-        self._culprits: dict[fingerprint.Fingerprint, int] = {}
-        self._suspects: collections.Counter[fingerprint.Fingerprint] = (
-            collections.Counter()
-        )
+        self._culprits: dict[contents.Fingerprints, attribution.Culprit] = {}
+        self._suspects: dict[fingerprint.Fingerprint, _SuspectRecord] = {}
+        self._trials = trials.Trials()
         # Wall-clock time of the next review.
         self._review_at = float("inf")
         self._served_at: dict[fingerprint.Fingerprint, float] = {}
-        # Wall-clock time of the last end that any entry has reported.
+        # Wall-clock time of the last end that any entry has reported, and loop
+        # time at which this entry learned of it.
         self._last_end_at = 0.0
+        self._learned_of_end_at = float("-inf")
         self._evidence_listeners: list[Listener] = []
         self._quarantine_listeners: list[Listener] = []
 
@@ -116,7 +146,7 @@
 
     @property
     def has_no_suspects(self) -> bool:
-        """Whether no request is a suspect."""
+        """Whether nothing is suspected."""
         return not self._suspects
 
     def subscribe_own_evidence(self, listener: Listener) -> None:
@@ -127,15 +157,40 @@
         """Call ``listener`` after requests have been quarantined."""
         self._quarantine_listeners.append(listener)
 
-    def is_quarantined(self, request: fingerprint.Fingerprint) -> bool:
+    def is_quarantined(self, request: contents.RequestContent) -> bool:
         """Whether a request must not be sent to any instance."""
+        return self.find_culprit(request) is not None
+
+    def find_culprit(
+        self, request: contents.RequestContent
+    ) -> attribution.Culprit | None:
+        """Return why a request must not be sent, ``None`` if it may."""
         if self._clock() >= self._review_at:
             self._review()
-        return request in self._culprits
+        for culprit in self._culprits.values():
+            if culprit.matches(request):
+                return culprit
+        return None
 
-    def is_suspect(self, request: fingerprint.Fingerprint) -> bool:
+    def claim_trial(self, request: contents.RequestContent) -> bool:
+        """Whether to send a quarantined request, to learn if it is served.
+
+        Each trial is claimed once, by the entry that reported the last end.
+        """
+        matching = [
+            culprit
+            for culprit in self._culprits.values()
+            if culprit.matches(request)
+        ]
+        if not self._trials.claim(matching, self._own_evidence, self._clock()):
+            return False
+        counters.COUNTERS.add("quarantine.trials")
+        logs.change("quarantine_trial", content=str(request))
+        return True
+
+    def is_suspect(self, request: contents.RequestContent) -> bool:
         """Whether a request may have crashed an instance."""
-        return request in self._suspects
+        return not request.fingerprints.isdisjoint(self._suspects)
 
     def seconds_to_settle(self) -> float:
         """Return the seconds until all entries have reported the last end."""
@@ -143,7 +198,7 @@
         return min(max(0.0, settles_at - self._clock()), SETTLE_SECONDS)
 
     def refusal_error(
-        self, request: fingerprint.Fingerprint, may_have_run: bool
+        self, request: contents.RequestContent, may_have_run: bool
     ) -> errors.CrowdeckError:
         """Return the error with which a quarantined request is refused.
 
@@ -153,13 +208,32 @@
         if may_have_run:
             verdict = verdicts.Verdict.MAY_HAVE_RUN
         counters.COUNTERS.add("quarantine.refused")
-        crash_count = self._culprits.get(request, 0)
+        culprit = self.find_culprit(request)
+        crash_count = len(culprit.ends) if culprit else 0
+        kind = "requests with a part of this prompt are"
+        if culprit is None or culprit.names_request:
+            kind = "this request is"
         return errors.CrowdeckError(
             errors.Code.QUARANTINED,
-            f"this request is quarantined: {crash_count} instances crashed "
-            f"while it ran there; it is refused until that evidence expires",
+            f"{kind} quarantined: {crash_count} instances crashed under it; "
+            "it is refused until that evidence expires or one is served",
             verdict=verdict,
-            retry_after=EVIDENCE_TTL_SECONDS,
+            retry_after=self._seconds_quarantined(culprit),
+        )
+
+    def _seconds_quarantined(
+        self, culprit: attribution.Culprit | None
+    ) -> float:
+        """Return the seconds until a request may be served again."""
+        if culprit is None:
+            return EVIDENCE_TTL_SECONDS
+        now = self._clock()
+        expires_at = culprit.last_end.at + EVIDENCE_TTL_SECONDS
+        if not culprit.names_request:
+            expires_at = min(expires_at, trials.due_at(culprit))
+        return min(
+            max(MIN_RETRY_AFTER_SECONDS, expires_at - now),
+            EVIDENCE_TTL_SECONDS,
         )
 
     def note_connection_lost(
@@ -194,15 +268,28 @@
         """Drop the attempts at an instance that has ended as planned."""
         self._pending.pop(instance, None)
 
-    def note_served(self, request: fingerprint.Fingerprint) -> None:
-        """Note a request that was served completely."""
-        # This clock may be behind that of the entry that saw the last end.
-        now = max(self._clock(), self._last_end_at)
-        self._served_at.pop(request, None)
-        self._served_at[request] = now
-        self._prune_served(now)
-        if request in self._suspects and self._record_served_suspects():
-            self._publish_and_review()
+    def note_served(self, attempt_record: AttemptRecord) -> None:
+        """Note an attempt that did not crash its instance.
+
+        It was served completely, or long after its first event. It is known
+        to be harmless as of its first event only.
+        """
+        request = attempt_record.request
+        seconds_ago = attempt_record.seconds_since_first_event or 0.0
+        at = self._clock() - seconds_ago
+        began_at = anyio.current_time() - seconds_ago
+        if began_at >= self._learned_of_end_at:
+            # This clock may be behind that of the entry that saw the last end.
+            at = max(at, self._last_end_at)
+        for served in request.fingerprints:
+            before = self._served_at.pop(served, at)
+            self._served_at[served] = max(before, at)
+        self._prune_served(at)
+        if self.is_suspect(request) and self._record_served_suspects(
+            request.fingerprints
+        ):
+            self._publish()
+            self._review()
 
     def set_peer_evidence(
         self, entry: str, reported: evidence.Evidence
@@ -221,8 +308,9 @@
             return
         self._evidence_by_entry[entry] = reported
         self._review()
-        if self._record_served_suspects():
-            self._publish_and_review()
+        if self._record_served_suspects(self._suspects):
+            self._publish()
+            self._review()
 
     def merge_own_evidence(self, reported: evidence.Evidence) -> None:
         """Add the evidence of an earlier process of this entry."""
@@ -279,12 +367,13 @@
         logs.change(
             "ended_under_requests",
             upstream=instance,
-            unbegun=sorted(map(str, unbegun)),
-            begun=sorted(map(str, begun)),
+            unbegun=sorted(map(str, unbegun))[:MAX_LOGGED],
+            begun=sorted(map(str, begun))[:MAX_LOGGED],
         )
         self._review()
-        self._record_served_suspects()
-        self._publish_and_review()
+        if self._record_served_suspects(self._suspects):
+            self._review()
+        self._publish()
 
     def _valid(self, reported: evidence.Evidence) -> evidence.Evidence:
         """Return the evidence that is neither outdated nor from the future."""
@@ -293,15 +382,19 @@
             now - EVIDENCE_TTL_SECONDS, now + CLOCK_SKEW_SECONDS
         )
 
-    def _record_served_suspects(self) -> bool:
+    def _record_served_suspects(
+        self, candidates: typing.Iterable[fingerprint.Fingerprint]
+    ) -> bool:
         """Add served suspects to the evidence; return whether it changed."""
         before = self._own_evidence
-        for request in self._suspects:
-            at = self._served_at.get(request)
-            if at is not None:
-                served = evidence.ServedRequest(request, at)
-                self._own_evidence = self._own_evidence.with_served(served)
-                logs.change("suspect_served", content=str(request))
+        for suspect in candidates:
+            record = self._suspects.get(suspect)
+            at = self._served_at.get(suspect)
+            if record is None or at is None or not record.is_changed_by(at):
+                continue
+            served = evidence.ServedSuspect(suspect, at)
+            self._own_evidence = self._own_evidence.with_served(served)
+            logs.change("suspect_served", content=str(suspect))
         return self._own_evidence != before
 
     def _prune_served(self, now: float) -> None:
@@ -313,16 +406,16 @@
                 return
             del self._served_at[oldest]
 
-    def _count_ends_of(self, request: fingerprint.Fingerprint) -> int:
-        return self._suspects[request]
+    def _count_ends_of(self, suspect: fingerprint.Fingerprint) -> int:
+        record = self._suspects.get(suspect)
+        return record.end_count if record else 0
 
-    def _publish_and_review(self) -> None:
+    def _publish(self) -> None:
         for listener in self._evidence_listeners:
             listener()
-        self._review()
 
     def _review(self) -> None:
-        """Determine the quarantined requests from all evidence."""
+        """Determine what is quarantined from all evidence."""
         now = self._clock()
         ends: dict[str, evidence.InstanceEnd] = {}
         served_at: dict[fingerprint.Fingerprint, float] = {}
@@ -335,40 +428,70 @@
                 known = ends.get(end.instance)
                 ends[end.instance] = known.merged_with(end) if known else end
             for served in valid.served:
-                before = served_at.get(served.request, served.at)
-                served_at[served.request] = max(before, served.at)
+                before = served_at.get(served.suspect, served.at)
+                served_at[served.suspect] = max(before, served.at)
         unexplained = attribution.without_served_suspects(
-            ends.values(), served_at
-        )
-        self._suspects = attribution.count_ends(unexplained)
-        self._last_end_at = max(
-            (instance_end.at for instance_end in ends.values()), default=0.0
-        )
-        settled = attribution.without_recent_begun_suspects(
-            unexplained, now - SETTLE_SECONDS
+            ends.values(), served_at, 0.0
         )
+        self._suspects = _suspect_records(unexplained, served_at)
+        last_end_at = max((end.at for end in ends.values()), default=0.0)
+        if last_end_at > self._last_end_at:
+            self._learned_of_end_at = anyio.current_time()
+        self._last_end_at = last_end_at
         self._review_at = self._next_review(now)
-        self._set_culprits(attribution.find_culprits(settled))
+        self._set_culprits(attribution.judge(unexplained, served_at, now))
 
     def _next_review(self, now: float) -> float:
         """Return when the result may next change without new evidence."""
         if not self._suspects:
             return float("inf")
-        settles_at = self._last_end_at + SETTLE_SECONDS
-        if now < settles_at < now + REVIEW_SECONDS:
-            return settles_at
+        for seconds in (SETTLE_SECONDS, attribution.SERVED_SETTLE_SECONDS):
+            settles_at = self._last_end_at + seconds
+            if now < settles_at < now + REVIEW_SECONDS:
+                return settles_at
         return now + REVIEW_SECONDS
 
-    def _set_culprits(self, found: dict[fingerprint.Fingerprint, int]) -> None:
-        before, self._culprits = self._culprits, found
-        for request in before.keys() - found.keys():
-            logs.change("quarantine_ended", content=str(request))
-        new = found.keys() - before.keys()
-        for request in new:
+    def _set_culprits(self, found: list[attribution.Culprit]) -> None:
+        before = self._culprits
+        self._culprits = {culprit.fingerprints: culprit for culprit in found}
+        for fingerprints in before.keys() - self._culprits.keys():
+            logs.change("quarantine_ended", content=_joined(fingerprints))
+        new = self._culprits.keys() - before.keys()
+        for fingerprints in new:
             counters.COUNTERS.add("quarantine.begun")
-            logs.change(
-                "quarantined", content=str(request), ends=found[request]
-            )
+            _log_quarantined(self._culprits[fingerprints])
         if new:
             for listener in self._quarantine_listeners:
                 listener()
+
+
+def _suspect_records(
+    unexplained: typing.Iterable[attribution.UnexplainedEnd],
+    served_at: attribution.ServedTimes,
+) -> dict[fingerprint.Fingerprint, _SuspectRecord]:
+    """Return everything that may have caused one of the ends."""
+    records: dict[fingerprint.Fingerprint, _SuspectRecord] = {}
+    for end in sorted(unexplained, key=lambda end: end.end.at):
+        for suspect in end.suspects:
+            known = records.get(suspect)
+            records[suspect] = _SuspectRecord(
+                1 + (known.end_count if known else 0),
+                known.first_end_at if known else end.end.at,
+                served_at.get(suspect, float("-inf")),
+            )
+    return records
+
+
+def _log_quarantined(culprit: attribution.Culprit) -> None:
+    logs.change(
+        "quarantined",
+        content=_joined(culprit.fingerprints),
+        kind="request" if culprit.names_request else "part",
+        ends=len(culprit.ends),
+        upstreams=[end.instance for end in culprit.ends][:MAX_LOGGED],
+        cleared=_joined(culprit.others_at_all_ends()),
+    )
+
+
+def _joined(fingerprints: contents.Fingerprints) -> str:
+    return " ".join(sorted(map(str, fingerprints))[:MAX_LOGGED])
--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -157,6 +157,8 @@
         stream = self._stream
         self._context.heads.note_first_event(self._path.head.name, stream)
         stream.note_event()
+        if stream.becomes_established():
+            self._context.quarantine.note_served(stream.attempt_record)
         if event.id is not None:
             if event.id <= stream.last_event_id:
                 return
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -16,7 +16,7 @@
 from crowdeck import http
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.quarantine import fingerprint
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import attempt as attempts
 from crowdeck.relay import context as contexts
@@ -134,6 +134,7 @@
         )
         self._tried: set[str] = set()
         self._send_count = 0
+        self._attempt_began_at = request.arrived
         self._verdict = verdicts.Verdict.NOT_RUN
         self._unavailable_addresses = ""
 
@@ -159,7 +160,12 @@
                     return failed_answer
                 raise self._final_error(error) from None
             if not answer.has_failed:
-                self._context.quarantine.note_served(self._fingerprint)
+                self._context.quarantine.note_served(
+                    trackers.AttemptRecord(
+                        self._content,
+                        anyio.current_time() - self._attempt_began_at,
+                    )
+                )
                 return answer
             failed_answer = answer
             if not self._prepare_retry(answer.verdict):
@@ -169,8 +175,8 @@
         raise self._final_error(self._no_instance_error(0.0))
 
     @property
-    def _fingerprint(self) -> fingerprint.Fingerprint:
-        return requests.fingerprint_of(self._request, self._admitted.team)
+    def _content(self) -> contents.RequestContent:
+        return requests.content_of(self._request, self._admitted.team)
 
     def _refuse_if_quarantined(self) -> None:
         """Refuse a call that is known to crash instances.
@@ -178,12 +184,15 @@
         :raises CrowdeckError: ``QUARANTINED``.
         """
         quarantine = self._context.quarantine
-        if quarantine.has_no_suspects or not quarantine.is_quarantined(
-            self._fingerprint
-        ):
+        if quarantine.has_no_suspects:
+            return
+        content = self._content
+        if not quarantine.is_quarantined(content):
             return
         has_run = self._verdict is not verdicts.Verdict.NOT_RUN
-        raise quarantine.refusal_error(self._fingerprint, has_run)
+        if not has_run and quarantine.claim_trial(content):
+            return
+        raise quarantine.refusal_error(content, has_run)
 
     async def _record_loss(
         self, upstream: chain.Upstream, error: errors.CrowdeckError
@@ -193,7 +202,7 @@
             return
         if error.code is not errors.Code.UPSTREAM_LOST:
             return
-        attempt_record = trackers.AttemptRecord(self._fingerprint, None)
+        attempt_record = trackers.AttemptRecord(self._content, None)
         self._context.quarantine.note_connection_lost(
             upstream.name, attempt_record
         )
@@ -299,7 +308,7 @@
     async def _attempt(self, upstream: chain.Upstream) -> _Answer:
         self._tried.add(upstream.name)
         self._context.usage.add_call(upstream)
-        began = anyio.current_time()
+        began = self._attempt_began_at = anyio.current_time()
         seconds = self._attempt_seconds()
         try:
             with anyio.fail_after(seconds):
@@ -409,7 +418,7 @@
             reason=error.message,
             verdict=str(error.verdict),
             tries=self._send_count,
-            content=str(self._fingerprint),
+            content=str(self._content),
         )
 
     @property
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -11,7 +11,7 @@
 import attrs
 
 from crowdeck import chain
-from crowdeck.quarantine import fingerprint
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
@@ -79,7 +79,8 @@
     team: str = ""
     urgency: routes.Urgency = routes.Urgency()
     _attempt_first_event_at: float | None = None
-    _fingerprint: fingerprint.Fingerprint | None = None
+    _content: contents.RequestContent | None = None
+    _is_established: bool = False
     _path: chain.ChainPath | None = None
     _scope: anyio.CancelScope | None = None
 
@@ -104,21 +105,24 @@
         return self.mean_pause_seconds / weight
 
     @property
-    def fingerprint(self) -> fingerprint.Fingerprint:
-        """Fingerprint of the request, computed when first needed."""
-        if self._fingerprint is None:
-            self._fingerprint = requests.fingerprint_of(
-                self.request, self.team
-            )
-        return self._fingerprint
+    def content(self) -> contents.RequestContent:
+        """Content of the request, computed when first needed."""
+        if self._content is None:
+            self._content = requests.content_of(self.request, self.team)
+        return self._content
 
     @property
     def attempt_record(self) -> trackers.AttemptRecord:
         """The request, and the time since its attempt's first event."""
-        seconds = None
-        if self._attempt_first_event_at is not None:
-            seconds = anyio.current_time() - self._attempt_first_event_at
-        return trackers.AttemptRecord(self.fingerprint, seconds)
+        return trackers.AttemptRecord(
+            self.content, self._seconds_since_first_event
+        )
+
+    @property
+    def _seconds_since_first_event(self) -> float | None:
+        if self._attempt_first_event_at is None:
+            return None
+        return anyio.current_time() - self._attempt_first_event_at
 
     @property
     def path(self) -> chain.ChainPath | None:
@@ -139,6 +143,7 @@
         self.next_check_at = 0.0
         self.is_starting = True
         self._attempt_first_event_at = None
+        self._is_established = False
         self.switch_path(path)
 
     def switch_path(self, path: chain.ChainPath) -> None:
@@ -180,6 +185,16 @@
         self.next_check_at = 0.0
         self.check_count = 0
 
+    def becomes_established(self) -> bool:
+        """Whether an event shows that the request does not crash its engine.
+
+        True once for each attempt.
+        """
+        if self._is_established or self.attempt_record.is_suspect:
+            return False
+        self._is_established = True
+        return True
+
     def _release_path(self) -> None:
         if self._path is not None:
             self._usage.remove_request(self._path, self.tokens)
--- a/src/crowdeck/relay/request.py
+++ b/src/crowdeck/relay/request.py
@@ -11,6 +11,7 @@
 
 from crowdeck import errors
 from crowdeck import http
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import fingerprint
 from crowdeck import verdict as verdicts
 
@@ -92,6 +93,30 @@
     )
 
 
+def content_of(request: CallerRequest, team: str) -> contents.RequestContent:
+    """Return what identifies a request and what it shares with others."""
+    return contents.RequestContent(
+        fingerprint_of(request, team),
+        tuple(
+            dict.fromkeys(
+                fingerprint.of_part(request.model, part_id)
+                for part_id in request.shared_parts[: contents.MAX_PARTS]
+            )
+        ),
+    )
+
+
+def parts_among(
+    request: CallerRequest, fingerprints: contents.Fingerprints
+) -> tuple[str, ...]:
+    """Return the ids of the parts whose fingerprints are among some."""
+    return tuple(
+        part_id
+        for part_id in request.shared_parts[: contents.MAX_PARTS]
+        if fingerprint.of_part(request.model, part_id) in fingerprints
+    )
+
+
 class Sink(typing.Protocol):
     """Receives an answer, such as a caller's connection."""
 
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -203,7 +203,7 @@
         quarantine = self._context.quarantine
         for stream in tuple(self._streams):
             if stream.is_starting and quarantine.is_quarantined(
-                stream.fingerprint
+                stream.content
             ):
                 stream.abandon(
                     "the request is quarantined: it crashes engines"
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -136,6 +136,7 @@
         )
         self._ran_on: set[str] = set()
         self._refusals = 0
+        self._is_trial = False
         self._beginning = (
             context.ranked_parts().begin(stream)
             if stream.urgency.is_ranked
@@ -194,16 +195,31 @@
         :raises CrowdeckError: ``QUARANTINED``.
         """
         quarantine = self._context.quarantine
+        content = self._stream.content
         if quarantine.has_no_suspects or not quarantine.is_quarantined(
-            self._stream.fingerprint
+            content
         ):
             return
         if self._ran_on:
             await anyio.sleep(quarantine.seconds_to_settle())
-            if not quarantine.is_quarantined(self._stream.fingerprint):
+            if not quarantine.is_quarantined(content):
                 return
-        raise quarantine.refusal_error(
-            self._stream.fingerprint, bool(self._ran_on)
+        elif self._is_trial or quarantine.claim_trial(content):
+            self._is_trial = True
+            return
+        self._log_quarantined()
+        raise quarantine.refusal_error(content, bool(self._ran_on))
+
+    def _log_quarantined(self) -> None:
+        culprit = self._context.quarantine.find_culprit(self._stream.content)
+        if culprit is None:
+            return
+        logs.decision(
+            "refused_as_quarantined",
+            self._request.id,
+            content=str(self._stream.content),
+            parts=requests.parts_among(self._request, culprit.fingerprints),
+            ends=len(culprit.ends),
         )
 
     async def _attempt(
@@ -273,7 +289,7 @@
 
     def _note_completed(self, path: chain.ChainPath) -> None:
         stream = self._stream
-        self._context.quarantine.note_served(stream.fingerprint)
+        self._context.quarantine.note_served(stream.attempt_record)
         self._context.retry_advisor.note_end()
         now = anyio.current_time()
         arrived = self._request.arrived
@@ -315,7 +331,7 @@
             reason=error.message,
             verdict=str(error.verdict),
             after=self._stream.last_event_id,
-            content=str(self._stream.fingerprint),
+            content=str(self._stream.content),
             parts=_logged_parts(self._request),
             has_begun=not self._stream.is_starting,
         )
@@ -334,7 +350,7 @@
         attempt_record = self._stream.attempt_record
         # It ran too long after its first event to be suspected of a crash.
         if not attempt_record.is_suspect:
-            self._context.quarantine.note_served(attempt_record.request)
+            self._context.quarantine.note_served(attempt_record)
         self._context.quarantine.note_connection_lost(
             head.name, attempt_record
         )
--- a/tests/prompt_parts_system.py
+++ b/tests/prompt_parts_system.py
@@ -6,6 +6,7 @@
 """Entries whose callers send prompts of parts, some of which crash engines."""
 
 import itertools
+import random
 import typing
 
 import anyio
@@ -27,6 +28,8 @@
 # Number of parts for each position of a prompt, from which requests take one.
 # All requests of the route have the same first part.
 PART_COUNTS = (1, 5, 10)
+# A multiple of the numbers of entries, so that all receive as many requests.
+MAX_ENTRIES = 60
 
 
 @attrs.frozen
@@ -37,7 +40,9 @@
     :ivar sound_seconds: interval of the other requests.
     :ivar bad_position: position of the bad part in the prompt.
     :ivar part_counts: number of parts for each position of a prompt.
-    :ivar bad_parts: the bad parts, used in turn.
+    :ivar bad_parts: the bad parts, one in each bad request.
+    :ivar seed: of the choice of entries and parts.
+    :ivar bad_from_seconds: time at which requests with them begin.
     """
 
     seconds: float = 22.0
@@ -46,6 +51,8 @@
     bad_position: int = 1
     part_counts: tuple[int, ...] = PART_COUNTS
     bad_parts: tuple[str, ...] = (BAD_PART,)
+    bad_from_seconds: float = 0.0
+    seed: int = 1
 
 
 class Callers:
@@ -60,6 +67,7 @@
         self._entries = entries
         self._traffic = traffic
         self._numbers = itertools.count()
+        self._rng = random.Random(traffic.seed)
 
     async def send(self) -> None:
         """Send requests of both kinds for the time of the traffic."""
@@ -67,16 +75,23 @@
         async with anyio.create_task_group() as tasks:
             if traffic.bad_parts:
                 tasks.start_soon(
-                    self._send_each, traffic.bad_seconds, self.send_bad
+                    self._send_each,
+                    traffic.bad_seconds,
+                    self.send_bad,
+                    traffic.bad_from_seconds,
                 )
             tasks.start_soon(
                 self._send_each, traffic.sound_seconds, self.send_sound
             )
 
     async def _send_each(
-        self, interval: float, send: typing.Callable[[], None]
+        self,
+        interval: float,
+        send: typing.Callable[[], None],
+        wait_seconds: float = 0.0,
     ) -> None:
         until = anyio.current_time() + self._traffic.seconds
+        await anyio.sleep(wait_seconds)
         while anyio.current_time() < until:
             send()
             await anyio.sleep(interval)
@@ -84,15 +99,16 @@
     def send_bad(self) -> None:
         """Send a request that has one of the bad parts."""
         number = next(self._numbers)
-        parts = self._sound_parts(number)
-        bad_parts = self._traffic.bad_parts
-        parts[self._traffic.bad_position] = bad_parts[number % len(bad_parts)]
+        parts = self._sound_parts()
+        parts[self._traffic.bad_position] = self._rng.choice(
+            self._traffic.bad_parts
+        )
         self.send_parts(number, parts, b"bad")
 
     def send_sound(self) -> None:
         """Send a request without a bad part."""
         number = next(self._numbers)
-        self.send_parts(number, self._sound_parts(number), b"sound")
+        self.send_parts(number, self._sound_parts(), b"sound")
 
     def send_parts(
         self, number: int, parts: typing.Sequence[str], kind: bytes
@@ -107,8 +123,7 @@
         decoded = callers.decode("POST", b"/", b"", headers, b"", 0.0)
         assert decoded is not None
         self._entries.start_request(
-            # Not in step with the order of the parts.
-            number * 7 + number // 5,
+            self._rng.randrange(MAX_ENTRIES),
             entries_system.STREAM,
             b"%s-%d" % (kind, number),
             headers=headers,
@@ -116,10 +131,9 @@
             prompt_parts=decoded.prompt_parts,
         )
 
-    def _sound_parts(self, number: int) -> list[str]:
-        # Another stride for each position, so that parts do not go in pairs.
+    def _sound_parts(self) -> list[str]:
         return [
-            f"{position}a{number * (position + 2) // 3 % count:x}"
+            f"{position}a{self._rng.randrange(count):x}"
             for position, count in enumerate(self._traffic.part_counts)
         ]
 
--- a/tests/test_engine_ending_requests.py
+++ b/tests/test_engine_ending_requests.py
@@ -14,8 +14,8 @@
 
 from crowdeck import chain
 from crowdeck import errors
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
-from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import request as requests
 from crowdeck.standin import chain_fleet
@@ -136,10 +136,8 @@
             entries.start_request(0, entries_system.REPEATABLE, BODY)
             await anyio.sleep(1.0)
             request = entries.outcomes_of(BODY)[0].request
-            request_fingerprint = requests.fingerprint_of(request, "kiosks")
-            assert entries[0].context.quarantine.is_suspect(
-                request_fingerprint
-            )
+            request_content = requests.content_of(request, "kiosks")
+            assert entries[0].context.quarantine.is_suspect(request_content)
 
         entries_system.run_scenario(work, count=1)
 
@@ -152,8 +150,8 @@
                 await entry.ask(request)
             name = entries.fleet.runs_of(request.id)[0].upstream
             entry.registry.avoid(name, "nobody listens", has_ended=True)
-            request_fingerprint = requests.fingerprint_of(request, "kiosks")
-            assert entry.context.quarantine.is_suspect(request_fingerprint)
+            request_content = requests.content_of(request, "kiosks")
+            assert entry.context.quarantine.is_suspect(request_content)
 
         entries_system.run_scenario(work, count=1)
 
@@ -164,7 +162,7 @@
             entries.fleet.crashing_bodies.add(BODY)
             quarantine = entries[0].context.quarantine
             request = entries[0].request(entries_system.STREAM, body=BODY)
-            request_fingerprint = requests.fingerprint_of(request, "kiosks")
+            request_content = requests.content_of(request, "kiosks")
             for upstream in entries.fleet.upstreams:
                 upstream.hanging_streams = 1
             entries.start_request(0, entries_system.STREAM, BODY)
@@ -172,7 +170,7 @@
             for number in range(MAX_CRASHES):
                 name = f"gone-{number}"
                 quarantine.note_connection_lost(
-                    name, trackers.AttemptRecord(request_fingerprint, None)
+                    name, trackers.AttemptRecord(request_content, None)
                 )
                 quarantine.note_end(name)
             # Long before the caller's own timeout.
@@ -355,7 +353,7 @@
             await wait_for_ends(entries, MAX_CRASHES)
             entries.fleet.crashing_bodies.clear()
             await anyio.sleep(0.2)
-            cause = frozenset({fingerprint.Fingerprint("cause")})
+            cause = frozenset({contents.parse("cause")})
             names = [crash.upstream for crash in entries.fleet.crashes]
             now = anyio.current_time()
             entries[0].context.quarantine.set_peer_evidence(
@@ -405,14 +403,14 @@
     ) -> bool:
         """Whether a request is not quarantined after three ends."""
         quarantine = entries[0].context.quarantine
-        request_fingerprint = requests.fingerprint_of(request, "kiosks")
+        request_content = requests.content_of(request, "kiosks")
         for number in range(MAX_CRASHES):
             name = f"gone-{number}"
             quarantine.note_connection_lost(
-                name, trackers.AttemptRecord(request_fingerprint, None)
+                name, trackers.AttemptRecord(request_content, None)
             )
             quarantine.note_end(name)
-        return not quarantine.is_quarantined(request_fingerprint)
+        return not quarantine.is_quarantined(request_content)
 
     def test_planned_ends_are_no_evidence(self) -> None:
         async def work(entries: entries_system.Entries) -> None:
@@ -436,13 +434,13 @@
             entry = entries[0]
             repeat = entries_system.STREAM
             request = entry.request(repeat, body=BODY)
-            request_fingerprint = requests.fingerprint_of(request, "kiosks")
+            request_content = requests.content_of(request, "kiosks")
             name = entries.fleet.upstreams[0].listed.name
-            attempt_record = trackers.AttemptRecord(request_fingerprint, None)
+            attempt_record = trackers.AttemptRecord(request_content, None)
             entry.context.quarantine.note_connection_lost(name, attempt_record)
             assert entry.context.quarantine.has_no_suspects
             entry.registry.on_changed((), (name,))
-            assert entry.context.quarantine.is_suspect(request_fingerprint)
+            assert entry.context.quarantine.is_suspect(request_content)
 
         entries_system.run_scenario(work, count=1)
 
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -31,6 +31,21 @@
             request, "kiosks"
         ) == requests.fingerprint_of(repeat, "kiosks")
 
+    def test_of_a_part_depends_on_model_and_id(self) -> None:
+        part = fingerprint.of_part("daka51", "5c1e")
+        assert part == fingerprint.of_part("daka51", "5c1e")
+        assert part != fingerprint.of_part("daka52", "5c1e")
+        assert part != fingerprint.of_part("daka51", "5c1f")
+
+    def test_content_leaves_out_the_last_part(self) -> None:
+        request = make_request(model="m", prompt_parts=("a", "b", "a", "own"))
+        content = requests.content_of(request, "kiosks")
+        assert content.request == requests.fingerprint_of(request, "kiosks")
+        assert content.parts == (
+            fingerprint.of_part("m", "a"),
+            fingerprint.of_part("m", "b"),
+        )
+
     @hypothesis.given(
         strategies.text(strategies.characters(codec="latin-1"), max_size=3),
         strategies.text(strategies.characters(codec="latin-1"), max_size=3),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 
 import collections
 import random
+import typing
 
 import anyio
 import hypothesis
@@ -17,21 +18,23 @@
 from crowdeck import errors
 from crowdeck.membership import roster as rosters
 from crowdeck.quarantine import attribution
+from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
 from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
+from crowdeck.quarantine import trials
 from crowdeck.standin import store as standin_store
 from crowdeck.state import mirror as mirrors
 from crowdeck import verdict as verdicts
 from tests import virtual
 
 
-def fingerprints(text: str) -> frozenset[fingerprint.Fingerprint]:
-    """Return one fingerprint per letter."""
-    return frozenset(fingerprint.Fingerprint(letter) for letter in text)
+def requests_of(text: str) -> frozenset[contents.RequestContent]:
+    """Return one request per letter."""
+    return frozenset(contents.parse(letter) for letter in text)
 
 
-CAUSE = fingerprint.Fingerprint("c")
+CAUSE = contents.parse("c")
 
 
 def end(
@@ -42,7 +45,7 @@
     In most tests ``c`` crashes its engines, and the others ran beside it.
     """
     return evidence.InstanceEnd(
-        instance, at, fingerprints(unbegun), fingerprints(begun)
+        instance, at, requests_of(unbegun), requests_of(begun)
     )
 
 
@@ -58,7 +61,13 @@
     found = attribution.find_culprits(
         attribution.without_served_suspects(ends, served_at)
     )
-    return "".join(sorted(map(str, found)))
+    return "".join(
+        sorted(
+            str(suspect)
+            for culprit in found
+            for suspect in culprit.fingerprints
+        )
+    )
 
 
 class TestAttribution:
@@ -117,13 +126,13 @@
             attribution.find_culprits(
                 attribution.without_recent_begun_suspects(unexplained, 1.5)
             )
-            == {}
+            == []
         )
         assert (
             attribution.find_culprits(
                 attribution.without_recent_begun_suspects(unexplained, 2.5)
             )
-            != {}
+            != []
         )
 
     def test_tied_requests_are_quarantined_one_end_later(self) -> None:
@@ -170,6 +179,200 @@
         assert wrong_count <= 2
 
 
+def part_end(
+    instance: str, *unbegun: str, at: float = 0.0
+) -> evidence.InstanceEnd:
+    """Return an end; each text is a request and the parts of its prompt."""
+    return evidence.InstanceEnd(
+        instance, at, frozenset(map(contents.parse, unbegun))
+    )
+
+
+def judge(
+    ends: typing.Iterable[evidence.InstanceEnd],
+    served_at: attribution.ServedTimes,
+    now: float,
+) -> list[attribution.Culprit]:
+    """Return what is quarantined because of some ends."""
+    unexplained = attribution.without_served_suspects(ends, served_at, 0.0)
+    return attribution.judge(unexplained, served_at, now)
+
+
+class TestAttributionToParts:
+    """Which parts of prompts are culprits, alone or together."""
+
+    def quarantined(
+        self, *ends: evidence.InstanceEnd, now: float = 100.0, **served: float
+    ) -> list[str]:
+        served_at = {
+            fingerprint.Fingerprint(name): at for name, at in served.items()
+        }
+        return [
+            " ".join(sorted(map(str, culprit.fingerprints)))
+            for culprit in judge(ends, served_at, now)
+        ]
+
+    def test_part_of_different_requests_is_quarantined(self) -> None:
+        ends = [
+            part_end("1", "q f b s", "x f t"),
+            part_end("2", "r g b t"),
+            part_end("3", "u f b v"),
+        ]
+        assert self.quarantined(*ends) == ["b"]
+
+    def test_parts_that_always_come_together_are_quarantined_together(
+        self,
+    ) -> None:
+        ends = [part_end(str(n), f"q{n} f b") for n in range(3)]
+        (culprit,) = judge(ends, {}, 100.0)
+        assert culprit.matches(contents.parse("new b f"))
+        assert not culprit.matches(contents.parse("new f"))
+        assert not culprit.matches(contents.parse("new b"))
+        assert not culprit.names_request
+
+    def test_end_without_a_companion_leaves_the_cause(self) -> None:
+        ends = [part_end(str(n), f"q{n} f b") for n in range(3)]
+        ends.append(part_end("3", "q3 b"))
+        assert self.quarantined(*ends) == ["b"]
+
+    def test_served_companion_is_not_quarantined(self) -> None:
+        ends = [part_end(str(n), f"q{n} f b", at=50.0 + n) for n in range(3)]
+        assert self.quarantined(*ends, f=51.5) == ["b"]
+        assert self.quarantined(*ends, f=49.0) == ["b"]
+
+    def test_one_repeated_request_is_quarantined_alone(self) -> None:
+        ends = [part_end(str(n), "q f b") for n in range(3)]
+        (culprit,) = judge(ends, {}, 100.0)
+        assert culprit.names_request
+        assert not culprit.matches(contents.parse("r f b"))
+
+    def test_part_of_more_requests_is_likelier_than_one_that_is_retried(
+        self,
+    ) -> None:
+        ends = [part_end(str(n), f"q{n} b", "r s") for n in range(4)]
+        assert self.quarantined(*ends) == ["b"]
+
+    @pytest.mark.parametrize(
+        "seconds, is_found",
+        [(1.0, False), (attribution.SERVED_SETTLE_SECONDS + 0.1, True)],
+    )
+    def test_part_that_was_served_just_before_takes_longer(
+        self, seconds: float, is_found: bool
+    ) -> None:
+        ends = [
+            part_end(str(n), f"q{n} f{n} b", at=50.0 + 0.1 * n)
+            for n in range(5)
+        ]
+        now = ends[-1].at + seconds
+        assert self.quarantined(*ends[:4], b=49.0, now=99.0) == []
+        found = self.quarantined(*ends, b=49.0, now=now)
+        assert found == (["b"] if is_found else [])
+
+    def test_ends_under_one_repeated_request_count_for_its_parts(
+        self,
+    ) -> None:
+        ends = [
+            part_end(f"{n}-{attempt}", f"q{n} f{n} b", at=50.0 + n)
+            for n in range(2)
+            for attempt in range(3)
+        ]
+        assert "b" in self.quarantined(*ends, b=49.0)
+
+    def test_parts_of_many_callers_that_tie_are_not_quarantined(self) -> None:
+        # Many engines are lost for other reasons.
+        ends = [
+            part_end(str(n), f"q{n} s", f"r{n} t", at=50.0 + n)
+            for n in range(9)
+        ]
+        assert self.quarantined(*ends, s=49.0, t=49.0) == []
+
+
+class TestTrials:
+    """Trials of parts that are quarantined."""
+
+    def tracker_after_crashes(
+        self, clock: "Clock"
+    ) -> trackers.QuarantineTracker:
+        tracker = trackers.QuarantineTracker(clock)
+        for number in range(4):
+            self.report_crash(tracker, number)
+        return tracker
+
+    def report_crash(
+        self, tracker: trackers.QuarantineTracker, number: int
+    ) -> None:
+        request = contents.parse(f"q{number} f{number} b")
+        tracker.note_connection_lost(
+            f"e{number}", trackers.AttemptRecord(request, None)
+        )
+        tracker.note_end(f"e{number}")
+
+    def test_one_request_is_sent_after_some_time(self) -> None:
+        def body() -> None:
+            clock = Clock()
+            tracker = self.tracker_after_crashes(clock)
+            request = contents.parse("new g b")
+            assert tracker.is_quarantined(request)
+            assert not tracker.claim_trial(request)
+            error = tracker.refusal_error(request, False)
+            assert error.retry_after == trials.FIRST_TRIAL_SECONDS
+            clock.now += trials.FIRST_TRIAL_SECONDS
+            assert tracker.claim_trial(request)
+            assert not tracker.claim_trial(contents.parse("other g b"))
+
+        run_in_virtual_time(body)
+
+    def test_served_trial_ends_the_quarantine(self) -> None:
+        def body() -> None:
+            clock = Clock()
+            tracker = self.tracker_after_crashes(clock)
+            clock.now += trials.FIRST_TRIAL_SECONDS
+            request = contents.parse("new g b")
+            assert tracker.claim_trial(request)
+            tracker.note_served(trackers.AttemptRecord(request, 0.5))
+            assert not tracker.is_quarantined(request)
+
+        run_in_virtual_time(body)
+
+    def test_next_trial_is_later_after_a_crash(self) -> None:
+        def body() -> None:
+            clock = Clock()
+            tracker = self.tracker_after_crashes(clock)
+            clock.now += trials.FIRST_TRIAL_SECONDS
+            request = contents.parse("new g b")
+            assert tracker.claim_trial(request)
+            self.report_crash(tracker, 9)
+            later = trials.FIRST_TRIAL_SECONDS * trials.TRIAL_FACTOR
+            clock.now += later - 1.0
+            assert not tracker.claim_trial(request)
+            clock.now += 1.0
+            assert tracker.claim_trial(request)
+
+        run_in_virtual_time(body)
+
+    def test_only_the_entry_that_reported_the_last_end_makes_one(self) -> None:
+        def body() -> None:
+            clock = Clock()
+            tracker = self.tracker_after_crashes(clock)
+            other = trackers.QuarantineTracker(clock)
+            other.set_peer_evidence("one", tracker.own_evidence)
+            clock.now += trials.FIRST_TRIAL_SECONDS
+            request = contents.parse("new g b")
+            assert other.is_quarantined(request)
+            assert not other.claim_trial(request)
+
+        run_in_virtual_time(body)
+
+    def test_request_that_is_quarantined_itself_gets_none(self) -> None:
+        def body() -> None:
+            clock = Clock()
+            tracker = tracker_after(3, clock)
+            clock.now += trials.FIRST_TRIAL_SECONDS + 1.0
+            assert not tracker.claim_trial(CAUSE)
+
+        run_in_virtual_time(body)
+
+
 class Clock:
     """A wall clock that tests set."""
 
@@ -300,7 +503,7 @@
                     tuple(
                         end(str(number), "c", at=future) for number in range(3)
                     ),
-                    (evidence.ServedRequest(CAUSE, future),),
+                    (evidence.ServedSuspect(CAUSE.request, future),),
                 ),
             )
             assert tracker.has_no_suspects
@@ -315,10 +518,10 @@
             tracker = tracker_after(2, clock)
             # Also if this entry's clock is behind that of the others.
             clock.now -= 2 * attribution.SERVED_EXEMPTION_SECONDS
-            tracker.note_served(CAUSE)
+            tracker.note_served(trackers.AttemptRecord(CAUSE, 0.0))
             assert tracker.has_no_suspects
             before = tracker.own_evidence.served
-            tracker.note_served(CAUSE)
+            tracker.note_served(trackers.AttemptRecord(CAUSE, 0.0))
             assert tracker.own_evidence.served == before
 
         run_in_virtual_time(body)
@@ -337,6 +540,23 @@
 
         run_in_virtual_time(body)
 
+    def test_serving_shows_nothing_of_ends_after_its_beginning(self) -> None:
+        # A new release crashes on what earlier streams still go on with.
+        async def body() -> None:
+            clock = Clock()
+            tracker = trackers.QuarantineTracker(clock)
+            await anyio.sleep(10.0)
+            clock.now += 10.0
+            report_crashes(tracker, 2)
+            tracker.note_served(trackers.AttemptRecord(CAUSE, 5.0))
+            assert tracker.is_suspect(CAUSE)
+            await anyio.sleep(1.0)
+            clock.now += 1.0
+            tracker.note_served(trackers.AttemptRecord(CAUSE, 0.5))
+            assert not tracker.is_suspect(CAUSE)
+
+        virtual.run(body)
+
     def test_evidence_of_entries_is_added_up(self) -> None:
         def body() -> None:
             clock = Clock()
@@ -362,7 +582,7 @@
                 trackers.QuarantineTracker(clock),
                 tracker_after(3, clock),
             )
-            tracker.note_served(CAUSE)
+            tracker.note_served(trackers.AttemptRecord(CAUSE, 0.0))
             assert not tracker.own_evidence
             tracker.set_peer_evidence("other", other.own_evidence)
             assert not tracker.is_quarantined(CAUSE)
@@ -432,7 +652,7 @@
     def test_decodes_to_what_was_encoded(self) -> None:
         original = evidence.Evidence(
             (end("1", "ab", "c", 3.25), end("2", "c")),
-            (evidence.ServedRequest(CAUSE, 4.5),),
+            (evidence.ServedSuspect(CAUSE.request, 4.5),),
         )
         body = orjson.loads(orjson.dumps(evidence.encode(original)))
         assert evidence.decode(body) == original
@@ -466,18 +686,44 @@
             return
         assert isinstance(found, evidence.Evidence)
 
+    def test_requests_with_parts_decode_to_what_was_encoded(self) -> None:
+        original = evidence.Evidence((part_end("1", "q f b", "r", at=2.0),))
+        body = orjson.loads(orjson.dumps(evidence.encode(original)))
+        assert evidence.decode(body) == original
+
+    def test_is_bounded_with_many_parts(self) -> None:
+        parts = " ".join(f"{number:016x}" for number in range(31))
+        reported = evidence.Evidence()
+        for number in range(40):
+            texts = [f"{number:012x}{n:04x} {parts}" for n in range(40)]
+            texts.append(f"{number:016x} {CAUSE}")
+            reported = reported.with_end(
+                part_end(str(number), *texts),
+                lambda suspect: 99 * (suspect == CAUSE.request),
+            )
+        assert len(orjson.dumps(evidence.encode(reported))) < 20_000
+        # The last ends are kept, with the most likely of their requests.
+        assert reported.ends[-1].instance == "39"
+        assert len(reported.ends) >= attribution.QUARANTINE_THRESHOLD_SERVED
+        for instance_end in reported.ends:
+            assert any(
+                CAUSE.request in request.fingerprints
+                for request in instance_end.requests
+            )
+
     def test_is_bounded_and_keeps_the_most_likely(self) -> None:
         many = "".join(chr(200 + number) for number in range(100))
         reported = evidence.Evidence()
         for number in range(200):
             reported = reported.with_end(
-                end(str(number), "c" + many), lambda request: request == CAUSE
+                end(str(number), "c" + many),
+                lambda suspect: suspect == CAUSE.request,
             )
         assert len(reported.ends) == evidence.MAX_ENDS
         assert reported.ends[-1].instance == "199"
         for instance_end in reported.ends:
-            assert len(instance_end.suspects) == evidence.MAX_SUSPECTS
-            assert CAUSE in instance_end.suspects
+            assert len(instance_end.requests) == evidence.MAX_SUSPECTS
+            assert CAUSE in instance_end.requests
         assert len(orjson.dumps(evidence.encode(reported))) < 20_000
 
 
