Count attempts that fail after the end of their engine is known

Callers saw what the part of prompts caused go on for longer: an engine's end was noted with those attempts alone whose connection had broken by then. An attempt that was abandoned because another entry, the store or a probe told of the end first was dropped, and with it the cause at that entry.

A planned end is still no evidence.

Ruled out: attempts that begin after the end. These find the address closed, have not run, and are never noted.

--- a/src/crowdeck/quarantine/tracker.py
+++ b/src/crowdeck/quarantine/tracker.py
@@ -126,6 +126,9 @@
         self._own_evidence = evidence.Evidence()
         self._evidence_by_entry: dict[str, evidence.Evidence] = {}
         self._pending: dict[str, list[_PendingAttempt]] = {}
+        # Loop times at which instances are known to have ended. Attempts may
+        # fail later, when their connections break or they are abandoned.
+        self._ended_at: dict[str, float] = {}
         self._culprits: dict[contents.Fingerprints, attribution.Culprit] = {}
         self._suspects: dict[fingerprint.Fingerprint, _SuspectRecord] = {}
         self._trials = trials.Trials()
@@ -255,7 +258,9 @@
 
     def note_end(self, instance: str) -> None:
         """Note that an instance has ended unexpectedly."""
+        self._prune_pending()
         now = anyio.current_time()
+        self._ended_at[instance] = now
         pending = self._pending.pop(instance, ())
         attempt_records = [
             attempt.attempt_record
@@ -267,6 +272,7 @@
     def forget(self, instance: str) -> None:
         """Drop the attempts at an instance that has ended as planned."""
         self._pending.pop(instance, None)
+        self._ended_at.pop(instance, None)
 
     def note_served(self, attempt_record: AttemptRecord) -> None:
         """Note an attempt that did not crash its instance.
@@ -335,7 +341,12 @@
         if not attempt_record.is_suspect:
             return
         self._prune_pending()
-        expires_at = anyio.current_time() + ttl_seconds
+        now = anyio.current_time()
+        ended_at = self._ended_at.get(instance, float("-inf"))
+        if now - ended_at <= ttl_seconds:
+            self._add_end(instance, [attempt_record])
+            return
+        expires_at = now + ttl_seconds
         attempts = self._pending.setdefault(instance, [])
         attempts.append(_PendingAttempt(attempt_record, expires_at))
 
@@ -344,6 +355,9 @@
         for instance, attempts in list(self._pending.items()):
             if attempts[-1].expires_at < now:
                 del self._pending[instance]
+        for instance, ended_at in list(self._ended_at.items()):
+            if now - ended_at > LOST_ATTEMPT_TTL_SECONDS:
+                del self._ended_at[instance]
 
     def _add_end(
         self, instance: str, attempt_records: list[AttemptRecord]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -444,6 +444,25 @@
 
         run_in_virtual_time(body)
 
+    @pytest.mark.parametrize(
+        "seconds, is_suspect",
+        [(0.5, True), (trackers.LOST_ATTEMPT_TTL_SECONDS + 0.1, False)],
+    )
+    def test_connection_that_breaks_after_a_known_end_counts(
+        self, seconds: float, is_suspect: bool
+    ) -> None:
+        # The reset of the connection is lost or late.
+        async def body() -> None:
+            tracker = trackers.QuarantineTracker(Clock())
+            tracker.note_end("e")
+            await anyio.sleep(seconds)
+            tracker.note_connection_lost(
+                "e", trackers.AttemptRecord(CAUSE, None)
+            )
+            assert tracker.is_suspect(CAUSE) is is_suspect
+
+        virtual.run(body)
+
     def test_late_end_is_unrelated_to_a_lost_connection(self) -> None:
         async def body() -> None:
             tracker = trackers.QuarantineTracker(Clock())
