--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -20,6 +20,7 @@
 from crowdeck import pipeline
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import context as contexts
+from crowdeck.relay import interfaces
 from crowdeck.relay import relay as relays
 from crowdeck.relay import request as requests
 from crowdeck.relay import stalls
@@ -171,6 +172,7 @@
 
     :param name: name of the entry, which also seeds its random numbers.
     :param started_at: loop time at which its process started.
+    :param upstreams: used instead of the stand-in fleet's client.
     """
 
     def __init__(
@@ -178,6 +180,7 @@
         fleet: chain_fleet.ChainFleet | None = None,
         name: str = "",
         started_at: float = float("-inf"),
+        upstreams: interfaces.Upstreams | None = None,
     ) -> None:
         self.fleet = fleet or chain_fleet.ChainFleet()
         self.name = name
@@ -190,7 +193,7 @@
         self.context = contexts.RelayContext(
             zone=ZONES[0],
             registry=self.registry,
-            client=self.client,
+            client=upstreams or self.client,
             usage=self.usage,
             planner=hops.HopPlanner(self.usage),
             budget_settings=contexts.RetryBudgetSettings(
