Name the quarantined part where a request is refused, and explain it

A refusal said how many instances crashed, not which part of the prompt is blamed. refused_as_quarantined names the parts by the ids that the caller sent, and crowdeck explain shows them with the quarantine's own line, however long ago it began. Plain calls log it as well.

--- a/src/crowdeck/observe/explain.py
+++ b/src/crowdeck/observe/explain.py
@@ -34,6 +34,8 @@
     "resumed elsewhere",
     "UPSTREAM_LOST": "the connection to the upstream broke after the "
     "request was sent",
+    "QUARANTINED": "instances crashed under this request, or under others "
+    "with the same part of the prompt",
     "WRONG_ANSWER": "the upstream's answer could not be forwarded unchanged",
 }
 # State changes that can affect the outcome of a request.
@@ -47,6 +49,8 @@
         "need_begun",
         "need_ended",
         "placement_ordered",
+        "quarantine_ended",
+        "quarantined",
         "store_history_lost",
         "store_lost",
         "store_regained",
@@ -183,7 +187,8 @@
     found = [
         line
         for line in state_changes
-        if first <= line.at <= last
+        if (first <= line.at or line.kind == "quarantined")
+        and line.at <= last
         and line.source in sources
         and _is_relevant(line, request_text)
     ]
@@ -201,10 +206,12 @@
     """Whether a state change can have affected the request.
 
     :param request_text: the lines of the request; a change of an upstream is
-        relevant only if they contain its name or address.
+        relevant only if they contain its name or address, and a quarantine
+        only if they contain one of its fingerprints.
     """
     fields = (line.fields.get("upstream"), line.fields.get("address"))
     names = [name for name in fields if name]
+    names += str(line.fields.get("content", "")).split()
     if not names:
         return True
     return any(str(name) in request_text for name in names)
@@ -244,6 +251,14 @@
     ]
     if shortages:
         cause += "; " + _describe_shortage(shortages[-1])
+    parts = [
+        str(part)
+        for line in request_lines
+        if line.kind == "refused_as_quarantined"
+        for part in line.fields.get("parts", ())
+    ]
+    if parts:
+        cause += "; parts of the prompt: " + ", ".join(dict.fromkeys(parts))
     failures = [
         str(line.fields.get("reason", ""))
         for line in request_lines
--- a/src/crowdeck/quarantine/attribution.py
+++ b/src/crowdeck/quarantine/attribution.py
@@ -22,7 +22,6 @@
 
 import attrs
 
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
 from crowdeck.quarantine import fingerprint
 
@@ -54,7 +53,7 @@
 # reported by another entry.
 SERVED_SETTLE_SECONDS = 1.5
 
-Fingerprints = contents.Fingerprints
+Fingerprints = fingerprint.Fingerprints
 ServedTimes = typing.Mapping[fingerprint.Fingerprint, float]
 
 _NEVER = float("-inf")
@@ -112,7 +111,7 @@
             for content in self.last_end.requests
         )
 
-    def matches(self, content: contents.RequestContent) -> bool:
+    def matches(self, content: fingerprint.RequestContent) -> bool:
         """Whether a request is quarantined because of it."""
         return self.fingerprints <= content.fingerprints
 
@@ -173,7 +172,7 @@
 
 
 def _fingerprints_of(
-    requests: frozenset[contents.RequestContent],
+    requests: frozenset[fingerprint.RequestContent],
 ) -> Fingerprints:
     return frozenset[fingerprint.Fingerprint]().union(
         *(request.fingerprints for request in requests)
--- a/src/crowdeck/quarantine/evidence.py
+++ b/src/crowdeck/quarantine/evidence.py
@@ -9,7 +9,6 @@
 
 import attrs
 
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import fingerprint
 
 # Numbers of ends and served requests that one entry reports; those added last
@@ -45,11 +44,11 @@
 
     instance: str
     at: float
-    unbegun: frozenset[contents.RequestContent] = frozenset()
-    begun: frozenset[contents.RequestContent] = frozenset()
+    unbegun: frozenset[fingerprint.RequestContent] = frozenset()
+    begun: frozenset[fingerprint.RequestContent] = frozenset()
 
     @property
-    def requests(self) -> frozenset[contents.RequestContent]:
+    def requests(self) -> frozenset[fingerprint.RequestContent]:
         """All requests that may have caused it."""
         return self.unbegun | self.begun
 
@@ -164,7 +163,7 @@
             str(content),
         ),
     )
-    kept: set[contents.RequestContent] = set()
+    kept: set[fingerprint.RequestContent] = set()
     fingerprint_count = 0
     for content in order[:MAX_SUSPECTS]:
         fingerprint_count += 1 + len(content.parts)
@@ -222,6 +221,10 @@
     return InstanceEnd(
         str(fields["instance"]),
         float(fields["at"]),
-        frozenset(contents.parse(str(text)) for text in fields["unbegun"]),
-        frozenset(contents.parse(str(text)) for text in fields["begun"]),
+        frozenset(
+            fingerprint.parse_content(str(text)) for text in fields["unbegun"]
+        ),
+        frozenset(
+            fingerprint.parse_content(str(text)) for text in fields["begun"]
+        ),
     )
--- a/src/crowdeck/quarantine/fingerprint.py
+++ b/src/crowdeck/quarantine/fingerprint.py
@@ -5,6 +5,7 @@
 
 """Fingerprints of requests, and of the parts that prompts share."""
 
+import functools
 import hashlib
 
 import attrs
@@ -12,6 +13,12 @@
 # Length of a fingerprint. Among a million requests, two different ones share a
 # fingerprint with a probability of 3 in 100 million.
 DIGEST_BYTES = 8
+# Number of parts of one prompt that are compared. It bounds the evidence that
+# one request adds.
+MAX_PARTS = 31
+# Number of contents that are kept after they were parsed. Records of other
+# entries are read again after each change, and most of them repeat.
+MAX_PARSED = 4_096
 
 
 # Evidence is compared often.
@@ -25,6 +32,46 @@
         return self.digest
 
 
+Fingerprints = frozenset[Fingerprint]
+
+
+@attrs.frozen(cache_hash=True)
+class RequestContent:
+    """The fingerprints of a request and of the parts of its prompt.
+
+    :ivar request: fingerprint of the whole request.
+    :ivar parts: fingerprints of the parts that other requests may share.
+    :ivar fingerprints: all of them.
+    """
+
+    request: Fingerprint
+    parts: tuple[Fingerprint, ...] = ()
+    fingerprints: Fingerprints = attrs.field(init=False, eq=False, repr=False)
+
+    @fingerprints.default
+    def _join_fingerprints(self) -> Fingerprints:
+        return frozenset((self.request, *self.parts))
+
+    def __str__(self) -> str:
+        return " ".join(map(str, (self.request, *self.parts)))
+
+
+@functools.lru_cache(MAX_PARSED)
+def parse_content(text: str) -> RequestContent:
+    """Return the content that ``str`` has turned into a text.
+
+    :raises ValueError: if the text names no request.
+    """
+    digests = text.split()
+    if not digests:
+        raise ValueError(
+            "expected the fingerprint of a request, and of its parts if it "
+            f"has any, separated by spaces; found {text!r}"
+        )
+    request, *parts = map(Fingerprint, digests)
+    return RequestContent(request, tuple(parts))
+
+
 def of_request(
     method: str, host: str, target: str, team: str, body: bytes
 ) -> Fingerprint:
--- a/src/crowdeck/quarantine/tracker.py
+++ b/src/crowdeck/quarantine/tracker.py
@@ -22,12 +22,13 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.quarantine import attribution
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
 from crowdeck.quarantine import fingerprint
-from crowdeck.quarantine import trials
 from crowdeck import verdict as verdicts
 
+if typing.TYPE_CHECKING:
+    from crowdeck.quarantine import trials
+
 # How long an end counts as evidence, and so about how long a request may
 # stay quarantined after the last end at which it was present. One request may
 # cost three engines in this time, and a request that a new release of the
@@ -74,7 +75,7 @@
         was none.
     """
 
-    request: contents.RequestContent
+    request: fingerprint.RequestContent
     seconds_since_first_event: float | None
 
     @property
@@ -129,9 +130,11 @@
         # Loop times at which instances are known to have ended. Attempts may
         # fail later, when their connections break or they are abandoned.
         self._ended_at: dict[str, float] = {}
-        self._culprits: dict[contents.Fingerprints, attribution.Culprit] = {}
+        self._culprits: dict[
+            fingerprint.Fingerprints, attribution.Culprit
+        ] = {}
         self._suspects: dict[fingerprint.Fingerprint, _SuspectRecord] = {}
-        self._trials = trials.Trials()
+        self._created_trials: trials.Trials | None = None
         # Wall-clock time of the next review.
         self._review_at = float("inf")
         self._served_at: dict[fingerprint.Fingerprint, float] = {}
@@ -160,12 +163,12 @@
         """Call ``listener`` after requests have been quarantined."""
         self._quarantine_listeners.append(listener)
 
-    def is_quarantined(self, request: contents.RequestContent) -> bool:
+    def is_quarantined(self, request: fingerprint.RequestContent) -> bool:
         """Whether a request must not be sent to any instance."""
         return self.find_culprit(request) is not None
 
     def find_culprit(
-        self, request: contents.RequestContent
+        self, request: fingerprint.RequestContent
     ) -> attribution.Culprit | None:
         """Return why a request must not be sent, ``None`` if it may."""
         if self._clock() >= self._review_at:
@@ -175,7 +178,7 @@
                 return culprit
         return None
 
-    def claim_trial(self, request: contents.RequestContent) -> bool:
+    def claim_trial(self, request: fingerprint.RequestContent) -> bool:
         """Whether to send a quarantined request, to learn if it is served.
 
         Each trial is claimed once, by the entry that reported the last end.
@@ -185,13 +188,15 @@
             for culprit in self._culprits.values()
             if culprit.matches(request)
         ]
-        if not self._trials.claim(matching, self._own_evidence, self._clock()):
+        if not self._trials().claim(
+            matching, self._own_evidence, self._clock()
+        ):
             return False
         counters.COUNTERS.add("quarantine.trials")
         logs.change("quarantine_trial", content=str(request))
         return True
 
-    def is_suspect(self, request: contents.RequestContent) -> bool:
+    def is_suspect(self, request: fingerprint.RequestContent) -> bool:
         """Whether a request may have crashed an instance."""
         return not request.fingerprints.isdisjoint(self._suspects)
 
@@ -201,7 +206,7 @@
         return min(max(0.0, settles_at - self._clock()), SETTLE_SECONDS)
 
     def refusal_error(
-        self, request: contents.RequestContent, may_have_run: bool
+        self, request: fingerprint.RequestContent, may_have_run: bool
     ) -> errors.CrowdeckError:
         """Return the error with which a quarantined request is refused.
 
@@ -224,6 +229,15 @@
             retry_after=self._seconds_quarantined(culprit),
         )
 
+    def _trials(self) -> "trials.Trials":
+        """Return the trials, created on first use."""
+        if self._created_trials is None:
+            # Entries start faster without a module that is seldom needed.
+            from crowdeck.quarantine import trials
+
+            self._created_trials = trials.Trials()
+        return self._created_trials
+
     def _seconds_quarantined(
         self, culprit: attribution.Culprit | None
     ) -> float:
@@ -233,7 +247,7 @@
         now = self._clock()
         expires_at = culprit.last_end.at + EVIDENCE_TTL_SECONDS
         if not culprit.names_request:
-            expires_at = min(expires_at, trials.due_at(culprit))
+            expires_at = min(expires_at, self._trials().due_at(culprit))
         return min(
             max(MIN_RETRY_AFTER_SECONDS, expires_at - now),
             EVIDENCE_TTL_SECONDS,
@@ -507,5 +521,5 @@
     )
 
 
-def _joined(fingerprints: contents.Fingerprints) -> str:
+def _joined(fingerprints: fingerprint.Fingerprints) -> str:
     return " ".join(sorted(map(str, fingerprints))[:MAX_LOGGED])
--- a/src/crowdeck/quarantine/trials.py
+++ b/src/crowdeck/quarantine/trials.py
@@ -16,8 +16,8 @@
 import attrs
 
 from crowdeck.quarantine import attribution
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
+from crowdeck.quarantine import fingerprint
 
 # Time from the last end that is attributed to a part to its first trial. Each
 # trial may cost an engine.
@@ -28,11 +28,6 @@
 ROUND_GAP_SECONDS = FIRST_TRIAL_SECONDS / 2
 
 
-def due_at(culprit: attribution.Culprit) -> float:
-    """Return the wall-clock time of the next trial."""
-    return culprit.last_end.at + _delay_seconds(culprit)
-
-
 def _delay_seconds(culprit: attribution.Culprit) -> float:
     times = [end.at for end in culprit.ends]
     trial_count = sum(
@@ -47,7 +42,7 @@
 class Trials:
     """The trials that one entry has claimed."""
 
-    _next_at: dict[contents.Fingerprints, float] = attrs.field(factory=dict)
+    _next_at: dict[fingerprint.Fingerprints, float] = attrs.field(factory=dict)
 
     def claim(
         self,
@@ -72,13 +67,17 @@
             self._next_at[culprit.fingerprints] = now + _delay_seconds(culprit)
         return True
 
+    def due_at(self, culprit: attribution.Culprit) -> float:
+        """Return the wall-clock time of the next trial of any entry."""
+        return culprit.last_end.at + _delay_seconds(culprit)
+
     def _is_due(
         self,
         culprit: attribution.Culprit,
         own_evidence: evidence.Evidence,
         now: float,
     ) -> bool:
-        if culprit.names_request or now < due_at(culprit):
+        if culprit.names_request or now < self.due_at(culprit):
             return False
         if now < self._next_at.get(culprit.fingerprints, now):
             return False
--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -16,7 +16,7 @@
 from crowdeck import http
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.quarantine import content as contents
+from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import attempt as attempts
 from crowdeck.relay import context as contexts
@@ -175,7 +175,7 @@
         raise self._final_error(self._no_instance_error(0.0))
 
     @property
-    def _content(self) -> contents.RequestContent:
+    def _content(self) -> fingerprint.RequestContent:
         return requests.content_of(self._request, self._admitted.team)
 
     def _refuse_if_quarantined(self) -> None:
@@ -192,7 +192,9 @@
         has_run = self._verdict is not verdicts.Verdict.NOT_RUN
         if not has_run and quarantine.claim_trial(content):
             return
-        raise quarantine.refusal_error(content, has_run)
+        raise self._context.quarantine_error(
+            self._request, content, may_have_run=has_run
+        )
 
     async def _record_loss(
         self, upstream: chain.Upstream, error: errors.CrowdeckError
--- a/src/crowdeck/relay/context.py
+++ b/src/crowdeck/relay/context.py
@@ -14,15 +14,18 @@
 import attrs
 
 from crowdeck import chain
+from crowdeck import errors
 from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as registries
 from crowdeck.observe import counters
 from crowdeck.observe import logs
+from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import backpressure_monitor
 from crowdeck.relay import gaps as layer_gaps
 from crowdeck.relay import interfaces
 from crowdeck.relay import loop_lag
+from crowdeck.relay import request as requests
 from crowdeck.relay import retry_advice
 from crowdeck.relay import waiting
 from crowdeck.routing import budget as budgets
@@ -197,6 +200,25 @@
         else:
             self.quarantine.note_end(upstream.name)
 
+    def quarantine_error(
+        self,
+        request: requests.CallerRequest,
+        content: fingerprint.RequestContent,
+        *,
+        may_have_run: bool,
+    ) -> errors.CrowdeckError:
+        """Log why a request is quarantined, and return its error."""
+        culprit = self.quarantine.find_culprit(content)
+        if culprit is not None:
+            logs.decision(
+                "refused_as_quarantined",
+                request.id,
+                content=str(content),
+                parts=requests.parts_among(request, culprit.fingerprints),
+                ends=len(culprit.ends),
+            )
+        return self.quarantine.refusal_error(content, may_have_run)
+
     def _apply_notice(
         self, upstream: chain.Upstream, notice: interfaces.Notice
     ) -> None:
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -11,7 +11,7 @@
 import attrs
 
 from crowdeck import chain
-from crowdeck.quarantine import content as contents
+from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
@@ -79,7 +79,7 @@
     team: str = ""
     urgency: routes.Urgency = routes.Urgency()
     _attempt_first_event_at: float | None = None
-    _content: contents.RequestContent | None = None
+    _content: fingerprint.RequestContent | None = None
     _is_established: bool = False
     _path: chain.ChainPath | None = None
     _scope: anyio.CancelScope | None = None
@@ -105,7 +105,7 @@
         return self.mean_pause_seconds / weight
 
     @property
-    def content(self) -> contents.RequestContent:
+    def content(self) -> fingerprint.RequestContent:
         """Content of the request, computed when first needed."""
         if self._content is None:
             self._content = requests.content_of(self.request, self.team)
--- a/src/crowdeck/relay/request.py
+++ b/src/crowdeck/relay/request.py
@@ -11,7 +11,6 @@
 
 from crowdeck import errors
 from crowdeck import http
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import fingerprint
 from crowdeck import verdict as verdicts
 
@@ -93,26 +92,28 @@
     )
 
 
-def content_of(request: CallerRequest, team: str) -> contents.RequestContent:
+def content_of(
+    request: CallerRequest, team: str
+) -> fingerprint.RequestContent:
     """Return what identifies a request and what it shares with others."""
-    return contents.RequestContent(
+    return fingerprint.RequestContent(
         fingerprint_of(request, team),
         tuple(
             dict.fromkeys(
                 fingerprint.of_part(request.model, part_id)
-                for part_id in request.shared_parts[: contents.MAX_PARTS]
+                for part_id in request.shared_parts[: fingerprint.MAX_PARTS]
             )
         ),
     )
 
 
 def parts_among(
-    request: CallerRequest, fingerprints: contents.Fingerprints
+    request: CallerRequest, fingerprints: fingerprint.Fingerprints
 ) -> tuple[str, ...]:
     """Return the ids of the parts whose fingerprints are among some."""
     return tuple(
         part_id
-        for part_id in request.shared_parts[: contents.MAX_PARTS]
+        for part_id in request.shared_parts[: fingerprint.MAX_PARTS]
         if fingerprint.of_part(request.model, part_id) in fingerprints
     )
 
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -207,19 +207,8 @@
         elif self._is_trial or quarantine.claim_trial(content):
             self._is_trial = True
             return
-        self._log_quarantined()
-        raise quarantine.refusal_error(content, bool(self._ran_on))
-
-    def _log_quarantined(self) -> None:
-        culprit = self._context.quarantine.find_culprit(self._stream.content)
-        if culprit is None:
-            return
-        logs.decision(
-            "refused_as_quarantined",
-            self._request.id,
-            content=str(self._stream.content),
-            parts=requests.parts_among(self._request, culprit.fingerprints),
-            ends=len(culprit.ends),
+        raise self._context.quarantine_error(
+            self._request, content, may_have_run=bool(self._ran_on)
         )
 
     async def _attempt(
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -14,7 +14,6 @@
 
 from crowdeck import errors
 from crowdeck.quarantine import attribution
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.quarantine import trials
@@ -217,7 +216,7 @@
                 parts_system.MODEL.decode(), parts_system.BAD_PART
             )
             for number in range(attribution.QUARANTINE_THRESHOLD):
-                request = contents.parse(f"{number} {part}")
+                request = fingerprint.parse_content(f"{number} {part}")
                 quarantine.note_connection_lost(
                     f"gone-{number}", trackers.AttemptRecord(request, None)
                 )
--- a/tests/test_engine_ending_requests.py
+++ b/tests/test_engine_ending_requests.py
@@ -14,8 +14,8 @@
 
 from crowdeck import chain
 from crowdeck import errors
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
+from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.relay import request as requests
 from crowdeck.standin import chain_fleet
@@ -353,7 +353,7 @@
             await wait_for_ends(entries, MAX_CRASHES)
             entries.fleet.crashing_bodies.clear()
             await anyio.sleep(0.2)
-            cause = frozenset({contents.parse("cause")})
+            cause = frozenset({fingerprint.parse_content("cause")})
             names = [crash.upstream for crash in entries.fleet.crashes]
             now = anyio.current_time()
             entries[0].context.quarantine.set_peer_evidence(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -65,6 +65,23 @@
         assert found.context[0].fields["upstream"] == "i-1"
         assert found.context[0].source == "a"
 
+    def test_quarantined_part_is_named_with_its_evidence(self) -> None:
+        texts = [
+            line(1.0, "quarantined", content="b", upstreams=["i-1", "i-2"]),
+            line(1.1, "quarantined", content="z", upstreams=["i-3"]),
+            line(
+                90.0,
+                "refused_as_quarantined",
+                request="r1",
+                content="q f b",
+                parts=["5c1e"],
+            ),
+            line(90.0, "refused", request="r1", code="QUARANTINED"),
+        ]
+        found = explain.explain("r1", texts)
+        assert "parts of the prompt: 5c1e" in found.cause
+        assert [shown.fields["content"] for shown in found.context] == ["b"]
+
     def test_long_pause_of_a_stream_is_explained(self) -> None:
         texts = [
             line(1.0, "stream_silent", request="r1", culprits=["10.0.0.9:1"]),
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -38,7 +38,13 @@
         assert part != fingerprint.of_part("daka51", "5c1f")
 
     def test_content_leaves_out_the_last_part(self) -> None:
-        request = make_request(model="m", prompt_parts=("a", "b", "a", "own"))
+        request = make_request(
+            id="1",
+            key="k",
+            headers=[],
+            model="m",
+            prompt_parts=("a", "b", "a", "own"),
+        )
         content = requests.content_of(request, "kiosks")
         assert content.request == requests.fingerprint_of(request, "kiosks")
         assert content.parts == (
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -18,7 +18,6 @@
 from crowdeck import errors
 from crowdeck.membership import roster as rosters
 from crowdeck.quarantine import attribution
-from crowdeck.quarantine import content as contents
 from crowdeck.quarantine import evidence
 from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
@@ -29,12 +28,12 @@
 from tests import virtual
 
 
-def requests_of(text: str) -> frozenset[contents.RequestContent]:
+def requests_of(text: str) -> frozenset[fingerprint.RequestContent]:
     """Return one request per letter."""
-    return frozenset(contents.parse(letter) for letter in text)
+    return frozenset(fingerprint.parse_content(letter) for letter in text)
 
 
-CAUSE = contents.parse("c")
+CAUSE = fingerprint.parse_content("c")
 
 
 def end(
@@ -184,7 +183,7 @@
 ) -> evidence.InstanceEnd:
     """Return an end; each text is a request and the parts of its prompt."""
     return evidence.InstanceEnd(
-        instance, at, frozenset(map(contents.parse, unbegun))
+        instance, at, frozenset(map(fingerprint.parse_content, unbegun))
     )
 
 
@@ -225,9 +224,9 @@
     ) -> None:
         ends = [part_end(str(n), f"q{n} f b") for n in range(3)]
         (culprit,) = judge(ends, {}, 100.0)
-        assert culprit.matches(contents.parse("new b f"))
-        assert not culprit.matches(contents.parse("new f"))
-        assert not culprit.matches(contents.parse("new b"))
+        assert culprit.matches(fingerprint.parse_content("new b f"))
+        assert not culprit.matches(fingerprint.parse_content("new f"))
+        assert not culprit.matches(fingerprint.parse_content("new b"))
         assert not culprit.names_request
 
     def test_end_without_a_companion_leaves_the_cause(self) -> None:
@@ -244,7 +243,7 @@
         ends = [part_end(str(n), "q f b") for n in range(3)]
         (culprit,) = judge(ends, {}, 100.0)
         assert culprit.names_request
-        assert not culprit.matches(contents.parse("r f b"))
+        assert not culprit.matches(fingerprint.parse_content("r f b"))
 
     def test_part_of_more_requests_is_likelier_than_one_that_is_retried(
         self,
@@ -301,7 +300,7 @@
     def report_crash(
         self, tracker: trackers.QuarantineTracker, number: int
     ) -> None:
-        request = contents.parse(f"q{number} f{number} b")
+        request = fingerprint.parse_content(f"q{number} f{number} b")
         tracker.note_connection_lost(
             f"e{number}", trackers.AttemptRecord(request, None)
         )
@@ -311,14 +310,16 @@
         def body() -> None:
             clock = Clock()
             tracker = self.tracker_after_crashes(clock)
-            request = contents.parse("new g b")
+            request = fingerprint.parse_content("new g b")
             assert tracker.is_quarantined(request)
             assert not tracker.claim_trial(request)
             error = tracker.refusal_error(request, False)
             assert error.retry_after == trials.FIRST_TRIAL_SECONDS
             clock.now += trials.FIRST_TRIAL_SECONDS
             assert tracker.claim_trial(request)
-            assert not tracker.claim_trial(contents.parse("other g b"))
+            assert not tracker.claim_trial(
+                fingerprint.parse_content("other g b")
+            )
 
         run_in_virtual_time(body)
 
@@ -327,7 +328,7 @@
             clock = Clock()
             tracker = self.tracker_after_crashes(clock)
             clock.now += trials.FIRST_TRIAL_SECONDS
-            request = contents.parse("new g b")
+            request = fingerprint.parse_content("new g b")
             assert tracker.claim_trial(request)
             tracker.note_served(trackers.AttemptRecord(request, 0.5))
             assert not tracker.is_quarantined(request)
@@ -339,7 +340,7 @@
             clock = Clock()
             tracker = self.tracker_after_crashes(clock)
             clock.now += trials.FIRST_TRIAL_SECONDS
-            request = contents.parse("new g b")
+            request = fingerprint.parse_content("new g b")
             assert tracker.claim_trial(request)
             self.report_crash(tracker, 9)
             later = trials.FIRST_TRIAL_SECONDS * trials.TRIAL_FACTOR
@@ -357,7 +358,7 @@
             other = trackers.QuarantineTracker(clock)
             other.set_peer_evidence("one", tracker.own_evidence)
             clock.now += trials.FIRST_TRIAL_SECONDS
-            request = contents.parse("new g b")
+            request = fingerprint.parse_content("new g b")
             assert other.is_quarantined(request)
             assert not other.claim_trial(request)
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -24,7 +24,7 @@
 from crowdeck import instance as instances
 from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as registries
-from crowdeck.quarantine import content as contents
+from crowdeck.quarantine import fingerprint
 from crowdeck.quarantine import tracker as trackers
 from crowdeck.standin import store as standin_store
 from crowdeck.state import mirror as mirrors
@@ -259,7 +259,7 @@
         virtual.run(body)
 
 
-CAUSE = contents.parse("cause")
+CAUSE = fingerprint.parse_content("cause")
 
 
 class _Fleet:
