--- a/src/crowdeck/quarantine/fingerprint.py
+++ b/src/crowdeck/quarantine/fingerprint.py
@@ -16,12 +16,13 @@
 # Number of parts of one prompt that are compared. It bounds the evidence that
 # one request adds.
 MAX_PARTS = 31
-# Number of contents that are kept after they were parsed. Records of other
-# entries are read again after each change, and most of them repeat.
-MAX_PARSED = 4_096
+# Number of contents and fingerprints of parts that are kept once they are
+# known. Records of other entries are read again after each change and mostly
+# repeat, and requests share parts.
+MAX_KNOWN = 4_096
 
 
-# Evidence is compared often.
+# The hash is cached, as evidence is compared often.
 @attrs.frozen(cache_hash=True)
 class Fingerprint:
     """A digest of a request, or of a part of a prompt."""
@@ -56,7 +57,7 @@
         return " ".join(map(str, (self.request, *self.parts)))
 
 
-@functools.lru_cache(MAX_PARSED)
+@functools.lru_cache(MAX_KNOWN)
 def parse_content(text: str) -> RequestContent:
     """Return the content that ``str`` has turned into a text.
 
@@ -85,6 +86,7 @@
     return _of_fields((method, host, target, team), body)
 
 
+@functools.lru_cache(MAX_KNOWN)
 def of_part(model: str, part_id: str) -> Fingerprint:
     """Return the fingerprint of a part of a prompt.
 
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -190,7 +190,12 @@
 
         True once for each attempt.
         """
-        if self._is_established or self.attempt_record.is_suspect:
+        seconds = self._seconds_since_first_event
+        if (
+            self._is_established
+            or seconds is None
+            or seconds < trackers.MAX_SUSPECT_EVENT_AGE_SECONDS
+        ):
             return False
         self._is_established = True
         return True
