review: let case 3 wait until both entries serve again

After a cut of five seconds the entry that was cut off refuses requests for some five seconds more, which blurs the next round. Two rounds instead of three, 11 s apart.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,9 +25,9 @@
 KEY = "key-of-shop-a"
 ZONE = "plateau"
 DRAIN_SECONDS = harness.BOUNDS["drain_timeout_ms"] / 1000
-ROUNDS = 3
-# Both entries are in touch again when a round begins.
-CONTACT_SECONDS = 4.0
+ROUNDS = 2
+# Longer than contact_ms; the entry that was cut off serves again after this.
+CONTACT_SECONDS = 11.0
 CUT_SECONDS = 5.0
 # From the beginning of a cut until an engine's entry is removed.
 LEAVES_AFTER_SECONDS = 0.1
