--- a/review/3/case.py
+++ b/review/3/case.py
@@ -32,7 +32,7 @@
 SETTLE_SECONDS = 4.0
 # An added engine ends the watch of the engines; the next begins in this time.
 WATCH_SECONDS = 1.0
-SEND_INTERVAL_SECONDS = 0.04
+SEND_INTERVAL_SECONDS = 0.02
 
 
 def config() -> harness.Json:
