--- a/review/2/case.py
+++ b/review/2/case.py
@@ -128,4 +128,11 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.main(pathlib.Path(__file__).resolve().parent, case, 90.0))
+    sys.exit(
+        harness.main(
+            pathlib.Path(__file__).resolve().parent,
+            case,
+            90.0,
+            sys.argv[1:] != ["0"],
+        )
+    )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -115,8 +115,10 @@
     if not store.is_watched_by(entries[0].name, "servers"):
         raise harness.CannotRunError("no watch of the engines waits")
     if with_trouble:
+        opened = proxies[0].channels
         channels = proxies[0].silence(WATCH)
-        record.note("channels_silenced", entry=entries[0].name, n=channels)
+        record.note("silenced", entry=entries[0].name, n=channels, of=opened)
+        print(f"{channels} of {opened} open channels to the store silenced")
         if channels != 1:
             raise harness.CannotRunError(f"{channels} channels were silenced")
     await asyncio.sleep(LEAVES_AFTER_SECONDS)
@@ -150,4 +152,11 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.main(pathlib.Path(__file__).resolve().parent, case, 60.0))
+    sys.exit(
+        harness.main(
+            pathlib.Path(__file__).resolve().parent,
+            case,
+            60.0,
+            sys.argv[1:] != ["0"],
+        )
+    )
--- a/review/harness.py
+++ b/review/harness.py
@@ -55,6 +55,10 @@
 START_SECONDS = 20.0
 CARD = "l4"
 LAYER_FIELDS = ("from", "target_version")
+MODELS = [{"name": "m0", "version": 1, "adapters": []}]
+# A third of a model that loads in 14 s, at a tenth of the time, as before the
+# first request.
+LOAD_SECONDS = 0.45
 
 Headers = list[tuple[str, str]]
 Json = dict[str, typing.Any]
@@ -151,6 +155,8 @@
                 answer = await self._handler(request)
                 writer.write(_encode_answer(answer))
                 await writer.drain()
+                if answer.header("connection").lower() == "close":
+                    break
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -384,6 +390,8 @@
         self._service, self._zone = service, zone
         self._work_seconds, self._body = work_seconds, body
         self._running = 0
+        self._is_draining = False
+        self._born = int(time.time() * 1000)
         self.name = name
         self.runs: list[Run] = []
         self.ended_at: float | None = None
@@ -395,6 +403,7 @@
 
     def say_draining(self) -> float:
         """Say in the store that it leaves; return the time of the ack."""
+        self._is_draining = True
         return self._write("draining")
 
     def _write(self, state: str) -> float:
@@ -410,6 +419,7 @@
                 "state": state,
                 "cold_remaining_ms": 0,
                 "sequence_number": 1,
+                "born": self._born,
             },
         )
 
@@ -421,9 +431,9 @@
         self._server.end()
 
     async def _handle(self, request: Request) -> Answer:
-        load = ("X-Server-Load", f"{self._running},0,6")
         if request.target == "/health":
-            return Answer(200, [("X-Instance-Id", self.name), load])
+            status = 503 if self._is_draining else 200
+            return Answer(status, [("X-Instance-Id", self.name)])
         expected = request.header("x-expected-instance")
         if expected and expected != self.name:
             return Answer(421, [("X-Instance-Id", self.name)])
@@ -450,15 +460,14 @@
             await asyncio.sleep(self._work_seconds)
         finally:
             self._running -= 1
-        return Answer(
-            200,
-            [
-                ("X-Request-Id", request_id),
-                ("X-Response-Signature", f"sig.{request_id}"),
-                load,
-            ],
-            self._body,
-        )
+        headers = [
+            ("X-Request-Id", request_id),
+            ("X-Response-Signature", f"sig.{request_id}"),
+            ("X-Server-Load", f"{self._running},0,6"),
+        ]
+        if self._is_draining:
+            headers.append(("Connection", "close"))
+        return Answer(200, headers, self._body)
 
 
 class ModelEngine:
@@ -475,7 +484,9 @@
         self._server = Server(self._handle)
         self._service, self._zone = service, zone
         self._layers: Json | None = None
+        self._is_loading = False
         self._orders = 0
+        self._born = int(time.time() * 1000)
         self._address = ""
         self.name = name
 
@@ -502,8 +513,10 @@
                 "cold_remaining_ms": 0,
                 "sequence_number": 1,
                 "stage": "combined",
+                "models": MODELS,
                 "route_kind": CARD,
                 "layers": self._layers,
+                "born": self._born,
             },
         )
 
@@ -520,17 +533,26 @@
             return Answer(404)
         if order.get("expected_revision", self._orders) != self._orders:
             return Answer(409)
-        self._layers = {name: order[name] for name in LAYER_FIELDS}
+        if self._is_loading:
+            return Answer(409)
+        layers = {name: order[name] for name in LAYER_FIELDS}
         self._orders += 1
-        self._record.note("order", engine=self.name, layers=self._layers)
-        self._write()
+        self._is_loading = True
+        self._record.note("order", engine=self.name, layers=layers)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_SECONDS, self._hold, layers)
         return Answer(202)
 
+    def _hold(self, layers: Json) -> None:
+        self._is_loading = False
+        self._layers = {**layers, "version": 1}
+        self._write()
+
     def _report(self) -> Json:
         return {
             "stage": "combined",
-            "models": [],
-            "busy": False,
+            "models": MODELS,
+            "busy": self._is_loading,
             "sequence_number": self._orders,
             "waiting": 0,
             "running": 0,
@@ -540,6 +562,7 @@
             "route_kind": CARD,
             "layers": self._layers,
             "stalled": [],
+            "born": self._born,
         }
 
 
@@ -586,6 +609,11 @@
         """Let everything pass again."""
         self._open.set()
 
+    @property
+    def channels(self) -> int:
+        """Number of open channels."""
+        return len(self._links)
+
     def silence(self, target: str) -> int:
         """Silence the connections whose last request was for a target.
 
@@ -903,18 +931,26 @@
 ]
 
 
-def main(folder: pathlib.Path, case: Case, limit_seconds: float) -> int:
+def main(
+    folder: pathlib.Path,
+    case: Case,
+    limit_seconds: float,
+    with_trouble: bool,
+) -> int:
     """Run a case and return its exit code.
 
     :param case: returns whether the rule was broken; it gets the record, a
         temporary folder, a stack for what has to be ended, and whether the
         disruption takes place.
     """
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.note("case", trouble=int(with_trouble))
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             async with contextlib.AsyncExitStack() as stack:
                 async with asyncio.timeout(limit_seconds):
@@ -924,7 +960,7 @@
 
     try:
         is_broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         record.note("not_run", reason=repr(error))
         print(f"the case could not run: {error!r}", file=sys.stderr)
         return EXIT_NOT_RUN
