--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -292,6 +292,8 @@
 
     def _set_current(self, at: float) -> None:
         previous = self._current_at
+        if previous is not None:
+            counters.COUNTERS.time(f"store.{self._kind}.age", self.age())
         self._current_at = at if previous is None else max(previous, at)
         self._confirmed.set()
         self._confirmed = anyio.Event()
