Count what left from when it may have left, not from when it is learned

Cause: a removal soon after any failure of the store, also one told by a peer, counts as a lapse, and the instance is kept for 1.8 s from when this entry learns of it. The registry does not know how old its copy is.

Ruled out: late news (the entry learns of it when its watch at the peer fails, 1.3 s after the cut) and calls that wait (new calls choose the instance).

Change: the registry gets the age of its copy, and membership/departures decides from when the copy was last confirmed. A lapse is kept from its end on only after an outage: a restore, or a failed probe, which follows another failed call. Listeners of a mirror are called before its age starts anew.

Works because a removal cannot be older than the copy, and the 1.8 s now begin there. Price: no calls. Refused: an instance that lapsed within a second of a peer's failure may be dropped 1.3 s sooner.

--- a/src/crowdeck/cmd/store_view.py
+++ b/src/crowdeck/cmd/store_view.py
@@ -74,6 +74,7 @@
         self.registry.set_store_failure_source(
             lambda: self._health.disrupted_at
         )
+        self.registry.set_store_outage_source(lambda: self._health.outage_at)
         self._store = store
         revocation_seconds = float(config.fleet["revocation_ms"]) / 1000.0
         self._config_mirror = self._mirror(
@@ -89,16 +90,14 @@
             lambda: rosters.RECORD_LINGER_SECONDS,
         )
         self.roster.set_age_source(roster_mirror.age)
-        self.mirrors = (
-            self._config_mirror,
-            self._mirror(
-                names.UPSTREAM_KIND,
-                self.registry,
-                UPSTREAM_WAIT_SECONDS,
-                self.roster.linger_seconds,
-            ),
-            roster_mirror,
+        upstream_mirror = self._mirror(
+            names.UPSTREAM_KIND,
+            self.registry,
+            UPSTREAM_WAIT_SECONDS,
+            self.roster.linger_seconds,
         )
+        self.registry.set_age_source(upstream_mirror.age)
+        self.mirrors = (self._config_mirror, upstream_mirror, roster_mirror)
 
     @property
     def background_tasks(self) -> tuple[BackgroundTask, ...]:
--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -12,6 +12,7 @@
 
 from crowdeck import chain
 from crowdeck.membership import backoffs
+from crowdeck.membership import departures
 from crowdeck.membership import leaving_instances
 from crowdeck.membership import upstream_records
 from crowdeck.observe import counters
@@ -37,21 +38,14 @@
 # An instance that refused a request because its record is outdated gets no
 # work for this long, within which the record is updated.
 STALE_RECORD_BACKOFF_SECONDS = 2.0
-# A leaving instance gets new work for this long at most, and only if no other
-# can serve it. It must get none from two seconds after its announcement; this
-# is shorter because the announcement may arrive late.
-LEAVING_GRACE_SECONDS = 1.0
-# How long an instance stays listed after its record was removed around an
-# outage of the store. Shorter than the two seconds after which an instance
-# that left unannounced must get no work. With 2.5 s such an instance may
-# get a call after 2.18 s.
-LAPSE_SECONDS = 1.8
 # A removal that is reported within this time after a failed call to the store
 # may be due to an outage. Instances write their records again within two
 # seconds, and a watch reports that within another half second.
 LAPSE_SUSPICION_SECONDS = 2.5
 
 Listener = typing.Callable[[], None]
+AgeSource = typing.Callable[[], float]
+TimeSource = typing.Callable[[], float | None]
 LapseListener = typing.Callable[[chain.Upstream], None]
 EndListener = typing.Callable[[chain.Upstream], None]
 
@@ -68,8 +62,9 @@
     :ivar has_ended: whether its process is known to have ended.
     :ivar found_lost_at: when this process found by a probe that it is lost,
         ``None`` if it did not, or if it was healthy since.
-    :ivar leaving_at: when this process learned that it is leaving.
-    :ivar lapsed_at: when its record was removed around an outage.
+    :ivar leaving_until: it may get work until then although it is leaving.
+    :ivar lapsed_until: its record was removed around an outage, and it stays
+        listed until then.
     """
 
     upstream: chain.Upstream
@@ -80,8 +75,8 @@
     is_probed: bool = False
     has_ended: bool = False
     found_lost_at: float | None = None
-    leaving_at: float | None = None
-    lapsed_at: float | None = None
+    leaving_until: float | None = None
+    lapsed_until: float | None = None
 
     @property
     def needs_probe(self) -> bool:
@@ -113,11 +108,27 @@
         self._listeners: list[Listener] = []
         self._lapse_listeners: list[LapseListener] = []
         self._services: typing.Callable[[], frozenset[str]] = frozenset
-        self._store_failed_at: typing.Callable[[], float | None] = lambda: None
+        self._store_failed_at: TimeSource = lambda: None
+        self._store_outage_at: TimeSource = lambda: None
+        self._get_age: AgeSource = lambda: 0.0
 
-    def set_store_failure_source(
-        self, failed_at: typing.Callable[[], float | None]
-    ) -> None:
+    def set_age_source(self, age: AgeSource) -> None:
+        """Set the callable that returns the age of the records in seconds.
+
+        While changes are applied, it returns how long before them the records
+        were last confirmed current.
+        """
+        self._get_age = age
+
+    def set_store_outage_source(self, outage_at: TimeSource) -> None:
+        """Set the callable that returns when the store was last away.
+
+        :param outage_at: returns the event loop time at which it was last
+            found to be away or restored, ``None`` for never.
+        """
+        self._store_outage_at = outage_at
+
+    def set_store_failure_source(self, failed_at: TimeSource) -> None:
         """Set the callable that returns when the store last failed.
 
         :param failed_at: returns the event loop time, ``None`` for never.
@@ -146,8 +157,8 @@
 
         That is, it was removed around an outage of the store. The engine gets
         no new work until :meth:`note_healthy` is called for it or its record
-        is written again. It is dropped after ``LAPSE_SECONDS`` unless its
-        record is written again.
+        is written again. It is dropped after a time unless its record is
+        written again.
         """
         self._lapse_listeners.append(listener)
 
@@ -214,8 +225,8 @@
             for state in self._states.values()
             if state.upstream.service == service
             and state.upstream.is_leaving
-            and state.leaving_at is not None
-            and now - state.leaving_at < LEAVING_GRACE_SECONDS
+            and state.leaving_until is not None
+            and now < state.leaving_until
             and not self._backoffs.is_active(state.upstream.name)
             and state.unusable_until <= now
             and not state.needs_probe
@@ -303,7 +314,7 @@
         state = self._states.get(name)
         if state is None or state.upstream.is_leaving:
             return
-        state.leaving_at = self._leaving.since(name)
+        state.leaving_until = self._announced_leaving_until(name)
         state.upstream = attrs.evolve(state.upstream, is_leaving=True)
         self._log("upstream_changed", state.upstream, state.version)
         self._notify()
@@ -488,7 +499,9 @@
         if state is None:
             self._name_by_record[stored.name] = upstream.name
             new_state = _UpstreamState(upstream, stored.version)
-            new_state.leaving_at = self._leaving.since(upstream.name)
+            new_state.leaving_until = self._announced_leaving_until(
+                upstream.name
+            )
             self._states[upstream.name] = new_state
             self._log("upstream_listed", upstream, stored.version)
             self._drop_replaced(upstream)
@@ -499,15 +512,18 @@
         self, state: _UpstreamState, upstream: chain.Upstream, version: int
     ) -> None:
         state.version = version
-        if state.lapsed_at is not None:
-            state.lapsed_at = None
+        if state.lapsed_until is not None:
+            state.lapsed_until = None
             state.found_lost_at = None
             state.failures = 0
             state.unusable_until = 0.0
         if state.upstream == upstream:
             return
         if upstream.is_leaving and not state.upstream.is_leaving:
-            state.leaving_at = anyio.current_time()
+            now = anyio.current_time()
+            state.leaving_until = departures.leaving_until(
+                now, now - self._get_age()
+            )
         state.upstream = upstream
         self._log("upstream_changed", upstream, version)
 
@@ -546,6 +562,13 @@
         if not state.has_ended:
             self._notify_end(upstream)
 
+    def _announced_leaving_until(self, name: str) -> float | None:
+        """Return until when an instance that announced it may get work."""
+        announced_at = self._leaving.since(name)
+        if announced_at is None:
+            return None
+        return departures.leaving_until(announced_at, announced_at)
+
     def _notify_end(self, upstream: chain.Upstream) -> None:
         for listener in self._end_listeners:
             listener(upstream)
@@ -562,7 +585,7 @@
         failed_at = self._store_failed_at()
         now = anyio.current_time()
         if failed_at is not None and now - failed_at < LAPSE_SUSPICION_SECONDS:
-            if state.lapsed_at is None:
+            if state.lapsed_until is None:
                 self._lapse(state, now)
             return
         self._drop(state.upstream, "upstream_gone")
@@ -571,25 +594,30 @@
         """Keep an instance whose record may be missing due to an outage.
 
         An engine gets no work until it has answered a probe or its record is
-        written again. An instance is dropped after ``LAPSE_SECONDS`` unless
-        its record is written again.
+        written again. An instance is dropped after a time unless its record
+        is written again, see ``departures.lapsed_until``.
         """
-        state.lapsed_at = now
+        state.lapsed_until = departures.lapsed_until(
+            now, now - self._get_age(), self._store_outage_at()
+        )
+        if state.lapsed_until <= now:
+            self._drop(state.upstream, "upstream_gone")
+            return
         self._log("upstream_lapsed", state.upstream, 0)
         if not state.upstream.card:
             # A plain service is called over a new connection. If its process
             # has ended, the call is not sent and can go to another instance.
             return
         state.failures += 1
-        state.unusable_until = now + LAPSE_SECONDS
+        state.unusable_until = state.lapsed_until
         for listener in self._lapse_listeners:
             listener(state.upstream)
 
     def _drop_lapsed(self) -> None:
         now = anyio.current_time()
         for state in list(self._states.values()):
-            lapsed_at = state.lapsed_at
-            if lapsed_at is not None and now - lapsed_at > LAPSE_SECONDS:
+            lapsed_until = state.lapsed_until
+            if lapsed_until is not None and now > lapsed_until:
                 self._drop(state.upstream, "upstream_gone")
 
     def _log(self, event: str, upstream: chain.Upstream, version: int) -> None:
@@ -602,6 +630,7 @@
             is_leaving=upstream.is_leaving,
             layers=f"{layers.first}-{layers.end}" if layers else "",
             version=version,
+            copy_age=round(self._get_age(), 3),
         )
 
     def _notify(self) -> None:
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -31,7 +31,11 @@
 
 
 class ChangeListener(typing.Protocol):
-    """Receives the objects of a mirror and their changes."""
+    """Receives the objects of a mirror and their changes.
+
+    During a call the mirror's age is still that from before the changes: they
+    were made at some time since the copy was last confirmed.
+    """
 
     def on_listed(self, objects: tuple[stores.StoredObject, ...]) -> None:
         """Receive all objects of the kind; no others exist any more."""
@@ -262,8 +266,8 @@
             self._health.observe_epoch(listing.epoch)
             self._must_list = self._must_ask_store = self._skip_wait = False
             self._replica.reset(listing)
-            self._set_current(sent_at)
             self._listener.on_listed(listing.objects)
+            self._set_current(sent_at)
             return
         changes: stores.Changes | None = None
         with self._health.watch_scope():
@@ -286,9 +290,9 @@
 
     def _apply(self, changes: stores.Changes, current_at: float) -> None:
         self._replica.apply(changes)
-        self._set_current(current_at)
         if changes.objects or changes.removed:
             self._listener.on_changed(changes.objects, changes.removed)
+        self._set_current(current_at)
 
     def _set_current(self, at: float) -> None:
         previous = self._current_at
--- a/src/crowdeck/state/store_health.py
+++ b/src/crowdeck/state/store_health.py
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         self._disrupted_at: float | None = None
         self._own_failed_at = float("-inf")
+        self._outage_at: float | None = None
         self._lost_at: float | None = None
         self._failures = 0
         self._is_probing = False
@@ -77,6 +78,16 @@
         """Event-loop time at which this process's own call last failed."""
         return self._own_failed_at
 
+    @property
+    def outage_at(self) -> float | None:
+        """Event-loop time at which the store was last found to be away.
+
+        That is a restore, or a failed probe. Unlike a call that fails by
+        itself, a probe follows another failure, so that more than one
+        connection was lost.
+        """
+        return self._outage_at
+
     async def acquire(self) -> CallPermit:
         """Wait until the store may be called.
 
@@ -161,7 +172,7 @@
         logs.change("store_restored", epoch=epoch, before=previous)
         counters.COUNTERS.add("store.restored")
         # The latest writes of instances may be missing until repeated.
-        self._disrupted_at = anyio.current_time()
+        self._disrupted_at = self._outage_at = anyio.current_time()
         for scope in self._watches:
             scope.cancel()
 
@@ -193,6 +204,7 @@
             for scope in self._watches:
                 scope.cancel()
         if was_probe:
+            self._outage_at = now
             self._next_probe_at = now + self._probe_interval()
             self._end_probe()
         # Let the other callers probe first, so that a caller whose calls
