Renew the watch of the engines each second

Cause: the wait of a watch bounds how long a silent channel goes unnoticed. That of the engines was 10 s and followed from nothing.

Ruled out: watches renewed on silent channels (one failure only), a decision that ignores what is known (the entry learned nothing).

Change: the watch waits 1 s from the store's last answer on, so that the pause in which changes are gathered is part of it.

--- a/src/crowdeck/cmd/store_view.py
+++ b/src/crowdeck/cmd/store_view.py
@@ -31,7 +31,10 @@
 # that lost the store would refuse callers after 1.4 to 3.5 s with 0.4, and
 # after 2.7 s at the earliest with 0.22.
 CONFIG_WAIT_FRACTION = 0.16
-UPSTREAM_WAIT_SECONDS = 10.0
+# Two seconds after an instance left, no call may reach it. A connection that
+# has fallen silent is noticed after this and the slack of a watch. The rest is
+# for the answer on another connection, and for calls on their way.
+UPSTREAM_WAIT_SECONDS = 1.0
 # Pause between two watches of the config.
 CONFIG_WATCH_PAUSE_SECONDS = 0.1
 # Shorter than the store's history; otherwise each watch would need a new
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -97,9 +97,10 @@
     :param linger: returns the seconds between the end of one watch and the
         next, in which changes are gathered. Each answered watch is charged
         for, and many objects of a fleet change at once.
-    :param wait: seconds that one watch waits for a change. An answered
-        watch confirms that the copy was current when the watch was sent,
-        so this also limits how long ago the copy was confirmed.
+    :param wait: seconds from one answer of the store to the next at most.
+        An answered watch confirms that the copy was current when the watch
+        was sent, so this also limits how long ago the copy was confirmed,
+        and after how long a connection that has fallen silent is noticed.
     :param health: the store's health, shared by the mirrors of a process.
     :param peers: chooses the peers that are asked instead of the store.
     """
@@ -124,6 +125,8 @@
         self._replica = replicas.Replica()
         # Latest event-loop time at which the copy is known to be current.
         self._current_at: float | None = None
+        # Event-loop time of the store's last answer.
+        self._answered_at = float("-inf")
         self._must_list = True
         self._must_ask_store = False
         # Whether the next call returns at once instead of waiting for changes.
@@ -253,18 +256,14 @@
 
     async def _call_store(self) -> None:
         """Call the store once and apply its answer."""
-        # The first call after a failure or a suspension does not wait for
-        # changes, so that its answer confirms the copy at once.
-        is_stale = self.age() > MAX_CONFIRMED_AGE_TIMEOUTS * self._wait_seconds
-        wait_seconds = (
-            0.0 if self._skip_wait or is_stale else self._wait_seconds
-        )
+        wait_seconds = self._watch_seconds()
         sent_at = anyio.current_time()
         if self._must_list:
             listing = await self._store.list(self._kind)
             self._health.record_success()
             self._health.observe_epoch(listing.epoch)
             self._must_list = self._must_ask_store = self._skip_wait = False
+            self._answered_at = anyio.current_time()
             self._replica.reset(listing)
             self._listener.on_listed(listing.objects)
             self._set_current(sent_at)
@@ -280,14 +279,27 @@
             return
         self._skip_wait = self._must_ask_store = False
         self._health.record_success()
+        self._answered_at = anyio.current_time()
         if not changes.objects and not changes.removed:
             # Without a change, the copy was current until the watch ended.
-            sent_at += min(anyio.current_time() - sent_at, wait_seconds)
+            sent_at += min(self._answered_at - sent_at, wait_seconds)
             self._apply(changes, sent_at)
             return
         self._apply(changes, sent_at)
         await anyio.sleep(self._linger())
 
+    def _watch_seconds(self) -> float:
+        """Return the seconds that the next watch waits for a change."""
+        # The first call after a failure or a suspension does not wait, so
+        # that its answer confirms the copy at once.
+        is_stale = self.age() > MAX_CONFIRMED_AGE_TIMEOUTS * self._wait_seconds
+        if self._skip_wait or is_stale:
+            return 0.0
+        # Counted from the last answer, as the connection may have fallen
+        # silent while changes were gathered.
+        idle_seconds = anyio.current_time() - self._answered_at
+        return max(0.0, self._wait_seconds - idle_seconds)
+
     def _apply(self, changes: stores.Changes, current_at: float) -> None:
         self._replica.apply(changes)
         if changes.objects or changes.removed:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -12,15 +12,28 @@
 import pytest
 
 from crowdeck.platform import names
+from crowdeck.standin import store as standin_store
+from crowdeck.state import mirror as mirrors
+from crowdeck.state import objects as stores
+from crowdeck.state import store_health
 from tests import silent_system
 from tests import virtual
+from tests import zone_system
 
 # No call may reach an instance two seconds after the store took the write
 # that it leaves. A tenth of a second is left for calls on their way.
 LAST_USE_SECONDS = 1.9
 SETTLE_SECONDS = 12.0
+# Moments of the silence within the cycle of watches.
+OFFSETS = (0.0, 0.3, 0.7, 1.1)
+# Time from the silence to the write that the instance leaves.
+WRITE_DELAYS = (0.05, 0.8, 3.5)
 
 Work = typing.Callable[[silent_system.SilentSystem], typing.Awaitable[None]]
+RecordingWork = typing.Callable[
+    [standin_store.StandinStore, store_health.StoreHealth],
+    typing.Awaitable[None],
+]
 
 
 def run_scenario(
@@ -38,6 +51,171 @@
     virtual.run(body)
 
 
+def leave(system: silent_system.SilentSystem, how: str) -> None:
+    if how == "draining":
+        system.write_instance("only", names.STATE_DRAINING)
+    else:
+        system.remove_instance("only")
+
+
+@pytest.mark.parametrize("how", ["draining", "removed"])
+@pytest.mark.parametrize("delay", WRITE_DELAYS)
+@pytest.mark.parametrize("offset", OFFSETS)
+class TestWatchOfUpstreams:
+    """An instance that leaves gets no work from two seconds after that."""
+
+    def test_silent_watch_of_the_store(
+        self, offset: float, delay: float, how: str
+    ) -> None:
+        # Guards against a watch that waits on a silent connection for longer
+        # than an instance may get work after it left.
+        async def work(system: silent_system.SilentSystem) -> None:
+            await anyio.sleep(offset)
+            connections = system.stores[0].connections
+            assert connections.silence(names.UPSTREAM_KIND) == 1
+            await anyio.sleep(delay)
+            leave(system, how)
+            assert await system.last_use_seconds() < LAST_USE_SECONDS
+
+        run_scenario(1, work)
+
+    @pytest.mark.parametrize("silent", ["reader", "peers", "both"])
+    def test_silent_watch_of_an_entry_that_asks_a_peer(
+        self, silent: str, offset: float, delay: float, how: str
+    ) -> None:
+        # Guards against the same where the copy is that of a peer.
+        async def work(system: silent_system.SilentSystem) -> None:
+            await anyio.sleep(offset)
+            if silent in ("reader", "both"):
+                system.stores[0].connections.silence(names.UPSTREAM_KIND)
+            if silent in ("peers", "both"):
+                for peers in system.peers[1:]:
+                    peers.connections.silence(names.UPSTREAM_KIND)
+            await anyio.sleep(delay)
+            leave(system, how)
+            assert await system.last_use_seconds() < LAST_USE_SECONDS
+
+        run_scenario(3, work)
+
+    def test_all_connections_fall_silent(
+        self, offset: float, delay: float, how: str
+    ) -> None:
+        async def work(system: silent_system.SilentSystem) -> None:
+            await anyio.sleep(offset)
+            for store in system.stores:
+                store.connections.silence()
+            for peers in system.peers:
+                peers.connections.silence()
+            await anyio.sleep(delay)
+            leave(system, how)
+            assert await system.last_use_seconds() < LAST_USE_SECONDS
+
+        run_scenario(3, work)
+
+
+class TestSlowStore:
+    """Silent connections to a store whose answers take their time."""
+
+    @pytest.mark.parametrize("entry_count", [1, 3, 14])
+    @pytest.mark.parametrize("how", ["draining", "removed"])
+    @pytest.mark.parametrize("offset", OFFSETS)
+    def test_leaving_instance_gets_no_work_after_two_seconds(
+        self, offset: float, how: str, entry_count: int
+    ) -> None:
+        # Guards against a wait that leaves no time for the answer.
+        async def work(system: silent_system.SilentSystem) -> None:
+            await anyio.sleep(offset)
+            for store in system.stores:
+                store.connections.silence()
+            leave(system, how)
+            assert await system.last_use_seconds(4.0) < LAST_USE_SECONDS
+
+        run_scenario(entry_count, work, delay=0.24)
+
+
+class TestWaitOfWatches:
+    """For how long one watch waits for a change."""
+
+    def record_waits(
+        self, linger_seconds: float, work: RecordingWork
+    ) -> list[float]:
+        """Return the waits of the watches that were sent during ``work``."""
+        waits: list[float] = []
+
+        class RecordingStore(standin_store.StandinStore):
+            async def watch(
+                self, kind: str, after: stores.Position, wait: float
+            ) -> stores.Changes:
+                waits.append(wait)
+                return await super().watch(kind, after, wait)
+
+        async def body() -> None:
+            store = RecordingStore()
+            health = store_health.StoreHealth()
+            mirror = mirrors.Mirror(
+                store,
+                "k",
+                zone_system.RecordingListener(),
+                1.0,
+                lambda: linger_seconds,
+                health,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(mirror.run)
+                await anyio.sleep(0.1)
+                await work(store, health)
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+        return waits
+
+    def test_includes_the_time_for_which_changes_were_gathered(self) -> None:
+        # Guards against a silent connection that is noticed later by that
+        # time, which grows with the number of entries.
+        async def work(
+            store: standin_store.StandinStore, health: store_health.StoreHealth
+        ) -> None:
+            store.write("k", "a", b"1")
+            await anyio.sleep(0.7)
+
+        waits = self.record_waits(0.6, work)
+        assert waits == [pytest.approx(1.0), pytest.approx(0.4)]
+
+
+class TestOtherKinds:
+    """Silent watches of what is not an instance."""
+
+    @pytest.mark.parametrize("entry_count", [1, 3])
+    @pytest.mark.parametrize(("kind_number", "limit_seconds"), [(1, 2.0)])
+    def test_copies_are_confirmed_again_in_time(
+        self, kind_number: int, limit_seconds: float, entry_count: int
+    ) -> None:
+        # Guards against decisions by an old config, and against requests sent
+        # on although the records say that they end instances.
+        kind = silent_system.KINDS[kind_number]
+
+        async def work(system: silent_system.SilentSystem) -> None:
+            assert system.stores[0].connections.silence(kind) == 1
+            for peers in system.peers[1:]:
+                assert peers.connections.silence(kind) == 1
+            oldest = 0.0
+            for _ in range(1_500):
+                oldest = max(
+                    oldest,
+                    *(
+                        mirror.age()
+                        for view in system.views
+                        for mirror in view.mirrors
+                        if mirror.kind == kind
+                    ),
+                    0.0,
+                )
+                await anyio.sleep(0.01)
+            assert oldest < limit_seconds
+
+        run_scenario(entry_count, work)
+
+
 class TestLostReader:
     """The entry that reads the store for others is cut from it."""
 
