Use a new connection after a call to the store without an answer

What callers saw: nothing recorded; found while the silent watch was traced. Requests refused for half a second longer, or calls to an engine that left, when several channels of an entry fall silent at once.

Cause: idle connections are kept for 2 s and used again, so that the first call after a failure may wait on another silent one, for 0.5 to 1 s each.

Ruled out: the watches of other kinds, which are cancelled by the first failure and whose connections are closed with them.

Change: after a call without an answer the idle connections of that client are closed.

The tests failed before: TestConnectionsAfterAFailure, both; the second call failed with its time-out though a new connection was answered.

--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -327,6 +327,16 @@
                 response.status, _decode(response.headers), content
             )
 
+    async def close_idle(self) -> None:
+        """Close the connections that no request uses.
+
+        After a call that got no answer, they may be silent too: the next
+        call should use a new connection.
+        """
+        for connection in self._pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
--- a/src/crowdeck/membership/peer_http.py
+++ b/src/crowdeck/membership/peer_http.py
@@ -127,11 +127,15 @@
         timeouts = http.Timeouts(
             CONNECT_TIMEOUT_SECONDS, wait_seconds + RESPONSE_SLACK_SECONDS
         )
-        async with self._client.open(
-            "GET", url, [], b"", timeouts
-        ) as response:
-            body = await response.read(http.RESPONSE_LIMIT_BYTES)
-            status = response.status
+        try:
+            async with self._client.open(
+                "GET", url, [], b"", timeouts
+            ) as response:
+                body = await response.read(http.RESPONSE_LIMIT_BYTES)
+                status = response.status
+        except errors.CrowdeckError:
+            await self._client.close_idle()
+            raise
         if status != 200:
             raise errors.CrowdeckError(
                 _CODE_BY_STATUS.get(status, errors.Code.UPSTREAM_FAILED),
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -179,6 +179,7 @@
         try:
             response = await self._client.send("GET", path, [], b"", timeout)
         except errors.CrowdeckError as error:
+            await self._client.close_idle()
             raise _store_down_error(error.message) from None
         if response.status not in (200, 404, 410):
             raise _store_down_error(
@@ -196,6 +197,7 @@
                 method, path, [_JSON_TYPE], body, CALL_TIMEOUT_SECONDS
             )
         except errors.CrowdeckError as error:
+            await self._client.close_idle()
             raise _write_error(error.verdict) from None
         if response.status in (429, 503):
             raise _write_error(_NOT_RUN)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -9,9 +9,16 @@
 
 import anyio
 import anyio.abc
+import orjson
 import pytest
 
+from crowdeck import errors
+from crowdeck import http
+from crowdeck import instance as instances
+from crowdeck.membership import peer_http
+from crowdeck.membership import peer_selection
 from crowdeck.platform import names
+from crowdeck.platform import store as platform_store
 from crowdeck.standin import store as standin_store
 from crowdeck.state import mirror as mirrors
 from crowdeck.state import objects as stores
@@ -182,6 +189,118 @@
         assert waits == [pytest.approx(1.0), pytest.approx(0.4)]
 
 
+class TestConnectionsAfterAFailure:
+    """Connections of an HTTP client, some of which are silent."""
+
+    def test_next_call_of_the_store_uses_a_new_connection(self) -> None:
+        # Guards against a call after a failure that waits on another idle
+        # connection that fell silent with the first one.
+        async def body() -> None:
+            server = SilencingServer()
+            async with anyio.create_task_group() as tasks:
+                port = await tasks.start(server.run)
+                client = http.HttpClient(f"http://127.0.0.1:{port}")
+                store = platform_store.HttpStore(client)
+                async with anyio.create_task_group() as calls:
+                    for _ in range(3):
+                        calls.start_soon(store.list, "k")
+                assert server.connection_count == 3
+                server.silence()
+                position = stores.Position(1)
+                with pytest.raises(errors.CrowdeckError):
+                    await store.watch("k", position, 0.0)
+                assert (await store.watch("k", position, 0.0)).version == 1
+                assert server.connection_count == 4
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(body)
+
+    def test_next_question_to_a_peer_uses_a_new_connection(self) -> None:
+        # Guards against the same between entries.
+        async def body() -> None:
+            server = SilencingServer()
+            async with anyio.create_task_group() as tasks:
+                port = await tasks.start(server.run)
+                client = http.HttpClient("")
+                peers = peer_http.HttpPeerClient(client)
+                peer = peer_selection.Peer(
+                    "a", instances.Address("127.0.0.1", port)
+                )
+                position = stores.Position(1)
+
+                async def ask() -> None:
+                    await peers.watch(peer, "k", position, 0.0)
+
+                async with anyio.create_task_group() as calls:
+                    for _ in range(3):
+                        calls.start_soon(ask)
+                server.silence()
+                with pytest.raises(errors.CrowdeckError):
+                    await ask()
+                await ask()
+                assert server.connection_count == 4
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(body)
+
+
+class SilencingServer:
+    """Answers like the store and like a peer; connections can fall silent."""
+
+    def __init__(self) -> None:
+        self.connection_count = 0
+        self._silenced_count = 0
+        self._arrived = 0
+
+    def silence(self) -> None:
+        """Silence all connections that are open now."""
+        self._silenced_count = self.connection_count
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async with await anyio.create_tcp_listener(
+            local_host="127.0.0.1"
+        ) as listener:
+            task_status.started(
+                listener.extra(anyio.abc.SocketAttribute.local_port)
+            )
+            await listener.serve(self._serve)
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.connection_count += 1
+        number = self.connection_count
+        body = orjson.dumps(
+            {
+                names.ITEMS: [],
+                names.EVENTS: [],
+                names.STORE_REVISION: 1,
+                "version": 1,
+                "age": 0.0,
+                "objects": [],
+                "removed": [],
+            }
+        )
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        async with stream:
+            while True:
+                try:
+                    await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                if number <= self._silenced_count:
+                    await anyio.sleep_forever()
+                # The first requests overlap, so that each has a connection.
+                self._arrived += 1
+                while self._arrived < 3:
+                    await anyio.sleep(0.001)
+                await stream.send(head.encode() + body)
+
+
 class TestOtherKinds:
     """Silent watches of what is not an instance."""
 
