Let the probe of a lost store not wait for a change

Cause: the caller that gets the permit to probe sends its next watch with its full wait, unless it has failed itself. Until the wait ends without a change the store counts as lost, and the watch of the config gets no permit.

Ruled out: the interval of probes (0.3 or 1.5 s).

Change: a probe is sent without a wait. Its answer confirms the store at once.

Price: none, the call is made anyway.

--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -165,12 +165,13 @@
             async with self._health.permit(timeout) as permit:
                 if permit is store_health.CallPermit.NONE:
                     continue
+                is_probe = permit is store_health.CallPermit.PROBE
+                # All other callers wait for the answer to a probe.
+                self._skip_wait |= is_probe
                 try:
                     await self._call_store()
                 except errors.CrowdeckError as error:
-                    await self._handle_failure(
-                        error, permit is store_health.CallPermit.PROBE
-                    )
+                    await self._handle_failure(error, is_probe)
 
     async def changes_since(
         self, after: stores.Position, wait: float
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -188,6 +188,22 @@
         waits = self.record_waits(0.6, work)
         assert waits == [pytest.approx(1.0), pytest.approx(0.4)]
 
+    def test_is_none_for_a_probe_of_a_lost_store(self) -> None:
+        # Guards against a store that counts as lost until the probe, which
+        # succeeds, has waited for a change.
+        async def work(
+            store: standin_store.StandinStore, health: store_health.StoreHealth
+        ) -> None:
+            store.write("k", "a", b"1")
+            await anyio.sleep(0.1)
+            # Another caller fails while this mirror does not call the store.
+            await health.record_failure("no answer", was_probe=False)
+            await anyio.sleep(0.3)
+            assert not health.is_lost
+
+        waits = self.record_waits(0.3, work)
+        assert waits == [pytest.approx(1.0), 0.0, pytest.approx(1.0)]
+
 
 class TestConnectionsAfterAFailure:
     """Connections of an HTTP client, some of which are silent."""
