Renew the watch of the entries' records every two seconds

What callers saw: nothing recorded; found while the silent watch was traced. A request that ends engines is sent on by an entry whose channel for the records is silent, for up to 10.5 s after the others have quarantined it.

Cause: as for the watch of the engines, a wait of 10 s that followed from nothing. All entries are to know of an unexpected end within three seconds.

Ruled out: the shares of budgets and limits, which count on records of up to 12 s (by reading).

Change: the watch waits 2 s, so that the records are 2.7 s old at most.

The test failed before: TestOtherKinds [2-3.0-1] and [2-3.0-3], 10.5 s.

--- a/src/crowdeck/cmd/store_view.py
+++ b/src/crowdeck/cmd/store_view.py
@@ -37,9 +37,9 @@
 UPSTREAM_WAIT_SECONDS = 1.0
 # Pause between two watches of the config.
 CONFIG_WATCH_PAUSE_SECONDS = 0.1
-# Shorter than the store's history; otherwise each watch would need a new
-# listing.
-ROSTER_WAIT_SECONDS = 10.0
+# The records tell which requests ended instances. All entries have to know
+# that within three seconds, also if a connection falls silent meanwhile.
+ROSTER_WAIT_SECONDS = 2.0
 
 BackgroundTask = typing.Callable[
     [], typing.Coroutine[typing.Any, typing.Any, None]
