Let nobody in by an empty or unreadable list of teams

Cause: the decoder reads an empty list, null and a missing field alike, and three places ask whether requests need a key by whether there are teams.

Evidence: config_in_force with version 3 and teams 0, no config_refused, 200 for all four kinds of requests on new connections. Ruled out: a refused version, cached keys, kept connections.

Change: FleetConfig.requires_keys is true once the list is present, and AdmittedRequest.needs_key tells the check of the config's age. Teams, keys and permissions are read strictly: what is malformed is logged and lets nobody in, and the rest of the version applies. Of the same family: a text in place of a list of keys made each letter a key, an empty key let requests without one in, and the text "false" opened a route or made a stream resumable.

Price: no call and no byte. Refused: with an empty or unreadable list all requests that need a key, with 401; teams whose fields have another type.

--- a/src/crowdeck/platform/config.py
+++ b/src/crowdeck/platform/config.py
@@ -14,6 +14,8 @@
 
 from crowdeck import chain
 from crowdeck import errors
+from crowdeck.observe import logs
+from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck import route as routes
 
@@ -39,7 +41,11 @@
 def decode(value: bytes) -> routes.FleetConfig:
     """Return the config from a stored object's value.
 
-    :raises SettingsError: if it is malformed.
+    What decides who is let in is read strictly: a team, a key or a permission
+    that is malformed counts as not given and is logged, and the rest of the
+    config applies.
+
+    :raises SettingsError: if anything else is malformed.
     """
     try:
         body = orjson.loads(value)
@@ -47,7 +53,7 @@
             version=int(body[names.VERSION]),
             routes=tuple(_route(item) for item in body[names.ROUTES]),
             services=tuple(_service(item) for item in body[names.SERVICES]),
-            teams=tuple(_team(item) for item in body.get(names.TEAMS) or ()),
+            teams=_teams(body),
             limits=_limits(body.get(names.LIMITS) or {}),
         )
     except _DECODE_ERRORS as error:
@@ -60,8 +66,8 @@
     repeat = _REPEAT_POLICY_BY_KIND.get(
         body[names.ROUTE_KIND], routes.RepeatPolicy.ONCE
     )
-    is_resumable = repeat is routes.RepeatPolicy.STREAM and bool(
-        body.get(names.RESUMABLE, False)
+    is_resumable = repeat is routes.RepeatPolicy.STREAM and _permission(
+        body, names.RESUMABLE
     )
     return routes.Route(
         name=str(body[names.NAME]),
@@ -79,7 +85,7 @@
         ),
         max_pause_seconds=_seconds(body.get(names.MAX_PAUSE_MS) or 0),
         priority=int(body.get(names.CONFIG_PRIORITY) or 0),
-        is_anonymous=bool(body.get(names.ANONYMOUS, False)),
+        is_anonymous=_permission(body, names.ANONYMOUS),
         is_resumable=is_resumable,
     )
 
@@ -152,15 +158,77 @@
     )
 
 
+def _teams(body: Json) -> tuple[routes.TeamKeys, ...] | None:
+    """Return the listed teams, ``None`` if the config has no list.
+
+    A list that is null or malformed names no team, so that no key is valid.
+    """
+    if names.TEAMS not in body:
+        return None
+    found = []
+    for item in _list_or_empty(body, names.TEAMS):
+        try:
+            found.append(_team(item))
+        except _DECODE_ERRORS as error:
+            _log_unread(names.TEAMS, error)
+    return tuple(found)
+
+
 def _team(body: Json) -> routes.TeamKeys:
-    priority = body.get(names.CONFIG_PRIORITY)
+    if not isinstance(body, dict):
+        raise TypeError(f"a team is a {type(body).__name__}, not an object")
+    name = fields.text(body, names.NAME)
+    if not name or not name.isprintable():
+        raise ValueError("the name of a team is empty or not printable")
+    keys = [
+        key for key in _list_or_empty(body, names.API_KEYS) if _is_key(key)
+    ]
     return routes.TeamKeys(
-        name=str(body[names.NAME]),
-        keys=frozenset(str(key) for key in body.get(names.API_KEYS) or ()),
-        priority=None if priority is None else int(priority),
+        name=name, keys=frozenset(keys), priority=_team_priority(body)
     )
 
 
+def _is_key(key: object) -> bool:
+    # A request without a key has an empty one.
+    if isinstance(key, str) and key:
+        return True
+    _log_unread(names.API_KEYS, TypeError("a key is empty or not a string"))
+    return False
+
+
+def _team_priority(body: Json) -> int | None:
+    if body.get(names.CONFIG_PRIORITY) is None:
+        return None
+    try:
+        return fields.integer(body, names.CONFIG_PRIORITY)
+    except _DECODE_ERRORS as error:
+        _log_unread(names.CONFIG_PRIORITY, error)
+        return None
+
+
+def _list_or_empty(body: Json, name: str) -> list[typing.Any]:
+    """Return a list field, empty if it is missing, null or malformed."""
+    value = body.get(name)
+    if value is None or isinstance(value, list):
+        return value or []
+    # Its value is not logged, as it may be a key.
+    _log_unread(name, TypeError(f"it is a {type(value).__name__}, not a list"))
+    return []
+
+
+def _permission(body: Json, name: str) -> bool:
+    """Return whether a field is true; a malformed one permits nothing."""
+    try:
+        return fields.boolean(body, name)
+    except TypeError as error:
+        _log_unread(name, error)
+        return False
+
+
+def _log_unread(name: str, error: Exception) -> None:
+    logs.change("config_field_unread", field=name, reason=f"{error!r:.120}")
+
+
 def _limits(body: Json) -> routes.Limits:
     defaults = routes.Limits()
     return routes.Limits(
--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -97,7 +97,8 @@
             before=current_version,
             revision=stored.version,
             routes=len(config.routes),
-            teams=len(config.teams),
+            teams=len(config.listed_teams),
+            requires_keys=config.requires_keys,
         )
 
 
@@ -250,10 +251,7 @@
                 raise
             # A newer config may contain this route or key.
             raise self._outdated_config_error(config_age_seconds) from None
-        needs_key = bool(table.config.teams) and not (
-            admitted.route.is_anonymous
-        )
-        if needs_key and not is_config_valid:
+        if admitted.needs_key and not is_config_valid:
             raise self._outdated_config_error(config_age_seconds)
         return admitted
 
--- a/src/crowdeck/route.py
+++ b/src/crowdeck/route.py
@@ -125,11 +125,22 @@
 class FleetConfig:
     """One version of the operator's config.
 
-    :ivar teams: empty where no request needs a key.
+    :ivar teams: ``None`` where the config has no list of teams. With an empty
+        list, no key is valid.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
-    teams: tuple[TeamKeys, ...]
+    teams: tuple[TeamKeys, ...] | None
     limits: Limits
+
+    @property
+    def requires_keys(self) -> bool:
+        """Whether requests need a key, except on anonymous routes."""
+        return self.teams is not None
+
+    @property
+    def listed_teams(self) -> tuple[TeamKeys, ...]:
+        """The teams, none where the config has no list of them."""
+        return self.teams or ()
--- a/src/crowdeck/routing/routes.py
+++ b/src/crowdeck/routing/routes.py
@@ -18,14 +18,16 @@
 class AdmittedRequest:
     """The route, team and priority of one request.
 
-    :ivar team: name of the team, empty on a route that needs no key.
+    :ivar team: name of the team, empty where none is known by the key.
     :ivar priority: the team's priority, else the route's.
+    :ivar needs_key: whether it was admitted because of its key.
     """
 
     route: routes.Route
     team: str
     priority: int
     config_version: int
+    needs_key: bool
 
 
 class RouteTable:
@@ -39,7 +41,7 @@
         for host_routes in self._routes_by_host.values():
             host_routes.sort(key=lambda route: -len(route.prefix))
         self._teams_by_key = {
-            key: team for team in config.teams for key in team.keys
+            key: team for team in config.listed_teams for key in team.keys
         }
         self._services_by_name = {
             service.name: service for service in config.services
@@ -89,7 +91,7 @@
                 errors.Code.NOT_FOUND, "no route matches this host and path"
             )
         team = self._teams_by_key.get(key)
-        needs_key = bool(self._config.teams) and not route.is_anonymous
+        needs_key = self._config.requires_keys and not route.is_anonymous
         if needs_key and team is None:
             raise errors.CrowdeckError(
                 errors.Code.UNAUTHORIZED, "the API key is missing or unknown"
@@ -98,7 +100,7 @@
         if team is not None and team.priority is not None:
             priority = team.priority
         name = team.name if team is not None else ""
-        return AdmittedRequest(route, name, priority, self.version)
+        return AdmittedRequest(route, name, priority, self.version, needs_key)
 
     def urgency(
         self, admitted: AdmittedRequest, service: str
@@ -137,9 +139,9 @@
             continue
         team_priorities = {
             route.priority if team.priority is None else team.priority
-            for team in config.teams
+            for team in config.listed_teams
         }
-        if route.is_anonymous or not config.teams:
+        if route.is_anonymous or not config.requires_keys:
             team_priorities.add(route.priority)
         for share in route.shares:
             keys_by_service.setdefault(share.service, set()).update(
