--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -321,7 +321,9 @@
     """Silent watches of what is not an instance."""
 
     @pytest.mark.parametrize("entry_count", [1, 3])
-    @pytest.mark.parametrize(("kind_number", "limit_seconds"), [(1, 2.0), (2, 3.0)])
+    @pytest.mark.parametrize(
+        ("kind_number", "limit_seconds"), [(1, 2.0), (2, 3.0)]
+    )
     def test_copies_are_confirmed_again_in_time(
         self, kind_number: int, limit_seconds: float, entry_count: int
     ) -> None:
