Move the times of leaving instances beside their announcements

test_fleet_process::test_entry_loads_only_needed_modules failed: each module delays a start, and membership/departures was one too many. Its two functions and constants stand in membership/leaving_instances now, unchanged; its tests are renamed with it.

test_fleet_process, test_backoff, test_cluster_view, test_restored_store and test_leaving_instances pass.

--- a/src/crowdeck/membership/upstreams.py
+++ b/src/crowdeck/membership/upstreams.py
@@ -12,7 +12,6 @@
 
 from crowdeck import chain
 from crowdeck.membership import backoffs
-from crowdeck.membership import departures
 from crowdeck.membership import leaving_instances
 from crowdeck.membership import upstream_records
 from crowdeck.observe import counters
@@ -521,7 +520,7 @@
             return
         if upstream.is_leaving and not state.upstream.is_leaving:
             now = anyio.current_time()
-            state.leaving_until = departures.leaving_until(
+            state.leaving_until = leaving_instances.leaving_until(
                 now, now - self._get_age()
             )
         state.upstream = upstream
@@ -567,7 +566,7 @@
         announced_at = self._leaving.since(name)
         if announced_at is None:
             return None
-        return departures.leaving_until(announced_at, announced_at)
+        return leaving_instances.leaving_until(announced_at, announced_at)
 
     def _notify_end(self, upstream: chain.Upstream) -> None:
         for listener in self._end_listeners:
@@ -595,9 +594,9 @@
 
         An engine gets no work until it has answered a probe or its record is
         written again. An instance is dropped after a time unless its record
-        is written again, see ``departures.lapsed_until``.
+        is written again, see ``leaving_instances.lapsed_until``.
         """
-        state.lapsed_until = departures.lapsed_until(
+        state.lapsed_until = leaving_instances.lapsed_until(
             now, now - self._get_age(), self._store_outage_at()
         )
         if state.lapsed_until <= now:
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -17,7 +17,6 @@
 import pytest
 
 from crowdeck import chain
-from crowdeck.membership import departures
 from crowdeck.membership import leaving_instances
 from crowdeck.placement import controller as controllers
 from crowdeck.placement import failure_detector
@@ -459,7 +458,7 @@
             system.registry.set_store_failure_source(anyio.current_time)
             system.registry.on_changed((), (upstream.incarnation.id,))
             system.registry.note_leaving(upstream.name)
-            await anyio.sleep(departures.LAPSE_SECONDS + 0.1)
+            await anyio.sleep(leaving_instances.LAPSE_SECONDS + 0.1)
             assert upstream.name not in {
                 listed.name
                 for listed in system.registry.listed(upstream.service)
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -10,7 +10,7 @@
 import pytest
 
 from crowdeck import errors
-from crowdeck.membership import departures
+from crowdeck.membership import leaving_instances
 from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as registries
 from crowdeck.standin import store as standin_store
@@ -471,7 +471,7 @@
             registry.note_healthy("a")
             assert usable_names(registry) == {"a"}
             # The record was not written again in time.
-            await anyio.sleep(departures.LAPSE_SECONDS + 0.1)
+            await anyio.sleep(leaving_instances.LAPSE_SECONDS + 0.1)
             assert usable_names(registry) == set()
 
         virtual.run(body)
@@ -502,7 +502,7 @@
             registry.on_listed(())
             apply_record(registry, instances_by_record, "a")
             assert usable_names(registry) == {"a"}
-            await anyio.sleep(departures.LAPSE_SECONDS + 0.1)
+            await anyio.sleep(leaving_instances.LAPSE_SECONDS + 0.1)
             assert usable_names(registry) == {"a"}
 
         virtual.run(body)
@@ -521,9 +521,9 @@
                 for upstream in registry.usable_while_leaving(service)
             ] == ["a"]
             # Well before two seconds, after which no work may reach it.
-            await anyio.sleep(departures.LEAVING_GRACE_SECONDS + 0.01)
+            await anyio.sleep(leaving_instances.LEAVING_GRACE_SECONDS + 0.01)
             assert registry.usable_while_leaving(service) == ()
-            assert departures.LEAVING_GRACE_SECONDS <= 1.0
+            assert leaving_instances.LEAVING_GRACE_SECONDS <= 1.0
 
         virtual.run(body)
 
--- a/tests/test_departures.py
+++ b/tests/test_leaving_instances.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from crowdeck.membership import departures
+from crowdeck.membership import leaving_instances
 
 
 class TestLeaving:
@@ -22,9 +22,9 @@
     ) -> None:
         # Guards against a grace that begins when the news arrives, however
         # late that is.
-        assert departures.leaving_until(10.0, confirmed_at) == pytest.approx(
-            until
-        )
+        assert leaving_instances.leaving_until(
+            10.0, confirmed_at
+        ) == pytest.approx(until)
 
 
 class TestLapse:
@@ -35,13 +35,15 @@
         self, outage_at: float | None
     ) -> None:
         # Guards against work for an instance that left, as one call failed.
-        assert departures.lapsed_until(10.0, 9.0, outage_at) == pytest.approx(
-            10.8
-        )
-        assert departures.lapsed_until(10.0, float("-inf"), None) == float(
-            "-inf"
-        )
+        assert leaving_instances.lapsed_until(
+            10.0, 9.0, outage_at
+        ) == pytest.approx(10.8)
+        assert leaving_instances.lapsed_until(
+            10.0, float("-inf"), None
+        ) == float("-inf")
 
     def test_outage_keeps_instances_from_its_end_on(self) -> None:
         # Guards against dropping all instances when the store returns.
-        assert departures.lapsed_until(10.0, 2.0, 9.7) == pytest.approx(11.8)
+        assert leaving_instances.lapsed_until(10.0, 2.0, 9.7) == pytest.approx(
+            11.8
+        )
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -22,7 +22,7 @@
 
 from crowdeck import errors
 from crowdeck import instance as instances
-from crowdeck.membership import departures
+from crowdeck.membership import leaving_instances
 from crowdeck.membership import roster as rosters
 from crowdeck.membership import upstreams as registries
 from crowdeck.quarantine import fingerprint
@@ -415,7 +415,7 @@
             old = stores.StoredObject("upstreams", "a", 1, b"{}")
             system.registry.on_listed((old,))
             assert system.registry.usable(instance.service) == ()
-            await anyio.sleep(departures.LEAVING_GRACE_SECONDS)
+            await anyio.sleep(leaving_instances.LEAVING_GRACE_SECONDS)
             assert system.registry.usable_while_leaving(instance.service) == ()
             # A record that it writes later is trusted.
             system.list_instance(instance)
