Refuse addresses that cannot be dialled where they are read

Cause: the parser took the last part of an unbracketed IPv6 address for a port. The URL made of it raises a ValueError instead of the error of a lost engine, which ends the tasks of the process.

Evidence: upstream_listed for the object, then the traceback from the placement's question for a report. Ruled out: the plan of layers, and the refusal itself.

Change: brackets around IPv6 addresses are required and written, scopes refused. Such a record is MALFORMED and names no instance, as other malformed ones.

The test failed before: TestAddresses, 2 of 9. Refused now: settings with an unbracketed IPv6 address, at the start.

--- a/src/crowdeck/instance.py
+++ b/src/crowdeck/instance.py
@@ -32,13 +32,21 @@
 
     @classmethod
     def parse(cls, text: str) -> "Address":
-        """Parse ``IP:PORT``.
+        """Parse ``IP:PORT``, with brackets around an IPv6 address.
 
-        :raises ValueError: for anything else, such as a host name or a port
-            out of range.
+        :raises ValueError: for anything else, such as a host name, a scope of
+            an IPv6 address or a port out of range.
         """
         host, _, port = text.rpartition(":")
-        ipaddress.ip_address(host)
+        is_bracketed = host.startswith("[") and host.endswith("]")
+        host = host[1:-1] if is_bracketed else host
+        # Without brackets, the last part of an IPv6 address looks like a port.
+        if is_bracketed:
+            ipaddress.IPv6Address(host)
+        else:
+            ipaddress.IPv4Address(host)
+        if "%" in host:
+            raise ValueError(f"{host!r:.50} has a scope")
         if not port.isascii() or not port.isdigit():
             raise ValueError(f"{port!r:.20} is not a port number")
         if not 0 < int(port) <= MAX_PORT:
@@ -46,7 +54,8 @@
         return cls(host, int(port))
 
     def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 @attrs.frozen
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -283,13 +283,13 @@
 
 
 def _require_address(name: str, value: str) -> None:
-    host, _, port = value.rpartition(":")
-    _require_ip(fleet_options.FLEET, name, host)
-    if not port.isdigit():
+    try:
+        instances.Address.parse(value)
+    except ValueError:
         raise errors.ConfigError(
             f"[{fleet_options.FLEET}] {name}: invalid value {value!r}; "
-            "expected IP:PORT"
-        )
+            "expected IP:PORT, with brackets around an IPv6 address"
+        ) from None
 
 
 def _require(
--- a/tests/test_malformed_objects.py
+++ b/tests/test_malformed_objects.py
@@ -12,6 +12,7 @@
 import typing
 
 import anyio
+import httpcore
 import hypothesis
 from hypothesis import strategies
 import orjson
@@ -50,6 +51,7 @@
     | strategies.floats(allow_nan=False, allow_infinity=False)
     | strategies.text(max_size=5)
     | strategies.sampled_from(["", "10.0.0.1:99999", "host:1", "1e400", "-1"])
+    | strategies.sampled_from(["::1:80", "[::1]:80", "::80", "[::1%a]:80"])
 )
 JSON_VALUES = strategies.recursive(
     SCALARS,
@@ -106,6 +108,42 @@
     return stores.StoredObject("servers", name, version, value)
 
 
+class TestAddresses:
+    """Addresses in records and settings."""
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "::1:8080",
+            "::1",
+            "[::1]",
+            "[::1:8080",
+            "[10.0.0.1]:80",
+            "[::1%eth0]:80",
+            "[::1%\r\nx]:80",
+            "[]:80",
+        ],
+    )
+    def test_address_that_cannot_be_dialled_is_refused(
+        self, text: str
+    ) -> None:
+        # Guards against an object of another writer that ends the process:
+        # the error of a call to such an address is not that of a lost engine.
+        with pytest.raises(ValueError):
+            instances.Address.parse(text)
+        record = test_restarted_instances.stored_record(
+            1, **{names.ADDRESS: text}
+        )
+        with pytest.raises(errors.CrowdeckError) as raised:
+            upstreams.decode(record)
+        assert raised.value.code is errors.Code.MALFORMED
+
+    def test_ipv6_address_has_brackets(self) -> None:
+        address = instances.Address.parse("[::1]:8080")
+        assert address == instances.Address("::1", 8080)
+        assert str(address) == "[::1]:8080"
+
+
 class TestDecoders:
     """Decoders raise only errors that their callers handle."""
 
@@ -123,6 +161,11 @@
         assert (
             instances.Address.parse(str(upstream.address)) == upstream.address
         )
+        url = httpcore.URL(f"http://{upstream.address}/x")
+        assert (url.host.decode(), url.port) == (
+            upstream.address.host,
+            upstream.address.port,
+        )
         assert (
             upstream.incarnation.id.isascii()
             and upstream.incarnation.id.isprintable()
