Take a record for an instance only with all fields that each writes

Cause: a missing zone was read as an empty one, a missing number of slots as 1, and the other fields were not read at all.

Ruled out: only the address. With a valid one the object of the case is still taken for an engine, and is asked and given layers.

Change: the decoder refuses a record that lacks a field that each instance writes, or has one of another type.

Refused: records of real instances that lack one of these fields, which the platform's pages rule out.

--- a/src/crowdeck/platform/names.py
+++ b/src/crowdeck/platform/names.py
@@ -73,6 +73,7 @@
 STATE = "state"
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
+COLD_MS = "cold_remaining_ms"
 # In an upstream's object: its accelerator type.
 ACCELERATOR_TYPE = "route_kind"
 LAYERS = "layers"  # a range, but in profiles a count
--- a/src/crowdeck/platform/upstreams.py
+++ b/src/crowdeck/platform/upstreams.py
@@ -38,6 +38,7 @@
     """
     try:
         body = orjson.loads(stored.value)
+        _require_all_fields(body)
         incarnation = chain.Incarnation(
             fields.header_text({names.ID: stored.name}, names.ID),
             _start_time_ms(body),
@@ -49,8 +50,8 @@
             started_ms=incarnation.started_ms,
             service=fields.text(body, names.SERVICE),
             address=instances.Address.parse(fields.text(body, names.ADDRESS)),
-            availability_zone=fields.text(body, names.ZONE, ""),
-            slots=fields.integer(body, names.SLOTS, 1),
+            availability_zone=fields.text(body, names.ZONE),
+            slots=fields.integer(body, names.SLOTS),
             is_leaving=_state(body) == names.STATE_DRAINING,
             card=fields.text(body, names.ACCELERATOR_TYPE, ""),
             layers=_layers(body),
@@ -90,6 +91,20 @@
         raise _malformed_error("an engine's report", error) from None
 
 
+def _require_all_fields(body: fields.Json) -> None:
+    """Check the fields that each instance writes and that nothing reads.
+
+    A record without them is another writer's.
+
+    :raises KeyError: if one is missing.
+    :raises TypeError: if one has another type.
+    :raises ValueError: if a number is negative or too large.
+    """
+    fields.text(body, names.VERSION)
+    fields.number(body, names.COLD_MS)
+    fields.integer(body, names.ORDERS_TAKEN)
+
+
 def _state(body: fields.Json) -> str:
     # Every instance writes its state; other writers' objects have none.
     state = fields.text(body, names.STATE)
--- a/tests/test_malformed_objects.py
+++ b/tests/test_malformed_objects.py
@@ -144,6 +144,61 @@
         assert str(address) == "[::1]:8080"
 
 
+TEXT_FIELDS = (
+    names.SERVICE,
+    names.ADDRESS,
+    names.ZONE,
+    names.VERSION,
+    names.STATE,
+)
+NUMBER_FIELDS = (names.SLOTS, names.COLD_MS, names.ORDERS_TAKEN)
+
+
+class TestFieldsOfRecords:
+    """Fields that each instance writes."""
+
+    @pytest.mark.parametrize("field", [*TEXT_FIELDS, *NUMBER_FIELDS])
+    def test_record_without_one_names_no_instance(self, field: str) -> None:
+        # Guards against requests and orders to what another program wrote
+        # into the list of instances.
+        body = dict(UPSTREAM_RECORD)
+        del body[field]
+        self.check_refused(body)
+
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            *((field, 5) for field in TEXT_FIELDS),
+            *((field, "6") for field in NUMBER_FIELDS),
+            *((field, -1) for field in NUMBER_FIELDS),
+            *(
+                (field, value)
+                for field in (*TEXT_FIELDS, *NUMBER_FIELDS)
+                for value in (None, True, [], {})
+            ),
+        ],
+    )
+    def test_record_with_a_malformed_one_names_no_instance(
+        self, field: str, value: object
+    ) -> None:
+        # Guards against the same.
+        self.check_refused({**UPSTREAM_RECORD, field: value})
+
+    def check_refused(self, body: typing.Any) -> None:
+        with pytest.raises(errors.CrowdeckError) as raised:
+            upstreams.decode(stored_object(to_bytes(body)))
+        assert raised.value.code is errors.Code.MALFORMED
+
+    @pytest.mark.parametrize("field", [names.ACCELERATOR_TYPE, names.LAYERS])
+    def test_record_of_a_plain_service_has_no_fields_of_engines(
+        self, field: str
+    ) -> None:
+        body = dict(UPSTREAM_RECORD)
+        del body[field]
+        found = upstreams.decode(stored_object(to_bytes(body)))
+        assert found.service == UPSTREAM_RECORD[names.SERVICE]
+
+
 class TestDecoders:
     """Decoders raise only errors that their callers handle."""
 
