Order no layers to engines whose memory is unknown

Cause: the plan reads an unknown kind as one that holds all layers.

Ruled out: a misread memory (with the kind in the record the plan keeps to it) and the first plan alone (the order is repeated later).

Change: such engines are left out of the plan and the rearrangement, unless the service lists no kinds at all; a record that has lost its kind is refused, like one that has lost its start time.

The tests failed before: test_engine_of_unknown_memory_gets_no_order, 2 of 2, and the one on the record. Refused: orders to engines of a kind that the config does not list.

--- a/src/crowdeck/chain.py
+++ b/src/crowdeck/chain.py
@@ -81,6 +81,15 @@
         """Memory of one token's KV cache in one layer, in MB."""
         return self.kv_bytes_per_token / self.layer_count / 1e6
 
+    def is_memory_known(self, card: str) -> bool:
+        """Whether it is known how many layers an accelerator type can hold.
+
+        Without any accelerator types, all engines can hold all layers.
+
+        :param card: name of the accelerator type, empty if there is none.
+        """
+        return not self.cards or card in self.cards
+
     def token_capacity(self, card: str, layers: int) -> float:
         """Return how many tokens fit beside the weights of ``layers`` layers.
 
--- a/src/crowdeck/membership/upstream_records.py
+++ b/src/crowdeck/membership/upstream_records.py
@@ -41,12 +41,9 @@
         except errors.CrowdeckError as error:
             self._reject(stored.name, error.message)
             return None
-        if (
-            previous is not None
-            and previous.started_ms
-            and not upstream.started_ms
-        ):
-            reason = "the start time is missing, but was present before"
+        missing = _missing_field(upstream, previous)
+        if missing:
+            reason = f"the {missing} is missing, but was present before"
             self._reject(stored.name, reason)
             return None
         self._rejection_reasons.pop(stored.name, None)
@@ -60,3 +57,16 @@
         if self._rejection_reasons.get(name) != reason:
             self._rejection_reasons[name] = reason
             logs.change("entry_refused", name=name, reason=reason)
+
+
+def _missing_field(
+    upstream: chain.Upstream, previous: chain.Upstream | None
+) -> str:
+    """Return which field a record has lost, empty if none."""
+    if previous is None:
+        return ""
+    if previous.started_ms and not upstream.started_ms:
+        return "start time"
+    if previous.card and not upstream.card:
+        return "accelerator type"
+    return ""
--- a/src/crowdeck/placement/controller.py
+++ b/src/crowdeck/placement/controller.py
@@ -186,9 +186,7 @@
         for service in self._services():
             if service.profile is None:
                 continue
-            engines = chain.engines_within(
-                self._live_engines(service), service.profile.layer_count
-            )
+            engines = self._placeable_engines(service, service.profile)
             if not self._note_listing(service.name, engines):
                 continue
             await self._order_planned(service, service.profile, engines)
@@ -229,9 +227,7 @@
 
         The orders of the plan have been sent and count as carried out here.
         """
-        engines = chain.engines_within(
-            self._live_engines(service), profile.layer_count
-        )
+        engines = self._placeable_engines(service, profile)
         missing = rearrangement.missing_layers(engines, profile)
         delay = self._delays.setdefault(
             service.name, rearrangement_delay.RearrangementDelay()
@@ -371,6 +367,21 @@
             or gaps.is_filled_by(move)
         ]
 
+    def _placeable_engines(
+        self, service: routes.Service, profile: chain.EngineProfile
+    ) -> list[chain.Upstream]:
+        """Return the live engines that can be ordered to hold layers.
+
+        One whose memory is unknown might be ordered to hold more than fits.
+        """
+        return [
+            engine
+            for engine in chain.engines_within(
+                self._live_engines(service), profile.layer_count
+            )
+            if profile.is_memory_known(engine.card)
+        ]
+
     def _live_engines(self, service: routes.Service) -> list[chain.Upstream]:
         """Return the live engines with the layers that they will hold."""
         live = []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -460,6 +460,23 @@
 
         run_with_controller(work)
 
+    @pytest.mark.parametrize("card", ["", "unknown"])
+    def test_engine_of_unknown_memory_gets_no_order(self, card: str) -> None:
+        # Guards against an order to hold more layers than fit.
+        async def work(
+            system: fleet_system.FleetSystem, lease: FakeLease
+        ) -> None:
+            target = system.add(
+                fleet_system.upstream("x", "plateau", None, card)
+            )
+            await anyio.sleep(10.0)
+            deliver_heartbeats(system)
+            await anyio.sleep(5.0)
+            assert target.orders_taken == 0
+            assert system.fleet.at(system.listed["e0"].address).orders_taken
+
+        run_with_controller(work)
+
     def test_without_the_lease_nothing_is_ordered(self) -> None:
         async def work(
             system: fleet_system.FleetSystem, lease: FakeLease
--- a/tests/test_restarted_instances.py
+++ b/tests/test_restarted_instances.py
@@ -274,6 +274,19 @@
         recorder.apply(stored_record(2))
         assert recorder.usable == []
 
+    @virtual_time
+    async def test_record_that_lost_the_accelerator_type_is_rejected(
+        self,
+    ) -> None:
+        # Guards against orders to an engine whose memory is no longer known.
+        recorder = RecordingRegistry()
+        recorder.apply(stored_record(1, born=100))
+        assert recorder.usable
+        recorder.apply(
+            stored_record(2, born=100, **{names.ACCELERATOR_TYPE: ""})
+        )
+        assert recorder.usable == []
+
     def test_address_and_layers_are_decoded(self) -> None:
         upstream = upstreams.decode(stored_record(1))
         assert upstream.address == instances.Address.parse(ADDRESS)
