Send the target of a request to upstreams unchanged

Cause: the HTTP client gave httpcore a URL as text, whose parser drops the parameters of the last path segment, and an empty query.

Ruled out: the entry's server (its parser keeps them) and the engine's.

Change: only the server's address is parsed; the target goes as bytes, as in the client that keeps connections.

Left: an empty query is not told by the server that the entry runs on.

--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -280,7 +280,7 @@
         try:
             async with self._pool.stream(
                 method,
-                self._base_url + path,
+                _parse_url(self._base_url + path),
                 headers=headers,
                 content=body,
                 extensions={"timeout": timeouts.as_extension()},
@@ -342,6 +342,22 @@
         await self._pool.aclose()
 
 
+def _parse_url(text: str) -> httpcore.URL:
+    """Return a URL whose path and query are sent unchanged.
+
+    httpcore's own parser drops the parameters of the last path segment.
+    """
+    scheme, _, rest = text.partition("://")
+    authority, slash, target = rest.partition("/")
+    server = httpcore.URL(f"{scheme}://{authority}")
+    return httpcore.URL(
+        scheme=server.scheme,
+        host=server.host,
+        port=server.port,
+        target=(slash + target).encode("latin-1") or b"/",
+    )
+
+
 def _decode(headers: RawHeaders) -> tuple[http_header.Header, ...]:
     return tuple(
         http_header.Header(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,7 +3,7 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""Tests of failed connections of the HTTP client."""
+"""Tests of the HTTP client: failed connections and request targets."""
 
 import anyio
 import anyio.abc
@@ -56,3 +56,35 @@
             assert not isinstance(error, errors.InstanceGone)
 
         anyio.run(body)
+
+
+class TestTarget:
+    """The path and query that a server gets."""
+
+    @pytest.mark.parametrize(
+        "target",
+        ["/", "/a;v=2", "/a;v=2?x=1", "/a;v=2/b", "/a?", "/a?x=1;y", "//a/"],
+    )
+    def test_is_sent_unchanged(self, target: str) -> None:
+        # Guards against an upstream that runs a request with another path.
+        received: list[bytes] = []
+
+        async def answer(stream: anyio.abc.SocketStream) -> None:
+            received.append((await stream.receive()).split(b" ")[1])
+            await stream.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+            await stream.aclose()
+
+        async def body() -> None:
+            listener = await anyio.create_tcp_listener(local_host=HOST)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = http.HttpClient("", keep_alive=False)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, answer)
+                url = f"http://{HOST}:{port}{target}"
+                await client.send("GET", url, [], b"", 2.0)
+                tasks.cancel_scope.cancel()
+            await client.close()
+            await listener.aclose()
+
+        anyio.run(body)
+        assert received == [target.encode()]
