Ignore a load of an upstream that is negative or huge

Cause: the decoder took whole numbers of any size, which a division cannot turn into a float: OverflowError in routing/usage, which ends the process's tasks.

Ruled out: the conversion itself, which raises nothing.

Change: a load with a count below 0 or above 2^53 is ignored, like an unreadable one. The test failed before: TestLoadHeader, 4 of 12.

--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -19,6 +19,7 @@
 from crowdeck.observe import logs
 from crowdeck import pipeline
 from crowdeck.platform import callers
+from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.platform import upstreams
 from crowdeck.relay import interfaces
@@ -333,10 +334,14 @@
     """Return the reported load, or ``None`` if missing or unreadable."""
     parts = response.find(names.LOAD).split(b",")
     try:
-        running, waiting, slots = (int(part) for part in parts)
+        counts = tuple(int(part) for part in parts)
     except ValueError:
         return None
-    return interfaces.Load(running, waiting, slots)
+    if len(counts) != 3 or not all(
+        0 <= count <= fields.MAX_EXACT_INTEGER for count in counts
+    ):
+        return None
+    return interfaces.Load(*counts)
 
 
 def _backpressure(response: http.OpenResponse) -> pressures.Backpressure:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -417,6 +417,35 @@
         anyio.run(body)
 
 
+class TestLoadHeader:
+    """The load that an upstream reports with an answer."""
+
+    def read(self, value: str) -> interfaces.Load | None:
+        async def ask(
+            client: engines.UpstreamClient, upstream: chain.Upstream
+        ) -> None:
+            await client.report(upstream)
+
+        async def body() -> list[interfaces.Notice]:
+            answer = reply(503, f"X-Server-Load: {value}\r\n")
+            return await notices_of(answer, ask)
+
+        notices: list[interfaces.Notice] = anyio.run(body)
+        return notices[0].load
+
+    @pytest.mark.parametrize(
+        "value",
+        ["", "1", "1,2", "1,2,3,4", "a,1,2", "1,,2", "-1,0,6", "1.5,0,6"]
+        + [f"{'9' * 400},0,6", f"1,{2**53 + 1},6", "1,0,-6"],
+    )
+    def test_unreadable_load_is_ignored(self, value: str) -> None:
+        # Guards against a number that ends the process when it is divided.
+        assert self.read(value) is None
+
+    def test_load_is_read(self) -> None:
+        assert self.read("5,2,6") == interfaces.Load(5, 2, 6)
+
+
 async def notices_of(
     answer: bytes,
     ask: typing.Callable[
