Write ready answers before a planned stop ends the process

Cause: the stop waits until no request is served, which is so once the whole answer is handed to the server; the process then ends with bytes unwritten.

Ruled out: connections that the server closes (it keeps those with bytes left), a grace period that is read too short.

Change: the stop also waits until the server has ended, within the same limit. The server ends once the last answer is written and closes idle connections.

The test failed before: TestStop, the process ended while its caller had read the beginning.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -83,6 +83,7 @@
         self._relay: relays.Relay | None = None
         self._downloads = http.LargeDownloads()
         self._server: http_server.EmbeddedServer | None = None
+        self._server_ended = anyio.Event()
         self._lease: leases.Lease | None = None
         self._stopped = anyio.Event()
         self._is_stopping = False
@@ -151,6 +152,8 @@
         self._server.should_exit = True
         with anyio.move_on_at(began + stop_limit_seconds):
             await self._relay.wait_idle()
+            # The server still writes answers that the relay has finished.
+            await self._server_ended.wait()
         logs.change("stop_ends", left=self._relay.in_progress)
         self._stopped.set()
 
@@ -345,7 +348,18 @@
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
             date_header=False,
         )
-        await tasks.start(_run_server, self._server, self._listener)
+        await tasks.start(self._serve_callers, self._server)
+
+    async def _serve_callers(
+        self,
+        server: http_server.EmbeddedServer,
+        *,
+        task_status: anyio.abc.TaskStatus[int],
+    ) -> None:
+        try:
+            await _run_server(server, self._listener, task_status=task_status)
+        finally:
+            self._server_ended.set()
 
     def _is_link_full(self) -> bool:
         """Whether silence may be due to this entry's link.
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -31,6 +31,7 @@
 from crowdeck.observe import counters
 from crowdeck.platform import names
 from crowdeck.platform import upstreams
+from crowdeck.relay import relay as relays
 from crowdeck.settings import config as configs
 from crowdeck.standin import chain_fleet
 from crowdeck.standin import chain_http
@@ -499,6 +500,19 @@
         anyio.run(body)
 
 
+def config() -> str:
+    """Return settings of an entry that cannot reach the store."""
+    return render_template(
+        TEMPLATE.read_text(),
+        {
+            **SETTINGS,
+            "platform.address": f"{HOST}:1",
+            "listen_addresses.frontend": f"{HOST}:2",
+            "listen_addresses.readiness": f"{HOST}:3",
+        },
+    )
+
+
 class WatchedProcess(fleet_process.FleetProcess):
     """A process whose only task notes the state of the listener at its end.
 
@@ -523,9 +537,87 @@
             self.was_open = self._listener.fileno() != -1
 
 
+class IdleRelay:
+    """A relay that serves nothing, as it has handed on its last answer."""
+
+    in_progress = 0
+
+    def leave(self) -> None:
+        """Begin a planned stop."""
+
+    async def wait_idle(self) -> None:
+        """Return at once."""
+
+
+class AnsweringProcess(fleet_process.FleetProcess):
+    """A process whose server answers every request with a large body."""
+
+    body = b"x" * 32_000_000
+
+    async def _build(
+        self,
+        stack: contextlib.AsyncExitStack,
+        tasks: anyio.abc.TaskGroup,
+        store: object,
+    ) -> None:
+        async def app(
+            scope: typing.Any, receive: typing.Any, send: typing.Any
+        ) -> None:
+            length = str(len(self.body)).encode()
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": [(b"content-length", length)],
+                }
+            )
+            await send({"type": "http.response.body", "body": self.body})
+
+        self._relay = typing.cast(relays.Relay, IdleRelay())
+        self._server = http_server.build(app, HOST, 0)
+        await tasks.start(self._serve_callers, self._server)
+
+
 class TestStop:
     """The end of a process after a planned stop."""
 
+    def test_ready_answer_is_written_before_the_process_ends(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against an answer that is cut off within the grace period,
+        # because its caller takes longer to read it than the stop takes.
+        monkeypatch.setattr(fleet_process, "UNREADY_SECONDS", 0.01)
+
+        async def body() -> None:
+            with socket.socket() as listener:
+                listener.bind((HOST, 0))
+                listener.listen()
+                listener.setblocking(False)
+                port = listener.getsockname()[1]
+                process = AnsweringProcess(configs.parse(config()), listener)
+                has_ended = anyio.Event()
+
+                async def run() -> None:
+                    await process.run()
+                    has_ended.set()
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(run)
+                    stream = await anyio.connect_tcp(HOST, port)
+                    await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                    received = len(await stream.receive())
+                    tasks.start_soon(process.stop)
+                    await anyio.sleep(1.0)
+                    assert not has_ended.is_set()
+                    with contextlib.suppress(anyio.EndOfStream):
+                        while True:
+                            received += len(await stream.receive())
+                    assert received > len(process.body)
+                    await has_ended.wait()
+                    await stream.aclose()
+
+        anyio.run(body)
+
     def test_listener_outlives_the_server_that_uses_it(self) -> None:
         """Guards against planned stops that end with an error.
 
@@ -533,21 +625,12 @@
         closed (ValueError: Invalid file descriptor), and the exit code was
         not 0.
         """
-        text = render_template(
-            TEMPLATE.read_text(),
-            {
-                **SETTINGS,
-                "platform.address": f"{HOST}:1",
-                "listen_addresses.frontend": f"{HOST}:2",
-                "listen_addresses.readiness": f"{HOST}:3",
-            },
-        )
 
         async def body() -> None:
             with socket.socket() as listener:
                 listener.bind((HOST, 0))
                 listener.listen()
-                process = WatchedProcess(configs.parse(text), listener)
+                process = WatchedProcess(configs.parse(config()), listener)
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(process.run)
                     await anyio.wait_all_tasks_blocked()
