Ignore what no holder writes in the memo of the lease

Cause: the number of orders behind the last @ of an item was converted as it stands; the ValueError ends the process's tasks, after the memo was stored again.

Ruled out: a lease that cannot be read (it was).

Change: an item without a name or a whole number is ignored and logged.

--- a/src/crowdeck/placement/controller.py
+++ b/src/crowdeck/placement/controller.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+import re
 import typing
 
 import anyio
@@ -60,6 +61,8 @@
 # tasks run, such as the one that renews the lease. About the time of one call
 # to the store.
 YIELD_SECONDS = 0.005
+# A number of orders in the memo of the lease.
+_COUNT = re.compile(r"[0-9]{1,18}")
 
 
 class OrderClient(typing.Protocol):
@@ -419,7 +422,10 @@
         until = anyio.current_time() + LATE_ORDER_SECONDS
         for memo_item in self._lease.memo:
             name, _, expected_orders = memo_item.rpartition("@")
-            if name and name not in self._in_doubt:
+            if not name or not _COUNT.fullmatch(expected_orders):
+                # Holders write no such items.
+                logs.change("lease_memo_unread", item=memo_item[:80])
+            elif name not in self._in_doubt:
                 self._in_doubt[name] = _InDoubtOrder(
                     int(expected_orders), until
                 )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -659,6 +659,21 @@
 
         run_with_controller(work, count=0)
 
+    @pytest.mark.parametrize(
+        "item", ["", "@", "a", "a@", "@1", "a@b", "a@-1", "a@1.5", "a@\u0661"]
+    )
+    def test_memo_of_another_writer_is_ignored(self, item: str) -> None:
+        # Guards against one write to the lease that ends each of its holders.
+        async def work(
+            system: fleet_system.FleetSystem, lease: FakeLease
+        ) -> None:
+            lease.memo = (item, "e1@0")
+            await anyio.sleep(4.0)
+            target = system.fleet.at(system.listed["e0"].address)
+            assert target.orders_taken
+
+        run_with_controller(work)
+
     def test_neighbours_grow_while_another_order_is_in_doubt(self) -> None:
         async def work(
             system: fleet_system.FleetSystem, lease: FakeLease
