Log the circumstances in which a sent request ends without its answer

The hypotheses on cut answers could not be told apart: no line had the config that a request was admitted under, the one in force and since when, what was left of the retry budget, whether the engine at fault may get new work, and how long it had been silent. An error without a code left no line at all in the relay. New: request_unfinished, request_failed, field silent of attempt_failed, metric relay.failed. No logic is changed.

--- a/src/crowdeck/relay/ingress.py
+++ b/src/crowdeck/relay/ingress.py
@@ -164,6 +164,9 @@
                 await self._server.serve(request, sink)
             except errors.CrowdeckError as error:
                 await self._refuse(sink, request.id, error, request.arrived)
+            except Exception as error:
+                _log_failure(request, sink, error)
+                raise
             tasks.cancel_scope.cancel()
         elapsed = anyio.current_time() - request.arrived
         counters.COUNTERS.time("relay.answered", elapsed)
@@ -243,6 +246,20 @@
         await sink.reply(status, headers, body)
 
 
+def _log_failure(
+    request: requests.CallerRequest, sink: CallerSink, error: Exception
+) -> None:
+    """Log an error that has no code, which the HTTP server answers."""
+    counters.COUNTERS.add("relay.failed")
+    logs.decision(
+        "request_failed",
+        request.id,
+        error=repr(error),
+        has_started=sink.has_started,
+        held=round(anyio.current_time() - request.arrived, 3),
+    )
+
+
 async def _cancel_on_disconnect(
     request: requests.CallerRequest,
     sink: CallerSink,
--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -22,6 +22,7 @@
 from crowdeck import route as routes
 from crowdeck.routing import routes as route_tables
 from crowdeck.state import objects as stores
+from crowdeck import verdict as verdicts
 
 # Share of the maximum config age after which the entry reports that it is not
 # ready. Load balancers take time to react, and should stop sending before
@@ -49,6 +50,7 @@
         self._decode = decode
         self._name = name
         self._table: route_tables.RouteTable | None = None
+        self._changed_at = float("-inf")
         self._has_config = anyio.Event()
 
     @property
@@ -56,6 +58,11 @@
         """The config in force, or ``None`` before the first."""
         return self._table
 
+    @property
+    def seconds_in_force(self) -> float:
+        """Seconds since the config in force was applied, or infinity."""
+        return anyio.current_time() - self._changed_at
+
     @property
     def services(self) -> tuple[routes.Service, ...]:
         """The services of the config in force."""
@@ -89,6 +96,7 @@
         if config.version <= current_version:
             return
         self._table = route_tables.RouteTable(config)
+        self._changed_at = anyio.current_time()
         self._has_config.set()
         counters.COUNTERS.add("config.taken")
         logs.change(
@@ -216,13 +224,42 @@
         service = table.service(name) or routes.Service(
             name, connection_limit=0
         )
-        if service.profile is not None:
-            urgency = table.urgency(admitted, name)
-            await self._streams.serve(
-                request, admitted, service, sink, urgency
-            )
-        else:
-            await self._calls.serve(request, admitted, service, sink)
+        try:
+            if service.profile is not None:
+                urgency = table.urgency(admitted, name)
+                await self._streams.serve(
+                    request, admitted, service, sink, urgency
+                )
+            else:
+                await self._calls.serve(request, admitted, service, sink)
+        except errors.CrowdeckError as error:
+            if error.verdict is not verdicts.Verdict.NOT_RUN:
+                self._log_unfinished(request, admitted, service, sink, error)
+            raise
+
+    def _log_unfinished(
+        self,
+        request: requests.CallerRequest,
+        admitted: route_tables.AdmittedRequest,
+        service: routes.Service,
+        sink: requests.Sink,
+        error: errors.CrowdeckError,
+    ) -> None:
+        """Log the circumstances in which a sent request has no answer."""
+        table = self._holder.table
+        logs.decision(
+            "request_unfinished",
+            request.id,
+            code=str(error.code),
+            has_started=sink.has_started,
+            config=admitted.config_version,
+            config_in_force=table.version if table else None,
+            config_seconds=round(self._holder.seconds_in_force, 3),
+            service=service.name,
+            budget_left=round(self._context.budget(service.name).remaining, 2),
+            engine=error.culprit,
+            is_usable=self._context.registry.is_usable(error.culprit),
+        )
 
     def _refuse_if_overloaded(self) -> None:
         """Refuse new requests while the event loop lags too much.
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -320,6 +320,7 @@
             reason=error.message,
             verdict=str(error.verdict),
             after=self._stream.last_event_id,
+            silent=round(anyio.current_time() - self._stream.progress_at, 3),
             content=str(self._stream.content),
             parts=_logged_parts(self._request),
             has_begun=not self._stream.is_starting,
