Test sound engines that are silent for a second, failing

The stand-in could not play an engine that falls silent and goes on where it stopped: an unresponsive one hung its streams for good. Upstreams of ChainFleet now have silent_until, for connections, reads, events, calls, reports and orders; bytes are kept.

--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -41,6 +41,8 @@
 # tasks on the caller's event loop.
 DIAL_STEPS = 4
 DIAL_STEP_SECONDS = 0.0003
+# Reports and orders fail without an answer in this time.
+ANSWER_TIMEOUT_SECONDS = 0.5
 # Time from the start of a crashing request to the crash.
 CRASH_DELAY_SECONDS = 0.1
 
@@ -53,6 +55,8 @@
     :ivar is_unresponsive: neither answers nor refuses.
     :ivar is_suspended: accepts connections but reads requests only after it
         is resumed, including those that the caller has given up.
+    :ivar silent_until: event loop time until which it accepts connections
+        and neither reads nor writes; then it goes on where it stopped.
     :ivar rejected_requests: number of next requests to refuse without running
         them.
     :ivar lost_answers: number of next answers to lose after the request ran.
@@ -80,6 +84,7 @@
     is_dead: bool = False
     is_unresponsive: bool = False
     is_suspended: bool = False
+    silent_until: float = float("-inf")
     rejected_requests: int = 0
     lost_answers: int = 0
     break_stream_after: int = -1
@@ -106,8 +111,18 @@
 
     @property
     def answers(self) -> bool:
-        """Whether it answers requests; neither dead nor unresponsive."""
-        return not self.is_dead and not self.is_unresponsive
+        """Whether it answers requests now."""
+        return not (self.is_dead or self.is_unresponsive or self.is_silent)
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it is silent, and will go on."""
+        return anyio.current_time() < self.silent_until
+
+    async def wait_while_silent(self) -> None:
+        """Wait until it reads and writes again."""
+        while self.is_silent:
+            await anyio.sleep_until(self.silent_until)
 
     @property
     def backpressure(self) -> pressures.Backpressure:
@@ -261,6 +276,7 @@
     async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
         """Return an engine's report."""
         target = await self._dial(upstream, 0.25)
+        await _await_answer(target)
         stalls = [
             chain.Stall(request, str(hop.upstream.address))
             for request, path in self._paths.items()
@@ -292,7 +308,8 @@
         self, head: chain.Upstream, request_id: str, path: chain.ChainPath
     ) -> interfaces.RepathOutcome:
         """Move a running request to another path."""
-        await self._dial(head, 0.25)
+        target = await self._dial(head, 0.25)
+        await _await_answer(target)
         if request_id not in self._paths:
             return interfaces.RepathOutcome(is_done=False, is_known=False)
         if self.at(head.address).refuses_repaths:
@@ -323,6 +340,7 @@
         Returns whether the order was accepted.
         """
         target = await self._dial(move.upstream, 0.25)
+        await _await_answer(target)
         if target.orders_taken != expected_orders or target.is_loading:
             return False
         self.carry_out(target, move)
@@ -371,6 +389,7 @@
                 await anyio.sleep(POLL_SECONDS)
             return
         self._record_arrival(target, request.id)
+        await target.wait_while_silent()
 
     def resume(self, target: StandinUpstream) -> None:
         """Resume a suspended instance; it reads all pending requests."""
@@ -449,6 +468,7 @@
         self, target: StandinUpstream, request: requests.CallerRequest
     ) -> None:
         await anyio.sleep(target.call_seconds)
+        await target.wait_while_silent()
         await self._crash_if_requested(target, request)
         if target.is_unresponsive:
             await anyio.sleep_forever()
@@ -503,6 +523,7 @@
     ) -> None:
         waited = 0.0
         while True:
+            await target.wait_while_silent()
             if target.is_unresponsive:
                 await anyio.sleep_forever()
             if target.is_dead or waited > STALL_SECONDS:
@@ -663,6 +684,17 @@
     return pipeline.LayerRange(first, end) if first < end else None
 
 
+async def _await_answer(target: StandinUpstream) -> None:
+    """Wait for an upstream that may be silent, as a client with a timeout.
+
+    :raises CrowdeckError: ``UPSTREAM_LOST`` if it stays silent.
+    """
+    with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
+        await target.wait_while_silent()
+        return
+    raise _upstream_lost(verdicts.Verdict.MAY_HAVE_RUN)
+
+
 async def _single_piece(piece: bytes) -> typing.AsyncIterator[bytes]:
     yield piece
 
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,201 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Streams of sound engines that fall silent for a second and go on."""
+
+import typing
+
+import anyio
+import attrs
+import pytest
+
+from crowdeck.relay import request as requests
+from crowdeck import route as routes
+from crowdeck.standin import chain_fleet
+from tests import fleet_system
+from tests import virtual
+
+STREAM = routes.RepeatPolicy.STREAM
+SILENT_SECONDS = (1.2, 1.9)
+STREAMS = 24
+EVENTS = 60
+# The streams have begun everywhere, and none has ended.
+UNDER_WAY_SECONDS = 0.5
+
+System = fleet_system.FleetSystem
+Engines = list[chain_fleet.StandinUpstream]
+
+
+@attrs.frozen
+class Served:
+    """A request and what its caller got."""
+
+    request: requests.CallerRequest
+    caller: fleet_system.Caller
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the caller got the complete answer."""
+        return self.caller.is_complete and (
+            self.caller.body
+            == fleet_system.whole_answer(self.request.id, EVENTS)
+        )
+
+
+def head_in_use(system: System) -> Engines:
+    """Return one first engine that runs streams."""
+    return [engine for engine in heads(system) if engine.running][:1]
+
+
+def heads(system: System) -> Engines:
+    """Return all first engines."""
+    return [
+        engine
+        for engine in system.fleet.upstreams
+        if engine.listed.layers is not None and engine.listed.layers.first == 0
+    ]
+
+
+def own_zone(system: System) -> Engines:
+    """Return all engines of the entry's zone."""
+    return [
+        engine
+        for engine in system.fleet.upstreams
+        if engine.listed.availability_zone == fleet_system.ZONES[0]
+    ]
+
+
+def everything(system: System) -> Engines:
+    """Return all engines."""
+    return system.fleet.upstreams
+
+
+Selection = typing.Callable[[System], Engines]
+SELECTIONS = (head_in_use, heads, own_zone, everything)
+
+
+def spend_budget(system: System, silent: Engines) -> None:
+    """Leave nothing of the retry budget."""
+    budget = system.context.budget(fleet_system.MODEL)
+    while fleet_system.spend_retry(budget):
+        pass
+
+
+def fill_others(system: System, silent: Engines) -> None:
+    """Let the other first engines take nothing for the time of the play."""
+    for engine in heads(system):
+        if engine not in silent:
+            system.registry.back_off(engine.listed.name, 10.0)
+
+
+def refuse_elsewhere(system: System, silent: Engines) -> None:
+    """Let the other first engines refuse each request."""
+    for engine in heads(system):
+        if engine not in silent:
+            engine.rejected_requests = 10_000
+
+
+def hang_elsewhere(system: System, silent: Engines) -> None:
+    """Let the other first engines accept each stream and not answer it."""
+    for engine in heads(system):
+        if engine not in silent:
+            engine.hanging_streams = 10_000
+
+
+def nothing_else(system: System, silent: Engines) -> None:
+    """Leave everything else sound."""
+
+
+Circumstance = typing.Callable[[System, Engines], None]
+CIRCUMSTANCES = (
+    nothing_else,
+    spend_budget,
+    fill_others,
+    refuse_elsewhere,
+    hang_elsewhere,
+)
+
+
+def play(
+    select: Selection,
+    circumstance: Circumstance,
+    silent_seconds: float,
+    silent_after: float = UNDER_WAY_SECONDS,
+    *,
+    is_resumable: bool = True,
+) -> list[Served]:
+    """Serve streams while engines are silent for a second."""
+    served: list[Served] = []
+
+    async def ask(system: System) -> None:
+        request = system.request(STREAM)
+        served.append(Served(request, await system.ask(request)))
+
+    async def work(system: System) -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(STREAMS):
+                tasks.start_soon(ask, system)
+                await anyio.sleep(0.0)
+            await anyio.sleep(silent_after)
+            silent = select(system)
+            circumstance(system, silent)
+            for engine in silent:
+                engine.silent_until = anyio.current_time() + silent_seconds
+
+    async def body() -> None:
+        system = System()
+        system.fleet.events = EVENTS
+        route = fleet_system.make_route(STREAM, is_resumable=is_resumable)
+        system.install(fleet_system.make_config(1, (route,)))
+        system.add_model()
+        await fleet_system.run_with(system, work)
+
+    virtual.run(body)
+    assert len(served) == STREAMS
+    return served
+
+
+class TestAnswerThatHasBegun:
+    """Answers under way while their engines are silent for a second."""
+
+    @pytest.mark.parametrize("is_resumable", [True, False])
+    @pytest.mark.parametrize("silent_seconds", SILENT_SECONDS)
+    @pytest.mark.parametrize("circumstance", CIRCUMSTANCES)
+    @pytest.mark.parametrize("select", SELECTIONS)
+    def test_is_not_cut(
+        self,
+        select: Selection,
+        circumstance: Circumstance,
+        silent_seconds: float,
+        is_resumable: bool,
+    ) -> None:
+        served = play(
+            select, circumstance, silent_seconds, is_resumable=is_resumable
+        )
+        assert [item for item in served if not item.is_whole] == []
+
+
+class TestAnswerThatHasNotBegun:
+    """Requests whose engines fall silent before the first event."""
+
+    @pytest.mark.parametrize("is_resumable", [True, False])
+    @pytest.mark.parametrize("silent_seconds", SILENT_SECONDS)
+    @pytest.mark.parametrize("circumstance", CIRCUMSTANCES)
+    @pytest.mark.parametrize("select", SELECTIONS)
+    def test_is_served(
+        self,
+        select: Selection,
+        circumstance: Circumstance,
+        silent_seconds: float,
+        is_resumable: bool,
+    ) -> None:
+        served = play(
+            select,
+            circumstance,
+            silent_seconds,
+            0.01,
+            is_resumable=is_resumable,
+        )
+        assert [item for item in served if not item.is_whole] == []
