Keep a silent engine's attempt open until another one delivers

Callers saw an answer that had begun end without its rest while its engine was sound and merely silent for a second: 502 or a cut channel, in the second after bursts, losses or whatever had spent the retry budget or filled the fleet.

Cause: a silent first engine was taken for lost and its attempt was cancelled; only then were the budget, the attempts left and the capacity looked at, and the other engine's answer awaited. Any no lost an answer that would have gone on.

Ruled out by the cases that pass before: routes that are not resumable (never abandoned), all engines silent at once (no control answers, so none is taken for lost), a free fleet with budget (another engine takes over).

Change: relay/open_attempts. An abandoned attempt is set aside and stays open; the next event in order claims the stream and ends the others before it is passed on. Without another attempt the entry waits for those that are open. The state of an attempt moves from LiveStream into AttemptState; the stand-in keeps the path of a request for each first engine.

--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -17,6 +17,7 @@
 from crowdeck.relay import events
 from crowdeck.relay import interfaces
 from crowdeck.relay import live
+from crowdeck.relay import open_attempts
 from crowdeck.relay import request as requests
 from crowdeck.routing import routes as route_tables
 from crowdeck import verdict as verdicts
@@ -63,6 +64,7 @@
 class Attempt:
     """Sends a request along one path and forwards the events.
 
+    :param open_attempt: this attempt among those at the same stream.
     :param deadline: loop time by which the answer must be complete.
     """
 
@@ -74,6 +76,7 @@
         admitted: route_tables.AdmittedRequest,
         sink: requests.Sink,
         path: chain.ChainPath,
+        open_attempt: open_attempts.OpenAttempt,
         deadline: float,
     ) -> None:
         self._context = context
@@ -84,6 +87,7 @@
         self._request = stream.request
         self._sink = sink
         self._path = path
+        self._open_attempt = open_attempt
         self._deadline = deadline
 
     @property
@@ -126,7 +130,8 @@
         )
 
     async def _forward(self, answer: interfaces.Answer) -> None:
-        self._stream.send_tracker.note_arrived()
+        if self._open_attempt.is_latest_send:
+            self._stream.send_tracker.note_arrived()
         if answer.load is not None:
             self._context.usage.note_load(self._path.head, answer.load.running)
         if answer.has_not_run:
@@ -146,8 +151,10 @@
             raise self._wrong_answer_error("it ends in the middle of an event")
         if not self._sink.has_started:
             raise self._wrong_answer_error("it has no events")
+        await self._open_attempt.claim()
         self._context.registry.note_healthy(self._path.head.name)
-        await self._sink.finish()
+        with self._open_attempt.writing():
+            await self._sink.finish()
 
     async def _forward_event(
         self,
@@ -155,12 +162,10 @@
         event: events.Event,
     ) -> None:
         stream = self._stream
-        self._context.heads.note_first_event(self._path.head.name, stream)
-        stream.note_event()
-        if stream.becomes_established():
-            self._context.quarantine.note_served(stream.attempt_record)
         if event.id is not None:
             if event.id <= stream.last_event_id:
+                if self._open_attempt.is_current:
+                    self._note_progress()
                 return
             if (
                 stream.last_event_id >= 0
@@ -169,13 +174,27 @@
                 raise self._wrong_answer_error(
                     f"event {event.id} follows event {stream.last_event_id}"
                 )
-        if not self._sink.has_started:
-            await self._sink.start(answer.status, answer.caller_headers)
-        await self._sink.write(event.content)
+        elif stream.last_event_id >= 0 and self._open_attempt.is_one_of_many:
+            # Only an event with an id shows that it can go on.
+            return
+        await self._open_attempt.claim()
+        self._note_progress()
+        with self._open_attempt.writing():
+            if not self._sink.has_started:
+                await self._sink.start(answer.status, answer.caller_headers)
+            await self._sink.write(event.content)
         stream.has_events = True
         if event.id is not None:
             stream.last_event_id = event.id
 
+    def _note_progress(self) -> None:
+        """Note an event of the current attempt."""
+        stream, state = self._stream, self._open_attempt.state
+        self._context.heads.note_first_event(self._path.head.name, state)
+        stream.note_event()
+        if state.becomes_established():
+            self._context.quarantine.note_served(stream.record_of(state))
+
     def _handle_refusal(
         self, answer: interfaces.Answer
     ) -> errors.CrowdeckError:
@@ -227,7 +246,9 @@
             raise self._wrong_answer_error(
                 f"status {answer.status} on a resumable route"
             )
-        await self._sink.reply(answer.status, answer.caller_headers, body)
+        await self._open_attempt.claim()
+        with self._open_attempt.writing():
+            await self._sink.reply(answer.status, answer.caller_headers, body)
 
     def _wrong_answer_error(self, reason: str) -> errors.CrowdeckError:
         head = self._path.head.name
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -22,6 +22,54 @@
 EWMA_WEIGHT = 0.1
 
 
+@attrs.define(eq=False)
+class AttemptState:
+    """State of one attempt at a stream.
+
+    :ivar path: the path in use.
+    :ivar progress_at: when its last event arrived or it began.
+    :ivar first_event_at: when its first event arrived.
+    :ivar is_established: whether it is known not to crash its engine.
+    :ivar is_writing: whether it waits for its caller to take an event.
+    """
+
+    path: chain.ChainPath
+    progress_at: float
+    first_event_at: float | None = None
+    is_established: bool = False
+    is_writing: bool = False
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether it has had no event yet."""
+        return self.first_event_at is None
+
+    @property
+    def seconds_since_first_event(self) -> float | None:
+        """Seconds since its first event, ``None`` before that."""
+        if self.first_event_at is None:
+            return None
+        return anyio.current_time() - self.first_event_at
+
+    def becomes_established(self) -> bool:
+        """Whether an event shows that the request does not crash its engine.
+
+        True once for each attempt.
+        """
+        seconds = self.seconds_since_first_event
+        if (
+            self.is_established
+            or seconds is None
+            or seconds < trackers.MAX_SUSPECT_EVENT_AGE_SECONDS
+        ):
+            return False
+        self.is_established = True
+        return True
+
+
+GiveUpListener = typing.Callable[[], None]
+
+
 @attrs.define(eq=False)
 class LiveStream:
     """One stream in progress.
@@ -39,7 +87,6 @@
     :ivar has_events: whether an event was forwarded in any attempt.
     :ivar may_have_run: whether an engine may have run it in an earlier
         attempt, here or before its caller resumed it.
-    :ivar progress_at: when its last event arrived or its attempt began.
     :ivar next_check_at: earliest time of its next check for a stall.
     :ivar check_count: number of checks since its last event.
     :ivar needs_check: whether to check it now though it is not silent.
@@ -48,7 +95,6 @@
     :ivar pause_count: number of pauses in that average.
     :ivar longest_pause: longest such pause, in seconds.
     :ivar first_event_at: when its first event arrived.
-    :ivar is_starting: whether the current attempt has had no event yet.
     :ivar abandon_reason: why the current attempt was abandoned, or empty.
     :ivar team: the team that sent the request.
     :ivar urgency: its urgency beside other streams of the service.
@@ -66,7 +112,6 @@
     last_event_id: int = -1
     has_events: bool = False
     may_have_run: bool = False
-    progress_at: float = 0.0
     next_check_at: float = 0.0
     check_count: int = 0
     needs_check: bool = False
@@ -74,15 +119,13 @@
     pause_count: int = 0
     longest_pause: float = 0.0
     first_event_at: float | None = None
-    is_starting: bool = True
     abandon_reason: str = ""
     team: str = ""
     urgency: routes.Urgency = routes.Urgency()
-    _attempt_first_event_at: float | None = None
     _content: fingerprint.RequestContent | None = None
-    _is_established: bool = False
-    _path: chain.ChainPath | None = None
-    _scope: anyio.CancelScope | None = None
+    _current: AttemptState | None = None
+    _on_abandoned: GiveUpListener = lambda: None
+    _on_stopped: GiveUpListener = lambda: None
 
     @property
     def may_resume(self) -> bool:
@@ -112,95 +155,103 @@
         return self._content
 
     @property
-    def attempt_record(self) -> trackers.AttemptRecord:
-        """The request, and the time since its attempt's first event."""
-        return trackers.AttemptRecord(
-            self.content, self._seconds_since_first_event
-        )
+    def current_attempt(self) -> AttemptState | None:
+        """The attempt that is monitored, if any."""
+        return self._current
 
     @property
-    def _seconds_since_first_event(self) -> float | None:
-        if self._attempt_first_event_at is None:
-            return None
-        return anyio.current_time() - self._attempt_first_event_at
+    def path(self) -> chain.ChainPath | None:
+        """The path in use, or ``None`` while there is no current attempt."""
+        return self._current.path if self._current else None
 
     @property
-    def path(self) -> chain.ChainPath | None:
-        """The path in use, or ``None`` between attempts."""
-        return self._path
+    def is_starting(self) -> bool:
+        """Whether the current attempt has had no event yet."""
+        return self._current is None or self._current.is_starting
 
-    def note_waiting(self, scope: anyio.CancelScope) -> None:
-        """Note that it waits for a path; :meth:`abandon` cancels ``scope``."""
-        self._scope = scope
+    @property
+    def progress_at(self) -> float:
+        """When its last event arrived or its attempt began."""
+        return self._current.progress_at if self._current else 0.0
+
+    def record_of(self, state: AttemptState) -> trackers.AttemptRecord:
+        """Return the request, and the time since an attempt's first event."""
+        return trackers.AttemptRecord(
+            self.content, state.seconds_since_first_event
+        )
 
-    def begin_attempt(
-        self, path: chain.ChainPath, scope: anyio.CancelScope
+    def subscribe(
+        self, on_abandoned: GiveUpListener, on_stopped: GiveUpListener
     ) -> None:
-        """Begin an attempt; :meth:`abandon` cancels ``scope``."""
-        self._scope = scope
-        self.abandon_reason = ""
-        self.progress_at = anyio.current_time()
+        """Set what is called when it is abandoned, and when it is stopped."""
+        self._on_abandoned = on_abandoned
+        self._on_stopped = on_stopped
+
+    def begin_attempt(self, path: chain.ChainPath) -> AttemptState:
+        """Begin an attempt, which becomes the current one."""
+        state = AttemptState(path, anyio.current_time())
+        self.make_current(state)
         self.next_check_at = 0.0
-        self.is_starting = True
-        self._attempt_first_event_at = None
-        self._is_established = False
-        self.switch_path(path)
+        return state
+
+    def make_current(self, state: AttemptState | None) -> None:
+        """Let an attempt be the one that is monitored, or none.
+
+        Its load alone counts: while engines are full, another attempt needs
+        the capacity that one through a lost engine no longer uses.
+        """
+        if self._current is not None:
+            self._usage.remove_request(self._current.path, self.tokens)
+        if state is not None:
+            self._usage.add_request(state.path, self.tokens)
+        self._current = state
+        self.abandon_reason = ""
 
     def switch_path(self, path: chain.ChainPath) -> None:
-        """Continue on another path."""
-        self._release_path()
-        self._path = path
+        """Continue the current attempt on another path."""
+        assert self._current is not None, "no attempt has a path to replace"
+        self._usage.remove_request(self._current.path, self.tokens)
+        self._current.path = path
         self._usage.add_request(path, self.tokens)
 
-    def end_attempt(self) -> None:
-        """End the attempt, and stop counting its load on the path."""
-        self._scope = None
-        self._release_path()
+    def end_attempt(self, state: AttemptState) -> None:
+        """End an attempt; no other becomes the current one."""
+        if self._current is state:
+            self.make_current(None)
 
     def abandon(self, reason: str) -> None:
-        """Cancel the current attempt or wait for a path.
+        """Have another attempt made beside the current one.
 
-        Does nothing if the stream was already abandoned.
+        The current one ends once another delivers an event. Does nothing if
+        it was already abandoned, or waits for its caller and not its engine.
         """
-        if self._scope is not None and not self.abandon_reason:
-            self.abandon_reason = reason
-            self._scope.cancel()
+        current = self._current
+        if current is None or current.is_writing or self.abandon_reason:
+            return
+        self.abandon_reason = reason
+        self._on_abandoned()
+
+    def stop(self, reason: str) -> None:
+        """End all attempts without an event, and the wait for a path."""
+        self.abandon_reason = self.abandon_reason or reason
+        self._on_stopped()
 
     def note_event(self) -> None:
-        """Note that an event arrived."""
+        """Note that an event of the current attempt arrived."""
+        current = self._current
+        assert current is not None, "an event belongs to an attempt"
         now = anyio.current_time()
         if self.first_event_at is None:
             self.first_event_at = now
         else:
-            pause = now - self.progress_at
+            pause = now - current.progress_at
             self.mean_pause_seconds += EWMA_WEIGHT * (
                 pause - self.mean_pause_seconds
             )
             self.pause_count += 1
             self.longest_pause = max(self.longest_pause, pause)
-        if self.is_starting:
-            self._attempt_first_event_at = now
-        self.is_starting = False
-        self.progress_at = now
+        if current.first_event_at is None:
+            current.first_event_at = now
+        current.progress_at = now
         self.next_check_at = 0.0
         self.check_count = 0
-
-    def becomes_established(self) -> bool:
-        """Whether an event shows that the request does not crash its engine.
-
-        True once for each attempt.
-        """
-        seconds = self._seconds_since_first_event
-        if (
-            self._is_established
-            or seconds is None
-            or seconds < trackers.MAX_SUSPECT_EVENT_AGE_SECONDS
-        ):
-            return False
-        self._is_established = True
-        return True
-
-    def _release_path(self) -> None:
-        if self._path is not None:
-            self._usage.remove_request(self._path, self.tokens)
-            self._path = None
--- /dev/null
+++ b/src/crowdeck/relay/open_attempts.py
@@ -0,0 +1,240 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Attempts at one stream that are open at the same time."""
+
+import contextlib
+import typing
+
+import anyio
+import anyio.lowlevel
+import attrs
+
+from crowdeck import chain
+from crowdeck import errors
+from crowdeck.relay import live
+
+ResumeListener = typing.Callable[["OpenAttempt"], None]
+
+
+@attrs.define(eq=False)
+class OpenAttempt:
+    """One attempt at a stream, and how it ended.
+
+    :ivar head: its first engine, which stays the same.
+    :ivar scope: cancelled once another attempt delivers.
+    :ivar error: why it ended without a complete answer.
+    :ivar is_set_aside: whether another attempt was to be made beside it.
+    """
+
+    _attempts: "OpenAttempts"
+    state: live.AttemptState
+    head: chain.Upstream
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    error: errors.CrowdeckError | None = None
+    is_complete: bool = False
+    has_ended: bool = False
+    is_set_aside: bool = False
+
+    @property
+    def is_current(self) -> bool:
+        """Whether it is the attempt that is monitored."""
+        return self._attempts.is_current(self)
+
+    @property
+    def is_latest_send(self) -> bool:
+        """Whether no other attempt has been made since."""
+        return not self.is_set_aside and self.is_current
+
+    @property
+    def is_one_of_many(self) -> bool:
+        """Whether other attempts are open, or one more is sought."""
+        return not self._attempts.is_sole(self)
+
+    async def claim(self) -> None:
+        """Wait for the right to deliver, and end the other attempts.
+
+        Never returns if another attempt delivers already.
+        """
+        if not self._attempts.claim(self):
+            await anyio.lowlevel.checkpoint_if_cancelled()
+            raise AssertionError("an attempt that may not deliver goes on")
+
+    @contextlib.contextmanager
+    def writing(self) -> typing.Iterator[None]:
+        """Mark the time in which it waits for its caller."""
+        self.state.is_writing = True
+        try:
+            yield
+        finally:
+            self.state.is_writing = False
+
+
+class OpenAttempts:
+    """The open attempts at one stream, of which one delivers its events.
+
+    A silent engine may go on, and the engine of another attempt may refuse
+    it, break or be silent too. An attempt that is set aside therefore stays
+    open until another one delivers, and ends none before.
+
+    :param on_resumed: called with an attempt that delivers after it was set
+        aside.
+    """
+
+    def __init__(
+        self, stream: live.LiveStream, on_resumed: ResumeListener
+    ) -> None:
+        self._stream = stream
+        self._on_resumed = on_resumed
+        self._open: list[OpenAttempt] = []
+        self._current: OpenAttempt | None = None
+        self._search: anyio.CancelScope | None = None
+        self._path_wait: anyio.CancelScope | None = None
+        self._changed = anyio.Event()
+        stream.subscribe(self._changed_now, self._stop)
+
+    @property
+    def count(self) -> int:
+        """Number of open attempts."""
+        return len(self._open)
+
+    @property
+    def started_heads(self) -> frozenset[str]:
+        """Names of the first engines that have sent events and may go on."""
+        return frozenset(
+            attempt.head.name
+            for attempt in self._open
+            if not attempt.state.is_starting
+        )
+
+    def is_current(self, attempt: OpenAttempt) -> bool:
+        """Whether an attempt is monitored; none is once it is set aside."""
+        return self._stream.current_attempt is attempt.state
+
+    def is_sole(self, attempt: OpenAttempt) -> bool:
+        """Whether an attempt is the only one, and no other is sought."""
+        return (
+            self.is_current(attempt)
+            and len(self._open) == 1
+            and self._search is None
+        )
+
+    def begin(self, path: chain.ChainPath) -> OpenAttempt:
+        """Add an attempt, which becomes the current one.
+
+        Ends one without an event at the same first engine.
+        """
+        assert path.head.name not in self.started_heads, (
+            "a first engine serves one attempt at a stream"
+        )
+        for attempt in tuple(self._open):
+            if attempt.head.name == path.head.name:
+                attempt.scope.cancel()
+                self._open.remove(attempt)
+        state = self._stream.begin_attempt(path)
+        attempt = OpenAttempt(self, state, path.head)
+        self._open.append(attempt)
+        self._current = attempt
+        return attempt
+
+    def end(self, attempt: OpenAttempt) -> None:
+        """Note that an attempt has ended."""
+        attempt.has_ended = True
+        if attempt in self._open:
+            self._open.remove(attempt)
+        self._stream.end_attempt(attempt.state)
+        self._changed_now()
+
+    async def wait(self) -> OpenAttempt:
+        """Wait until the current attempt ends or is abandoned; return it."""
+        while True:
+            current = self._current
+            assert current is not None, "no attempt was made"
+            if current.has_ended or self._stream.abandon_reason:
+                return current
+            self._changed = anyio.Event()
+            await self._changed.wait()
+
+    def set_aside(self, attempt: OpenAttempt) -> None:
+        """Leave an abandoned attempt open while another one is made."""
+        attempt.is_set_aside = True
+        self._stream.send_tracker.note_abandoned()
+        self._stream.make_current(None)
+
+    def claim(self, attempt: OpenAttempt) -> bool:
+        """Let an attempt deliver, unless another one delivers already.
+
+        Ends the other attempts and the search for one more.
+        """
+        if attempt not in self._open:
+            return False
+        if self.is_sole(attempt):
+            return True
+        if self._current is not attempt:
+            # Another attempt was sent since, and may still arrive.
+            self._stream.send_tracker.note_abandoned()
+        for other in self._open:
+            if other is not attempt:
+                other.scope.cancel()
+        self._open = [attempt]
+        if self._search is not None:
+            self._search.cancel()
+        was_set_aside = attempt.is_set_aside
+        self._resume(attempt)
+        if was_set_aside:
+            self._on_resumed(attempt)
+        return True
+
+    def fall_back(self) -> bool:
+        """Wait for an attempt that was set aside, the last one first.
+
+        :returns: whether any is open.
+        """
+        if not self._open:
+            return False
+        self._resume(self._open[-1])
+        return True
+
+    def end_unstarted(self) -> None:
+        """End the attempts that have had no event."""
+        for attempt in self._open:
+            if attempt.state.is_starting:
+                attempt.scope.cancel()
+        self._open = [
+            attempt for attempt in self._open if not attempt.state.is_starting
+        ]
+
+    @contextlib.contextmanager
+    def searching(self) -> typing.Iterator[None]:
+        """Cancel the body once an attempt that was set aside delivers."""
+        with anyio.CancelScope() as self._search:
+            try:
+                yield
+            finally:
+                self._search = None
+
+    @contextlib.contextmanager
+    def waiting_for_path(self) -> typing.Iterator[None]:
+        """Cancel the body once the stream is stopped."""
+        with anyio.CancelScope() as self._path_wait:
+            try:
+                yield
+            finally:
+                self._path_wait = None
+
+    def _resume(self, attempt: OpenAttempt) -> None:
+        self._current = attempt
+        self._stream.make_current(attempt.state)
+        self._changed_now()
+
+    def _stop(self) -> None:
+        if self._path_wait is not None:
+            self._path_wait.cancel()
+        for attempt in self._open:
+            if attempt.state.is_starting:
+                attempt.scope.cancel()
+
+    def _changed_now(self) -> None:
+        self._changed.set()
--- a/src/crowdeck/relay/ranked_silence.py
+++ b/src/crowdeck/relay/ranked_silence.py
@@ -96,7 +96,7 @@
         A first engine's report may be too old to tell of its queue.
         """
         return stream.is_starting and not self._heads.has_passed_over(
-            path.head.name, stream
+            path.head.name, stream.current_attempt
         )
 
     def claim_check(self, stream: live.LiveStream, now: float) -> int | None:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -205,9 +205,7 @@
             if stream.is_starting and quarantine.is_quarantined(
                 stream.content
             ):
-                stream.abandon(
-                    "the request is quarantined: it crashes engines"
-                )
+                stream.stop("the request is quarantined: it crashes engines")
 
     def check_now(self, upstream: chain.Upstream) -> None:
         """Check all streams that pass an engine as soon as possible.
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -6,6 +6,8 @@
 """Relays streams of model engines, and resumes them after failures."""
 
 import anyio
+import anyio.abc
+import anyio.lowlevel
 
 from crowdeck import chain
 from crowdeck import errors
@@ -14,6 +16,7 @@
 from crowdeck.relay import attempt as attempts
 from crowdeck.relay import context as contexts
 from crowdeck.relay import live
+from crowdeck.relay import open_attempts
 from crowdeck.relay import paths
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
@@ -32,6 +35,9 @@
 ANSWER_MARGIN_SECONDS = 0.05
 # No attempt is made with less time left than this.
 MIN_ATTEMPT_SECONDS = 0.1
+# A silent stream for which no other attempt can be made is checked again after
+# this time.
+KEPT_CHECK_SECONDS = 0.2
 # Callers choose the ids of parts, so their number and length are not bounded.
 MAX_LOGGED_PARTS_LENGTH = 200
 
@@ -97,7 +103,6 @@
             if urgency.is_ranked:
                 self._context.ranked_parts().note_ended(stream)
             send_tracker.close()
-            stream.end_attempt()
             self._monitor.drop(stream)
 
     def _create_run(
@@ -142,24 +147,122 @@
             if stream.urgency.is_ranked
             else None
         )
+        self._attempts = open_attempts.OpenAttempts(stream, self._note_resumed)
         self._path_search = paths.PathSearch(
-            context, stream, self._deadline - MIN_ATTEMPT_SECONDS
+            context,
+            stream,
+            self._deadline - MIN_ATTEMPT_SECONDS,
+            lambda: self._attempts.started_heads,
         )
 
     async def run(self) -> None:
-        while True:
-            await self._refuse_if_quarantined()
-            path = await self._await_path()
-            error = await self._attempt(path)
-            if error is None:
-                return
-            await self._record_failure(path, error)
-            await self._refuse_if_quarantined()
-            if not await self._prepare_retry(path, error):
-                raise self._final_error(error)
-            if self._context.lag_meter.is_overloaded:
-                # Another attempt at once would add to the lag.
-                await anyio.sleep(self._context.lag_meter.recent_lag())
+        """Make attempts until one completes the answer.
+
+        :raises CrowdeckError: when none is left.
+        """
+        failure: errors.CrowdeckError | None = None
+        async with anyio.create_task_group() as tasks:
+            try:
+                await self._refuse_if_quarantined()
+                self._begin(tasks, await self._await_path())
+                while True:
+                    attempt = await self._attempts.wait()
+                    if attempt.is_complete:
+                        break
+                    await self._replace(tasks, attempt)
+            except errors.CrowdeckError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _replace(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        attempt: open_attempts.OpenAttempt,
+    ) -> None:
+        """Make another attempt beside one that was abandoned or has ended.
+
+        Ends early if an open attempt delivers. If no other can be made, waits
+        for those that are open.
+
+        :raises CrowdeckError: if none can be made and none is open.
+        """
+        error = attempt.error or self._abandoned_error(attempt)
+        with self._attempts.searching():
+            try:
+                await self._make_another(tasks, attempt, error)
+            except errors.CrowdeckError as failure:
+                if failure.code is errors.Code.QUARANTINED:
+                    self._attempts.end_unstarted()
+                if not self._attempts.fall_back():
+                    raise self._final_error(failure) from None
+                self._note_kept(failure)
+
+    async def _make_another(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        attempt: open_attempts.OpenAttempt,
+        error: errors.CrowdeckError,
+    ) -> None:
+        """Make another attempt once there is a path and a retry for it.
+
+        :raises CrowdeckError: if none can be made.
+        """
+        was_set_aside = attempt.is_set_aside
+        if not attempt.has_ended:
+            self._attempts.set_aside(attempt)
+        if attempt.has_ended or not was_set_aside:
+            await self._record_failure(attempt, error)
+        await self._refuse_if_quarantined()
+        if not await self._prepare_retry(attempt.head, error):
+            raise error
+        if self._context.lag_meter.is_overloaded:
+            # Another attempt at once would add to the lag.
+            await anyio.sleep(self._context.lag_meter.recent_lag())
+        await self._refuse_if_quarantined()
+        path = await self._await_path()
+        # An open attempt may have delivered as the path was found.
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        self._begin(tasks, path)
+
+    def _abandoned_error(
+        self, attempt: open_attempts.OpenAttempt
+    ) -> errors.CrowdeckError:
+        return errors.CrowdeckError(
+            errors.Code.STALLED,
+            self._stream.abandon_reason or "abandoned",
+            verdict=_MAY_HAVE_RUN,
+            culprit=attempt.head.name,
+        )
+
+    def _note_kept(self, failure: errors.CrowdeckError) -> None:
+        """Note that no other attempt can be made while one is open."""
+        stream = self._stream
+        stream.next_check_at = anyio.current_time() + KEPT_CHECK_SECONDS
+        counters.COUNTERS.add("relay.kept")
+        logs.decision(
+            "attempt_kept",
+            self._request.id,
+            head=stream.path.head.name if stream.path else "",
+            code=str(failure.code),
+            reason=failure.message,
+            silent=round(anyio.current_time() - stream.progress_at, 3),
+            open=self._attempts.count,
+        )
+
+    def _note_resumed(self, attempt: open_attempts.OpenAttempt) -> None:
+        """Note that a silent engine goes on with its stream."""
+        counters.COUNTERS.add("relay.resumed")
+        silent_seconds = anyio.current_time() - attempt.state.progress_at
+        logs.decision(
+            "attempt_resumed",
+            self._request.id,
+            head=attempt.head.name,
+            silent=round(silent_seconds, 3),
+            after=self._stream.last_event_id,
+        )
+        self._context.registry.note_healthy(attempt.head.name)
 
     async def _await_path(self) -> chain.ChainPath:
         """Return a path, waiting briefly if there is none yet."""
@@ -171,8 +274,7 @@
         ):
             beginning.refuse_if_too_late(self._path_search.record_refusal)
         path = None
-        with anyio.CancelScope() as scope:
-            self._stream.note_waiting(scope)
+        with self._attempts.waiting_for_path():
             path = await self._path_search.find(
                 has_started=self._sink.has_started
             )
@@ -211,10 +313,10 @@
             self._request, content, may_have_run=bool(self._ran_on)
         )
 
-    async def _attempt(
-        self, path: chain.ChainPath
-    ) -> errors.CrowdeckError | None:
-        """Try one path; return the error if the stream is not complete."""
+    def _begin(
+        self, tasks: anyio.abc.TaskGroup, path: chain.ChainPath
+    ) -> None:
+        """Begin an attempt on a path."""
         logs.decision(
             "path_chosen",
             self._request.id,
@@ -227,15 +329,20 @@
             held_back=self._path_search.unavailable_addresses(),
             config=self._admitted.config_version,
         )
+        attempt = self._attempts.begin(path)
+        self._context.heads.note_begun(path.head.name, attempt.state)
+        self._stream.send_tracker.note_sent()
+        self._stream.check_may_resume = lambda: (
+            self._route.is_resumable and self._runs_left(path.head.name) > 0
+        )
+        tasks.start_soon(self._run_attempt, attempt, path)
+
+    async def _run_attempt(
+        self, attempt: open_attempts.OpenAttempt, path: chain.ChainPath
+    ) -> None:
+        """Run an attempt, and note how it ended."""
         try:
-            with anyio.CancelScope() as scope:
-                self._stream.begin_attempt(path, scope)
-                self._context.heads.note_begun(path.head.name, self._stream)
-                self._stream.send_tracker.note_sent()
-                self._stream.check_may_resume = lambda: (
-                    self._route.is_resumable
-                    and self._runs_left(path.head.name) > 0
-                )
+            with attempt.scope:
                 await attempts.Attempt(
                     self._context,
                     self._monitor,
@@ -243,27 +350,27 @@
                     self._admitted,
                     self._sink,
                     path,
+                    attempt,
                     self._deadline,
                 ).run()
-                self._note_completed(path)
-                return None
+                self._note_completed(path, attempt.state)
+                attempt.is_complete = True
+            if attempt.scope.cancelled_caught and not attempt.is_set_aside:
+                self._note_cancelled(attempt)
         except errors.CrowdeckError as error:
-            self._record_failed_send(error)
-            return error
+            attempt.error = error
+            if attempt.is_latest_send:
+                self._record_failed_send(error)
         except anyio.get_cancelled_exc_class():
-            self._context.quarantine.note_cancelled(
-                path.head.name, self._stream.attempt_record
-            )
+            self._note_cancelled(attempt)
             raise
         finally:
-            self._stream.end_attempt()
-            self._context.heads.note_ended(path.head.name, self._stream)
-        self._stream.send_tracker.note_abandoned()
-        return errors.CrowdeckError(
-            errors.Code.STALLED,
-            self._stream.abandon_reason or "abandoned",
-            verdict=_MAY_HAVE_RUN,
-            culprit=path.head.name,
+            self._context.heads.note_ended(path.head.name, attempt.state)
+            self._attempts.end(attempt)
+
+    def _note_cancelled(self, attempt: open_attempts.OpenAttempt) -> None:
+        self._context.quarantine.note_cancelled(
+            attempt.head.name, self._stream.record_of(attempt.state)
         )
 
     def _record_failed_send(self, error: errors.CrowdeckError) -> None:
@@ -276,9 +383,11 @@
         else:
             send_tracker.note_send_failed()
 
-    def _note_completed(self, path: chain.ChainPath) -> None:
+    def _note_completed(
+        self, path: chain.ChainPath, state: live.AttemptState
+    ) -> None:
         stream = self._stream
-        self._context.quarantine.note_served(stream.attempt_record)
+        self._context.quarantine.note_served(stream.record_of(state))
         self._context.retry_advisor.note_end()
         now = anyio.current_time()
         arrived = self._request.arrived
@@ -293,20 +402,21 @@
             longest_pause=round(stream.longest_pause, 4),
             last_event=stream.last_event_id,
             seconds=round(now - arrived, 3),
-            attempts=len(self._ran_on) + 1,
+            attempts=len(self._ran_on | {path.head.name}),
             parts=_logged_parts(self._request),
         )
 
     async def _record_failure(
-        self, path: chain.ChainPath, error: errors.CrowdeckError
+        self, attempt: open_attempts.OpenAttempt, error: errors.CrowdeckError
     ) -> None:
-        await self._record_loss(path.head, error)
+        head = attempt.head
+        await self._record_loss(attempt, error)
         if error.code in _FAILURE_CODES and error.verdict is _MAY_HAVE_RUN:
-            self._note_failed(path.head)
+            self._note_failed(head)
         if error.verdict is _MAY_HAVE_RUN:
-            self._ran_on.add(path.head.name)
+            self._ran_on.add(head.name)
             self._stream.may_have_run = True
-            self._path_search.exclude(path.head.name)
+            self._path_search.exclude(head.name)
         elif error.culprit:
             self._path_search.exclude(error.culprit)
         if self._beginning is not None and _is_refusal(error):
@@ -314,22 +424,24 @@
         logs.decision(
             "attempt_failed",
             self._request.id,
-            head=path.head.name,
+            head=head.name,
             rank=self._stream.urgency.rank,
             culprit=error.culprit,
             reason=error.message,
             verdict=str(error.verdict),
             after=self._stream.last_event_id,
-            silent=round(anyio.current_time() - self._stream.progress_at, 3),
+            silent=round(anyio.current_time() - attempt.state.progress_at, 3),
+            is_open=not attempt.has_ended,
             content=str(self._stream.content),
             parts=_logged_parts(self._request),
-            has_begun=not self._stream.is_starting,
+            has_begun=not attempt.state.is_starting,
         )
 
     async def _record_loss(
-        self, head: chain.Upstream, error: errors.CrowdeckError
+        self, attempt: open_attempts.OpenAttempt, error: errors.CrowdeckError
     ) -> None:
         """Record a lost attempt, and its first engine's end if it ended."""
+        head = attempt.head
         if error.verdict is not _MAY_HAVE_RUN:
             if error.code is errors.Code.UPSTREAM_LOST:
                 # A failed connection does not prove that the engine ended.
@@ -337,7 +449,7 @@
             return
         if error.code not in _LOSS_CODES:
             return
-        attempt_record = self._stream.attempt_record
+        attempt_record = self._stream.record_of(attempt.state)
         # It ran too long after its first event to be suspected of a crash.
         if not attempt_record.is_suspect:
             self._context.quarantine.note_served(attempt_record)
@@ -360,7 +472,7 @@
             )
 
     async def _prepare_retry(
-        self, path: chain.ChainPath, error: errors.CrowdeckError
+        self, head: chain.Upstream, error: errors.CrowdeckError
     ) -> bool:
         """Reserve a retry if another attempt may be made.
 
@@ -377,7 +489,7 @@
             if not self._may_resume_after_failure():
                 return False
         elif error.code is errors.Code.UPSTREAM_LOST:
-            self._path_search.exclude(path.head.name)
+            self._path_search.exclude(head.name)
             # Nothing was sent, so the retry that was reserved for this
             # attempt is used by the next.
             return True
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -191,7 +191,9 @@
     def __init__(self, layer_count: int = 80) -> None:
         self._layer_count = layer_count
         self._upstreams: dict[str, StandinUpstream] = {}
-        self._paths: dict[str, chain.ChainPath] = {}
+        # By the first engine's address and the request, which may be open at
+        # several first engines.
+        self._paths: dict[tuple[str, str], chain.ChainPath] = {}
         self.runs: list[Run] = []
         self.rejection_counts: collections.Counter[str] = collections.Counter()
         self.repaths: list[str] = []
@@ -263,7 +265,7 @@
         target.running += 1
         try:
             if dispatch.path is not None:
-                self._paths[request.id] = dispatch.path
+                self._paths[path_key(upstream, request.id)] = dispatch.path
             else:
                 await self._run_call(target, request)
             if target.lost_answers:
@@ -279,7 +281,7 @@
         await _await_answer(target)
         stalls = [
             chain.Stall(request, str(hop.upstream.address))
-            for request, path in self._paths.items()
+            for (_, request), path in self._paths.items()
             if path.head.address == upstream.address
             for hop in path.hops
             if not self.at(hop.upstream.address).answers
@@ -310,7 +312,8 @@
         """Move a running request to another path."""
         target = await self._dial(head, 0.25)
         await _await_answer(target)
-        if request_id not in self._paths:
+        key = path_key(head, request_id)
+        if key not in self._paths:
             return interfaces.RepathOutcome(is_done=False, is_known=False)
         if self.at(head.address).refuses_repaths:
             return interfaces.RepathOutcome(is_done=False, is_known=True)
@@ -325,7 +328,7 @@
                 return interfaces.RepathOutcome(
                     False, True, str(hop.upstream.address)
                 )
-        self._paths[request_id] = path
+        self._paths[key] = path
         self.repaths.append(request_id)
         return interfaces.RepathOutcome(is_done=True, is_known=True)
 
@@ -528,7 +531,7 @@
                 await anyio.sleep_forever()
             if target.is_dead or waited > STALL_SECONDS:
                 raise _upstream_lost(verdicts.Verdict.MAY_HAVE_RUN)
-            path = self._paths[request_id]
+            path = self._paths[path_key(target.listed, request_id)]
             if all(self.at(hop.upstream.address).answers for hop in path.hops):
                 return
             await anyio.sleep(POLL_SECONDS)
@@ -670,6 +673,11 @@
     ]
 
 
+def path_key(head: chain.Upstream, request_id: str) -> tuple[str, str]:
+    """Return what identifies a request at its first engine."""
+    return str(head.address), request_id
+
+
 def _size(layers: pipeline.LayerRange | None) -> int:
     return layers.end - layers.first if layers else 0
 
--- a/tests/test_silence_under_load.py
+++ b/tests/test_silence_under_load.py
@@ -60,7 +60,8 @@
         rng = self._random.setdefault(request_id, random.Random(seed))
         if rng.random() < self.pause_chance:
             await anyio.sleep(0.14)
-        while self._paths[request_id] is self.cut_paths.get(request_id):
+        key = chain_fleet.path_key(target.listed, request_id)
+        while self._paths[key] is self.cut_paths.get(request_id):
             await anyio.sleep(chain_fleet.POLL_SECONDS)
         await super()._wait_for_path(target, request_id)
 
@@ -401,7 +402,7 @@
                 False,
                 False,
             ]
-            second.progress_at = now
+            second._current.progress_at = now
             monitor._ranked_silence._activity.update([first, second], now, 0.3)
             judged = monitor._ranked_silence._judge.judge(first, now)
             assert not shared & {s.upstream.name for s in judged.candidates}
