Load the modules of links only where links are encrypted

tests/test_fleet_process (an entry loads at most 77 modules of ours) failed with relay/open_attempts as the 78th. The settings loaded two modules of the links of sidecars, which entries of fleets do not have; now only loading the PEM files does. 76 modules, the bound is as it was.

--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -9,6 +9,7 @@
 import ipaddress
 import pathlib
 import ssl
+import typing
 
 import attrs
 
@@ -17,7 +18,10 @@
 from crowdeck.routing import policies
 from crowdeck.settings import fleet_options
 from crowdeck.settings import options
-from crowdeck.wire import security
+
+if typing.TYPE_CHECKING:
+    # Entries of fleets have no links and must not load this module.
+    from crowdeck.wire import security
 
 DAEMON = "crowdeckd"
 PLATFORM = "platform"
@@ -124,11 +128,13 @@
         """Whether links are encrypted."""
         return bool(self.certificate)
 
-    def load(self) -> security.TlsContexts:
+    def load(self) -> "security.TlsContexts":
         """Return contexts for mutual TLS.
 
         :raises ConfigError: if a file cannot be loaded.
         """
+        from crowdeck.wire import security
+
         if not self.is_set:
             return security.TlsContexts()
         try:
