Look for missing layers during the wait for a path, not only before it

Callers with a part of an answer waited 1.6 s for layers that the remaining engines cannot hold, if the wait began within 20 ms of a check that had found none missing. tests/test_unheld_layers passed before by the order of two timers of the same moment, which the tasks of open attempts changed: 1.60 s where 0.1 s are meant.

--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -239,11 +239,18 @@
         Waits for capacity and for layers that are being loaded, but not for
         layers that the remaining engines cannot hold.
         """
-        until = anyio.current_time() + STARTED_WAIT_SECONDS
-        gap = self._gap()
-        if gap is not None and not gap.can_be_closed:
-            until = gap.since + UNHELD_WAIT_SECONDS
-        return await self._poll(until)
+        until = min(
+            anyio.current_time() + STARTED_WAIT_SECONDS, self._deadline
+        )
+        while (path := self._plan()) is None:
+            # Asked each time, as layers may be found missing meanwhile.
+            gap = self._gap()
+            if gap is not None and not gap.can_be_closed:
+                until = min(until, gap.since + UNHELD_WAIT_SECONDS)
+            if anyio.current_time() >= until:
+                return None
+            await anyio.sleep(POLL_SECONDS)
+        return path
 
     async def _wait_in_queue(
         self, wait_queue: waiting.WaitQueue
