Count, order and log open attempts as one request

Also: an order for another path that succeeds while the attempt is set aside is kept, and a loss that an attempt set aside shows is looked into.

A caller that does not read had its sound first engine barred, also before the open attempts: such a stream is not checked while it waits for its caller.

In test_silence_under_load a time is set through current_attempt, as before in what it asserts.

--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -89,6 +89,8 @@
         self._path = path
         self._open_attempt = open_attempt
         self._deadline = deadline
+        # Events without an id before the first with one, until it may deliver.
+        self._held_events: list[bytes] = []
 
     @property
     def _engine_priority(self) -> int:
@@ -154,6 +156,7 @@
         await self._open_attempt.claim()
         self._context.registry.note_healthy(self._path.head.name)
         with self._open_attempt.writing():
+            await self._write_held()
             await self._sink.finish()
 
     async def _forward_event(
@@ -174,19 +177,46 @@
                 raise self._wrong_answer_error(
                     f"event {event.id} follows event {stream.last_event_id}"
                 )
-        elif stream.last_event_id >= 0 and self._open_attempt.is_one_of_many:
-            # Only an event with an id shows that it can go on.
+        elif self._must_hold(event):
             return
         await self._open_attempt.claim()
         self._note_progress()
         with self._open_attempt.writing():
             if not self._sink.has_started:
                 await self._sink.start(answer.status, answer.caller_headers)
+            await self._write_held()
             await self._sink.write(event.content)
         stream.has_events = True
         if event.id is not None:
             stream.last_event_id = event.id
 
+    def _must_hold(self, event: events.Event) -> bool:
+        """Hold an event without an id if it does not show a resumption.
+
+        Only an event with an id shows that a new attempt goes on where the
+        others stopped.
+
+        :raises CrowdeckError: ``WRONG_ANSWER`` if it would hold too much.
+        """
+        is_proven = (
+            self._stream.last_event_id < 0
+            or not self._open_attempt.state.is_starting
+            or not self._open_attempt.is_one_of_many
+        )
+        if is_proven:
+            return False
+        self._held_events.append(event.content)
+        if sum(map(len, self._held_events)) > events.EVENT_LIMIT_BYTES:
+            raise self._wrong_answer_error(
+                f"over {events.EVENT_LIMIT_BYTES} bytes without an event id"
+            )
+        return True
+
+    async def _write_held(self) -> None:
+        held_events, self._held_events = self._held_events, []
+        for content in held_events:
+            await self._sink.write(content)
+
     def _note_progress(self) -> None:
         """Note an event of the current attempt."""
         stream, state = self._stream, self._open_attempt.state
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -174,6 +174,11 @@
         """When its last event arrived or its attempt began."""
         return self._current.progress_at if self._current else 0.0
 
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether its caller, not its engine, holds it up."""
+        return self._current is not None and self._current.is_writing
+
     def record_of(self, state: AttemptState) -> trackers.AttemptRecord:
         """Return the request, and the time since an attempt's first event."""
         return trackers.AttemptRecord(
@@ -220,13 +225,13 @@
             self.make_current(None)
 
     def abandon(self, reason: str) -> None:
-        """Have another attempt made beside the current one.
+        """Request another attempt beside the current one.
 
         The current one ends once another delivers an event. Does nothing if
         it was already abandoned, or waits for its caller and not its engine.
         """
         current = self._current
-        if current is None or current.is_writing or self.abandon_reason:
+        if current is None or self.waits_for_caller or self.abandon_reason:
             return
         self.abandon_reason = reason
         self._on_abandoned()
--- a/src/crowdeck/relay/open_attempts.py
+++ b/src/crowdeck/relay/open_attempts.py
@@ -16,7 +16,7 @@
 from crowdeck import errors
 from crowdeck.relay import live
 
-ResumeListener = typing.Callable[["OpenAttempt"], None]
+AttemptListener = typing.Callable[["OpenAttempt"], None]
 
 
 @attrs.define(eq=False)
@@ -26,7 +26,8 @@
     :ivar head: its first engine, which stays the same.
     :ivar scope: cancelled once another attempt delivers.
     :ivar error: why it ended without a complete answer.
-    :ivar is_set_aside: whether another attempt was to be made beside it.
+    :ivar is_set_aside: whether another attempt is made beside it, until it
+        delivers.
     """
 
     _attempts: "OpenAttempts"
@@ -58,7 +59,7 @@
 
         Never returns if another attempt delivers already.
         """
-        if not self._attempts.claim(self):
+        if not self._attempts.try_claim(self):
             await anyio.lowlevel.checkpoint_if_cancelled()
             raise AssertionError("an attempt that may not deliver goes on")
 
@@ -76,24 +77,31 @@
     """The open attempts at one stream, of which one delivers its events.
 
     A silent engine may go on, and the engine of another attempt may refuse
-    it, break or be silent too. An attempt that is set aside therefore stays
-    open until another one delivers, and ends none before.
+    it, break or be silent too. An abandoned attempt is therefore set aside:
+    it is no longer monitored, and stays open until another one delivers.
+    While one more is sought, none is monitored.
 
     :param on_resumed: called with an attempt that delivers after it was set
         aside.
+    :param on_cancelled: called with an attempt that is ended here, as another
+        one delivers or the stream is stopped; it may have run.
     """
 
     def __init__(
-        self, stream: live.LiveStream, on_resumed: ResumeListener
+        self,
+        stream: live.LiveStream,
+        on_resumed: AttemptListener,
+        on_cancelled: AttemptListener,
     ) -> None:
         self._stream = stream
         self._on_resumed = on_resumed
+        self._on_cancelled = on_cancelled
         self._open: list[OpenAttempt] = []
         self._current: OpenAttempt | None = None
         self._search: anyio.CancelScope | None = None
         self._path_wait: anyio.CancelScope | None = None
         self._changed = anyio.Event()
-        stream.subscribe(self._changed_now, self._stop)
+        stream.subscribe(self._notify, self._stop)
 
     @property
     def count(self) -> int:
@@ -131,7 +139,7 @@
         )
         for attempt in tuple(self._open):
             if attempt.head.name == path.head.name:
-                attempt.scope.cancel()
+                self._cancel(attempt)
                 self._open.remove(attempt)
         state = self._stream.begin_attempt(path)
         attempt = OpenAttempt(self, state, path.head)
@@ -145,7 +153,7 @@
         if attempt in self._open:
             self._open.remove(attempt)
         self._stream.end_attempt(attempt.state)
-        self._changed_now()
+        self._notify()
 
     async def wait(self) -> OpenAttempt:
         """Wait until the current attempt ends or is abandoned; return it."""
@@ -163,29 +171,34 @@
         self._stream.send_tracker.note_abandoned()
         self._stream.make_current(None)
 
-    def claim(self, attempt: OpenAttempt) -> bool:
+    def try_claim(self, attempt: OpenAttempt) -> bool:
         """Let an attempt deliver, unless another one delivers already.
 
         Ends the other attempts and the search for one more.
         """
         if attempt not in self._open:
             return False
-        if self.is_sole(attempt):
-            return True
+        # An engine that sends is not silent.
+        self._stream.abandon_reason = ""
+        if not self.is_sole(attempt):
+            self._end_others(attempt)
+        if attempt.is_set_aside:
+            attempt.is_set_aside = False
+            self._on_resumed(attempt)
+        return True
+
+    def _end_others(self, attempt: OpenAttempt) -> None:
+        """End all other attempts and the search for one more."""
         if self._current is not attempt:
             # Another attempt was sent since, and may still arrive.
             self._stream.send_tracker.note_abandoned()
         for other in self._open:
             if other is not attempt:
-                other.scope.cancel()
+                self._cancel(other)
         self._open = [attempt]
         if self._search is not None:
             self._search.cancel()
-        was_set_aside = attempt.is_set_aside
         self._resume(attempt)
-        if was_set_aside:
-            self._on_resumed(attempt)
-        return True
 
     def fall_back(self) -> bool:
         """Wait for an attempt that was set aside, the last one first.
@@ -199,12 +212,10 @@
 
     def end_unstarted(self) -> None:
         """End the attempts that have had no event."""
-        for attempt in self._open:
+        for attempt in tuple(self._open):
             if attempt.state.is_starting:
-                attempt.scope.cancel()
-        self._open = [
-            attempt for attempt in self._open if not attempt.state.is_starting
-        ]
+                self._cancel(attempt)
+                self._open.remove(attempt)
 
     @contextlib.contextmanager
     def searching(self) -> typing.Iterator[None]:
@@ -227,14 +238,19 @@
     def _resume(self, attempt: OpenAttempt) -> None:
         self._current = attempt
         self._stream.make_current(attempt.state)
-        self._changed_now()
+        self._notify()
 
     def _stop(self) -> None:
         if self._path_wait is not None:
             self._path_wait.cancel()
         for attempt in self._open:
             if attempt.state.is_starting:
-                attempt.scope.cancel()
+                self._cancel(attempt)
+
+    def _cancel(self, attempt: OpenAttempt) -> None:
+        if not attempt.scope.cancel_called:
+            attempt.scope.cancel()
+            self._on_cancelled(attempt)
 
-    def _changed_now(self) -> None:
+    def _notify(self) -> None:
         self._changed.set()
--- a/src/crowdeck/relay/rerouting.py
+++ b/src/crowdeck/relay/rerouting.py
@@ -117,6 +117,7 @@
         culprit: chain.Upstream,
         excluded: set[str],
     ) -> None:
+        attempt = stream.current_attempt
         while True:
             new_path = self._find_path(stream, path, excluded)
             if self._should_restart(stream, path, new_path):
@@ -142,6 +143,9 @@
                 path.head, stream.request.id, new_path
             )
             if stream.path is not path:
+                if outcome.is_done and attempt is not None:
+                    # It was set aside meanwhile, and may go on.
+                    attempt.path = new_path
                 return
             self._log(stream, path, new_path, _describe(outcome))
             if outcome.is_done:
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -356,6 +356,11 @@
         """Whether to check a stream now; resets its ``needs_check``."""
         if stream.path is None or stream in self._checking:
             return False
+        if stream.waits_for_caller:
+            stream.next_check_at = now + RECHECK_SHARE * (
+                stream.max_pause_seconds
+            )
+            return False
         if stream.needs_check:
             stream.needs_check = False
             return True
@@ -450,6 +455,8 @@
         """Whether a stream's first engine does not work on it."""
         if not stream.may_resume or path.zone_crossings:
             return False
+        if stream.waits_for_caller:
+            return False
         if finding.head_report is None or not finding.is_sure:
             return False
         limit_seconds = HUNG_PAUSES * stream.max_pause_seconds
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -147,7 +147,9 @@
             if stream.urgency.is_ranked
             else None
         )
-        self._attempts = open_attempts.OpenAttempts(stream, self._note_resumed)
+        self._attempts = open_attempts.OpenAttempts(
+            stream, self._note_resumed, self._note_cancelled
+        )
         self._path_search = paths.PathSearch(
             context,
             stream,
@@ -209,10 +211,10 @@
 
         :raises CrowdeckError: if none can be made.
         """
-        was_set_aside = attempt.is_set_aside
+        is_first_look = not attempt.is_set_aside
         if not attempt.has_ended:
             self._attempts.set_aside(attempt)
-        if attempt.has_ended or not was_set_aside:
+        if attempt.has_ended or is_first_look:
             await self._record_failure(attempt, error)
         await self._refuse_if_quarantined()
         if not await self._prepare_retry(attempt.head, error):
@@ -332,11 +334,15 @@
         attempt = self._attempts.begin(path)
         self._context.heads.note_begun(path.head.name, attempt.state)
         self._stream.send_tracker.note_sent()
-        self._stream.check_may_resume = lambda: (
-            self._route.is_resumable and self._runs_left(path.head.name) > 0
-        )
+        self._stream.check_may_resume = self._may_resume_now
         tasks.start_soon(self._run_attempt, attempt, path)
 
+    def _may_resume_now(self) -> bool:
+        """Whether another attempt is allowed beside the current one."""
+        path = self._stream.path
+        running_on = path.head.name if path is not None else ""
+        return self._route.is_resumable and self._runs_left(running_on) > 0
+
     async def _run_attempt(
         self, attempt: open_attempts.OpenAttempt, path: chain.ChainPath
     ) -> None:
@@ -355,12 +361,13 @@
                 ).run()
                 self._note_completed(path, attempt.state)
                 attempt.is_complete = True
-            if attempt.scope.cancelled_caught and not attempt.is_set_aside:
-                self._note_cancelled(attempt)
         except errors.CrowdeckError as error:
             attempt.error = error
             if attempt.is_latest_send:
                 self._record_failed_send(error)
+            elif error.code is errors.Code.UPSTREAM_LOST:
+                # Nobody waits for this attempt, which shows a loss.
+                self._monitor.verify(attempt.head)
         except anyio.get_cancelled_exc_class():
             self._note_cancelled(attempt)
             raise
@@ -369,9 +376,12 @@
             self._attempts.end(attempt)
 
     def _note_cancelled(self, attempt: open_attempts.OpenAttempt) -> None:
-        self._context.quarantine.note_cancelled(
-            attempt.head.name, self._stream.record_of(attempt.state)
-        )
+        """Note an attempt that was ended before it was answered."""
+        self._ran_on.add(attempt.head.name)
+        if not attempt.is_set_aside:
+            self._context.quarantine.note_cancelled(
+                attempt.head.name, self._stream.record_of(attempt.state)
+            )
 
     def _record_failed_send(self, error: errors.CrowdeckError) -> None:
         """Tell the retry budget whether a failed attempt reached an engine."""
@@ -410,15 +420,17 @@
         self, attempt: open_attempts.OpenAttempt, error: errors.CrowdeckError
     ) -> None:
         head = attempt.head
-        await self._record_loss(attempt, error)
-        if error.code in _FAILURE_CODES and error.verdict is _MAY_HAVE_RUN:
-            self._note_failed(head)
+        # Noted before anything is awaited, as an open attempt that delivers
+        # cancels the rest.
         if error.verdict is _MAY_HAVE_RUN:
             self._ran_on.add(head.name)
             self._stream.may_have_run = True
             self._path_search.exclude(head.name)
         elif error.culprit:
             self._path_search.exclude(error.culprit)
+        if error.code in _FAILURE_CODES and error.verdict is _MAY_HAVE_RUN:
+            self._note_failed(head)
+        await self._record_loss(attempt, error)
         if self._beginning is not None and _is_refusal(error):
             self._beginning.note_refused()
         logs.decision(
--- a/tests/test_open_attempts.py
+++ b/tests/test_open_attempts.py
@@ -32,6 +32,7 @@
     """One stream and the attempts at it.
 
     :ivar resumed: first engines that delivered after they were set aside.
+    :ivar cancelled: first engines whose attempts were ended for another.
     """
 
     def __init__(self) -> None:
@@ -49,8 +50,11 @@
             send_tracker=self.budget.track_sends(),
         )
         self.resumed: list[str] = []
+        self.cancelled: list[str] = []
         self.attempts = open_attempts.OpenAttempts(
-            self.stream, lambda attempt: self.resumed.append(attempt.head.name)
+            self.stream,
+            lambda attempt: self.resumed.append(attempt.head.name),
+            lambda attempt: self.cancelled.append(attempt.head.name),
         )
 
     def begin(self, name: str) -> open_attempts.OpenAttempt:
@@ -59,7 +63,7 @@
 
     def deliver(self, attempt: open_attempts.OpenAttempt) -> bool:
         """Deliver an event of an attempt; return whether it may."""
-        may_deliver = self.attempts.claim(attempt)
+        may_deliver = self.attempts.try_claim(attempt)
         if may_deliver:
             self.stream.note_event()
         return may_deliver
@@ -107,6 +111,7 @@
         assert second.scope.cancel_called
         assert not play.deliver(second)
         assert play.resumed == ["a"]
+        assert play.cancelled == ["b"]
         assert play.stream.path is not None
         assert play.stream.path.head.name == "a"
 
@@ -159,6 +164,29 @@
             play.stream.abandon("its engine is silent")
         assert not play.stream.abandon_reason
 
+    @played
+    async def test_event_in_the_pass_of_an_abandonment_outdates_it(
+        self, play: Play
+    ) -> None:
+        first = play.begin("a")
+        play.stream.abandon("its engine is silent")
+        play.deliver(first)
+        with anyio.move_on_after(1.0) as scope:
+            await play.attempts.wait()
+        assert scope.cancelled_caught
+
+    @played
+    async def test_engine_that_was_waited_for_resumes(
+        self, play: Play
+    ) -> None:
+        first = play.begin("a")
+        play.deliver(first)
+        second = play.replace(first, "b")
+        play.attempts.end(second)
+        play.attempts.fall_back()
+        play.deliver(first)
+        assert play.resumed == ["a"]
+
     @played
     async def test_only_the_current_attempt_uses_capacity(
         self, play: Play
--- a/tests/test_silence_under_load.py
+++ b/tests/test_silence_under_load.py
@@ -402,7 +402,8 @@
                 False,
                 False,
             ]
-            second._current.progress_at = now
+            assert second.current_attempt is not None
+            second.current_attempt.progress_at = now
             monitor._ranked_silence._activity.update([first, second], now, 0.3)
             judged = monitor._ranked_silence._judge.judge(first, now)
             assert not shared & {s.upstream.name for s in judged.candidates}
