Bound a whole exchange over HTTP, not only each of its reads

Seen: with a timeout of 1 s, a server that sends interim responses, a header line or ten bytes of body each 50 ms held the exchange for the 4 s that it sent. A report, an order, a call to the store, to a peer or of `crowdeck status` ended when the server wished. Plain calls and streams were bounded by the deadline of their attempt. No caller is known to have met it.

Cause: the timeouts count anew with each read, in httpcore and in connection.py, and nothing around them counted the whole.

Why it works: `open` bounds the time from sending the request to the end of the head, `OpenResponse.read` the body by the same deadline. The clock starts when the request is sent, so that connecting keeps its own timeout and its verdict NOT_RUN; what ends later may have run. Each byte of a body that is read whole adds its time at 1 MiB/s: a page of the store of 1 MB on a shared link of 20 Mbit/s is not taken for a lost store, and a body that trickles in gains nothing. A watch keeps its wait and slack, a stream its request's deadline.

Ruled out: one bound in each caller (nine places, and the next one forgets it); a deadline that starts before connecting (a refused or full pool would no longer be told from a silent server).

--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -29,6 +29,9 @@
 LARGE_BYTES = 64 * 1024
 # After a large response, what waited behind it arrives within this time.
 DOWNLOAD_SETTLE_SECONDS = 0.1
+# A response may take longer than its timeout by what its body takes at this
+# rate, which a narrow link that several share still has.
+MIN_BODY_BYTES_PER_SECOND = 1024 * 1024
 # Hop-by-hop headers, and those that each hop sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -61,6 +64,9 @@
 
 RawHeaders = list[tuple[bytes, bytes]]
 
+# httpcore's name for the moment in which it begins to send a request.
+_SEND_EVENT = "http11.send_request_headers.started"
+
 
 class ExchangeKind(enum.StrEnum):
     """What a request is to its upstream.
@@ -101,7 +107,10 @@
     """Timeouts of one call.
 
     :ivar connect_seconds: maximum time until a connection is open.
-    :ivar read_seconds: maximum time of one read or write.
+    :ivar read_seconds: maximum time from sending the request to the end of
+        the head of its response, and of one read or write after it. A body
+        that is read whole has to arrive by then too; each of its bytes adds
+        its time at ``MIN_BODY_BYTES_PER_SECOND``.
     """
 
     connect_seconds: float
@@ -146,17 +155,23 @@
 
 
 class OpenResponse:
-    """A response whose head has arrived and whose body may be incomplete."""
+    """A response whose head has arrived and whose body may be incomplete.
+
+    :param deadline: loop time by which :meth:`read` has to end, without the
+        time of the body's bytes.
+    """
 
     def __init__(
         self,
         status: int,
         headers: RawHeaders,
         content: typing.AsyncIterable[bytes],
+        deadline: float = float("inf"),
     ) -> None:
         self._status = status
         self._headers = headers
         self._content = content
+        self._deadline = deadline
 
     @property
     def status(self) -> int:
@@ -178,6 +193,9 @@
     async def chunks(self) -> typing.AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
+        Only the pauses in it are bounded: a stream may go on for as long as
+        its reader wants.
+
         :raises CrowdeckError: ``UPSTREAM_LOST`` when it ends early.
         """
         try:
@@ -194,14 +212,28 @@
         """Return the whole body.
 
         :param downloads: is told of a large body.
-        :raises CrowdeckError: ``UPSTREAM_LOST`` when it ends early,
-            ``TOO_LARGE`` beyond ``limit_bytes``.
+        :raises CrowdeckError: ``UPSTREAM_LOST`` when it ends early or takes
+            too long, ``TOO_LARGE`` beyond ``limit_bytes``.
         """
+        try:
+            with anyio.fail_after(None) as scope:
+                scope.deadline = self._deadline
+                return await self._read(limit_bytes, downloads, scope)
+        except TimeoutError as error:
+            raise upstream_lost(error, verdicts.Verdict.MAY_HAVE_RUN) from None
+
+    async def _read(
+        self,
+        limit_bytes: int,
+        downloads: LargeDownloads | None,
+        scope: anyio.CancelScope,
+    ) -> bytes:
         body = bytearray()
         with contextlib.ExitStack() as stack:
             async for chunk in self.chunks():
                 was_large = len(body) > LARGE_BYTES
                 body += chunk
+                scope.deadline += len(chunk) / MIN_BODY_BYTES_PER_SECOND
                 if len(body) > limit_bytes:
                     raise errors.CrowdeckError(
                         errors.Code.TOO_LARGE,
@@ -230,6 +262,36 @@
         ...
 
 
+class _HeadLimit:
+    """Bounds the time from sending a request to the head of its response.
+
+    Connecting has a timeout of its own, after which nothing was sent.
+    """
+
+    def __init__(self, scope: anyio.CancelScope, seconds: float) -> None:
+        self._scope = scope
+        self._seconds = seconds
+
+    @property
+    def deadline(self) -> float:
+        """Loop time by which the head has to arrive."""
+        return self._scope.deadline
+
+    async def observe(self, event: str, _: typing.Any) -> None:
+        """Take an event of httpcore's trace extension."""
+        if event == _SEND_EVENT:
+            self._scope.deadline = anyio.current_time() + self._seconds
+
+
+@contextlib.contextmanager
+def _head_timeout(seconds: float) -> typing.Iterator[_HeadLimit]:
+    try:
+        with anyio.fail_after(None) as scope:
+            yield _HeadLimit(scope, seconds)
+    except TimeoutError as error:
+        raise upstream_lost(error, verdicts.Verdict.MAY_HAVE_RUN) from None
+
+
 class HttpClient:
     """Sends requests; errors carry a verdict on whether they may have run.
 
@@ -278,17 +340,25 @@
         :raises CrowdeckError: ``UPSTREAM_LOST``, with the verdict.
         """
         try:
-            async with self._pool.stream(
-                method,
-                _parse_url(self._base_url + path),
-                headers=headers,
-                content=body,
-                extensions={"timeout": timeouts.as_extension()},
-            ) as response:
+            async with contextlib.AsyncExitStack() as stack:
+                with _head_timeout(timeouts.read_seconds) as limit:
+                    response = await stack.enter_async_context(
+                        self._pool.stream(
+                            method,
+                            _parse_url(self._base_url + path),
+                            headers=headers,
+                            content=body,
+                            extensions={
+                                "timeout": timeouts.as_extension(),
+                                "trace": limit.observe,
+                            },
+                        )
+                    )
                 yield OpenResponse(
                     response.status,
                     response.headers,
                     response.aiter_stream(),
+                    limit.deadline,
                 )
         except _NOT_SENT as error:
             if _is_refused(error):
@@ -309,8 +379,9 @@
     ) -> upstream.ServiceResponse:
         """Send one request and read its whole response.
 
-        :param timeout_seconds: maximum time of each read or write, and of
-            connecting if that is below ``CONNECT_TIMEOUT_SECONDS``.
+        :param timeout_seconds: maximum time from sending the request to the
+            end of its response, as in :class:`Timeouts`, and of connecting if
+            that is below ``CONNECT_TIMEOUT_SECONDS``.
         :raises CrowdeckError: ``UPSTREAM_LOST``, with the verdict, or
             ``TOO_LARGE`` beyond ``RESPONSE_LIMIT_BYTES``.
         """
--- a/src/crowdeck/reusing_client.py
+++ b/src/crowdeck/reusing_client.py
@@ -74,7 +74,8 @@
         """Send the request and return the answer, its body unread."""
         exchange = self._exchange
         timeout_seconds = self._timeouts.read_seconds
-        with self._mapping_errors():
+        deadline = anyio.current_time() + timeout_seconds
+        with self._mapping_errors(), anyio.fail_after(timeout_seconds):
             await self._connection.send(
                 exchange.method,
                 exchange.target,
@@ -89,7 +90,9 @@
             raise errors.KeptConnectionFailed(
                 "the answer has the id of another request"
             )
-        return http.OpenResponse(head.status, head.headers, self._chunks())
+        return http.OpenResponse(
+            head.status, head.headers, self._chunks(), deadline
+        )
 
     def completion(self) -> connection_policy.Completion | None:
         """Return how the exchange ended, ``None`` without an answer."""
