Read a caller's number that is none as missing

Seen: a request with `Last-Event-Id: nan`, `X-Token-Counts: inf,80` or a length hint of 400 digits raised a ValueError or an OverflowError in the decoder. `Ingress` catches only errors with a code there, so that its caller got the HTTP server's bare 500 and the log no line on it.

Cause: `float()` reads infinity, NaN and numbers beyond a double, and `int()` of them raises. A deadline of `nan` came through as one: min() with the route's timeout keeps it (by reading; not played on a relay).

Why it works: a number is read if it is 0 to 2**53, as platform.fields has it for JSON; all else names nothing and stops nothing.

Ruled out: catching every error of the decoder in `Ingress`. It would hide faults of our own and still refuse a request that is sound otherwise.

--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -9,6 +9,7 @@
 
 from crowdeck import chain
 from crowdeck import http
+from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.relay import interfaces
 from crowdeck.relay import request as requests
@@ -181,7 +182,10 @@
 
 
 def _parse_number(text: bytes) -> float | None:
+    """Return a number of 0 or more, or ``None`` if missing or unreadable."""
     try:
-        return float(text)
+        value = float(text)
     except ValueError:
         return None
+    # False for NaN, too.
+    return value if 0 <= value <= fields.MAX_EXACT_INTEGER else None
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -258,6 +258,37 @@
         request = caller_request()
         assert request.prompt_parts == () == request.shared_parts
 
+    @pytest.mark.parametrize(
+        "value", ["inf", "-inf", "nan", "-1", "1e400", "9" * 400, "1e300"]
+    )
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "x-request-deadline",
+            "last-event-id",
+            "x-token-counts",
+            "x-length-hint",
+        ],
+    )
+    def test_numbers_that_are_none_do_not_stop_a_request(
+        self, name: str, value: str
+    ) -> None:
+        if name == "x-token-counts":
+            value = f"{value},80"
+        headers = [
+            (b"x-request-id", b"r1"),
+            (name.encode(), value.encode()),
+            (b"x-token-counts", b"12,80"),
+        ]
+        request = callers.decode("POST", b"/", b"", headers, b"", 0.0)
+        assert request is not None
+        assert request.timeout_seconds is None
+        assert request.last_event_id == -1
+        expected = requests.TokenCounts(12, 80, 0)
+        assert request.token_counts == (
+            None if name == "x-token-counts" else expected
+        )
+
     def test_request_without_an_id_is_none(self) -> None:
         assert callers.decode("GET", b"/", b"", [], b"", 0.0) is None
 
