Read a caller's last event 0 as 0

Seen: in the decoder, `Last-Event-Id: 0` gave -1, which stands for none. The header still reached the engine, as it was left unchanged, so that the stream went on; but the entry took the request for one that no engine had run, and did not check that event 1 follows.

Cause: `or -1` takes 0 for a missing number.

Evidence: test_stream_may_resume_after_its_event_0 failed before (-1 for 0).

Why it works: only a number that is missing or unreadable gives -1.

Ruled out: the other `or` on a number of a caller. A length hint of 0 is none, and a deadline of 0 leaves the route's, both as before.

--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -74,9 +74,7 @@
         timeout_seconds=None if timeout_ms is None else timeout_ms / 1000.0,
         arrived=arrived,
         token_counts=_token_counts(first_values),
-        last_event_id=int(
-            _parse_number(first_values.get(names.LAST_EVENT_ID, b"")) or -1
-        ),
+        last_event_id=_last_event_id(first_values),
         model=first_values.get(names.MODEL, b"").decode("latin-1"),
         prompt_parts=_prompt_parts(headers),
     )
@@ -150,6 +148,11 @@
     return frozenset(listed)
 
 
+def _last_event_id(first_values: dict[bytes, bytes]) -> int:
+    number = _parse_number(first_values.get(names.LAST_EVENT_ID, b""))
+    return -1 if number is None else int(number)
+
+
 def _api_key(authorization: bytes) -> str:
     text = authorization.decode("latin-1")
     if text[: len(names.KEY_SCHEME)].lower() == names.KEY_SCHEME:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -289,6 +289,12 @@
             None if name == "x-token-counts" else expected
         )
 
+    def test_stream_may_resume_after_its_event_0(self) -> None:
+        headers = [(b"x-request-id", b"r1"), (b"last-event-id", b"0")]
+        request = callers.decode("POST", b"/", b"", headers, b"", 0.0)
+        assert request is not None
+        assert request.last_event_id == 0
+
     def test_request_without_an_id_is_none(self) -> None:
         assert callers.decode("GET", b"/", b"", [], b"", 0.0) is None
 
