Read an event id of very many digits as none

Seen: an event with an id of 5,000 digits raised a ValueError in the attempt that forwards the stream, which is no CrowdeckError: the request ended as `request_failed`, with no verdict and no other engine tried (by reading; the codec was played).

Cause: Python refuses to read more than 4,300 digits; the pattern of an id bounded nothing.

Evidence: test_ids_of_events, ids of 5,000 and 400 digits, failed before.

Why it works: an id of more digits than 2**53 has names nothing, and the event is treated as one without an id.

Ruled out: a bound in the pattern. An id that is cut after 16 digits would name another event.

--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -35,6 +35,7 @@
 _CONNECTION = b"connection"
 _HOST = b"host"
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?=[\r\n]|$)")
+_MAX_EVENT_ID_DIGITS = len(str(fields.MAX_EXACT_INTEGER))
 MIN_DEADLINE_MS = 1
 # The least urgent priority that engines accept.
 LOWEST_PRIORITY = 9
@@ -135,7 +136,10 @@
 def event_id(event: bytes) -> int | None:
     """Return the id of a server-sent event, or ``None`` if it has none."""
     found = _EVENT_ID.search(event)
-    return int(found.group(1)) if found else None
+    # Python refuses to read very many digits.
+    if found is None or len(found.group(1)) > _MAX_EVENT_ID_DIGITS:
+        return None
+    return int(found.group(1))
 
 
 def _headers_listed_in_connection(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -346,6 +346,8 @@
             (b"data: x\nid:8\n\n", 8),
             (b"data: id: 9\n\n", None),
             (b"data: x\r\nid: 10\r\n\r\n", 10),
+            (b"id: " + b"1" * 5000 + b"\n\n", None),
+            (b"id: " + b"1" * 400 + b"\n\n", None),
         ],
     )
     def test_ids_of_events(self, event: bytes, number: int | None) -> None:
