Do not take comments of a hanging engine for its work

Seen: in virtual time, 24 streams, one first engine that hangs (its probes unanswered) and sends a comment, or an event without an id, each 20 ms: the 12 streams that it had went on with those alone until their deadline of 20 s and were cut. No caller is known to have met it.

Cause: each event that was forwarded counted as progress, so that the stream was never silent, never checked, and no other engine sought. Before the first event, a comment claimed the stream as well, which ends the attempt at another engine, and marked the stream as begun at no known place, which cannot be taken over.

Why it works: an event shows progress if it has an id, or if it has data and no event before had an id. Others are passed on while their attempt is the only one, and prove nothing. A stream whose events have no ids is treated as before.

Ruled out: dropping all events without an id on a resumable route, which would lose the answers of an engine that gives none; a limit on their number, as a sound engine may send comments for as long as it waits.

--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -174,19 +174,29 @@
                 raise self._wrong_answer_error(
                     f"event {event.id} follows event {stream.last_event_id}"
                 )
-        elif stream.last_event_id >= 0 and self._open_attempt.is_one_of_many:
-            # Only an event with an id shows that it can go on.
+        shows_progress = self._shows_progress(event)
+        if not shows_progress and self._open_attempt.is_one_of_many:
             return
         await self._open_attempt.claim()
-        self._note_progress()
+        if shows_progress:
+            self._note_progress()
         with self._open_attempt.writing():
             if not self._sink.has_started:
                 await self._sink.start(answer.status, answer.caller_headers)
             await self._sink.write(event.content)
-        stream.has_events = True
+        stream.has_events = stream.has_events or shows_progress
         if event.id is not None:
             stream.last_event_id = event.id
 
+    def _shows_progress(self, event: events.Event) -> bool:
+        """Whether an event shows that its engine works on the stream.
+
+        A hanging engine may send comments, or events that belong to nothing.
+        """
+        if event.id is not None:
+            return True
+        return self._stream.last_event_id < 0 and event.has_data
+
     def _note_progress(self) -> None:
         """Note an event of the current attempt."""
         stream, state = self._stream, self._open_attempt.state
--- a/src/crowdeck/relay/events.py
+++ b/src/crowdeck/relay/events.py
@@ -16,6 +16,7 @@
 # Far above the size of any event: a longer event means a broken stream.
 EVENT_LIMIT_BYTES = 1024 * 1024
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+_DATA = re.compile(rb"(?:^|[\r\n])data[:\r\n]")
 _LONGEST_END_BYTES = 4
 
 EventIdReader = typing.Callable[[bytes], int | None]
@@ -28,6 +29,11 @@
     content: bytes
     id: int | None
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it has a field ``data``, unlike a comment."""
+        return bool(_DATA.search(self.content))
+
 
 class EventSplitter:
     """Splits a stream's bytes into complete events.
--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -84,7 +84,8 @@
     :ivar check_may_resume: returns whether it may resume at another first
         engine.
     :ivar last_event_id: id of the last event forwarded, -1 for none.
-    :ivar has_events: whether an event was forwarded in any attempt.
+    :ivar has_events: whether an event was forwarded in any attempt; a comment
+        is none.
     :ivar may_have_run: whether an engine may have run it in an earlier
         attempt, here or before its caller resumed it.
     :ivar next_check_at: earliest time of its next check for a stall.
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -62,6 +62,7 @@
     :ivar lost_answers: number of next answers to lose after the request ran.
     :ivar break_stream_after: break one stream after this many events.
     :ivar breaks_every_stream: break every stream, not only one.
+    :ivar filler: if not empty, sent in place of its events, without end.
     :ivar hanging_streams: number of next streams to accept and never answer.
     :ivar failed_calls: number of next calls to answer with status 500.
     :ivar misattributed_answers: number of next answers to send with the id of
@@ -90,6 +91,7 @@
     break_stream_after: int = -1
     breaks_every_stream: bool = False
     failed_calls: int = 0
+    filler: bytes = b""
     hanging_streams: int = 0
     misattributed_answers: int = 0
     reset_connections: int = 0
@@ -489,6 +491,9 @@
         await self._crash_if_requested(target, request)
         for number in range(dispatch.last_event_id + 1, self.events):
             await anyio.sleep(self.event_seconds)
+            while target.filler:
+                yield target.filler
+                await anyio.sleep(self.event_seconds)
             await self._wait_for_path(target, request.id)
             await self._wait_for_link()
             if target.break_stream_after == sent:
