Leave out a header of an answer that cannot be sent on

Seen: h11 reads an answer whose header value has a control character (tried with both clients over loopback: x01 comes through); uvicorn's writer raises a RuntimeError for it (its HEADER_VALUE_RE, by reading), after the sink has noted that the answer began. The caller of a whole answer would get a bare 500 or a closed channel.

Cause: the headers of an answer were passed on as they were read.

Evidence: test_header_that_cannot_be_sent_does_not_stop_an_answer, 3 cases, failed before.

Why it works: such a value is unreadable, and is left out where the caller's headers are chosen. Tabs and bytes above 127 are sent as before.

Ruled out: names of headers; h11 takes only the characters of a token.

--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -35,6 +35,7 @@
 _CONNECTION = b"connection"
 _HOST = b"host"
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?=[\r\n]|$)")
+_CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_EVENT_ID_DIGITS = len(str(fields.MAX_EXACT_INTEGER))
 MIN_DEADLINE_MS = 1
 # The least urgent priority that engines accept.
@@ -119,12 +120,15 @@
 
 
 def caller_response_headers(headers: http.RawHeaders) -> http.RawHeaders:
-    """Return the headers of an upstream's answer that the caller gets."""
+    """Return the headers of an upstream's answer that the caller gets.
+
+    A value with control characters cannot be sent on, and is left out.
+    """
     dropped = _HOP_BY_HOP_HEADERS | _ENTRY_HEADERS
     return [
         (name.lower(), value)
         for name, value in headers
-        if name.lower() not in dropped
+        if name.lower() not in dropped and not _CONTROLS.search(value)
     ]
 
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -339,6 +339,14 @@
         )
         assert headers == [(b"x-response-signature", b"s")]
 
+    @pytest.mark.parametrize("control", [b"\x01", b"\x0b", b"\x7f"])
+    def test_header_that_cannot_be_sent_does_not_stop_an_answer(
+        self, control: bytes
+    ) -> None:
+        sound = (b"x-other", b"a\tb \xff")
+        headers = [sound, (b"x-spoilt", b"a" + control + b"b")]
+        assert callers.caller_response_headers(headers) == [sound]
+
     @pytest.mark.parametrize(
         ("event", "number"),
         [
