Take an answer with a status above 599 for none

Seen: h11 reads an answer with status 700 (tried with both clients over loopback); uvicorn's writer has no line for it and raises a KeyError (by reading), after the sink has noted that the answer began. The caller would get a bare 500 or a closed channel, and the request no other engine.

Cause: any status of three digits was passed on.

Evidence: test_status_that_cannot_be_sent_is_no_answer, 600 and 999, failed before.

Why it works: the client of upstreams raises WRONG_ANSWER, may have run, before anything of the answer is used, also a header that says that it did not run. Statuses below 100 and 1xx are refused or skipped by h11.

Ruled out: passing it on as 502; a repeatable request is served by another.

--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -24,6 +24,7 @@
 from crowdeck.platform import upstreams
 from crowdeck.relay import interfaces
 from crowdeck.relay import request as requests
+from crowdeck import verdict as verdicts
 
 # Short, as an engine answers reports and orders at once, even while it serves
 # requests.
@@ -32,6 +33,8 @@
 _JSON_TYPE = (b"content-type", b"application/json")
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+# HTTP servers refuse to send a higher one.
+_MAX_STATUS = 599
 _NOT_RUN_STATUSES = frozenset({_MISDIRECTED})
 _LEAVING_VALUE = b"1"
 # Longest part of an unreadable header that is logged.
@@ -142,7 +145,7 @@
         """Send a request and yield its answer once the head has arrived.
 
         :raises CrowdeckError: ``UPSTREAM_LOST``, with a verdict on whether the
-            request ran.
+            request ran; ``WRONG_ANSWER`` if its status is none of HTTP.
         """
         kind = http.ExchangeKind.SINGLE
         if dispatch.may_repeat and dispatch.path is not None:
@@ -159,6 +162,14 @@
             (names.REQUEST_ID, request.id.encode()),
         )
         async with self._open(exchange, timeouts) as response:
+            if response.status > _MAX_STATUS:
+                raise errors.CrowdeckError(
+                    errors.Code.WRONG_ANSWER,
+                    f"{upstream.name} answered with status {response.status}; "
+                    f"expected at most {_MAX_STATUS}",
+                    verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                    culprit=upstream.name,
+                )
             self._notify(upstream, response, answers_request=True)
             yield UpstreamAnswer(response)
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -463,6 +463,25 @@
 
         anyio.run(body)
 
+    @pytest.mark.parametrize("status", [600, 999])
+    def test_status_that_cannot_be_sent_is_no_answer(
+        self, status: int
+    ) -> None:
+        async def body() -> None:
+            client = client_of(reply(status, "X-Not-Executed: 1\r\n"))
+            with pytest.raises(errors.CrowdeckError) as caught:
+                async with client.open(
+                    fleet_system.upstream("i-9"),
+                    caller_request(),
+                    interfaces.Dispatch("t", 1, 1.0),
+                    http.Timeouts(1.0, 1.0),
+                ):
+                    pass
+            assert caught.value.code is errors.Code.WRONG_ANSWER
+            assert not caught.value.verdict.is_retry_safe
+
+        anyio.run(body)
+
 
 class TestLoadHeader:
     """The load that an upstream reports with an answer."""
