Bound the interim responses before an answer

Seen: in a trial, h11 took 77 ms of the event loop for one read of 64 KiB that holds 3,640 interim responses; a server that sends them without end makes an entry do that again and again until the exchange's timeout.

Cause: each was skipped, without a count and without a wait between those of one read.

Evidence: test_a_flood_of_them_is_no_answer, 101 before an answer, on a new and a kept connection, failed before; 100 before an answer are still read.

Why it works: the 101st ends the exchange as lost, and it may have run.

Ruled out: a wait after each, which bounds nothing. The client without reuse is httpcore's, which skips them itself; only its timeout bounds it.

--- a/src/crowdeck/connection.py
+++ b/src/crowdeck/connection.py
@@ -23,6 +23,8 @@
 
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 100 * 1024
+# Reading thousands that arrive together holds up the event loop.
+MAX_INTERIM_RESPONSES = 100
 
 _WHOLE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 _Reason = connection_policy.CloseReason
@@ -135,12 +137,14 @@
 
         :param timeout_seconds: maximum time of each read.
         :raises TimeoutError: if nothing arrives in time.
-        :raises ConnectionError: if the connection is lost.
+        :raises ConnectionError: if the connection is lost, or if more than
+            ``MAX_INTERIM_RESPONSES`` come before the answer.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event(timeout_seconds)
             if isinstance(event, h11.Response):
                 return Head(event.status_code, list(event.headers.raw_items()))
+        raise ConnectionError("too many interim responses")
 
     async def chunks(
         self, timeout_seconds: float
--- a/tests/test_bytes_without_end.py
+++ b/tests/test_bytes_without_end.py
@@ -16,6 +16,7 @@
 import attrs
 import pytest
 
+from crowdeck import connection as connections
 from crowdeck import errors
 from crowdeck import http
 from crowdeck import instance as instances
@@ -204,3 +205,28 @@
             errors.Code.TOO_LARGE,
         )
         assert not error.verdict.is_retry_safe
+
+
+class TestInterimResponses:
+    """Interim responses before the answer, all sent at once."""
+
+    @pytest.mark.parametrize("is_kept", [False, True], ids=["new", "kept"])
+    def test_a_flood_of_them_is_no_answer(self, is_kept: bool) -> None:
+        flood = INTERIM * (connections.MAX_INTERIM_RESPONSES + 1)
+        error = error_of(Script(flood + WHOLE, b"x"), 1.0, True, is_kept)
+        assert error.code is errors.Code.UPSTREAM_LOST
+        assert error.verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+    @pytest.mark.parametrize("is_kept", [False, True], ids=["new", "kept"])
+    def test_some_of_them_precede_an_answer(self, is_kept: bool) -> None:
+        some = INTERIM * connections.MAX_INTERIM_RESPONSES
+
+        async def body() -> bytes:
+            script = Script(some + WHOLE, b"x")
+            server = Server(script, 1.0, sound_answers=int(is_kept))
+            async with opener(server, is_reusing=True) as open_exchange:
+                if is_kept:
+                    assert await ask(open_exchange) == b"body"
+                return await ask(open_exchange)
+
+        assert anyio.run(body) == b"body"
