--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -9,6 +9,7 @@
 
 from crowdeck import chain
 from crowdeck import http
+from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.relay import interfaces
 from crowdeck.relay import request as requests
@@ -34,6 +35,8 @@
 _CONNECTION = b"connection"
 _HOST = b"host"
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?=[\r\n]|$)")
+_CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_MAX_EVENT_ID_DIGITS = len(str(fields.MAX_EXACT_INTEGER))
 MIN_DEADLINE_MS = 1
 # The least urgent priority that engines accept.
 LOWEST_PRIORITY = 9
@@ -73,9 +76,7 @@
         timeout_seconds=None if timeout_ms is None else timeout_ms / 1000.0,
         arrived=arrived,
         token_counts=_token_counts(first_values),
-        last_event_id=int(
-            _parse_number(first_values.get(names.LAST_EVENT_ID, b"")) or -1
-        ),
+        last_event_id=_last_event_id(first_values),
         model=first_values.get(names.MODEL, b"").decode("latin-1"),
         prompt_parts=_prompt_parts(headers),
     )
@@ -119,12 +120,15 @@
 
 
 def caller_response_headers(headers: http.RawHeaders) -> http.RawHeaders:
-    """Return the headers of an upstream's answer that the caller gets."""
+    """Return the headers of an upstream's answer that the caller gets.
+
+    A value with control characters cannot be sent on, and is left out.
+    """
     dropped = _HOP_BY_HOP_HEADERS | _ENTRY_HEADERS
     return [
         (name.lower(), value)
         for name, value in headers
-        if name.lower() not in dropped
+        if name.lower() not in dropped and not _CONTROLS.search(value)
     ]
 
 
@@ -136,7 +140,10 @@
 def event_id(event: bytes) -> int | None:
     """Return the id of a server-sent event, or ``None`` if it has none."""
     found = _EVENT_ID.search(event)
-    return int(found.group(1)) if found else None
+    # Python refuses to read very many digits.
+    if found is None or len(found.group(1)) > _MAX_EVENT_ID_DIGITS:
+        return None
+    return int(found.group(1))
 
 
 def _headers_listed_in_connection(
@@ -149,6 +156,11 @@
     return frozenset(listed)
 
 
+def _last_event_id(first_values: dict[bytes, bytes]) -> int:
+    number = _parse_number(first_values.get(names.LAST_EVENT_ID, b""))
+    return -1 if number is None else int(number)
+
+
 def _api_key(authorization: bytes) -> str:
     text = authorization.decode("latin-1")
     if text[: len(names.KEY_SCHEME)].lower() == names.KEY_SCHEME:
@@ -181,7 +193,10 @@
 
 
 def _parse_number(text: bytes) -> float | None:
+    """Return a number of 0 or more, or ``None`` if missing or unreadable."""
     try:
-        return float(text)
+        value = float(text)
     except ValueError:
         return None
+    # False for NaN, too.
+    return value if 0 <= value <= fields.MAX_EXACT_INTEGER else None
--- a/src/crowdeck/relay/attempt.py
+++ b/src/crowdeck/relay/attempt.py
@@ -89,7 +89,7 @@
         self._path = path
         self._open_attempt = open_attempt
         self._deadline = deadline
-        # Events without an id before the first with one, until it may deliver.
+        # Events without an id, until this attempt delivers.
         self._held_events: list[bytes] = []
 
     @property
@@ -177,46 +177,51 @@
                 raise self._wrong_answer_error(
                     f"event {event.id} follows event {stream.last_event_id}"
                 )
-        elif self._must_hold(event):
+        shows_progress = self._shows_progress(event)
+        if not shows_progress and self._open_attempt.is_one_of_many:
+            self._hold(event)
             return
         await self._open_attempt.claim()
-        self._note_progress()
+        if shows_progress:
+            self._note_progress()
         with self._open_attempt.writing():
             if not self._sink.has_started:
                 await self._sink.start(answer.status, answer.caller_headers)
             await self._write_held()
             await self._sink.write(event.content)
-        stream.has_events = True
+        stream.has_events = stream.has_events or shows_progress
         if event.id is not None:
             stream.last_event_id = event.id
 
-    def _must_hold(self, event: events.Event) -> bool:
-        """Hold an event without an id if it does not show a resumption.
+    def _hold(self, event: events.Event) -> None:
+        """Keep an event that does not show that this attempt goes on.
 
-        Only an event with an id shows that a new attempt goes on where the
-        others stopped.
+        It is written once the attempt delivers. Comments are left out.
 
-        :raises CrowdeckError: ``WRONG_ANSWER`` if it would hold too much.
+        :raises CrowdeckError: ``WRONG_ANSWER`` if it would keep too much.
         """
-        is_proven = (
-            self._stream.last_event_id < 0
-            or not self._open_attempt.state.is_starting
-            or not self._open_attempt.is_one_of_many
-        )
-        if is_proven:
-            return False
+        if not event.has_data:
+            return
         self._held_events.append(event.content)
         if sum(map(len, self._held_events)) > events.EVENT_LIMIT_BYTES:
             raise self._wrong_answer_error(
                 f"over {events.EVENT_LIMIT_BYTES} bytes without an event id"
             )
-        return True
 
     async def _write_held(self) -> None:
         held_events, self._held_events = self._held_events, []
         for content in held_events:
             await self._sink.write(content)
 
+    def _shows_progress(self, event: events.Event) -> bool:
+        """Whether an event shows that its engine works on the stream.
+
+        A hanging engine may send comments, or events that belong to nothing.
+        """
+        if event.id is not None:
+            return True
+        return self._stream.last_event_id < 0 and event.has_data
+
     def _note_progress(self) -> None:
         """Note an event of the current attempt."""
         stream, state = self._stream, self._open_attempt.state
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -258,6 +258,43 @@
         request = caller_request()
         assert request.prompt_parts == () == request.shared_parts
 
+    @pytest.mark.parametrize(
+        "value", ["inf", "-inf", "nan", "-1", "1e400", "9" * 400, "1e300"]
+    )
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "x-request-deadline",
+            "last-event-id",
+            "x-token-counts",
+            "x-length-hint",
+        ],
+    )
+    def test_numbers_that_are_none_do_not_stop_a_request(
+        self, name: str, value: str
+    ) -> None:
+        if name == "x-token-counts":
+            value = f"{value},80"
+        headers = [
+            (b"x-request-id", b"r1"),
+            (name.encode(), value.encode()),
+            (b"x-token-counts", b"12,80"),
+        ]
+        request = callers.decode("POST", b"/", b"", headers, b"", 0.0)
+        assert request is not None
+        assert request.timeout_seconds is None
+        assert request.last_event_id == -1
+        expected = requests.TokenCounts(12, 80, 0)
+        assert request.token_counts == (
+            None if name == "x-token-counts" else expected
+        )
+
+    def test_stream_may_resume_after_its_event_0(self) -> None:
+        headers = [(b"x-request-id", b"r1"), (b"last-event-id", b"0")]
+        request = callers.decode("POST", b"/", b"", headers, b"", 0.0)
+        assert request is not None
+        assert request.last_event_id == 0
+
     def test_request_without_an_id_is_none(self) -> None:
         assert callers.decode("GET", b"/", b"", [], b"", 0.0) is None
 
@@ -302,6 +339,14 @@
         )
         assert headers == [(b"x-response-signature", b"s")]
 
+    @pytest.mark.parametrize("control", [b"\x01", b"\x0b", b"\x7f"])
+    def test_header_that_cannot_be_sent_does_not_stop_an_answer(
+        self, control: bytes
+    ) -> None:
+        sound = (b"x-other", b"a\tb \xff")
+        headers = [sound, (b"x-spoilt", b"a" + control + b"b")]
+        assert callers.caller_response_headers(headers) == [sound]
+
     @pytest.mark.parametrize(
         ("event", "number"),
         [
@@ -309,6 +354,8 @@
             (b"data: x\nid:8\n\n", 8),
             (b"data: id: 9\n\n", None),
             (b"data: x\r\nid: 10\r\n\r\n", 10),
+            (b"id: " + b"1" * 5000 + b"\n\n", None),
+            (b"id: " + b"1" * 400 + b"\n\n", None),
         ],
     )
     def test_ids_of_events(self, event: bytes, number: int | None) -> None:
@@ -416,6 +463,25 @@
 
         anyio.run(body)
 
+    @pytest.mark.parametrize("status", [600, 999])
+    def test_status_that_cannot_be_sent_is_no_answer(
+        self, status: int
+    ) -> None:
+        async def body() -> None:
+            client = client_of(reply(status, "X-Not-Executed: 1\r\n"))
+            with pytest.raises(errors.CrowdeckError) as caught:
+                async with client.open(
+                    fleet_system.upstream("i-9"),
+                    caller_request(),
+                    interfaces.Dispatch("t", 1, 1.0),
+                    http.Timeouts(1.0, 1.0),
+                ):
+                    pass
+            assert caught.value.code is errors.Code.WRONG_ANSWER
+            assert not caught.value.verdict.is_retry_safe
+
+        anyio.run(body)
+
 
 class TestLoadHeader:
     """The load that an upstream reports with an answer."""
