Answer requests that wait behind another on a closing connection

What callers saw: of requests sent one behind the other on one connection, the first was answered and the connection closed; the others, read in full, got neither an answer nor a refusal. This happens on all connections of an entry at once, when its config is not known to be current (a store that is away while a change is written) and during a planned stop.

Cause: each answer sent "Connection: close" while the entry closes connections. uvicorn closes after that answer and drops what it has read and put behind it, without a line in the log.

Why the mend works: the connection tells the application whether requests wait behind the one that is answered. Only the last of them closes it.

Ruled out with the code before, each in the new test file: a request that is sent as the closing answer is written (20 times, 0.5 ms apart), one that is sent as an idle connection's time ends (20 times), one that is sent slowly across the change, one that waits when the server is told to exit. Each was answered, or not served at all.

Not mended: a request that is sent after the head of a long answer has said "Connection: close". HTTP tells its caller that it is not served.

--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -25,12 +25,10 @@
 from crowdeck.membership import upstreams as registries
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import callers
 from crowdeck.platform import engines
 from crowdeck.platform import names
 from crowdeck.platform import store as platform_store
 from crowdeck.relay import context as contexts
-from crowdeck.relay import ingress
 from crowdeck.relay import relay as relays
 from crowdeck.relay import stalls
 from crowdeck.relay import status as statuses
@@ -56,7 +54,6 @@
 # Part of the grace period that is reserved for closing connections. Closing
 # all of them takes up to half a second.
 STOP_MARGIN_SECONDS = 1.0
-KEEP_ALIVE_SECONDS = 15
 # Longest wait at start for the config, the survey of the engines and the
 # roster. After it the entry accepts connections and refuses what it cannot
 # serve yet. Each of these takes some tens of milliseconds while the store is
@@ -336,18 +333,16 @@
             app, status_address.host, status_address.port
         )
         await tasks.start(_run_server, status_server)
+        # Loaded here, as uvicorn's own protocols are: meanwhile the store and
+        # the engines answer the questions of the initial sync.
+        from crowdeck.cmd import caller_server
+
         # Until the initial sync ends or this time has passed, connections
         # wait in the listener's backlog instead of being refused.
         with anyio.move_on_after(MAX_INITIAL_SYNC_SECONDS):
             await self._initially_synced.wait()
         address = instances.Address.parse(str(fleet["callers"]))
-        self._server = http_server.build(
-            ingress.Ingress(relay, callers),
-            address.host,
-            address.port,
-            timeout_keep_alive=KEEP_ALIVE_SECONDS,
-            date_header=False,
-        )
+        self._server = caller_server.build(relay, address.host, address.port)
         await tasks.start(self._serve_callers, self._server)
 
     async def _serve_callers(
--- a/src/crowdeck/relay/ingress.py
+++ b/src/crowdeck/relay/ingress.py
@@ -24,6 +24,9 @@
 Send = typing.Callable[[Message], typing.Awaitable[None]]
 Scope = dict[str, typing.Any]
 
+# Extension of a request's scope: a function that returns whether later
+# requests on its connection were read and wait for this one's answer.
+HAS_WAITING_REQUESTS = "crowdeck.has_waiting_requests"
 _JSON_TYPE = (b"content-type", b"application/json")
 _CLOSE = (b"connection", b"close")
 
@@ -52,11 +55,21 @@
 
 
 class CallerSink:
-    """Writes an answer to a caller's connection."""
+    """Writes an answer to a caller's connection.
 
-    def __init__(self, send: Send, server: Server) -> None:
+    :param has_waiting_requests: returns whether later requests on the
+        connection wait for this answer.
+    """
+
+    def __init__(
+        self,
+        send: Send,
+        server: Server,
+        has_waiting_requests: typing.Callable[[], bool],
+    ) -> None:
         self._send = send
         self._server = server
+        self._has_waiting_requests = has_waiting_requests
         self._has_started = False
         self._has_ended = False
 
@@ -70,11 +83,20 @@
         """Whether the complete answer was sent."""
         return self._has_ended
 
+    @property
+    def _closes_connection(self) -> bool:
+        # The last of the waiting requests closes the connection: the others
+        # have been read, and would get no answer.
+        return (
+            self._server.closes_connections
+            and not self._has_waiting_requests()
+        )
+
     async def start(self, status: int, headers: http.RawHeaders) -> None:
         """Send the status and headers; the body follows in pieces."""
         self._has_started = True
         headers = [pair for pair in headers if pair[0] != b"content-length"]
-        if self._server.closes_connections:
+        if self._closes_connection:
             headers.append(_CLOSE)
         await self._send(
             {
@@ -102,7 +124,7 @@
         length = (b"content-length", str(len(body)).encode())
         self._has_started = True
         headers = [*headers, length]
-        if self._server.closes_connections:
+        if self._closes_connection:
             headers.append(_CLOSE)
         await self._send(
             {
@@ -134,7 +156,12 @@
         """Serve one HTTP request, as an ASGI application."""
         assert scope["type"] == "http", "only HTTP is served"
         arrived = anyio.current_time()
-        sink = CallerSink(send, self._server)
+        extensions = scope.get("extensions", {})
+        sink = CallerSink(
+            send,
+            self._server,
+            extensions.get(HAS_WAITING_REQUESTS, _has_none),
+        )
         try:
             body = await self._read(receive)
             if not body.is_complete:
@@ -246,6 +273,10 @@
         await sink.reply(status, headers, body)
 
 
+def _has_none() -> bool:
+    return False
+
+
 def _log_failure(
     request: requests.CallerRequest, sink: CallerSink, error: Exception
 ) -> None:
