Read the rest of a body that is refused before the refusal is sent

What callers saw: a caller that still sent a body larger than the limit got a reset instead of the 413, where the connection closes after the answer: the entry closes connections, or the caller asked for it. A change that lowers max_body_bytes makes it so for bodies that are on the way.

Cause: the refusal was sent and the connection closed while bytes of the body were unread. The kernel then sends a reset, and the caller's kernel drops what its program has not read yet.

Evidence, over loopback sockets with a body of 16 MB and a limit that is lowered while it is sent: 2 of 2 cases failed before with ConnectionResetError, none after; on a connection that is kept it held before.

Why the mend works: nothing is unread when the connection closes. The rest of the body is dropped as it comes, for up to two seconds, so that a caller that stops sending gets its refusal as well.

Ruled out: 401, 404 and 503 are decided after the whole body was read.

--- a/src/crowdeck/relay/ingress.py
+++ b/src/crowdeck/relay/ingress.py
@@ -27,6 +27,8 @@
 # Extension of a request's scope: a function that returns whether later
 # requests on its connection were read and wait for this one's answer.
 HAS_WAITING_REQUESTS = "crowdeck.has_waiting_requests"
+# Longest time for which the rest of a body that is refused is still read.
+MAX_DISCARD_SECONDS = 2.0
 _JSON_TYPE = (b"content-type", b"application/json")
 _CLOSE = (b"connection", b"close")
 
@@ -207,10 +209,13 @@
                 return _Body(b"", is_complete=False)
             piece = message.get("body", b"")
             size += len(piece)
-            if size > self._server.body_limit:
+            body_limit = self._server.body_limit
+            if size > body_limit:
+                if message.get("more_body"):
+                    await _discard_rest(receive)
                 raise errors.CrowdeckError(
                     errors.Code.TOO_LARGE,
-                    f"the body is larger than {self._server.body_limit} bytes",
+                    f"the body is larger than {body_limit} bytes",
                 )
             pieces.append(piece)
             if not message.get("more_body"):
@@ -273,6 +278,19 @@
         await sink.reply(status, headers, body)
 
 
+async def _discard_rest(receive: Receive) -> None:
+    """Read the rest of a body that is refused.
+
+    If a connection is closed while its caller still sends, the caller may get
+    a reset instead of the refusal.
+    """
+    with anyio.move_on_after(MAX_DISCARD_SECONDS):
+        while True:
+            message = await receive()
+            if not message.get("more_body"):
+                return
+
+
 def _has_none() -> bool:
     return False
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -23,6 +23,9 @@
 READ_SECONDS = 5.0
 # Time for an answer to a request that may have been read.
 SETTLE_SECONDS = 0.3
+# More than the buffers of both ends of a loopback connection hold.
+LARGE_BODY_BYTES = 16_000_000
+PIECE_BYTES = 200_000
 
 
 class AnsweringServer:
@@ -33,7 +36,7 @@
     """
 
     def __init__(self) -> None:
-        self.body_limit = 10_000
+        self.body_limit = LARGE_BODY_BYTES
         self.closes_connections = False
         self.served: list[str] = []
         self.was_served = anyio.Event()
@@ -206,3 +209,50 @@
             assert content.startswith(b"HTTP/1.1 200")
 
         run_scenario(scenario, 0.05)
+
+
+class TestEarlyRefusal:
+    """A body that is larger than the limit in force."""
+
+    @pytest.mark.parametrize("closing", ["kept", "server", "caller"])
+    def test_caller_that_still_sends_gets_the_refusal(
+        self, closing: str
+    ) -> None:
+        """Guards against refusals that are lost by a reset."""
+
+        async def scenario(
+            server: AnsweringServer,
+            http: http_server.EmbeddedServer,
+            port: int,
+        ) -> None:
+            server.closes_connections = closing == "server"
+            extra = b"Connection: close\r\n" if closing == "caller" else b""
+            async with await anyio.connect_tcp(HOST, port) as stream:
+                await stream.send(head("r1", LARGE_BODY_BYTES, extra))
+                await stream.send(b"x" * PIECE_BYTES)
+                await anyio.sleep(0.05)
+                # A change of the config, while the body is being read.
+                server.body_limit = PIECE_BYTES
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    for _ in range(1, LARGE_BODY_BYTES // PIECE_BYTES):
+                        await stream.send(b"x" * PIECE_BYTES)
+                content = await read_until(stream, b"\r\n\r\n")
+            assert content.startswith(b"HTTP/1.1 413")
+            assert server.served == []
+
+        run_scenario(scenario)
+
+    def test_caller_that_stops_sending_gets_the_refusal(self) -> None:
+        async def scenario(
+            server: AnsweringServer,
+            http: http_server.EmbeddedServer,
+            port: int,
+        ) -> None:
+            server.body_limit = PIECE_BYTES
+            async with await anyio.connect_tcp(HOST, port) as stream:
+                await stream.send(head("r1", LARGE_BODY_BYTES))
+                await stream.send(b"x" * (2 * PIECE_BYTES))
+                content = await read_until(stream, b"\r\n\r\n")
+            assert content.startswith(b"HTTP/1.1 413")
+
+        run_scenario(scenario)
