Keep a silent instance's call open until another try is served

Callers of a route that may repeat got an error while their instance was sound: it was silent for 1.0 or 1.2 s and would have answered within the route's timeout.

Cause: the first try was ended after 0.4 of the timeout, before it was asked whether the number of tries, the retry budget and the instances allow another, and whether that one answers.

The tries that are open stand in relay/open_tries. The timer now makes another try beside the silent one; the first that is served counts and the others end then. If none can be made, the open ones are waited for until the deadline and another is sought each 0.2 s. So nothing depends on why no other was possible. Only the latest send settles a reservation of the retry budget, an earlier one is abandoned before the next is reserved.

Ruled out: a belief that the instance is lost, and a timeout of the exchange's own: neither depends on whether the route may repeat. A longer first try alone would only move the moment of the guess.

--- a/src/crowdeck/relay/calls.py
+++ b/src/crowdeck/relay/calls.py
@@ -9,7 +9,7 @@
 import typing
 
 import anyio
-import attrs
+import anyio.abc
 
 from crowdeck import chain
 from crowdeck import errors
@@ -21,6 +21,7 @@
 from crowdeck.relay import attempt as attempts
 from crowdeck.relay import context as contexts
 from crowdeck.relay import interfaces
+from crowdeck.relay import open_tries
 from crowdeck.relay import request as requests
 from crowdeck import route as routes
 from crowdeck.routing import balance
@@ -29,8 +30,11 @@
 from crowdeck import verdict as verdicts
 
 # Share of the route's timeout after which a call that may be repeated is
-# tried at another instance.
+# tried at another instance too.
 FIRST_ATTEMPT_SHARE = 0.4
+# If no other try can be made beside a silent one, that is checked again after
+# this time.
+KEPT_CHECK_SECONDS = 0.2
 # Errors reach the caller this long before its own deadline.
 ANSWER_MARGIN_SECONDS = 0.03
 # A call is not sent with less time left than this. No upstream could answer in
@@ -49,18 +53,6 @@
 MAX_ANSWER_BYTES = http.RESPONSE_LIMIT_BYTES
 
 
-@attrs.frozen
-class _Answer:
-    status: int
-    headers: http.RawHeaders
-    body: bytes
-    verdict: verdicts.Verdict
-
-    @property
-    def has_failed(self) -> bool:
-        return self.status >= 500
-
-
 class CallRelay:
     """Relays calls to the instances of plain services."""
 
@@ -104,7 +96,8 @@
     """One call in progress.
 
     ``_send_count`` counts the tries, except those that could not connect;
-    ``_verdict`` combines the verdicts of all tries.
+    ``_verdict`` combines the verdicts of all that ended. ``_look_at`` is when
+    to make another try beside those that are open.
     """
 
     def __init__(
@@ -132,47 +125,140 @@
         self._deadline = (
             request.arrived + limit_seconds - ANSWER_MARGIN_SECONDS
         )
+        self._tries = open_tries.OpenTries()
         self._tried: set[str] = set()
         self._send_count = 0
-        self._attempt_began_at = request.arrived
+        self._look_at = float("inf")
+        self._has_logged_kept = False
         self._verdict = verdicts.Verdict.NOT_RUN
         self._unavailable_addresses = ""
 
-    async def run(self) -> _Answer:
-        failed_answer: _Answer | None = None
-        for _ in range(EXTRA_CONNECT_TRIES + self._route.max_attempts):
-            self._refuse_if_quarantined()
-            try:
-                upstream = await self._choose()
-            except errors.CrowdeckError:
-                if failed_answer is not None:
-                    return failed_answer
-                raise
+    async def run(self) -> open_tries.CallAnswer:
+        """Return the answer of the first try that is served.
+
+        :raises CrowdeckError: if there is none.
+        """
+        failure: errors.CrowdeckError | None = None
+        answer: open_tries.CallAnswer | None = None
+        async with anyio.create_task_group() as tasks:
             try:
-                answer = await self._attempt(upstream)
+                answer = await self._await_answer(tasks)
             except errors.CrowdeckError as error:
-                self._record_failure(upstream, error)
-                await self._record_loss(upstream, error)
-                if self._prepare_retry(error.verdict):
-                    continue
-                if failed_answer is not None:
-                    # The upstream's own error is more specific.
-                    return failed_answer
-                raise self._final_error(error) from None
-            if not answer.has_failed:
-                self._context.quarantine.note_served(
-                    trackers.AttemptRecord(
-                        self._content,
-                        anyio.current_time() - self._attempt_began_at,
-                    )
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        assert answer is not None
+        return answer
+
+    async def _await_answer(
+        self, tasks: anyio.abc.TaskGroup
+    ) -> open_tries.CallAnswer:
+        failed_answer: open_tries.CallAnswer | None = None
+        self._refuse_if_quarantined()
+        self._begin(tasks, await self._choose())
+        while True:
+            ended = await self._tries.wait(self._look_at)
+            if ended is None:
+                self._begin_beside(tasks)
+                continue
+            if ended.is_served:
+                assert ended.answer is not None
+                self._note_served(ended)
+                return ended.answer
+            failed_answer = ended.answer or failed_answer
+            if self._tries.are_open:
+                self._schedule_look()
+                continue
+            if self._prepare_retry(ended.verdict):
+                self._refuse_if_quarantined()
+                try:
+                    self._begin(tasks, await self._choose())
+                except errors.CrowdeckError:
+                    if failed_answer is not None:
+                        return failed_answer
+                    raise
+                continue
+            if failed_answer is not None:
+                # The upstream's own error is more specific.
+                return failed_answer
+            assert ended.error is not None
+            raise self._final_error(ended.error)
+
+    def _begin(
+        self, tasks: anyio.abc.TaskGroup, upstream: chain.Upstream
+    ) -> None:
+        """Begin a try at an instance."""
+        self._tried.add(upstream.name)
+        self._send_count += 1
+        self._send_tracker.note_sent()
+        tasks.start_soon(self._run_try, self._tries.begin(upstream))
+        self._schedule_look()
+
+    def _schedule_look(self) -> None:
+        """Set when to make another try, once the latest one is silent."""
+        self._look_at = float("inf")
+        if self._route.may_repeat and self._send_count < self._max_sends:
+            self._look_at = (
+                self._tries.latest_began_at
+                + self._route.timeout_seconds * FIRST_ATTEMPT_SHARE
+            )
+
+    def _begin_beside(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Begin a try beside those that are open, if one can be made now.
+
+        Otherwise they are waited for, and this is checked again.
+        """
+        self._look_at = anyio.current_time() + KEPT_CHECK_SECONDS
+        for silent_try in self._tries.take_silent():
+            self._note_late(silent_try)
+        # Only the last send is tracked, and the next may be made below.
+        self._send_tracker.note_abandoned()
+        if not self._may_send_again(verdicts.Verdict.MAY_HAVE_RUN):
+            self._look_at = float("inf")
+            self._log_kept("no further try is allowed")
+        elif self._context.quarantine.is_quarantined(self._content):
+            self._log_kept("it is quarantined")
+        elif not self._accepting():
+            self._log_kept("no untried instance accepts the call now")
+        elif not self._send_tracker.reserve():
+            if not self._has_logged_kept:
+                self._context.log_retry_refused(
+                    self._service.name, self._request.id
                 )
-                return answer
-            failed_answer = answer
-            if not self._prepare_retry(answer.verdict):
-                break
-        if failed_answer is not None:
-            return failed_answer
-        raise self._final_error(self._no_instance_error(0.0))
+            self._log_kept("the retry budget is spent")
+        else:
+            self._note_retry()
+            upstream = self._pick()
+            assert upstream is not None, "an instance accepts the call"
+            self._begin(tasks, upstream)
+
+    def _note_late(self, silent_try: open_tries.OpenTry) -> None:
+        self._balancer.note_failure(silent_try.upstream)
+        logs.decision(
+            "call_late",
+            self._request.id,
+            upstream=silent_try.upstream.name,
+            silent=round(anyio.current_time() - silent_try.began_at, 3),
+            tries=self._send_count,
+        )
+
+    def _log_kept(self, reason: str) -> None:
+        """Log once why no other try is made beside a silent one."""
+        if self._has_logged_kept:
+            return
+        self._has_logged_kept = True
+        counters.COUNTERS.add("relay.call.kept")
+        logs.decision("call_kept", self._request.id, reason=reason)
+
+    def _note_served(self, ended: open_tries.OpenTry) -> None:
+        if ended.is_late:
+            counters.COUNTERS.add("relay.call.resumed")
+        self._context.quarantine.note_served(
+            trackers.AttemptRecord(
+                self._content, anyio.current_time() - ended.began_at
+            )
+        )
 
     @property
     def _content(self) -> fingerprint.RequestContent:
@@ -270,15 +356,22 @@
                     "deadline",
                 )
             )
-        limits = self._context.limits
-        usable = self._context.registry.usable(self._service.name)
-        untried = self._untried(usable)
-        upstream = self._balancer.pick(filter(limits.allows, untried))
+        upstream = self._balancer.pick(self._accepting())
         if upstream is not None:
             # Counted at once, so that other tasks do not exceed the limit.
-            limits.take(upstream)
+            self._context.limits.take(upstream)
         return upstream
 
+    def _accepting(self) -> list[chain.Upstream]:
+        """Return the untried instances that accept a call now."""
+        usable = self._context.registry.usable(self._service.name)
+        limits = self._context.limits
+        return [
+            upstream
+            for upstream in self._untried(usable)
+            if limits.allows(upstream)
+        ]
+
     def _seconds_until_accepted(self, ahead: int = 0) -> float:
         """Return the seconds until an instance accepts this call.
 
@@ -307,17 +400,26 @@
             if upstream.name not in self._tried
         ]
 
-    async def _attempt(self, upstream: chain.Upstream) -> _Answer:
-        self._tried.add(upstream.name)
+    async def _run_try(self, open_try: open_tries.OpenTry) -> None:
+        """Run a try, and note how it ended."""
+        try:
+            open_try.answer = await self._attempt(open_try)
+        except errors.CrowdeckError as error:
+            open_try.error = error
+            self._record_failure(open_try, error)
+            await self._record_loss(open_try.upstream, error)
+        self._tries.end(open_try)
+
+    async def _attempt(
+        self, open_try: open_tries.OpenTry
+    ) -> open_tries.CallAnswer:
+        upstream = open_try.upstream
+        seconds = self._seconds_left()
         self._context.usage.add_call(upstream)
-        began = self._attempt_began_at = anyio.current_time()
-        seconds = self._attempt_seconds()
         try:
             with anyio.fail_after(seconds):
-                answer = await self._exchange(upstream)
+                answer = await self._exchange(open_try)
         except TimeoutError:
-            self._send_tracker.note_abandoned()
-            self._balancer.note_failure(upstream)
             raise errors.CrowdeckError(
                 errors.Code.DEADLINE,
                 f"no answer within {seconds:.2f} s",
@@ -326,7 +428,7 @@
             ) from None
         finally:
             self._context.usage.remove_call(upstream)
-        elapsed = anyio.current_time() - began
+        elapsed = anyio.current_time() - open_try.began_at
         self._balancer.note_answer(upstream, elapsed, answer.has_failed)
         self._context.registry.note_healthy(upstream.name)
         logs.decision(
@@ -340,15 +442,9 @@
         )
         return answer
 
-    def _attempt_seconds(self) -> float:
-        seconds_left = self._seconds_left()
-        if self._route.may_repeat and self._send_count < self._max_sends:
-            return min(
-                seconds_left, self._route.timeout_seconds * FIRST_ATTEMPT_SHARE
-            )
-        return seconds_left
-
-    async def _exchange(self, upstream: chain.Upstream) -> _Answer:
+    async def _exchange(
+        self, open_try: open_tries.OpenTry
+    ) -> open_tries.CallAnswer:
         dispatch = interfaces.Dispatch(
             self._admitted.team,
             self._admitted.priority,
@@ -359,17 +455,16 @@
         timeouts = http.Timeouts(
             self._context.connect_seconds, self._seconds_left()
         )
-        self._send_count += 1
-        self._send_tracker.note_sent()
         async with self._context.client.open(
-            upstream, self._request, dispatch, timeouts
+            open_try.upstream, self._request, dispatch, timeouts
         ) as answer:
-            self._send_tracker.note_arrived()
-            return await self._read(upstream, answer)
+            if self._tries.is_latest(open_try):
+                self._send_tracker.note_arrived()
+            return await self._read(open_try.upstream, answer)
 
     async def _read(
         self, upstream: chain.Upstream, answer: interfaces.Answer
-    ) -> _Answer:
+    ) -> open_tries.CallAnswer:
         if answer.load is not None:
             self._balancer.note_load(upstream, answer.load)
         if answer.has_not_run:
@@ -390,24 +485,28 @@
                 upstream,
                 f"status {answer.status} without a not-executed header",
             )
-        return _Answer(
-            answer.status,
-            answer.caller_headers,
-            body,
-            verdicts.Verdict.RAN,
+        return open_tries.CallAnswer(
+            answer.status, answer.caller_headers, body
         )
 
     def _record_failure(
-        self, upstream: chain.Upstream, error: errors.CrowdeckError
+        self, open_try: open_tries.OpenTry, error: errors.CrowdeckError
     ) -> None:
+        upstream = open_try.upstream
+        is_latest = self._tries.is_latest(open_try)
         if error.verdict is not verdicts.Verdict.NOT_RUN:
             self._verdict = verdicts.Verdict.MAY_HAVE_RUN
-            self._balancer.note_failure(upstream)
-            self._send_tracker.note_arrived()
+            if not open_try.is_late:
+                self._balancer.note_failure(upstream)
+            if is_latest and error.code is errors.Code.DEADLINE:
+                self._send_tracker.note_abandoned()
+            elif is_latest:
+                self._send_tracker.note_arrived()
         elif error.code is errors.Code.UPSTREAM_LOST:
             # There was no connection, so the request was not sent.
             self._send_count -= 1
-            self._send_tracker.note_send_failed()
+            if is_latest:
+                self._send_tracker.note_send_failed()
             self._context.registry.avoid(upstream.name, error.message)
         elif not self._context.registry.backoff_seconds_left(upstream.name):
             # An instance that refuses has no calls in progress and would
@@ -427,27 +526,42 @@
     def _max_sends(self) -> int:
         return max(1, self._route.max_attempts)
 
-    def _prepare_retry(self, verdict: verdicts.Verdict) -> bool:
-        """Reserve a retry if the call may be tried at another instance.
+    def _may_send_again(self, verdict: verdicts.Verdict) -> bool:
+        """Whether another try is allowed, apart from the retry budget.
 
-        :returns: whether it may.
+        :param verdict: whether an earlier try may have run.
         """
+        if self._seconds_left() < MIN_ATTEMPT_SECONDS:
+            return False
         if verdict is not verdicts.Verdict.NOT_RUN:
             if not self._route.may_repeat:
                 return False
-        if self._send_count >= self._max_sends:
+        if len(self._tried) >= EXTRA_CONNECT_TRIES + self._route.max_attempts:
+            return False
+        return self._send_count < self._max_sends
+
+    def _prepare_retry(self, verdict: verdicts.Verdict) -> bool:
+        """Reserve a retry if the call may be tried at another instance.
+
+        :returns: whether it may.
+        """
+        if not self._may_send_again(verdict):
             return False
         if not self._send_count:
             # Nothing was sent yet, so this is not a retry.
             return True
-        service = self._service.name
         if not self._send_tracker.reserve():
-            self._context.log_retry_refused(service, self._request.id)
+            self._context.log_retry_refused(
+                self._service.name, self._request.id
+            )
             return False
-        counters.COUNTERS.add("relay.call.repeated")
-        self._context.log_retry(service, self._request.id)
+        self._note_retry()
         return True
 
+    def _note_retry(self) -> None:
+        counters.COUNTERS.add("relay.call.repeated")
+        self._context.log_retry(self._service.name, self._request.id)
+
     def _no_instance_error(self, seconds: float) -> errors.CrowdeckError:
         """Log that no instance accepts a call, and return the error.
 
