Test streams whose later engines are silent, two of them failing

No answer under way is cut, no engine stays excluded.

Cause, traced for middle_range: the attempt at the first engine is open and set aside; a path search later finds a path that begins at the same first engine, and OpenAttempts.begin ends the open attempt at once. The new one is refused there, the retry budget is spent, and no attempt is left to wait for. So something that may work is still given up before what replaces it is there.

Not mended here, since it is a decision of relay/open_attempts.

--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -21,6 +21,8 @@
 SILENT_SECONDS = (1.2, 1.9)
 STREAMS = 24
 EVENTS = 60
+# A sound engine gets work again by then, counted from the end of its silence.
+RECOVERY_SECONDS = 3.0
 # The streams have begun everywhere, and none has ended.
 UNDER_WAY_SECONDS = 0.5
 
@@ -72,8 +74,39 @@
     return system.fleet.upstreams
 
 
+def later_engines(system: System) -> Engines:
+    """Return all engines that are not first."""
+    first = heads(system)
+    return [engine for engine in system.fleet.upstreams if engine not in first]
+
+
+def one_in_the_middle(system: System) -> Engines:
+    """Return one engine of the entry's zone that is neither first nor last."""
+    return [
+        engine for engine in middle_range(system) if engine in own_zone(system)
+    ][:1]
+
+
+def middle_range(system: System) -> Engines:
+    """Return all engines of one layer range, which is not the first."""
+    layers = later_engines(system)[0].listed.layers
+    return [
+        engine
+        for engine in system.fleet.upstreams
+        if engine.listed.layers == layers
+    ]
+
+
 Selection = typing.Callable[[System], Engines]
-SELECTIONS = (head_in_use, heads, own_zone, everything)
+SELECTIONS = (
+    head_in_use,
+    heads,
+    own_zone,
+    everything,
+    one_in_the_middle,
+    middle_range,
+    later_engines,
+)
 
 
 def spend_budget(system: System, silent: Engines) -> None:
@@ -125,8 +158,12 @@
     silent_after: float = UNDER_WAY_SECONDS,
     *,
     is_resumable: bool = True,
+    unusable: list[str] | None = None,
 ) -> list[Served]:
-    """Serve streams while engines are silent for a second."""
+    """Serve streams while engines are silent for a second.
+
+    :param unusable: gets the engines without work after the recovery time.
+    """
     served: list[Served] = []
 
     async def ask(system: System) -> None:
@@ -143,6 +180,15 @@
             circumstance(system, silent)
             for engine in silent:
                 engine.silent_until = anyio.current_time() + silent_seconds
+            if unusable is None:
+                return
+            await anyio.sleep(silent_seconds + RECOVERY_SECONDS)
+            assert system.context.quarantine.has_no_suspects
+            unusable.extend(
+                engine.listed.name
+                for engine in everything(system)
+                if not system.registry.is_usable(engine.listed.name)
+            )
 
     async def body() -> None:
         system = System()
@@ -199,3 +245,16 @@
             is_resumable=is_resumable,
         )
         assert [item for item in served if not item.is_whole] == []
+
+
+class TestAfterTheSilence:
+    """Sound engines that were silent for a second."""
+
+    @pytest.mark.parametrize("silent_seconds", SILENT_SECONDS)
+    @pytest.mark.parametrize("select", SELECTIONS)
+    def test_engines_get_work_and_no_request_is_suspected(
+        self, select: Selection, silent_seconds: float
+    ) -> None:
+        unusable: list[str] = []
+        play(select, nothing_else, silent_seconds, unusable=unusable)
+        assert unusable == []
