Test that an instance gets calls again after its silence, one failing

In virtual time, 3 instances, 20 calls a second, one silent for 1.2 s from 1.0 s on. On a route that must not repeat it gets 0 of 240 calls from 3 s until the play ends at 15 s; on one that may, it gets calls from 9 s on.

Cause: the mean latency of an instance raises its cost and falls only by new answers (routing/balance), and an instance that costs so much gets no call while others are idle. The failure rate, beside it, halves every 2 s.

--- a/tests/test_silent_instances.py
+++ b/tests/test_silent_instances.py
@@ -297,16 +297,44 @@
     run_with_instances(work, 3, max_attempts=3)
 
 
+@pytest.mark.parametrize("repeat", [ONCE, IDEMPOTENT])
+def test_instance_gets_calls_again_soon_after_its_silence(
+    repeat: routes.RepeatPolicy,
+) -> None:
+    async def ask(system: System) -> None:
+        await system.ask(system.request(repeat))
+
+    async def work(system: System) -> None:
+        silent = system.fleet.upstreams[0]
+        async with anyio.create_task_group() as tasks:
+            for number in range(300):
+                if number == 20:
+                    silent.silent_until = anyio.current_time() + 1.2
+                tasks.start_soon(ask, system)
+                await anyio.sleep(0.05)
+        runs = [
+            run
+            for run in system.fleet.runs
+            if run.upstream == silent.listed.name
+            and 12.0 <= run.started_at < 15.0
+        ]
+        # A third of 60 calls is its share.
+        assert len(runs) >= 10
+
+    run_with_instances(work, 3, repeat=repeat)
+
+
 def run_with_instances(
     work: typing.Callable[[System], typing.Awaitable[None]],
     count: int = 2,
     max_attempts: int = MAX_ATTEMPTS,
+    repeat: routes.RepeatPolicy = IDEMPOTENT,
 ) -> None:
     """Run ``work`` on a system with instances of a plain service."""
 
     async def body() -> None:
         system = System()
-        route = fleet_system.make_route(IDEMPOTENT, max_attempts=max_attempts)
+        route = fleet_system.make_route(repeat, max_attempts=max_attempts)
         system.install(fleet_system.make_config(1, (route,)))
         for number in range(count):
             system.add(
