Tests: sidecars that are silent for a moment, without spare retries

Callers of the shape with sidecars get 6 of 20 tokens and LINK_LOST after a stage of the path was silent for 1.3 s, and no answer to a repeatable call that ran, after its sidecar was. Cause: the attempt is cancelled, or the call not asked for, before it is known whether it may be repeated.

No code is changed.

--- /dev/null
+++ b/tests/test_silent_sidecars.py
@@ -0,0 +1,158 @@
+# This file is part of crowdeck.
+#
+# Copyright the crowdeck maintainers and contributors.
+# SPDX-License-Identifier: Apache-2.0
+
+"""Nothing is given up because a sidecar is silent for a moment and goes on."""
+
+import typing
+
+import anyio
+import pytest
+
+from crowdeck import errors
+from crowdeck.routing import retry
+from tests import system as systems
+from tests import virtual
+
+PROMPT = "why did the recharge fail"
+RUN_SECONDS = 0.3
+
+
+class TestAnswers:
+    """A stage of an answer's path is silent, while the answer is read."""
+
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    @pytest.mark.parametrize("silent_seconds", [0.8, 1.3])
+    @pytest.mark.parametrize("is_budget_spent", [False, True])
+    @pytest.mark.parametrize("others", ["sound", "failing", "none"])
+    def test_are_complete(
+        self,
+        stage: int,
+        silent_seconds: float,
+        is_budget_spent: bool,
+        others: str,
+    ) -> None:
+        """The other replica of each stage is sound, fails or is missing."""
+
+        async def check() -> None:
+            replicas = 1 if others == "none" else 2
+            async with systems.System(replicas=replicas) as system:
+                caller = systems.Caller()
+
+                def silence() -> None:
+                    running = _running_sidecars(system)
+                    if others == "failing":
+                        _fail_engines(system, set(system.engines) - running)
+                    if is_budget_spent:
+                        _spend(
+                            system.entry().driver_dependencies.budgets,
+                            systems.MODEL,
+                        )
+                    (name,) = (
+                        each for each in running if each[1] == str(stage)
+                    )
+                    system.tasks.start_soon(
+                        _silence, system, name, silent_seconds
+                    )
+
+                caller.on_position[5] = silence
+                finish = await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+                assert finish == "length"
+
+        virtual.run(check)
+
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    def test_are_not_awaited_past_their_deadline(self, stage: int) -> None:
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+
+                def silence() -> None:
+                    _spend(
+                        system.entry().driver_dependencies.budgets,
+                        systems.MODEL,
+                    )
+                    for name in _running_sidecars(system):
+                        if name[1] == str(stage):
+                            system.network.freeze(name)
+
+                caller.on_position[5] = silence
+                request = system.request(PROMPT, seconds_left=6.0)
+                started = anyio.current_time()
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.make_driver(request, caller).run()
+                assert not caught.value.verdict.is_retry_safe
+                assert anyio.current_time() - started < 6.5
+                assert caller.texts == system.expected(PROMPT, 20)[:6]
+
+        virtual.run(check)
+
+
+class TestCalls:
+    """The sidecar of a plain service is silent while its call runs."""
+
+    @pytest.mark.parametrize("silent_seconds", [0.8, 1.3])
+    @pytest.mark.parametrize("is_repeatable", [False, True])
+    @pytest.mark.parametrize("is_budget_spent", [False, True])
+    @pytest.mark.parametrize("key", ["", "key"])
+    @pytest.mark.parametrize("services", [1, 2])
+    def test_are_answered(
+        self,
+        silent_seconds: float,
+        is_repeatable: bool,
+        is_budget_spent: bool,
+        key: str,
+        services: int,
+    ) -> None:
+        async def check() -> None:
+            async with systems.System(services=services) as system:
+                system.service.run_seconds = RUN_SECONDS
+                call = system.service_call(
+                    "a", key=key, is_repeatable=is_repeatable, seconds=20.0
+                )
+
+                async def silence() -> None:
+                    await anyio.sleep(RUN_SECONDS / 2)
+                    if is_budget_spent:
+                        _spend(system.entry().calls._budgets, "records")
+                    (name,) = (
+                        each
+                        for each in system.nodes
+                        if each.startswith("r")
+                        and system.sidecar(each).running
+                    )
+                    await _silence(system, name, silent_seconds)
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(silence)
+                    reply = await system.entry().calls.call(call)
+                assert reply.status == 200
+                if not is_repeatable or is_budget_spent:
+                    assert system.service.runs["a"] == 1
+
+        virtual.run(check)
+
+
+def _running_sidecars(system: systems.System) -> set[str]:
+    return {name for name in system.engines if system.sidecar(name).running}
+
+
+def _fail_engines(system: systems.System, names: typing.Iterable[str]) -> None:
+    for name in names:
+        system.engines[name].failure = systems.make_error(
+            errors.Code.UPSTREAM_LOST
+        )
+
+
+def _spend(budgets: retry.RetryBudgets, service: str) -> None:
+    budget = budgets.get("kiosks", service)
+    while budget.spend():
+        pass
+
+
+async def _silence(system: systems.System, name: str, seconds: float) -> None:
+    system.network.freeze(name)
+    await anyio.sleep(seconds)
+    system.network.thaw(name)
