Ask for the outcome of repeatable calls that are not sent again

A repeatable call ended without its answer when its sidecar was silent for 1.3 s, though it had run once: without a key if the retry budget was spent, with a key always. Cause: a lost reply of a repeatable call was raised at once, on the guess that the call would be sent again, before it was known that it may be. Calls that may not be repeated were sealed or collected instead.

Now a lost reply is raised only if a retry is there to be spent; otherwise the call is sealed or collected, whatever its contract. No await lies between the question and the spending, so the answer cannot change meanwhile.

--- a/src/crowdeck/entry/service_calls.py
+++ b/src/crowdeck/entry/service_calls.py
@@ -122,7 +122,7 @@
         while True:
             try:
                 target = self._pick(call.service, avoided)
-                return await self._send(call, target, epoch)
+                return await self._send(call, target, epoch, budget)
             except errors.CrowdeckError as error:
                 may_retry = retry.may_retry(
                     error,
@@ -163,9 +163,17 @@
         return [_Target(view.name, view.incarnation) for view in views]
 
     async def _send(
-        self, call: ServiceCall, target: _Target, epoch: int
+        self,
+        call: ServiceCall,
+        target: _Target,
+        epoch: int,
+        budget: retry.RetryBudget | None,
     ) -> questions.Called:
-        """Send a call to one sidecar and return its answer."""
+        """Send a call to one sidecar and return its answer.
+
+        :param budget: that of the call's retries, or ``None`` for a call that
+            is not sent again.
+        """
         message = self._message(call, target, epoch)
         peer = await self._links.get(target.name)
         self._require_incarnation(peer, target, _NOT_RUN)
@@ -177,9 +185,14 @@
                 peer, message, max(0.0, message.seconds_left)
             )
         except errors.LinkLost as lost:
-            if not lost.was_sent or call.contract.is_repeatable:
-                # The call was not sent or may run again: do not ask for its
-                # outcome.
+            may_run_again = (
+                call.contract.is_repeatable
+                and budget is not None
+                and budget.has_retry
+            )
+            if not lost.was_sent or may_run_again:
+                # The caller of this method sends it again, which is faster
+                # than to ask a silent sidecar for the outcome.
                 raise
             reply = await self._resolve_outcome(call, target, epoch)
         finally:
@@ -307,7 +320,7 @@
         refusal: errors.CrowdeckError | None = None
         for target in _targets(claim):
             try:
-                return await self._send(call, target, 0)
+                return await self._send(call, target, 0, budget=None)
             except errors.CrowdeckError as error:
                 if error.verdict is not _NOT_RUN:
                     raise
--- a/src/crowdeck/routing/retry.py
+++ b/src/crowdeck/routing/retry.py
@@ -43,13 +43,18 @@
         """Retries that may be sent now."""
         return self._tokens
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry may be sent now."""
+        return self._tokens >= 1.0
+
     def earn(self) -> None:
         """Count a request that is not a retry."""
         self._tokens = min(self._capacity, self._tokens + self._ratio)
 
     def spend(self) -> bool:
         """Take one retry; return false if the budget is spent."""
-        if self._tokens < 1.0:
+        if not self.has_retry:
             return False
         self._tokens -= 1.0
         return True
