Keep the attempt of a silent stage while no other is allowed

Callers got 6 of 20 tokens and LINK_LOST when any stage of the path was silent for 1.3 s and the retry budget was spent, though the stage went on. Cause: the driver cancelled the attempt at its head first, and then asked whether another one may be made.

It asks first now. If no other attempt is allowed, the current one is not cancelled: the driver attaches to it at its head, from the next token on, as entries do that resume an answer. A head that cannot be reached is asked again; the budget is asked again each time that the path is found silent. The attempt ends when its head says that it failed or does not know it, has another incarnation, is neither listed nor reachable, or at the deadline. Only the current epoch is taken, so each token still belongs to one attempt. An attempt whose opening was refused, or that began to move off a leaving stage, is not waited for, because it does not go on.

--- a/src/crowdeck/entry/driver.py
+++ b/src/crowdeck/entry/driver.py
@@ -186,15 +186,18 @@
         path: pipeline.Path | None,
     ) -> str:
         opening = self._make_opening(path) if path is not None else None
+        failure: errors.CrowdeckError | None = None
         while True:
             try:
                 if resume is not None:
                     # Only the first attempt resumes; later ones begin anew.
                     resume_point, resume = resume, None
                     return await self._resume(resume_point)
+                if failure is not None:
+                    return await self._rejoin(failure)
                 return await self._run_attempt(opening or self._plan_opening())
             except _AttemptMoved as moved:
-                opening = moved.opening
+                opening, failure = moved.opening, None
             except errors.CrowdeckError as error:
                 if (
                     self._delivery.is_complete
@@ -205,7 +208,8 @@
                     self._cancel()
                     return self._delivery.finish or FINISH_LENGTH
                 opening = None
-                await self._recover(error)
+                may_retry = await self._recover(error)
+                failure = None if may_retry else error
 
     def _plan_opening(self) -> messages.Opening:
         # Only a new answer may be refused because paths are slow.
@@ -237,14 +241,18 @@
             window=request.window,
         )
 
-    async def _recover(self, error: errors.CrowdeckError) -> None:
-        """Prepare for another attempt, or raise ``error``."""
+    async def _recover(self, error: errors.CrowdeckError) -> bool:
+        """Prepare for another attempt and return whether one is allowed.
+
+        If not, the current attempt stays open, as it may still run.
+
+        :raises CrowdeckError: ``error``, if no attempt is left.
+        """
         is_overloaded = (
             error.code == errors.Code.OVERLOADED and not error.culprit
         )
         if error.code in _NOT_RETRIED or is_overloaded:
             raise error
-        self._cancel()
         if error.culprit:
             self._avoided.add(error.culprit)
         if error.code == errors.Code.NO_PATH and self._avoided:
@@ -259,12 +267,62 @@
             clock=self._dependencies.clock,
             deadline=self._deadline,
         )
-        if not may_retry:
+        if may_retry:
+            self._cancel()
+            counters.COUNTERS.add("drive.retried")
+            counters.COUNTERS.add(f"drive.retried.{error.code.lower()}")
+            self._span.set_attribute(
+                f"retry.{self._epoch + 1}", str(error.code)
+            )
+        elif self._head is None:
             raise error
-        counters.COUNTERS.add("drive.retried")
-        counters.COUNTERS.add(f"drive.retried.{error.code.lower()}")
-        self._span.set_attribute(f"retry.{self._epoch + 1}", str(error.code))
         await anyio.sleep(self._backoff.next())
+        return may_retry
+
+    async def _rejoin(self, failure: errors.CrowdeckError) -> str:
+        """Continue the current attempt, if its head still runs it.
+
+        :raises CrowdeckError: while the head cannot be asked, or once it no
+            longer runs the attempt.
+        """
+        peer = self._find_current_head()
+        if peer is None:
+            raise failure
+        assert self._inbox is not None
+        # What is queued may be the failure. The reply holds all tokens.
+        self._inbox.clear()
+        reply = await self._ask_to_attach(
+            peer, len(self._delivery), self._request.window
+        )
+        self._head = None
+        if not isinstance(reply, questions.Attached):
+            raise failure
+        if reply.epoch != self._epoch:
+            raise failure
+        counters.COUNTERS.add("drive.rejoined")
+        if reply.is_running:
+            self._head = peer
+        return await self._continue_attached(
+            reply, self._first_timeout_seconds(), failure
+        )
+
+    def _find_current_head(self) -> link.Peer | None:
+        """Return the link to the current attempt's head, if there is one.
+
+        The attempt has ended if the head has another incarnation, or is
+        neither listed nor reachable.
+        """
+        assert self._head is not None
+        greeting = self._head.greeting
+        view = self._dependencies.fleet.find(greeting.instance)
+        if view is not None:
+            peer = view.peer
+            if peer is None:
+                return None
+            if peer.greeting.incarnation == greeting.incarnation:
+                return peer
+        self._head = None
+        return None
 
     async def _run_attempt(self, opening: messages.Opening) -> str:
         """Run one attempt to the end of the answer."""
@@ -277,6 +335,7 @@
         self._inbox.source = head
         reply = await head.ask(questions.Open(opening), OPEN_TIMEOUT_SECONDS)
         if isinstance(reply, questions.Refused):
+            self._head = None
             raise reply.as_error()
         self._cancel_at_former_head()
         path = opening.path
@@ -284,9 +343,13 @@
             opening.epoch, path.head.instance, path.tail.instance
         )
         counters.COUNTERS.add("drive.attempts")
+        return await self._consume(self._first_timeout_seconds())
+
+    def _first_timeout_seconds(self) -> float:
+        """Return how long the current attempt's next token may take."""
         if len(self._delivery):
-            return await self._consume(REPLAY_TIMEOUT_SECONDS)
-        return await self._consume(FIRST_TOKEN_TIMEOUT_SECONDS)
+            return REPLAY_TIMEOUT_SECONDS
+        return FIRST_TOKEN_TIMEOUT_SECONDS
 
     def _set_path(self, path: pipeline.Path | None) -> None:
         """Release the previous path and acquire the new one in the planner."""
@@ -340,35 +403,44 @@
         counters.COUNTERS.add("drive.resumed")
         self._epoch = attached.epoch
         self._sink.set_location(attached.epoch, resume.head, resume.tail)
+        return await self._continue_attached(
+            attached,
+            RESUME_TIMEOUT_SECONDS,
+            errors.CrowdeckError(
+                errors.Code.LINK_LOST,
+                "the answer's path failed before it was resumed",
+                verdict=_MAY_HAVE_RUN,
+            ),
+        )
+
+    async def _continue_attached(
+        self,
+        attached: questions.Attached,
+        timeout_seconds: float,
+        failure: errors.CrowdeckError,
+    ) -> str:
+        """Deliver the tokens that a head has kept, and those that follow.
+
+        :raises CrowdeckError: ``failure``, if the attempt failed there.
+        """
         for piece in attached.pieces:
             await self._delivery.put(piece)
             self._grant_credit()
         if attached.finish:
             return attached.finish
         if attached.is_running:
-            return await self._consume(RESUME_TIMEOUT_SECONDS)
-        raise errors.CrowdeckError(
-            errors.Code.LINK_LOST,
-            "the answer's path failed before it was resumed",
-            verdict=_MAY_HAVE_RUN,
-        )
+            return await self._consume(timeout_seconds)
+        raise failure
 
     async def _attach(self, name: str) -> questions.Attached | None:
         view = self._dependencies.fleet.find(name)
         if view is None or view.peer is None:
             return None
-        assert self._inbox is not None
-        self._inbox.source = view.peer
         # All tokens are fetched, since the end's digest covers them; so the
         # window counts from position 0.
-        question = questions.Attach(
-            request=self._request.request,
-            team=self._request.team,
-            position=0,
-            window=self._delivery.caller_position + self._request.window,
-        )
+        window = self._delivery.caller_position + self._request.window
         try:
-            reply = await view.peer.ask(question, OPEN_TIMEOUT_SECONDS)
+            reply = await self._ask_to_attach(view.peer, 0, window)
         except errors.LinkLost:
             return None
         if not isinstance(reply, questions.Attached):
@@ -376,6 +448,20 @@
         self._head = view.peer
         return reply
 
+    async def _ask_to_attach(
+        self, peer: link.Peer, position: int, window: int
+    ) -> questions.Reply:
+        """Ask for the tokens from ``position`` on, and for those to come."""
+        assert self._inbox is not None
+        self._inbox.source = peer
+        question = questions.Attach(
+            request=self._request.request,
+            team=self._request.team,
+            position=position,
+            window=window,
+        )
+        return await peer.ask(question, OPEN_TIMEOUT_SECONDS)
+
     async def _consume(self, timeout_seconds: float) -> str:
         """Process arrivals until the answer ends."""
         while True:
@@ -472,7 +558,12 @@
             raise errors.LinkLost(
                 f"{change.name} is lost", was_sent=True, culprit=change.name
             )
-        opening = await self._move_away(change.name)
+        try:
+            opening = await self._move_away(change.name)
+        except errors.CrowdeckError:
+            # A stage that has begun to move does not go on by itself.
+            self._cancel()
+            raise
         if opening is not None:
             counters.COUNTERS.add("drive.moved")
             raise _AttemptMoved(opening)
--- a/tests/test_silent_sidecars.py
+++ b/tests/test_silent_sidecars.py
@@ -89,6 +89,38 @@
 
         virtual.run(check)
 
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    def test_end_with_a_process_that_is_lost(self, stage: int) -> None:
+        """A lost stage that is told from a silent one is not waited for."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                caller = systems.Caller()
+
+                async def restart(name: str) -> None:
+                    offer = await system.engines[name].describe()
+                    system.kill(name)
+                    await system.add_engine(name, offer)
+
+                def lose() -> None:
+                    _spend(
+                        system.entry().driver_dependencies.budgets,
+                        systems.MODEL,
+                    )
+                    for name in _running_sidecars(system):
+                        if name[1] == str(stage):
+                            system.tasks.start_soon(restart, name)
+
+                caller.on_position[5] = lose
+                started = anyio.current_time()
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.answer(PROMPT, caller)
+                assert caught.value.code == errors.Code.LINK_LOST
+                assert not caught.value.verdict.is_retry_safe
+                assert anyio.current_time() - started < 4.0
+
+        virtual.run(check)
+
 
 class TestCalls:
     """The sidecar of a plain service is silent while its call runs."""
