Tests: silent sidecars, and a last retry that fails or finds nothing

With one retry left, callers still get 6 of 20 tokens after a stage was silent for 1.3 s (NO_PATH without other replicas, UPSTREAM_LOST with other engines that fail), and no answer to a repeatable call of a service with one instance. Cause: the attempt is cancelled before another path is found or delivers. An answer resumed at another entry while its head is silent ends with LINK_LOST if the budget is spent, because the tail, asked instead, does not generate.

No code is changed.

--- a/tests/test_silent_sidecars.py
+++ b/tests/test_silent_sidecars.py
@@ -10,6 +10,7 @@
 import anyio
 import pytest
 
+from crowdeck.entry import model_request as model_requests
 from crowdeck import errors
 from crowdeck.routing import retry
 from tests import system as systems
@@ -63,6 +64,72 @@
 
         virtual.run(check)
 
+    @pytest.mark.parametrize("stage", [0, 1, 2])
+    @pytest.mark.parametrize("others", ["failing", "none"])
+    def test_are_complete_although_the_last_retry_fails(
+        self, stage: int, others: str
+    ) -> None:
+        async def check() -> None:
+            replicas = 1 if others == "none" else 2
+            async with systems.System(replicas=replicas) as system:
+                caller = systems.Caller()
+
+                def silence() -> None:
+                    running = _running_sidecars(system)
+                    _fail_engines(system, set(system.engines) - running)
+                    _spend(
+                        system.entry().driver_dependencies.budgets,
+                        systems.MODEL,
+                        retries_left=1,
+                    )
+                    for name in running:
+                        if name[1] == str(stage):
+                            system.tasks.start_soon(
+                                _silence, system, name, 1.3
+                            )
+
+                caller.on_position[5] = silence
+                await system.answer(PROMPT, caller)
+                assert caller.texts == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
+    @pytest.mark.parametrize("is_budget_spent", [False, True])
+    def test_are_resumed_although_the_head_is_silent(
+        self, is_budget_spent: bool
+    ) -> None:
+        """The first entry is lost, and the head is silent at that time."""
+
+        async def check() -> None:
+            async with systems.System() as system:
+                first, second = systems.Caller(), systems.Caller()
+                request = system.request(PROMPT)
+                async with anyio.create_task_group() as tasks:
+
+                    def kill() -> None:
+                        system.kill("e0")
+                        tasks.cancel_scope.cancel()
+
+                    first.on_position[5] = kill
+                    await system.make_driver(request, first).run()
+                head, tail = first.location
+                system.tasks.start_soon(_silence, system, head, 1.3)
+                await anyio.sleep(0.3)
+                await system.entry(1).fleet.probe((head,))
+                if is_budget_spent:
+                    _spend(
+                        system.entry(1).driver_dependencies.budgets,
+                        systems.MODEL,
+                    )
+                resume = model_requests.ResumePoint(
+                    len(first.pieces), head, tail
+                )
+                await system.make_driver(request, second, 1).run(resume)
+                together = first.texts + second.texts
+                assert together == system.expected(PROMPT, 20)
+
+        virtual.run(check)
+
     @pytest.mark.parametrize("stage", [0, 1, 2])
     def test_are_not_awaited_past_their_deadline(self, stage: int) -> None:
         async def check() -> None:
@@ -166,6 +233,32 @@
 
         virtual.run(check)
 
+    @pytest.mark.parametrize("silent_seconds", [0.8, 1.3])
+    def test_are_answered_although_no_other_instance_is_there(
+        self, silent_seconds: float
+    ) -> None:
+        """The last retry finds no instance."""
+
+        async def check() -> None:
+            async with systems.System(services=1) as system:
+                system.service.run_seconds = RUN_SECONDS
+                call = system.service_call(
+                    "a", is_repeatable=True, seconds=20.0
+                )
+
+                async def silence() -> None:
+                    await anyio.sleep(RUN_SECONDS / 2)
+                    budgets = system.entry().calls._budgets
+                    _spend(budgets, "records", retries_left=1)
+                    await _silence(system, "r0", silent_seconds)
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(silence)
+                    reply = await system.entry().calls.call(call)
+                assert reply.status == 200
+
+        virtual.run(check)
+
 
 def _running_sidecars(system: systems.System) -> set[str]:
     return {name for name in system.engines if system.sidecar(name).running}
@@ -178,10 +271,12 @@
         )
 
 
-def _spend(budgets: retry.RetryBudgets, service: str) -> None:
+def _spend(
+    budgets: retry.RetryBudgets, service: str, retries_left: int = 0
+) -> None:
     budget = budgets.get("kiosks", service)
-    while budget.spend():
-        pass
+    while budget.tokens >= 1.0 + retries_left:
+        budget.spend()
 
 
 async def _silence(system: systems.System, name: str, seconds: float) -> None:
