Ask for the outcome of repeatable calls if no other instance is there

A repeatable call of a service with one instance ended with NO_PATH and without its answer, though it had run, when the sidecar was silent for 1.3 s and one retry was left. Cause: the lost reply was raised because a retry was left, and the retry found no instance.

--- a/src/crowdeck/entry/service_calls.py
+++ b/src/crowdeck/entry/service_calls.py
@@ -189,6 +189,7 @@
                 call.contract.is_repeatable
                 and budget is not None
                 and budget.has_retry
+                and bool(self._candidates(call.service))
             )
             if not lost.was_sent or may_run_again:
                 # The caller of this method sends it again, which is faster
