Cancel the attempt of a silent stage once another path is found

Callers got 6 of 20 tokens and NO_PATH when a stage without a replica was silent for 1.3 s and one retry was left. Cause: the attempt was cancelled as soon as a retry was granted, before a path was found for it.

It is cancelled now when the next opening is sent, to a head with a link. Until then it stays open, and is attached to again if no retry is left. The paused attempt of a move is not cancelled, as before: the opening that follows needs its KV caches.

--- a/src/crowdeck/entry/driver.py
+++ b/src/crowdeck/entry/driver.py
@@ -268,7 +268,6 @@
             deadline=self._deadline,
         )
         if may_retry:
-            self._cancel()
             counters.COUNTERS.add("drive.retried")
             counters.COUNTERS.add(f"drive.retried.{error.code.lower()}")
             self._span.set_attribute(
@@ -327,10 +326,15 @@
     async def _run_attempt(self, opening: messages.Opening) -> str:
         """Run one attempt to the end of the answer."""
         assert self._inbox is not None
+        if opening.warm_position >= 0:
+            # The paused attempt does not go on, and the new one needs its KV
+            # caches.
+            self._head = None
+        head = self._require_head(opening.path)
+        self._cancel()
         self._inbox.clear()
         self._epoch = opening.epoch
         self._set_path(opening.path)
-        head = self._require_head(opening.path)
         self._head = head
         self._inbox.source = head
         reply = await head.ask(questions.Open(opening), OPEN_TIMEOUT_SECONDS)
