Soak: sound instances silent, floods, muted links, power lost by many

- instances are silent for 0.8 to 1.5 s and go on: the proxy holds all bytes and keeps all connections (paused(), counted, so that it overlaps modes), and the stand-in's silent_until silences it as a hop and for its heartbeats.
Its HTTP side waits with a report or order, which was answered 500 after 0.5 s
- bytes without end in place of an answer: in interim answers, headers, a body, chunks, comments of events and garbage, fast (to 4 MB) and slow, for 8 s at most
- open connections to instances and to the store silent for good, new ones work
- many instances and entries lose power at once

Checked now in all runs without bursts: a request that ran ends with an answer, a refusal or its caller's deadline; an answer that has begun is not cut while its engines are sound. Excused by what the stand-ins know (a run that they lost) and by the log of harms: engine or entry ended, frozen, its links reset or muted. Silence, changes of the config, SIGHUP and faults of the store excuse nothing, nor does SIGTERM in its first 3 s. No check or bound was changed.

Two faults that wait for the end of the same process both started an entry, of which one failed to bind its port: the second start is left out. Writes of the config go one after another.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -59,6 +59,18 @@
         action="store_true",
         help="let these bursts also freeze all instances of a service",
     )
+    parser.add_argument(
+        "--disruptions",
+        action="store_true",
+        help="also silence instances for about a second and connections for "
+        "good, answer with bytes without end, and cut the power of many at "
+        "once, beside changes of the config in series; not with --budget",
+    )
+    parser.add_argument(
+        "--same-bodies",
+        action="store_true",
+        help="have all requests beside disruptions send the same body",
+    )
     parser.add_argument("--callers", type=int, default=0)
     parser.add_argument(
         "--slack",
@@ -83,6 +95,10 @@
                 peers=options.peers,
                 allowance=allowance if options.budget else None,
                 freezes=options.freezes,
+                has_disruptions=options.disruptions,
+                has_own_bodies=(
+                    options.disruptions and not options.same_bodies
+                ),
                 callers=options.callers or callers,
             ),
             folder,
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -33,6 +33,8 @@
     :ivar status: 0 where the connection ended without one.
     :ivar is_whole: whether the answer was received to its end.
     :ivar is_sent: whether a connection to the entry was made.
+    :ivar port: the port that it was sent to.
+    :ivar ended_at: event loop time of its end in seconds, 0 before it.
     """
 
     request: str
@@ -43,6 +45,8 @@
     body: bytes = b""
     is_whole: bool = False
     is_sent: bool = True
+    port: int = 0
+    ended_at: float = 0.0
 
 
 class Callers:
@@ -51,6 +55,8 @@
     :param name: prefix of the request ids; must differ between callers,
         because runs are counted by request id.
     :param paths: paths to choose from; a repeated path has more weight.
+    :param has_own_bodies: whether the bodies of requests differ, or all are
+        empty.
     :ivar ports: ports of the entries to send to.
     """
 
@@ -61,10 +67,12 @@
         event_count: int,
         name: str = "q",
         paths: typing.Sequence[str] = PATHS,
+        has_own_bodies: bool = False,
     ) -> None:
         self.ports = ports
         self._paths = paths
         self._name = name
+        self._has_own_bodies = has_own_bodies
         self._rng = rng
         self._event_count = event_count
         self._count = 0
@@ -102,7 +110,9 @@
             f"{self._name}{self._count}", path, self.key, anyio.current_time()
         )
         self.outcomes.append(outcome)
-        port = self._rng.choice(self.ports)
+        if self._has_own_bodies and not body:
+            body = outcome.request.encode()
+        port = outcome.port = self._rng.choice(self.ports)
         try:
             with anyio.move_on_after(REQUEST_TIMEOUT_SECONDS):
                 await self._send_and_receive(outcome, port, pool, body)
@@ -112,6 +122,7 @@
             pass  # what was received, if anything, is checked below
         except (httpcore.ProtocolError, httpcore.TimeoutException):
             pass  # the same for a truncated answer
+        outcome.ended_at = anyio.current_time()
         self._check_answer(outcome)
         return outcome
 
--- a/bench/soak/control.py
+++ b/bench/soak/control.py
@@ -11,6 +11,7 @@
 import orjson
 
 from bench.soak import budget
+from bench.soak import unanswered
 
 HOST = "127.0.0.1"
 
@@ -35,6 +36,19 @@
         found: list[list[str]] = await self._fetch("runs")
         return found
 
+    async def stream_runs(self) -> list[unanswered.StreamRun]:
+        """Return the runs of streams, in order."""
+        return [
+            unanswered.StreamRun(
+                fields["request"],
+                tuple(fields["instances"]),
+                fields["event_count"],
+                fields["is_lost"],
+                fields["started_at"],
+            )
+            for fields in await self._fetch("stream_runs")
+        ]
+
     async def crashes(self) -> list[int]:
         """Return the numbers of instances that crashed under a request."""
         found: list[int] = await self._fetch("falls")
--- a/bench/soak/engine_faults.py
+++ b/bench/soak/engine_faults.py
@@ -11,6 +11,7 @@
 import anyio
 
 from bench.soak import control as controls
+from bench.soak import harm as harms
 from bench.soak import proxy as proxies
 
 # Mean time from the end of one backpressure fault to the start of the next.
@@ -31,10 +32,12 @@
         rng: random.Random,
         control: controls.Control,
         links: typing.Sequence[proxies.Proxy],
+        harm: harms.HarmLog,
     ) -> None:
         self._rng = rng
         self._control = control
         self._links = links
+        self._harm = harm
         self.recovered_at = 0.0
 
     async def fail_engine(self, seconds: float) -> None:
@@ -44,29 +47,32 @@
             await self.restart(number, seconds)
             return
         link = self._links[number]
-        await self._control.do("dark", upstream=number)
-        link.mode = proxies.Mode.HOLD
-        await anyio.sleep(seconds)
-        await self._control.do("back", upstream=number)
-        link.mode = proxies.Mode.PASS
+        with self._harm.harming(harms.name_instance(number)):
+            await self._control.do("dark", upstream=number)
+            link.mode = proxies.Mode.HOLD
+            await anyio.sleep(seconds)
+            await self._control.do("back", upstream=number)
+            link.mode = proxies.Mode.PASS
 
     async def lose_answers_or_reject(self, seconds: float) -> None:
         """Make an instance lose answers or reject, and impair its link."""
         number = self._rng.randrange(len(self._links))
         command = self._rng.choice(("lose_answers", "reject"))
-        await self._control.do(command, upstream=number)
-        await self._links[number].impair(seconds, self._rng)
+        with self._harm.harming(harms.name_instance(number)):
+            await self._control.do(command, upstream=number)
+            await self._links[number].impair(seconds, self._rng)
 
     async def restart(self, number: int, seconds: float) -> None:
         """Crash an instance, and start it again after some time."""
         link = self._links[number]
-        link.mode = proxies.Mode.REFUSE
-        link.reset(1.0, self._rng)
-        await self._control.do("dead", upstream=number)
-        await anyio.sleep(seconds)
-        restart_command = self._rng.choice(("back", "back_under_its_id"))
-        await self._control.do(restart_command, upstream=number)
-        link.mode = proxies.Mode.PASS
+        with self._harm.harming(harms.name_instance(number)):
+            link.mode = proxies.Mode.REFUSE
+            link.reset(1.0, self._rng)
+            await self._control.do("dead", upstream=number)
+            await anyio.sleep(seconds)
+            restart_command = self._rng.choice(("back", "back_under_its_id"))
+            await self._control.do(restart_command, upstream=number)
+            link.mode = proxies.Mode.PASS
         # The time for recovery starts again here, as a request may crash the
         # only engine with some layers after the last injected fault.
         self.recovered_at = anyio.current_time()
--- a/bench/soak/entries.py
+++ b/bench/soak/entries.py
@@ -66,6 +66,7 @@
             )
         ]
         self.processes: dict[int, anyio.abc.Process] = {}
+        self._replaced: set[anyio.abc.Process] = set()
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> typing.Self:
@@ -108,6 +109,15 @@
         self.processes[number] = process
         self._stack.push_async_callback(kill, process)
 
+    async def start_again(self, number: int, ended: anyio.abc.Process) -> None:
+        """Start an entry, unless another fault has already started it.
+
+        :param ended: the process that has ended.
+        """
+        if self.processes[number] is ended and ended not in self._replaced:
+            self._replaced.add(ended)
+            await self.start(number)
+
     def _ini(self, number: int) -> str:
         zone = ("a", "b")[number % 2]
         endpoint = self.endpoints[number]
--- a/bench/soak/keys.py
+++ b/bench/soak/keys.py
@@ -31,6 +31,14 @@
         self._control = control
         self._callers = callers
         self._revoked: dict[str, float] = {}
+        self._writing = anyio.Lock()
+
+    async def change_target(self) -> None:
+        """Change the target latency of a route, and nothing else."""
+        self._config["version"] += 1
+        route = self._config["routes"][0]
+        route["target_latency_ms"] = 500 + self._config["version"] % 2
+        await self._write()
 
     async def change_config(self, version_increment: int) -> None:
         """Replace the key, and increase the config's version.
@@ -42,14 +50,19 @@
         new = f"key-{self._config['version']}"
         team = self._config["tenants"][0]
         team["api_keys"] = [old, new]
-        await self._control.do("config", body=self._config)
+        await self._write()
         await anyio.sleep(OVERLAP_SECONDS)
         self._callers.key = new
         self._config["version"] += 1
         team["api_keys"] = [key for key in team["api_keys"] if key != old]
-        await self._control.do("config", body=self._config)
+        await self._write()
         self._revoked[old] = anyio.current_time()
 
+    async def _write(self) -> None:
+        # Concurrent writes could reach the store in another order.
+        async with self._writing:
+            await self._control.do("config", body=self._config)
+
     def find_violations(self) -> typing.Iterator[str]:
         """Yield each request that was served with a revoked key."""
         for outcome in self._callers.outcomes:
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -3,7 +3,7 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""A loopback TCP proxy that delays, holds, resets or refuses connections.
+"""A loopback TCP proxy that impairs connections.
 
 It uses the event loop's transports: with a task for each direction of each
 connection, the proxies of a few dozen entries took seconds to forward bytes.
@@ -11,6 +11,7 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 import random
 import socket
@@ -20,11 +21,15 @@
 import anyio
 import anyio.abc
 
+from bench.soak import flood as floods
+
 HOST = "127.0.0.1"
 LISTEN_BACKLOG = 1024
 DELAY_SECONDS = 0.05
 # SO_LINGER with a time-out of zero: closing sends a reset.
 RESET = struct.pack("ii", 1, 0)
+# How a request begins.
+METHODS = (b"GET ", b"POST ")
 
 
 class Mode(enum.StrEnum):
@@ -45,6 +50,14 @@
         self._target_port = target_port
         self._links: set[_Link] = set()
         self._mode = Mode.PASS
+        self._pause_count = 0
+        self._flood: floods.Flood | None = None
+        self._flood_count = 0
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether all bytes are held, whatever the mode is."""
+        return self._pause_count > 0
 
     @property
     def mode(self) -> Mode:
@@ -54,8 +67,20 @@
     @mode.setter
     def mode(self, mode: Mode) -> None:
         self._mode = mode
-        for link in tuple(self._links):
-            link.flush()
+        self._flush()
+
+    @contextlib.contextmanager
+    def paused(self) -> typing.Iterator[None]:
+        """Hold all bytes and keep all connections during the body.
+
+        Pauses may overlap each other and the modes.
+        """
+        self._pause_count += 1
+        try:
+            yield
+        finally:
+            self._pause_count -= 1
+            self._flush()
 
     async def run(
         self,
@@ -81,6 +106,26 @@
             if rng.random() < probability:
                 link.abort()
 
+    def mute(self, probability: float, rng: random.Random) -> None:
+        """Make each open connection silent for good with this probability."""
+        for link in tuple(self._links):
+            if rng.random() < probability:
+                link.mute()
+
+    def flood(self, flood: floods.Flood, count: int) -> None:
+        """Answer the next requests with bytes without end.
+
+        :param count: number of requests that are answered so.
+        """
+        self._flood, self._flood_count = flood, count
+
+    def take_flood(self, data: bytes) -> floods.Flood | None:
+        """Return what to answer with if a request is not to be forwarded."""
+        if not self._flood_count or not data.startswith(METHODS):
+            return None
+        self._flood_count -= 1
+        return self._flood
+
     async def impair(self, seconds: float, rng: random.Random) -> None:
         """Reset some connections, and delay or hold bytes for some time."""
         self.reset(rng.random(), rng)
@@ -88,6 +133,10 @@
         await anyio.sleep(seconds)
         self.mode = Mode.PASS
 
+    def _flush(self) -> None:
+        for link in tuple(self._links):
+            link.flush()
+
     def _create_client_end(self) -> "_End":
         link = _Link(self, self._target_port)
         return _End(link, link.to_server)
@@ -106,6 +155,7 @@
 
     :param finish: called once all bytes before the end are written.
     :ivar sink: where they are written, ``None`` while it is connecting.
+    :ivar is_muted: whether its bytes are held for good.
     """
 
     def __init__(
@@ -121,9 +171,12 @@
         self._delayed: collections.deque[bytes] = collections.deque()
         self._waiting: list[bytes] = []
         self.sink: asyncio.Transport | None = None
+        self.is_muted = False
 
     @property
     def _is_held(self) -> bool:
+        if self.is_muted or self._proxy.is_paused:
+            return True
         mode = self._proxy.mode
         return mode is Mode.HOLD or (
             mode is Mode.HOLD_REPLIES and self._is_response
@@ -145,7 +198,7 @@
 
     def flush(self) -> None:
         """Write what waits, unless it is held."""
-        if self._is_held or self.sink is None:
+        if self._is_held or self.sink is None or self.sink.is_closing():
             return
         waiting, self._waiting = self._waiting, []
         for data in waiting:
@@ -171,6 +224,7 @@
         self._to_client = _Direction(proxy, self._close, is_response=True)
         self._connecting: asyncio.Task[None] | None = None
         self._has_ended = False
+        self._is_flooded = False
 
     def begin(self, end: "_End", transport: asyncio.Transport) -> None:
         """Take in an end that is connected."""
@@ -202,6 +256,51 @@
         self.to_server.flush()
         self._to_client.flush()
 
+    def mute(self) -> None:
+        """Hold all bytes for good, and the news of an end too."""
+        self.to_server.is_muted = self._to_client.is_muted = True
+
+    def receive(self, direction: _Direction, data: bytes) -> None:
+        """Forward bytes, or answer them with a flood.
+
+        :param data: the bytes; none for the end of the direction.
+        """
+        if self._is_flooded:
+            if direction is self.to_server and not data:
+                self._close()
+            return
+        if direction is self.to_server:
+            flood = self._proxy.take_flood(data)
+            if flood is not None:
+                self._is_flooded = True
+                if flood.start:
+                    self._to_client.forward(flood.start)
+                loop = asyncio.get_running_loop()
+                ends_at = loop.time() + floods.MAX_SECONDS
+                self._continue_flood(flood, 0, ends_at)
+                return
+        direction.forward(data)
+
+    def _continue_flood(
+        self, flood: floods.Flood, sent_bytes: int, ends_at: float
+    ) -> None:
+        if self._has_ended:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() >= ends_at:
+            self.abort()
+            return
+        piece = flood.piece_after(sent_bytes)
+        pause = flood.pause_after(sent_bytes)
+        self._to_client.forward(piece)
+        loop.call_later(
+            pause,
+            self._continue_flood,
+            flood,
+            sent_bytes + len(piece),
+            ends_at,
+        )
+
     def abort(self) -> None:
         """Reset both connections."""
         self._note_ended()
@@ -210,6 +309,8 @@
 
     def note_lost(self, error: Exception | None) -> None:
         """Close both connections; propagate a reset as one."""
+        if self.to_server.is_muted:
+            return
         if error is not None:
             self.abort()
         else:
@@ -247,11 +348,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Forward bytes."""
-        self.direction.forward(data)
+        self._link.receive(self.direction, data)
 
     def eof_received(self) -> bool:
         """Forward the end; the other direction stays open."""
-        self.direction.forward(b"")
+        self._link.receive(self.direction, b"")
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -22,15 +22,18 @@
 from bench.soak import callers as callers_module
 from bench.soak import config
 from bench.soak import control as controls
+from bench.soak import disruptions
 from bench.soak import engine_faults
 from bench.soak import entries as entries_module
 from bench.soak import entry_faults
 from bench.soak import fault_bursts
+from bench.soak import harm as harms
 from bench.soak import keys
 from bench.soak import ports as free_ports
 from bench.soak import process_load
 from bench.soak import proxy as proxies
 from bench.soak import store_faults
+from bench.soak import unanswered
 from crowdeck.standin import repeats
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -45,6 +48,8 @@
 CALLER_PAUSE_SECONDS = 0.15
 # The same for seeds that test the retry budget.
 BUDGET_CALLER_PAUSE_SECONDS = 0.05
+# Mean pause between two changes of the config beside disruptions.
+CONFIG_CHANGE_PAUSE_SECONDS = 0.7
 BUDGET_PATHS = (
     callers_module.STREAM_PATH,
     callers_module.STREAM_PATH,
@@ -77,6 +82,12 @@
         injects single faults.
     :ivar freezes: whether bursts freeze all instances of a service too.
     :ivar new_entries: entries under new names that may join in bursts.
+    :ivar has_disruptions: whether instances are silent for about a second,
+        connections silent for good, bytes without end come in place of
+        answers, and many instances and entries lose power at once, beside
+        changes of the config in series; not with bursts.
+    :ivar has_own_bodies: whether the bodies of requests differ; requests
+        alike are quarantined together if many instances end under them.
     """
 
     seed: int
@@ -92,6 +103,8 @@
     allowance: repeats.Allowance | None = None
     freezes: bool = False
     new_entries: int = 2
+    has_disruptions: bool = False
+    has_own_bodies: bool = False
 
 
 @attrs.define
@@ -170,15 +183,19 @@
             random.Random(options.seed + 1),
             STREAM_EVENTS,
             paths=BUDGET_PATHS if options.allowance else callers_module.PATHS,
+            has_own_bodies=options.has_own_bodies,
         )
         self._probe_outcomes: list[callers_module.Outcome] = []
         self._keys = keys.Keys(self._config, self._control, self.callers)
-        self._entry_faults = entry_faults.EntryFaults(self._rng, self._entries)
+        self._harm = harms.HarmLog()
+        self._entry_faults = entry_faults.EntryFaults(
+            self._rng, self._entries, self._harm
+        )
         self._store_faults = store_faults.StoreFaults(
             self._rng, self._control, self._store_proxies
         )
         self._engine_faults = engine_faults.EngineFaults(
-            self._rng, self._control, self._engine_proxies
+            self._rng, self._control, self._engine_proxies, self._harm
         )
 
     async def run(self) -> SeedResult:
@@ -217,6 +234,8 @@
             violations += self.callers.find_violations(runs)
             violations += await self._check_crashes()
             violations += self._keys.find_violations()
+            if not allowance:
+                violations += await self._find_unanswered(runs)
             peaks = await self._find_peaks()
             violations += [str(found) for found in peaks if found.peak.is_over]
             # Stop the callers before the platform that serves them.
@@ -258,6 +277,20 @@
         )
         await bursts.run(options.seconds, quiet_seconds)
 
+    async def _find_unanswered(self, runs: list[list[str]]) -> list[str]:
+        return list(
+            unanswered.find_violations(
+                self.callers.outcomes + self._probe_outcomes,
+                {request for request, _ in runs},
+                await self._control.stream_runs(),
+                {
+                    port: self._entries.name_at(port)
+                    for port in self.callers.ports
+                },
+                self._harm,
+            )
+        )
+
     async def _find_peaks(self) -> list[budget.ServicePeak]:
         allowance = self._options.allowance
         if not allowance:
@@ -312,6 +345,7 @@
             random.Random(0),
             STREAM_EVENTS,
             f"check-{self._probe_count}-",
+            has_own_bodies=self._options.has_own_bodies,
         )
         probe_callers.key = self.callers.key
         async with httpcore.AsyncConnectionPool() as pool:
@@ -366,12 +400,45 @@
                         options.seconds,
                         self._fault_log,
                     )
+                if options.has_disruptions:
+                    task_group.start_soon(self._inject_disruptions)
                 while True:
                     await anyio.sleep(
                         self._rng.expovariate(1 / options.fault_pause_seconds)
                     )
                     task_group.start_soon(self._inject_fault)
 
+    async def _inject_disruptions(self) -> None:
+        """Inject disruptions, and change the config in series meanwhile."""
+        options = self._options
+        found = disruptions.Disruptions(
+            random.Random(options.seed + 5),
+            disruptions.Targets(
+                [
+                    (upstream["service"], upstream["zone"])
+                    for upstream in self._upstreams
+                ],
+                self._engine_proxies,
+                self._store_proxies,
+                self._entries,
+                self._control,
+            ),
+            self._harm,
+            self._fault_log,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._change_config_in_series)
+            await found.run(options.seconds)
+            tasks.cancel_scope.cancel()
+
+    async def _change_config_in_series(self) -> None:
+        rng = random.Random(self._options.seed + 6)
+        while True:
+            await anyio.sleep(
+                rng.uniform(0.2, 1.8) * CONFIG_CHANGE_PAUSE_SECONDS
+            )
+            await self._keys.change_target()
+
     async def _inject_fault(self) -> None:
         kinds = (
             self._entry_faults.kill_entry,
--- a/bench/soak/standin_platform.py
+++ b/bench/soak/standin_platform.py
@@ -81,6 +81,7 @@
                 routes=[
                     routing.Route("/do", self._execute, methods=["POST"]),
                     routing.Route("/runs", self._runs),
+                    routing.Route("/stream_runs", self._stream_runs),
                     routing.Route("/falls", self._crashes),
                     routing.Route("/arrivals", self._arrivals),
                 ]
@@ -165,7 +166,11 @@
     def _apply_command(
         self, name: str, target: chain_fleet.StandinUpstream, value: float
     ) -> None:
-        if name == "dark":
+        if name == "silence":
+            target.silent_until = max(target.silent_until, value)
+        elif name == "cut_power":
+            target.is_dead = True
+        elif name == "dark":
             target.is_unresponsive = True
         elif name == "dead":
             target.is_dead = True
@@ -215,6 +220,7 @@
                 listed.incarnation.id, self._restart_count
             )
             if not keeps_id:
+                self._store.remove(names.UPSTREAM_KIND, listed.incarnation.id)
                 name = listed.incarnation.id.partition(".")[0]
                 incarnation = chain.Incarnation(
                     f"{name}.{self._restart_count}"
@@ -248,6 +254,27 @@
         runs = [[run.request, run.upstream] for run in self._fleet.runs]
         return responses.Response(orjson.dumps(runs))
 
+    async def _stream_runs(
+        self, request: requests.Request
+    ) -> responses.Response:
+        numbers = {
+            str(upstream.listed.address): number
+            for number, upstream in enumerate(self._fleet.upstreams)
+        }
+        runs = [
+            {
+                "request": run.request,
+                "instances": sorted(
+                    numbers[address] for address in run.addresses
+                ),
+                "event_count": run.event_count,
+                "is_lost": run.is_lost,
+                "started_at": run.started_at,
+            }
+            for run in self._fleet.stream_runs
+        ]
+        return responses.Response(orjson.dumps(runs))
+
     async def _arrivals(self, request: requests.Request) -> responses.Response:
         arrivals = {
             service: counter.arrivals
--- a/src/crowdeck/standin/chain_fleet.py
+++ b/src/crowdeck/standin/chain_fleet.py
@@ -157,6 +157,23 @@
     prompt_parts: tuple[str, ...] = ()
 
 
+@attrs.define(eq=False)
+class StreamRun:
+    """One run of a stream, and what it sent.
+
+    :ivar started_at: event loop time in seconds.
+    :ivar addresses: addresses of the engines on its paths.
+    :ivar event_count: number of whole events that it sent.
+    :ivar is_lost: whether it ended by a fault of an engine.
+    """
+
+    request: str
+    started_at: float
+    addresses: set[str] = attrs.field(factory=set)
+    event_count: int = 0
+    is_lost: bool = False
+
+
 @attrs.frozen
 class EngineCrash:
     """One crash of an upstream, caused by a request that it ran.
@@ -173,6 +190,7 @@
 class ChainFleet:
     """Stand-in upstreams by address, in one process.
 
+    :ivar stream_runs: the runs of streams so far.
     :ivar rejection_counts: number of rejections by upstream name.
     :ivar repaths: ids of the requests that moved to another path.
     :ivar crashing_bodies: a request with one of these bodies crashes each
@@ -195,6 +213,7 @@
         # several first engines.
         self._paths: dict[tuple[str, str], chain.ChainPath] = {}
         self.runs: list[Run] = []
+        self.stream_runs: list[StreamRun] = []
         self.rejection_counts: collections.Counter[str] = collections.Counter()
         self.repaths: list[str] = []
         self.crashing_bodies: set[bytes] = set()
@@ -482,23 +501,38 @@
         request: requests.CallerRequest,
         dispatch: interfaces.Dispatch,
     ) -> typing.AsyncIterator[bytes]:
-        sent = 0
+        run = StreamRun(request.id, anyio.current_time())
+        self.stream_runs.append(run)
+        try:
+            async for piece in self._events(target, request, dispatch, run):
+                yield piece
+        except errors.CrowdeckError:
+            run.is_lost = True
+            raise
+
+    async def _events(
+        self,
+        target: StandinUpstream,
+        request: requests.CallerRequest,
+        dispatch: interfaces.Dispatch,
+        run: StreamRun,
+    ) -> typing.AsyncIterator[bytes]:
         if target.hanging_streams:
             target.hanging_streams -= 1
             await anyio.sleep_forever()
         await self._crash_if_requested(target, request)
         for number in range(dispatch.last_event_id + 1, self.events):
             await anyio.sleep(self.event_seconds)
-            await self._wait_for_path(target, request.id)
+            await self._wait_for_path(target, request.id, run)
             await self._wait_for_link()
-            if target.break_stream_after == sent:
+            if target.break_stream_after == run.event_count:
                 if not target.breaks_every_stream:
                     target.break_stream_after = -1
                 # A broken stream ends within an event.
                 yield event(request.id, number)[:5]
                 raise _upstream_lost(verdicts.Verdict.MAY_HAVE_RUN)
             yield event(request.id, number)
-            sent += 1
+            run.event_count += 1
 
     async def _crash_if_requested(
         self, target: StandinUpstream, request: requests.CallerRequest
@@ -522,7 +556,7 @@
             await anyio.sleep(POLL_SECONDS)
 
     async def _wait_for_path(
-        self, target: StandinUpstream, request_id: str
+        self, target: StandinUpstream, request_id: str, run: StreamRun
     ) -> None:
         waited = 0.0
         while True:
@@ -532,6 +566,9 @@
             if target.is_dead or waited > STALL_SECONDS:
                 raise _upstream_lost(verdicts.Verdict.MAY_HAVE_RUN)
             path = self._paths[path_key(target.listed, request_id)]
+            run.addresses.update(
+                str(hop.upstream.address) for hop in path.hops
+            )
             if all(self.at(hop.upstream.address).answers for hop in path.hops):
                 return
             await anyio.sleep(POLL_SECONDS)
--- a/src/crowdeck/standin/chain_http.py
+++ b/src/crowdeck/standin/chain_http.py
@@ -54,6 +54,8 @@
     ) -> None:
         """Answer one request."""
         body = await _read(receive)
+        # A client that times out sees silence, not an error.
+        await self._target.wait_while_silent()
         try:
             if scope["path"] == names.REPORT_PATH:
                 await self._report(send)
