Send no request again to a first engine that may go on with it

Requests without an event were given up beside later engines that were silent for 1.9 s and other first engines that refuse: the only path left began at the same first engine, whose open attempt was ended for it before the new one was accepted, and that was refused. Heads of open attempts are now left out of the search, but for an attempt without an event that its engine, which works, does not work on: that one may be sent again as before.

LoadedFleet takes the stand-in's new parameter.

--- a/src/crowdeck/relay/live.py
+++ b/src/crowdeck/relay/live.py
@@ -31,6 +31,7 @@
     :ivar first_event_at: when its first event arrived.
     :ivar is_established: whether it is known not to crash its engine.
     :ivar is_writing: whether it waits for its caller to take an event.
+    :ivar is_hung: whether its first engine works, but not on this attempt.
     """
 
     path: chain.ChainPath
@@ -38,6 +39,7 @@
     first_event_at: float | None = None
     is_established: bool = False
     is_writing: bool = False
+    is_hung: bool = False
 
     @property
     def is_starting(self) -> bool:
--- a/src/crowdeck/relay/open_attempts.py
+++ b/src/crowdeck/relay/open_attempts.py
@@ -109,12 +109,16 @@
         return len(self._open)
 
     @property
-    def started_heads(self) -> frozenset[str]:
-        """Names of the first engines that have sent events and may go on."""
+    def kept_heads(self) -> frozenset[str]:
+        """Names of the first engines that may go on with the stream.
+
+        An engine that works, and not on an attempt without an event, may be
+        sent the request again.
+        """
         return frozenset(
             attempt.head.name
             for attempt in self._open
-            if not attempt.state.is_starting
+            if not (attempt.state.is_hung and attempt.state.is_starting)
         )
 
     def is_current(self, attempt: OpenAttempt) -> bool:
@@ -132,9 +136,9 @@
     def begin(self, path: chain.ChainPath) -> OpenAttempt:
         """Add an attempt, which becomes the current one.
 
-        Ends one without an event at the same first engine.
+        Ends one that hangs at the same first engine.
         """
-        assert path.head.name not in self.started_heads, (
+        assert path.head.name not in self.kept_heads, (
             "a first engine serves one attempt at a stream"
         )
         for attempt in tuple(self._open):
--- a/src/crowdeck/relay/paths.py
+++ b/src/crowdeck/relay/paths.py
@@ -58,8 +58,8 @@
     """Finds the paths for the attempts of one stream.
 
     :param deadline: loop time after which no attempt is made.
-    :param started_heads: returns the names of first engines that have sent
-        events of the stream and may go on; no path passes them.
+    :param kept_heads: returns the names of first engines that may go on with
+        the stream; no path passes them.
     """
 
     def __init__(
@@ -67,14 +67,14 @@
         context: contexts.RelayContext,
         stream: live.LiveStream,
         deadline: float,
-        started_heads: typing.Callable[[], frozenset[str]] = frozenset,
+        kept_heads: typing.Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._context = context
         self._stream = stream
         self._service = stream.service.name
         self._arrived = stream.request.arrived
         self._deadline = deadline
-        self._started_heads = started_heads
+        self._kept_heads = kept_heads
         self._excluded: set[str] = set()
         self._unavailable_at_start = ""
         self._claim: waiting_order.Claim | None = None
@@ -450,7 +450,7 @@
     def _plan_without(self, excluded: set[str]) -> chain.ChainPath | None:
         registry = self._context.registry
         path_request = self._path_request()
-        excluded = excluded | self._started_heads()
+        excluded = excluded | self._kept_heads()
         usable = [
             engine
             for engine in registry.usable(self._service)
--- a/src/crowdeck/relay/stalls.py
+++ b/src/crowdeck/relay/stalls.py
@@ -522,6 +522,8 @@
             address=str(path.head.address),
             reason="it accepts streams but does not work on them",
         )
+        if stream.current_attempt is not None:
+            stream.current_attempt.is_hung = True
         stream.abandon(reason)
 
     async def _find_culprits(
--- a/src/crowdeck/relay/streams.py
+++ b/src/crowdeck/relay/streams.py
@@ -154,7 +154,7 @@
             context,
             stream,
             self._deadline - MIN_ATTEMPT_SECONDS,
-            lambda: self._attempts.started_heads,
+            lambda: self._attempts.kept_heads,
         )
 
     async def run(self) -> None:
--- a/tests/test_silence_under_load.py
+++ b/tests/test_silence_under_load.py
@@ -54,7 +54,10 @@
         self.cut_paths: dict[str, chain.ChainPath] = {}
 
     async def _wait_for_path(
-        self, target: chain_fleet.StandinUpstream, request_id: str
+        self,
+        target: chain_fleet.StandinUpstream,
+        request_id: str,
+        run: chain_fleet.Run,
     ) -> None:
         seed = f"{self._seed} {request_id}"
         rng = self._random.setdefault(request_id, random.Random(seed))
@@ -63,7 +66,7 @@
         key = chain_fleet.path_key(target.listed, request_id)
         while self._paths[key] is self.cut_paths.get(request_id):
             await anyio.sleep(chain_fleet.POLL_SECONDS)
-        await super()._wait_for_path(target, request_id)
+        await super()._wait_for_path(target, request_id, run)
 
     async def report(self, upstream: chain.Upstream) -> chain.EngineReport:
         stalls = tuple(
