Test: NO_PATH after tokens were delivered is told as not run

An answer whose stage crashes, with no replica, ends with NO_PATH and the verdict NOT_RUN after 6 tokens: that of the planner, which knows nothing of the attempts before. NOT_RUN is a promise, so callers may repeat what has run. Not mended, listed.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -222,6 +222,18 @@
 
         virtual.run(check)
 
+    def test_no_path_after_a_crash_is_not_told_as_not_run(self) -> None:
+        async def check() -> None:
+            async with systems.System(replicas=1) as system:
+                caller = systems.Caller()
+                caller.on_position[5] = lambda: system.kill("s1-0")
+                with pytest.raises(errors.CrowdeckError) as caught:
+                    await system.answer(PROMPT, caller)
+                assert caller.pieces
+                assert not caught.value.verdict.is_retry_safe
+
+        virtual.run(check)
+
 
 class TestEntryCrash:
     """The entry crashes, and its caller resumes at another one."""
