Never tell an answer as not run once tokens were delivered

Callers of the shape with sidecars got NO_PATH with the verdict NOT_RUN after 6 tokens of an earlier attempt: the verdict was that of the last attempt alone. Only a NOT_RUN lets a key be claimed again, so that the request could have run twice.

--- a/src/crowdeck/entry/driver.py
+++ b/src/crowdeck/entry/driver.py
@@ -147,6 +147,11 @@
             try:
                 with anyio.move_on_at(self._deadline):
                     return await self._run_attempts(resume, path)
+            except errors.CrowdeckError as error:
+                if len(self._delivery) and error.verdict.is_retry_safe:
+                    # The last attempt did not run, an earlier one did.
+                    error.verdict = _MAY_HAVE_RUN
+                raise
             except anyio.get_cancelled_exc_class():
                 self._cancel_later()
                 raise
