Refuse requests with a key on all routes while the config is outdated

Cause: the age of the config was compared with its limit only where the route needs a key. On an open route the key decides too: the team's name, its priority and its share in waiting.

Evidence: with an age of 3.6 s and a limit of 3.5 s the requests run on open routes and are refused on others, so the age itself is right. Ruled out: a team kept by the connection; the same connections run without it once the config is read.

Change: beyond the limit no key is looked up. A request with a key, known or not, is refused as not run; a request without one is served on an open route. AdmittedRequest.needs_key goes, as the relay was its only reader.

Ruled out: serving without the team, as a key that still stands would lose it.

Conclusion: a removed key names its team for less than the revocation time.

--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -116,7 +116,7 @@
     :param config_age: returns the seconds since the config was last known
         to be current.
     :param max_config_age_seconds: age beyond which keys may have been
-        revoked, so that requests that need a key are refused.
+        revoked, so that requests with a key are refused on all routes.
     """
 
     def __init__(
@@ -279,22 +279,30 @@
     def _admit(
         self, table: route_tables.RouteTable, request: requests.CallerRequest
     ) -> route_tables.AdmittedRequest:
+        """Return what the config decides on a request.
+
+        A config that may be outdated decides nothing by a key: a newer one
+        may have removed the key, added it, or given it to another team.
+
+        :raises CrowdeckError: ``NOT_FOUND`` or ``UNAUTHORIZED``, or
+            ``STORE_DOWN`` if a newer config may decide otherwise.
+        """
         config_age_seconds = self._config_age()
-        is_config_valid = config_age_seconds <= self._max_config_age_seconds
+        is_outdated = config_age_seconds > self._max_config_age_seconds
+        if is_outdated and request.key:
+            raise self._outdated_config_error(config_age_seconds)
         try:
-            admitted = table.admit(request.host, request.path, request.key)
+            return table.admit(request.host, request.path, request.key)
         except errors.CrowdeckError:
-            if is_config_valid:
-                raise
-            # A newer config may contain this route or key.
-            raise self._outdated_config_error(config_age_seconds) from None
-        if admitted.needs_key and not is_config_valid:
-            raise self._outdated_config_error(config_age_seconds)
-        return admitted
+            if is_outdated:
+                # A newer config may contain this route, or open it.
+                raise self._outdated_config_error(config_age_seconds) from None
+            raise
 
     def _outdated_config_error(
         self, config_age_seconds: float
     ) -> errors.CrowdeckError:
+        counters.COUNTERS.add("relay.config_outdated")
         return errors.CrowdeckError(
             errors.Code.STORE_DOWN,
             "the config was last known to be current "
--- a/src/crowdeck/routing/routes.py
+++ b/src/crowdeck/routing/routes.py
@@ -20,14 +20,12 @@
 
     :ivar team: name of the team, empty where none is known by the key.
     :ivar priority: the team's priority, else the route's.
-    :ivar needs_key: whether it was admitted because of its key.
     """
 
     route: routes.Route
     team: str
     priority: int
     config_version: int
-    needs_key: bool
 
 
 class RouteTable:
@@ -100,7 +98,7 @@
         if team is not None and team.priority is not None:
             priority = team.priority
         name = team.name if team is not None else ""
-        return AdmittedRequest(route, name, priority, self.version, needs_key)
+        return AdmittedRequest(route, name, priority, self.version)
 
     def urgency(
         self, admitted: AdmittedRequest, service: str
