Check the types and the size of a stored lease's fields

Cause: the fields of a lease were converted, not checked. A term of more than 64 bits was taken over, and orjson refuses to write it: TypeError in the task that renews the lease, which ends the process. str() of a nested holder raises RecursionError.

Change: a field of another type, or a term above 2**52, makes the lease one that cannot be read, which is handled already.

Ruled out: a bound of 64 bits. Readers that parse numbers as doubles would change such a term.

Conclusion: what is taken over from a lease can be written again.

--- a/src/crowdeck/state/leases.py
+++ b/src/crowdeck/state/leases.py
@@ -32,6 +32,9 @@
 # higher than all earlier ones, including those that a restore has lost. At 400
 # writes a second this many take 87 years.
 TERMS_PER_EPOCH = 2**40
+# A higher term is another writer's: terms of this system are below the number
+# of its epochs times TERMS_PER_EPOCH.
+MAX_TERM = 2**52
 # The holder stops this long before others may take over, so that a request
 # that it has already sent arrives before the next holder acts. Clocks need not
 # agree, only run at the same rate.
@@ -501,18 +504,35 @@
 def _decode(value: bytes) -> LeaseRecord:
     try:
         body = json_text.decode(value)
-        holder, term = str(body["holder"]), int(body["term"])
-        memo = tuple(str(item) for item in body.get("memo", ()))
-        return LeaseRecord(holder, term, memo, str(body.get("successor", "")))
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+        return LeaseRecord(
+            _text(body["holder"]),
+            _term(body["term"]),
+            _memo(body.get("memo", [])),
+            _text(body.get("successor", "")),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise errors.CrowdeckError(
             errors.Code.MALFORMED,
             f"expected a JSON object with holder and term ({error!r}); the "
             f"lease counts as held by an unknown process",
         ) from None
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"found a {type(value).__name__}, not a text")
+    return value
+
+
+def _term(value: object) -> int:
+    if type(value) is not int:
+        raise TypeError(f"found a {type(value).__name__}, not a term")
+    if not 0 <= value <= MAX_TERM:
+        raise ValueError(f"expected a term from 0 to {MAX_TERM}")
+    return value
+
+
+def _memo(value: object) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise TypeError(f"found a {type(value).__name__}, not a memo")
+    return tuple(map(_text, value))
--- a/tests/test_spoilt_lease.py
+++ b/tests/test_spoilt_lease.py
@@ -23,6 +23,7 @@
 from crowdeck.standin import store as standin_store
 from crowdeck.state import leases
 from crowdeck.state import objects as stores
+from tests import foreign_texts
 from tests import test_restored_lease
 from tests import virtual
 from tests import zone_system
@@ -353,6 +354,64 @@
         _run_with_delayed_processes(work)
 
 
+LEASE = {
+    "holder": "other",
+    "term": 3,
+    "memo": ["e@1"],
+    "successor": "",
+    "sent": 1.5,
+}
+
+
+class TestForeignValues:
+    """Values of another program, of any depth, length or size."""
+
+    @hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=60
+    )
+    @hypothesis.given(strategies.lists(foreign_texts.texts(LEASE), max_size=4))
+    def test_is_held_again(self, texts: list[bytes]) -> None:
+        # Guards against values that a holder takes over and cannot write.
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            lease = leases.Lease(store, "duty", "one")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lease.run)
+                await anyio.sleep(0.1)
+                for text in texts:
+                    store.write(leases.KIND, "duty", text)
+                    await anyio.sleep(2.0)
+                await anyio.sleep(4 * leases.LEASE_SECONDS)
+                assert lease.is_held
+                assert all(isinstance(item, str) for item in lease.memo)
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            b'{"holder":"","term":%s,"memo":[]}' % value
+            for value in (*foreign_texts.LONG_NUMBERS, b'"' + b"9" * 40 + b'"')
+        ],
+        ids=foreign_texts.label,
+    )
+    def test_term_of_any_length_ends_no_holder(self, text: bytes) -> None:
+        # Guards against a term that the next holder cannot write.
+        async def body() -> None:
+            store = standin_store.StandinStore()
+            store.write(leases.KIND, "duty", text)
+            lease = leases.Lease(store, "duty", "one")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lease.run)
+                await anyio.sleep(4 * leases.LEASE_SECONDS)
+                assert lease.is_held
+                assert 0 < lease.term <= leases.MAX_TERM
+                tasks.cancel_scope.cancel()
+
+        virtual.run(body)
+
+
 class TestLastObject:
     """A lease in the last object that it may be moved to."""
 
