Log a change although one of its fields is no JSON

What operators saw: nothing; a line with an integer of over 64 bits, a lone surrogate or deep nesting was missing.

Cause: orjson raises TypeError for the line as a whole, and the log library drops it. Ruled out: that it ends a process; the library handles errors of writers.

Change: a field that JSON does not have becomes a short text.

Conclusion: the lines by which such objects are found are written.

--- a/src/crowdeck/observe/logs.py
+++ b/src/crowdeck/observe/logs.py
@@ -12,6 +12,7 @@
 
 import collections
 import os
+import reprlib
 import sys
 import time
 import typing
@@ -104,13 +105,34 @@
         for name, value in message.items()
         if name not in _OMITTED
     )
-    line = orjson.dumps(fields, default=str) + b"\n"
+    line = _dumps(fields) + b"\n"
     if len(line) > MAX_LINE_BYTES:
         header = {name: fields[name] for name in (_TIME, _KIND)}
         line = orjson.dumps({**header, "too_long": len(line)}) + b"\n"
     return line
 
 
+def _dumps(fields: dict[str, typing.Any]) -> bytes:
+    """Return fields as JSON; those that JSON does not have become a text."""
+    try:
+        return orjson.dumps(fields, default=str)
+    except TypeError:
+        return orjson.dumps(
+            {name: _loggable(value) for name, value in fields.items()}
+        )
+
+
+def _loggable(value: object) -> typing.Any:
+    try:
+        return orjson.Fragment(orjson.dumps(value, default=str))
+    except TypeError:
+        # Limits depth and length, unlike repr.
+        try:
+            return ascii(reprlib.repr(value))
+        except ValueError:
+            return f"{type(value).__name__} that cannot be shown"
+
+
 def to_stdout() -> None:
     """Send log lines to standard output, set to non-blocking."""
     descriptor = sys.stdout.fileno()
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -5,10 +5,15 @@
 
 """Tests of log lines and metrics."""
 
+import typing
+
 import orjson
+import pytest
 
+from crowdeck import json_text
 from crowdeck.observe import counters
 from crowdeck.observe import logs
+from tests import foreign_texts
 
 
 class _Pipe:
@@ -88,3 +93,37 @@
         assert 'relay_answered_seconds_bucket{le="0.05"} 1\n' in text
         assert 'relay_answered_seconds_bucket{le="+Inf"} 2\n' in text
         assert "crowdeck_relay_answered_seconds_count 2\n" in text
+
+
+class TestLogLines:
+    """Lines with values of other programs."""
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            10**30,
+            -(10**5_000),
+            "\ud800",
+            ["\udfff"],
+            {"a": 10**30},
+            orjson.loads(foreign_texts.nested(600)),
+        ],
+        ids=lambda value: type(value).__name__,
+    )
+    def test_value_that_json_does_not_have_costs_no_line(
+        self, value: typing.Any
+    ) -> None:
+        # Guards against a change that is not logged because of one field.
+        lines: list[bytes] = []
+
+        def write(line: bytes) -> int:
+            lines.append(line)
+            return len(line)
+
+        logs.BoundedWriter(write)(
+            {"message_type": "crowdeck:x", "value": value, "other": 5}
+        )
+        found = json_text.decode(lines[0])
+        assert found["message_type"] == "crowdeck:x"
+        assert found["other"] == 5
+        assert "value" in found
