Bound the numbers and names that others write

Cause: int(), float() and str() convert what is no such number or text. A config of version 1e300 is in force for good, one with "nan" as a time fails in each request; a lone surrogate in a name makes a peer's next answer an error for all objects; a position of 5,000 digits in an event id is an error without a code.

Change: numbers are bounded by their meaning or by 2**53, and NaN is none. Names that cannot be encoded name nothing. Five malformed objects of a page are logged, all are counted.

Ruled out: refusing only the route with such a number. A config is refused as a whole for its other malformed fields, and the one before stays in force.

--- a/src/crowdeck/entry/openai.py
+++ b/src/crowdeck/entry/openai.py
@@ -5,6 +5,7 @@
 
 """Requests and answers in the format of the OpenAI API."""
 
+import re
 import time
 import typing
 
@@ -16,6 +17,8 @@
 from crowdeck import json_text
 
 EVENT_ID_SEPARATOR = "~"
+# More digits are no position; Python refuses to convert very many.
+_POSITION = re.compile("[0-9]{1,15}")
 
 
 @attrs.frozen
@@ -138,10 +141,10 @@
         :raises CrowdeckError: ``BAD_REQUEST`` if it is malformed.
         """
         parts = text.split(EVENT_ID_SEPARATOR)
-        if len(parts) != 4 or not parts[3].isdecimal():
+        if len(parts) != 4 or not _POSITION.fullmatch(parts[3]):
             raise _bad_request(
                 "'Last-Event-ID' must be the id of an event of an answer, "
-                f"not {text!r}"
+                f"not {text!r:.100}"
             )
         return cls(parts[0], parts[1], parts[2], int(parts[3]))
 
--- a/src/crowdeck/membership/peer_http.py
+++ b/src/crowdeck/membership/peer_http.py
@@ -28,6 +28,10 @@
 JSON_HEADER = (b"content-type", b"application/json")
 # A new connection within a zone takes a millisecond.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# Versions and epochs of a store are exact in all JSON readers up to here.
+MAX_VERSION = 2**53
+# Longest wait that a peer may ask for.
+MAX_WAIT_SECONDS = 60.0
 # Added to the wait of a watch for the round trip and for a busy entry.
 RESPONSE_SLACK_SECONDS = 0.4
 # Peers read larger changes from the store: serving them to all entries of a
@@ -162,17 +166,24 @@
 def _parse_query(query_string: bytes) -> _WatchQuery:
     fields = urllib.parse.parse_qs(query_string.decode("latin-1"))
     try:
+        seconds = float(fields["seconds"][0])
+        # False for NaN, too.
+        if not 0.0 <= seconds <= MAX_WAIT_SECONDS:
+            raise ValueError(
+                f"expected from 0 to {MAX_WAIT_SECONDS:g} seconds"
+            )
         return _WatchQuery(
             stores.Position(
-                int(fields["after"][0]), int(fields.get("epoch", "0")[0])
+                _integer(int(fields["after"][0])),
+                _integer(int(fields.get("epoch", ["0"])[0])),
             ),
-            float(fields["seconds"][0]),
+            seconds,
         )
     except (KeyError, ValueError) as error:
         raise errors.CrowdeckError(
             errors.Code.BAD_REQUEST,
             "expected numbers as 'after', 'seconds' and optional 'epoch' in "
-            f"the query ({error!r})",
+            f"the query ({error!r:.200})",
         ) from None
 
 
@@ -215,8 +226,8 @@
 def _decode(kind: str, content: bytes) -> stores.PeerChanges:
     try:
         body = json_text.decode_lists(content)
-        items = json_text.opened(body["objects"])
-        removed = json_text.opened(body["removed"])
+        items = _items(body["objects"])
+        removed = _items(body["removed"])
         changes = stores.Changes(
             _integer(body["version"]),
             tuple(_decode_object(kind, item) for item in items),
@@ -239,15 +250,26 @@
     )
 
 
+def _items(value: object) -> list[typing.Any]:
+    found = json_text.opened(value)
+    if not isinstance(found, list):
+        raise TypeError(f"found a {type(found).__name__}, not a list")
+    return found
+
+
 def _text(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"found a {type(value).__name__}, not a name")
+    # Refuses lone surrogates, which cannot be sent to other peers.
+    value.encode()
     return value
 
 
 def _integer(value: object) -> int:
     if type(value) is not int:
         raise TypeError(f"found a {type(value).__name__}, not an integer")
+    if not 0 <= value <= MAX_VERSION:
+        raise ValueError(f"expected a version from 0 to {MAX_VERSION}")
     return value
 
 
--- a/src/crowdeck/membership/roster.py
+++ b/src/crowdeck/membership/roster.py
@@ -24,6 +24,8 @@
 KIND = "crowdeck-entries"
 # A failed call to the store for this entry's record is repeated after this.
 STORE_RETRY_SECONDS = 1.0
+# Larger capacities are taken for errors.
+MAX_CAPACITY = 1e15
 # An entry waits this long for the first listing before it writes its record
 # without one.
 LIST_TIMEOUT_SECONDS = 2.0
@@ -350,6 +352,12 @@
     )
 
 
+def _capacity(value: object) -> float:
+    if not isinstance(value, (int, float)) or not 0.0 <= value <= MAX_CAPACITY:
+        raise ValueError(f"expected a capacity from 0 to {MAX_CAPACITY:g}")
+    return float(value)
+
+
 def decode_record(stored: stores.StoredObject) -> EntryRecord:
     """Return an entry's record, an empty one if it is malformed."""
     try:
@@ -358,7 +366,7 @@
         return EntryRecord(
             str(body["availability_zone"]),
             instances.Address.parse(address) if address else None,
-            float(body.get("capacity") or 0.0),
+            _capacity(body.get("capacity") or 0.0),
             evidences.decode(body.get("evidence")),
         )
     except (
--- a/src/crowdeck/platform/config.py
+++ b/src/crowdeck/platform/config.py
@@ -17,6 +17,7 @@
 from crowdeck.observe import logs
 from crowdeck.platform import fields
 from crowdeck.platform import names
+from crowdeck.platform import upstreams
 from crowdeck import route as routes
 
 Json = dict[str, typing.Any]
@@ -50,7 +51,7 @@
     try:
         body = json_text.decode(value)
         return routes.FleetConfig(
-            version=int(body[names.VERSION]),
+            version=_integer(body[names.VERSION]),
             routes=tuple(_route(item) for item in body[names.ROUTES]),
             services=tuple(_service(item) for item in body[names.SERVICES]),
             teams=_teams(body),
@@ -75,7 +76,7 @@
         prefix=str(body[names.PREFIX]),
         repeat=repeat,
         shares=_shares(body),
-        max_attempts=int(body.get(names.MAX_ATTEMPTS, 1)),
+        max_attempts=_integer(body.get(names.MAX_ATTEMPTS, 1)),
         timeout_seconds=_seconds(
             body.get(names.TIMEOUT_MS, DEFAULT_TIMEOUT_MS)
         ),
@@ -84,7 +85,7 @@
             or body.get(names.TIMEOUT_MS, DEFAULT_TIMEOUT_MS)
         ),
         max_pause_seconds=_seconds(body.get(names.MAX_PAUSE_MS) or 0),
-        priority=int(body.get(names.CONFIG_PRIORITY) or 0),
+        priority=_integer(body.get(names.CONFIG_PRIORITY) or 0),
         is_anonymous=_permission(body, names.ANONYMOUS),
         is_resumable=is_resumable,
     )
@@ -96,7 +97,7 @@
         return (routes.TrafficShare(str(body[names.SERVICE]), 1.0),)
     return tuple(
         routes.TrafficShare(
-            str(share[names.SERVICE]), float(share[names.WEIGHT])
+            str(share[names.SERVICE]), _number(share[names.WEIGHT])
         )
         for share in split
     )
@@ -106,7 +107,7 @@
     engine = body.get(names.ENGINE)
     return routes.Service(
         name=str(body[names.NAME]),
-        connection_limit=int(body.get(names.CONNECTION_LIMIT) or 0),
+        connection_limit=_integer(body.get(names.CONNECTION_LIMIT) or 0),
         profile=_profile(engine) if engine else None,
     )
 
@@ -121,25 +122,29 @@
         for item in body.get(names.ACCELERATOR_TYPES) or ()
     )
     return chain.EngineProfile(
-        layer_count=int(body[names.LAYERS]),
-        layer_mb=float(body[names.LAYER_MB]),
-        kv_bytes_per_token=float(body[names.KV_BYTES_PER_TOKEN]),
-        step_ms=float(body[names.STEP_MS]),
-        sequence_ms=float(body[names.MS_PER_SEQUENCE]),
-        context_ms_per_1000_tokens=float(
+        layer_count=_layer_count(body),
+        layer_mb=_number(body[names.LAYER_MB]),
+        kv_bytes_per_token=_number(body[names.KV_BYTES_PER_TOKEN]),
+        step_ms=_number(body[names.STEP_MS]),
+        sequence_ms=_number(body[names.MS_PER_SEQUENCE]),
+        context_ms_per_1000_tokens=_number(
             body[names.CONTEXT_MS_PER_1000_TOKENS]
         ),
-        prefill_tokens_per_second=float(body[names.PREFILL_TOKENS_PER_SECOND]),
-        activation_bytes=float(body[names.ACTIVATION_BYTES]),
-        zone_link_bytes_per_second=float(body[names.ZONE_LINK_MBPS]) * 1e6 / 8,
+        prefill_tokens_per_second=_number(
+            body[names.PREFILL_TOKENS_PER_SECOND]
+        ),
+        activation_bytes=_number(body[names.ACTIVATION_BYTES]),
+        zone_link_bytes_per_second=_number(body[names.ZONE_LINK_MBPS])
+        * 1e6
+        / 8,
         # Only the first model's load time is used.
-        load_seconds=float(models[0].get(names.LOAD_SECONDS, 0.0)),
-        concurrent_loads=int(body.get(names.CONCURRENT_LOADS) or 1),
-        slots=int(body[names.SLOTS]),
-        mean_prompt_tokens=float(
+        load_seconds=_number(models[0].get(names.LOAD_SECONDS, 0.0)),
+        concurrent_loads=_integer(body.get(names.CONCURRENT_LOADS) or 1),
+        slots=_integer(body[names.SLOTS]),
+        mean_prompt_tokens=_number(
             mean_lengths.get(names.MEAN_PROMPT_TOKENS, 0.0)
         ),
-        mean_answer_tokens=float(
+        mean_answer_tokens=_number(
             mean_lengths.get(names.MEAN_ANSWER_TOKENS, 0.0)
         ),
         cards={
@@ -149,12 +154,22 @@
     )
 
 
+def _layer_count(body: Json) -> int:
+    layer_count = _integer(body[names.LAYERS])
+    if not 0 < layer_count <= upstreams.MAX_LAYER_COUNT:
+        raise ValueError(
+            f"found {layer_count} layers; expected 1 to "
+            f"{upstreams.MAX_LAYER_COUNT}"
+        )
+    return layer_count
+
+
 def _accelerator_type(body: Json) -> chain.AcceleratorType:
     return chain.AcceleratorType(
         name=str(body[names.NAME]),
-        memory_mb=float(body[names.MEMORY_MB]),
-        step_factor=float(body[names.STEP_FACTOR]),
-        prefill_factor=float(body[names.PREFILL_FACTOR]),
+        memory_mb=_number(body[names.MEMORY_MB]),
+        step_factor=_number(body[names.STEP_FACTOR]),
+        prefill_factor=_number(body[names.PREFILL_FACTOR]),
     )
 
 
@@ -232,18 +247,36 @@
 def _limits(body: Json) -> routes.Limits:
     defaults = routes.Limits()
     return routes.Limits(
-        header_bytes=int(body.get(names.HEADER_BYTES, defaults.header_bytes)),
-        body_bytes=int(body.get(names.BODY_BYTES, defaults.body_bytes)),
-        header_seconds=float(
+        header_bytes=_integer(
+            body.get(names.HEADER_BYTES, defaults.header_bytes)
+        ),
+        body_bytes=_integer(body.get(names.BODY_BYTES, defaults.body_bytes)),
+        header_seconds=_seconds(
             body.get(names.HEADER_TIMEOUT_MS, defaults.header_seconds * 1000)
-            / 1000
         ),
-        idle_seconds=float(
+        idle_seconds=_seconds(
             body.get(names.IDLE_TIMEOUT_MS, defaults.idle_seconds * 1000)
-            / 1000
         ),
     )
 
 
-def _seconds(milliseconds: float) -> float:
-    return float(milliseconds) / 1000.0
+def _seconds(milliseconds: typing.Any) -> float:
+    return _number(milliseconds) / 1000.0
+
+
+def _integer(value: typing.Any) -> int:
+    return int(_number(value))
+
+
+def _number(value: typing.Any) -> float:
+    """Return a number of the config.
+
+    :raises ValueError: if it is infinite, NaN or larger than any setting.
+    """
+    number = float(value)
+    # False for NaN, too.
+    if not abs(number) <= fields.MAX_EXACT_INTEGER:
+        raise ValueError(
+            f"found {number:g}; expected at most {fields.MAX_EXACT_INTEGER}"
+        )
+    return number
--- a/src/crowdeck/platform/fields.py
+++ b/src/crowdeck/platform/fields.py
@@ -24,10 +24,13 @@
 
     :raises KeyError: if it is missing and has no default.
     :raises TypeError: if it is not a string.
+    :raises ValueError: if it has lone surrogates, which cannot be sent.
     """
     value = _find(body, name, default)
     if type(value) is not str:
         raise TypeError(f"{name} is {_shown(value)}, not a string")
+    if not value.isascii():
+        value.encode()
     return value
 
 
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -14,6 +14,7 @@
 from crowdeck import http
 from crowdeck import instance as instances
 from crowdeck import json_text
+from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.platform import fields
 from crowdeck.platform import names
@@ -29,6 +30,8 @@
 # connection may be slow.
 WATCH_SLACK_SECONDS = 0.5
 MAX_PAGES = 1_000
+# Malformed objects of one page that are logged; all are counted.
+MAX_LOGGED_UNREAD = 5
 
 # Errors of reading a body with missing fields or wrong types.
 _DECODE_ERRORS = (
@@ -256,11 +259,16 @@
     logged and must not prevent the others from being read.
     """
     found = []
+    unread_count = 0
     for item in items:
         try:
             found.append(_decode_object(kind, item))
         except errors.CrowdeckError as error:
-            logs.change("object_unread", kind=kind, reason=error.message)
+            unread_count += 1
+            if unread_count <= MAX_LOGGED_UNREAD:
+                logs.change("object_unread", kind=kind, reason=error.message)
+    if unread_count:
+        counters.COUNTERS.add(f"store.{kind}.unread", unread_count)
     return found
 
 
--- a/src/crowdeck/quarantine/evidence.py
+++ b/src/crowdeck/quarantine/evidence.py
@@ -17,6 +17,8 @@
 # with 10 Mbit/s reads in 16 ms.
 MAX_ENDS = 32
 MAX_SERVED = 32
+# Wall-clock times are in seconds since 1970; later ones are errors.
+MAX_TIME = 1e11
 # Number of requests reported per end. Those whose fingerprints were present at
 # the most ends are kept, and among equals those that had not produced an
 # event.
@@ -203,7 +205,7 @@
         return Evidence(
             tuple(_decode_end(end) for end in fields.get("ends", ())),
             tuple(
-                ServedSuspect(fingerprint.Fingerprint(str(suspect)), float(at))
+                ServedSuspect(fingerprint.Fingerprint(str(suspect)), _time(at))
                 for suspect, at in fields.get("served", ())
             ),
         )
@@ -220,7 +222,7 @@
 def _decode_end(fields: dict[str, typing.Any]) -> InstanceEnd:
     return InstanceEnd(
         str(fields["instance"]),
-        float(fields["at"]),
+        _time(fields["at"]),
         frozenset(
             fingerprint.parse_content(str(text)) for text in fields["unbegun"]
         ),
@@ -228,3 +230,9 @@
             fingerprint.parse_content(str(text)) for text in fields["begun"]
         ),
     )
+
+
+def _time(value: object) -> float:
+    if not isinstance(value, (int, float)) or not 0.0 <= value <= MAX_TIME:
+        raise ValueError(f"expected a time from 0 to {MAX_TIME:g}")
+    return float(value)
