List a kind whose missed changes are over the limit of an answer

Cause: a watch answers with each version since a position. Its answer of 6.1 MB was over the client's limit, was taken for an outage of the store, and the same watch was sent again until the store had forgotten the history.

Change: changes over the limit count as history that is not available, after which the mirror lists the kind; store_history_lost tells the reason. A body whose declared length is over the limit is not read.

Ruled out: a higher limit. The size grows with the number of missed changes.

Conclusion: what was missed costs one listing.

--- a/src/crowdeck/http.py
+++ b/src/crowdeck/http.py
@@ -24,6 +24,8 @@
 CONNECTION_LIMIT = 64
 KEEPALIVE_SECONDS = 2.0
 RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
+# HTTP libraries refuse lengths of more digits.
+MAX_LENGTH_DIGITS = 20
 # Larger responses hold up other bytes for longer than upstreams may be silent:
 # this much takes 26 ms of a link of 20 Mbit/s.
 LARGE_BYTES = 64 * 1024
@@ -183,6 +185,14 @@
         """Headers in order, with names as they were sent."""
         return self._headers
 
+    @property
+    def _declared_bytes(self) -> int:
+        """Size of the body by its header, 0 if there is none."""
+        length = self.find(b"content-length")
+        if not length.isdigit() or len(length) > MAX_LENGTH_DIGITS:
+            return 0
+        return int(length)
+
     def find(self, name: bytes) -> bytes:
         """Return a header's value by its lower-case name, empty if absent."""
         for key, value in self._headers:
@@ -215,6 +225,8 @@
         :raises CrowdeckError: ``UPSTREAM_LOST`` when it ends early or takes
             too long, ``TOO_LARGE`` beyond ``limit_bytes``.
         """
+        if self._declared_bytes > limit_bytes:
+            raise _too_large_error(limit_bytes)
         try:
             with anyio.fail_after(None) as scope:
                 scope.deadline = self._deadline
@@ -235,11 +247,7 @@
                 body += chunk
                 scope.deadline += len(chunk) / MIN_BODY_BYTES_PER_SECOND
                 if len(body) > limit_bytes:
-                    raise errors.CrowdeckError(
-                        errors.Code.TOO_LARGE,
-                        f"the upstream's answer is over {limit_bytes} bytes",
-                        verdict=verdicts.Verdict.RAN,
-                    )
+                    raise _too_large_error(limit_bytes)
                 is_large = len(body) > LARGE_BYTES
                 if downloads is not None and is_large and not was_large:
                     downloads.begin()
@@ -413,6 +421,14 @@
         await self._pool.aclose()
 
 
+def _too_large_error(limit_bytes: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.TOO_LARGE,
+        f"the upstream's answer is over {limit_bytes} bytes",
+        verdict=verdicts.Verdict.RAN,
+    )
+
+
 def _parse_url(text: str) -> httpcore.URL:
     """Return a URL whose path and query are sent unchanged.
 
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -109,14 +109,17 @@
         """Return the changes after a position, waiting up to ``wait`` seconds.
 
         :raises CrowdeckError: ``STORE_HISTORY`` if the store does not have
-            these changes.
+            these changes, or they are too large for one answer.
         """
         query: Query = {
             names.WATCH: after.version,
             names.WAIT_MS: int(wait * 1000),
         }
         response = await self._read(
-            _path(kind, query=query), wait + WATCH_SLACK_SECONDS
+            _path(kind, query=query),
+            wait + WATCH_SLACK_SECONDS,
+            # A listing has each object once, however often it has changed.
+            too_large_code=errors.Code.STORE_HISTORY,
         )
         epoch = self._epoch_of(response)
         # The store refuses versions that it does not have. It cannot detect
@@ -178,12 +181,19 @@
         return stores.Listing(etag, tuple(_decode_instances(changes.objects)))
 
     async def _read(
-        self, path: str, timeout: float = CALL_TIMEOUT_SECONDS
+        self,
+        path: str,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+        too_large_code: errors.Code = errors.Code.STORE_DOWN,
     ) -> upstream.ServiceResponse:
         try:
             response = await self._client.send("GET", path, [], b"", timeout)
         except errors.CrowdeckError as error:
             await self._client.close_idle()
+            if error.code is errors.Code.TOO_LARGE:
+                raise errors.CrowdeckError(
+                    too_large_code, error.message, retry_after=1.0
+                ) from None
             raise _store_down_error(error.message) from None
         if response.status not in (200, 404, 410):
             raise _store_down_error(
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -323,6 +323,7 @@
             logs.change(
                 "store_history_lost",
                 kind=self._kind,
+                reason=error.message,
                 epoch=self.position.epoch,
                 version=self.position.version,
             )
--- a/src/crowdeck/state/objects.py
+++ b/src/crowdeck/state/objects.py
@@ -129,7 +129,8 @@
 
         :param wait: seconds to wait at most; the result may be empty.
         :raises CrowdeckError: ``STORE_HISTORY`` when the store no longer
-            knows what changed, or is in another epoch; list the kind again.
+            knows what changed, is in another epoch, or its answer is too
+            large; list the kind again.
         """
         ...
 
