Never take a peer's copy for current in the future

What callers saw: nothing; found by reading what a peer's answer decides.

Cause: the age that a peer reports is subtracted from the time of the question. An age far below zero makes the copy, and the config in it, current for as long, so that keys that are taken away stay valid.

Change: a copy is current at the present at the latest, and the comparison fails closed.

Ruled out: refusing negative ages. A peer's copy may be confirmed after the question arrived.

Test: test_copy_of_a_peer_is_not_current_in_the_future, 2 of 2 failed before.

Conclusion: what one peer tells cannot extend the trust in a config.

--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -288,7 +288,8 @@
             ``STORE_DOWN`` if a newer config may decide otherwise.
         """
         config_age_seconds = self._config_age()
-        is_outdated = config_age_seconds > self._max_config_age_seconds
+        # True for NaN, too.
+        is_outdated = not config_age_seconds <= self._max_config_age_seconds
         if is_outdated and request.key:
             raise self._outdated_config_error(config_age_seconds)
         try:
--- a/src/crowdeck/state/mirror.py
+++ b/src/crowdeck/state/mirror.py
@@ -308,6 +308,8 @@
         self._set_current(current_at)
 
     def _set_current(self, at: float) -> None:
+        # A peer may report an age that lies in the future.
+        at = min(at, anyio.current_time())
         previous = self._current_at
         if previous is not None:
             counters.COUNTERS.time(f"store.{self._kind}.age", self.age())
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -12,6 +12,7 @@
 
 import re
 
+import anyio
 import hypothesis
 from hypothesis import strategies
 import orjson
@@ -32,6 +33,7 @@
 from crowdeck.relay import relay as relays
 from crowdeck.settings import holder as settings_holder
 from crowdeck.standin import store as standin_store
+from crowdeck.state import mirror as mirrors
 from crowdeck.state import objects as stores
 from tests import fleet_system
 from tests import foreign_texts
@@ -286,6 +288,40 @@
         again = peer_http._decode("servers", peer_http._encode(found))
         assert again == found
 
+    @pytest.mark.parametrize("age", [-1e9, -1e300])
+    def test_copy_of_a_peer_is_not_current_in_the_future(
+        self, age: float
+    ) -> None:
+        # Guards against keys that are trusted for good because of one answer.
+        class FuturePeer:
+            async def watch(
+                self, kind: str, after: stores.Position, wait: float
+            ) -> stores.PeerChanges:
+                await anyio.sleep(0.1)
+                return stores.PeerChanges(stores.Changes(9, ()), age)
+
+        class OnePeer:
+            def choose(self) -> mirrors.PeerReplica:
+                return FuturePeer()
+
+            def seconds_until_retry(self) -> float:
+                return float("inf")
+
+        async def body() -> None:
+            store = test_malformed_objects.store_with(
+                test_malformed_objects.listing()
+            )
+            holder = relays.ConfigHolder(config.decode, "main")
+            mirror = mirrors.Mirror(
+                store, "config", holder, 0.8, peers=OnePeer()
+            )
+            with anyio.move_on_after(1.0):
+                await mirror.run()
+            await anyio.sleep(10.0)
+            assert mirror.age() >= 10.0
+
+        virtual.run(body)
+
     @SETTINGS
     @hypothesis.given(HEADER_VALUES, HEADER_VALUES, HEADER_VALUES)
     def test_questions_of_peers(
