Read fields and texts of other programs in one module

The limit is right: each module delays a start.

Cause: crowdeck.json_text was added beside platform/fields, which has the same job, the reading of what others wrote.

Change: platform/fields goes into json_text; nothing in it changes but its place. Ruled out: a higher limit, which would weaken the check; and json_text within state/objects, which callers' requests and peers' messages do not otherwise need.

Conclusion: one module reads what others write, texts and fields.

--- a/src/crowdeck/json_text.py
+++ b/src/crowdeck/json_text.py
@@ -3,21 +3,29 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""Reading of JSON texts that other programs wrote.
+"""Reading of JSON texts that other programs wrote, and of their fields.
 
 A text may hold what its reader does not expect: values nested to any depth,
 numbers of any length, invalid UTF-8. Reading such a text raises ``ValueError``
 and nothing else, and what is read can be compared, printed and encoded again
 without a limit being exceeded.
+
+Fields are not converted: one of an unexpected type is refused, as its meaning
+is unknown.
 """
 
 import json
 import re
+import reprlib
 import typing
 
 import attrs
 import orjson
 
+Json = dict[str, typing.Any]
+
+# JSON readers that parse numbers as doubles are exact up to here.
+MAX_EXACT_INTEGER = 2**53
 # Containers within one another. Python's encoders and ``repr`` raise
 # RecursionError at a depth that depends on the stack of their caller, and
 # orjson encodes fewer levels than it reads.
@@ -26,6 +34,7 @@
 # than 4,300, and no field of ours has as many.
 MAX_INTEGER_DIGITS = 400
 
+_REQUIRED: typing.Any = object()
 # Stands for a container that orjson reads but does not encode.
 _TOO_DEEP = b'"nested too deeply"'
 # Text without brackets, then a run of opening or of closing ones.
@@ -132,6 +141,94 @@
         return json.dumps(value).encode("ascii")
 
 
+def text(body: Json, name: str, default: str = _REQUIRED) -> str:
+    """Return a string field.
+
+    :raises KeyError: if it is missing and has no default.
+    :raises TypeError: if it is not a string.
+    :raises ValueError: if it has lone surrogates, which cannot be sent.
+    """
+    value = _find(body, name, default)
+    if type(value) is not str:
+        raise TypeError(f"{name} is {_shown(value)}, not a string")
+    if not value.isascii():
+        value.encode()
+    return value
+
+
+def header_text(body: Json, name: str) -> str:
+    """Return a string field that can be sent in an HTTP header.
+
+    :raises KeyError: if it is missing.
+    :raises TypeError: if it is not a string.
+    :raises ValueError: if it is empty or not printable ASCII.
+    """
+    value = text(body, name)
+    if not value or not value.isascii() or not value.isprintable():
+        raise ValueError(
+            f"{name} is {_shown(value)}; expected non-empty printable ASCII"
+        )
+    return value
+
+
+def integer(body: Json, name: str, default: int = _REQUIRED) -> int:
+    """Return an integer field of 0 or more.
+
+    :raises KeyError: if it is missing and has no default.
+    :raises TypeError: if it is not an integer.
+    :raises ValueError: if it is negative or too large.
+    """
+    value = _find(body, name, default)
+    if type(value) is not int:
+        raise TypeError(f"{name} is {_shown(value)}, not an integer")
+    if not 0 <= value <= MAX_EXACT_INTEGER:
+        raise ValueError(
+            f"{name} is {_shown(value)}; expected 0 to {MAX_EXACT_INTEGER}"
+        )
+    return value
+
+
+def number(body: Json, name: str, default: float = _REQUIRED) -> float:
+    """Return a numeric field of 0 or more.
+
+    :raises KeyError: if it is missing and has no default.
+    :raises TypeError: if it is not a number.
+    :raises ValueError: if it is negative or too large.
+    """
+    value = _find(body, name, default)
+    if type(value) not in (int, float):
+        raise TypeError(f"{name} is {_shown(value)}, not a number")
+    if not 0 <= value <= MAX_EXACT_INTEGER:
+        raise ValueError(
+            f"{name} is {_shown(value)}; expected 0 to {MAX_EXACT_INTEGER}"
+        )
+    return float(value)
+
+
+def boolean(body: Json, name: str) -> bool:
+    """Return a boolean field, ``False`` if it is missing.
+
+    :raises TypeError: if it is not a boolean.
+    """
+    value = _find(body, name, False)
+    if type(value) is not bool:
+        raise TypeError(f"{name} is {_shown(value)}, not a boolean")
+    return value
+
+
+def list_field(body: Json, name: str) -> list[Json]:
+    """Return a list field, empty if it is missing.
+
+    The items are not checked.
+
+    :raises TypeError: if it is not a list.
+    """
+    value = _find(body, name, [])
+    if type(value) is not list:
+        raise TypeError(f"{name} is {_shown(value)}, not a list")
+    return value
+
+
 def _inner_containers(content: bytes) -> typing.Iterator[tuple[int, int]]:
     """Yield where the containers in the outermost one begin and end.
 
@@ -196,3 +293,20 @@
             if isinstance(item, (dict, list))
         ]
     return bool(level)
+
+
+def _find(body: Json, name: str, default: typing.Any) -> typing.Any:
+    """Return a field, or its default if it is missing or null."""
+    if type(body) is not dict:
+        raise TypeError(f"{_shown(body)} is not a JSON object")
+    value = body.get(name)
+    if value is not None:
+        return value
+    if default is _REQUIRED:
+        raise KeyError(name)
+    return default
+
+
+def _shown(value: object) -> str:
+    # Unlike repr, limits the depth and size of what it reads.
+    return f"{reprlib.repr(value):.40}"
--- a/src/crowdeck/platform/callers.py
+++ b/src/crowdeck/platform/callers.py
@@ -9,7 +9,7 @@
 
 from crowdeck import chain
 from crowdeck import http
-from crowdeck.platform import fields
+from crowdeck import json_text
 from crowdeck.platform import names
 from crowdeck.relay import interfaces
 from crowdeck.relay import request as requests
@@ -36,7 +36,7 @@
 _HOST = b"host"
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?=[\r\n]|$)")
 _CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_MAX_EVENT_ID_DIGITS = len(str(fields.MAX_EXACT_INTEGER))
+_MAX_EVENT_ID_DIGITS = len(str(json_text.MAX_EXACT_INTEGER))
 MIN_DEADLINE_MS = 1
 # The least urgent priority that engines accept.
 LOWEST_PRIORITY = 9
@@ -199,4 +199,4 @@
     except ValueError:
         return None
     # False for NaN, too.
-    return value if 0 <= value <= fields.MAX_EXACT_INTEGER else None
+    return value if 0 <= value <= json_text.MAX_EXACT_INTEGER else None
--- a/src/crowdeck/platform/config.py
+++ b/src/crowdeck/platform/config.py
@@ -15,7 +15,6 @@
 from crowdeck import errors
 from crowdeck import json_text
 from crowdeck.observe import logs
-from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.platform import upstreams
 from crowdeck import route as routes
@@ -192,7 +191,7 @@
 def _team(body: Json) -> routes.TeamKeys:
     if not isinstance(body, dict):
         raise TypeError(f"a team is a {type(body).__name__}, not an object")
-    name = fields.text(body, names.NAME)
+    name = json_text.text(body, names.NAME)
     if not name or not name.isprintable():
         raise ValueError("the name of a team is empty or not printable")
     keys = [
@@ -215,7 +214,7 @@
     if body.get(names.CONFIG_PRIORITY) is None:
         return None
     try:
-        return fields.integer(body, names.CONFIG_PRIORITY)
+        return json_text.integer(body, names.CONFIG_PRIORITY)
     except _DECODE_ERRORS as error:
         _log_unread(names.CONFIG_PRIORITY, error)
         return None
@@ -234,7 +233,7 @@
 def _permission(body: Json, name: str) -> bool:
     """Return whether a field is true; a malformed one permits nothing."""
     try:
-        return fields.boolean(body, name)
+        return json_text.boolean(body, name)
     except TypeError as error:
         _log_unread(name, error)
         return False
@@ -275,8 +274,8 @@
     """
     number = float(value)
     # False for NaN, too.
-    if not abs(number) <= fields.MAX_EXACT_INTEGER:
+    if not abs(number) <= json_text.MAX_EXACT_INTEGER:
         raise ValueError(
-            f"found {number:g}; expected at most {fields.MAX_EXACT_INTEGER}"
+            f"found {number:g}; expected at most {json_text.MAX_EXACT_INTEGER}"
         )
     return number
--- a/src/crowdeck/platform/engines.py
+++ b/src/crowdeck/platform/engines.py
@@ -20,7 +20,6 @@
 from crowdeck.observe import logs
 from crowdeck import pipeline
 from crowdeck.platform import callers
-from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.platform import upstreams
 from crowdeck.relay import interfaces
@@ -350,7 +349,7 @@
     except ValueError:
         return None
     if len(counts) != 3 or not all(
-        0 <= count <= fields.MAX_EXACT_INTEGER for count in counts
+        0 <= count <= json_text.MAX_EXACT_INTEGER for count in counts
     ):
         return None
     return interfaces.Load(*counts)
--- a/src/crowdeck/platform/store.py
+++ b/src/crowdeck/platform/store.py
@@ -16,7 +16,6 @@
 from crowdeck import json_text
 from crowdeck.observe import counters
 from crowdeck.observe import logs
-from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.state import objects as stores
 from crowdeck import upstream
@@ -250,8 +249,8 @@
         metadata = json_text.opened(body[names.METADATA])
         return stores.StoredObject(
             kind,
-            fields.text(metadata, names.NAME),
-            fields.integer(metadata, names.REVISION),
+            json_text.text(metadata, names.NAME),
+            json_text.integer(metadata, names.REVISION),
             json_text.encode(body.get(names.SPECIFICATION)),
         )
     except _DECODE_ERRORS as error:
@@ -330,7 +329,7 @@
 def _decode_version(body: Json) -> int:
     """Return the store's version in an answer."""
     try:
-        return fields.integer(body, names.STORE_REVISION)
+        return json_text.integer(body, names.STORE_REVISION)
     except _DECODE_ERRORS as error:
         raise _store_down_error(
             f"the field {names.STORE_REVISION} of the store's answer is "
--- a/src/crowdeck/platform/upstreams.py
+++ b/src/crowdeck/platform/upstreams.py
@@ -10,7 +10,6 @@
 from crowdeck import instance as instances
 from crowdeck import json_text
 from crowdeck import pipeline
-from crowdeck.platform import fields
 from crowdeck.platform import names
 from crowdeck.state import objects as stores
 from crowdeck import verdict as verdicts
@@ -39,7 +38,7 @@
         body = json_text.decode(stored.value)
         _require_all_fields(body)
         incarnation = chain.Incarnation(
-            fields.header_text({names.ID: stored.name}, names.ID),
+            json_text.header_text({names.ID: stored.name}, names.ID),
             _start_time_ms(body),
         )
         return chain.Upstream(
@@ -47,12 +46,14 @@
             # Without a start time the name is the id.
             instance_id=incarnation.id if incarnation.started_ms else "",
             started_ms=incarnation.started_ms,
-            service=fields.text(body, names.SERVICE),
-            address=instances.Address.parse(fields.text(body, names.ADDRESS)),
-            availability_zone=fields.text(body, names.ZONE),
-            slots=fields.integer(body, names.SLOTS),
+            service=json_text.text(body, names.SERVICE),
+            address=instances.Address.parse(
+                json_text.text(body, names.ADDRESS)
+            ),
+            availability_zone=json_text.text(body, names.ZONE),
+            slots=json_text.integer(body, names.SLOTS),
             is_leaving=_state(body) == names.STATE_DRAINING,
-            card=fields.text(body, names.ACCELERATOR_TYPE, ""),
+            card=json_text.text(body, names.ACCELERATOR_TYPE, ""),
             layers=_layers(body),
         )
     except _DECODE_ERRORS as error:
@@ -69,20 +70,20 @@
     try:
         body = json_text.decode(content)
         return chain.EngineReport(
-            orders_taken=fields.integer(body, names.ORDERS_TAKEN),
-            is_busy=fields.boolean(body, names.BUSY),
+            orders_taken=json_text.integer(body, names.ORDERS_TAKEN),
+            is_busy=json_text.boolean(body, names.BUSY),
             layers=_layers(body),
-            running=fields.integer(body, names.RUNNING, 0),
-            waiting=fields.integer(body, names.WAITING, 0),
-            cache_used=fields.number(body, names.CACHE_USED, 0.0),
-            cache_total=fields.number(body, names.CACHE_TOTAL, 0.0),
-            slowdown=fields.number(body, names.SLOWDOWN, 1.0) or 1.0,
+            running=json_text.integer(body, names.RUNNING, 0),
+            waiting=json_text.integer(body, names.WAITING, 0),
+            cache_used=json_text.number(body, names.CACHE_USED, 0.0),
+            cache_total=json_text.number(body, names.CACHE_TOTAL, 0.0),
+            slowdown=json_text.number(body, names.SLOWDOWN, 1.0) or 1.0,
             stalls=tuple(
                 chain.Stall(
-                    fields.text(stall, names.ID),
-                    fields.text(stall, names.ADDRESS),
+                    json_text.text(stall, names.ID),
+                    json_text.text(stall, names.ADDRESS),
                 )
-                for stall in fields.list_field(body, names.STALLED)
+                for stall in json_text.list_field(body, names.STALLED)
             ),
             started_ms=_start_time_ms(body),
         )
@@ -90,7 +91,7 @@
         raise _malformed_error("an engine's report", error) from None
 
 
-def _require_all_fields(body: fields.Json) -> None:
+def _require_all_fields(body: json_text.Json) -> None:
     """Check the fields that each instance writes and that nothing reads.
 
     A record without them is another writer's.
@@ -99,14 +100,14 @@
     :raises TypeError: if one has another type.
     :raises ValueError: if a number is negative or too large.
     """
-    fields.text(body, names.VERSION)
-    fields.number(body, names.COLD_MS)
-    fields.integer(body, names.ORDERS_TAKEN)
+    json_text.text(body, names.VERSION)
+    json_text.number(body, names.COLD_MS)
+    json_text.integer(body, names.ORDERS_TAKEN)
 
 
-def _state(body: fields.Json) -> str:
+def _state(body: json_text.Json) -> str:
     # Every instance writes its state; other writers' objects have none.
-    state = fields.text(body, names.STATE)
+    state = json_text.text(body, names.STATE)
     if state not in _STATES:
         raise ValueError(
             f"the state is {state!r:.40}; expected one of {sorted(_STATES)}"
@@ -114,22 +115,22 @@
     return state
 
 
-def _start_time_ms(body: fields.Json) -> int:
+def _start_time_ms(body: json_text.Json) -> int:
     """Return the start time in a stored object or a report, 0 if missing.
 
     :raises TypeError: if it is null, which other fields treat as missing.
     """
     if names.STARTED_MS in body and body[names.STARTED_MS] is None:
         raise TypeError("the start time is null")
-    return fields.integer(body, names.STARTED_MS, 0)
+    return json_text.integer(body, names.STARTED_MS, 0)
 
 
-def _layers(body: fields.Json) -> pipeline.LayerRange | None:
+def _layers(body: json_text.Json) -> pipeline.LayerRange | None:
     value = body.get(names.LAYERS)
     if not value:
         return None
-    first = fields.integer(value, names.FIRST_LAYER)
-    end = fields.integer(value, names.END_LAYER)
+    first = json_text.integer(value, names.FIRST_LAYER)
+    end = json_text.integer(value, names.END_LAYER)
     if end > MAX_LAYER_COUNT:
         raise ValueError(
             f"the layers end at {end}; expected at most {MAX_LAYER_COUNT}"
