Keep requests behind one another as bytes until it is their turn

What callers saw: an entry ends, out of memory. 30 clients with requests of 18 bytes behind one that is being answered, 2 MiB each, take it to 8,338 MB; 5,557 and 5,826 MB at its other listeners, 7,533 MB with sidecars.

Cause: all bytes were parsed as they came, and each request was made into objects of some 3 KB before its turn, 14,000 in one read.

Change: bytes are cut into messages before they are parsed; what is behind the request in progress stays as bytes, beyond 16 KiB unread, and counts in an account of the process whose size follows from memory_mb of the machine (crowdeck.serving). All HTTP listeners of both shapes use it.

Why it works: nothing is made of a request before the one in front is answered, and the cut is checked by the parser: a message that ends elsewhere is refused.

Ruled out: a limit on waiting requests alone, as one read may hold thousands.

Conclusion: memory for requests behind one another is their bytes.

--- a/src/crowdeck/cmd/caller_server.py
+++ b/src/crowdeck/cmd/caller_server.py
@@ -7,17 +7,20 @@
 
 import typing
 
-from uvicorn.protocols.http import httptools_impl
-
 from crowdeck.cmd import http_server
 from crowdeck.observe import counters
 from crowdeck.platform import callers
 from crowdeck.relay import ingress
+from crowdeck.serving import account as accounts
+from crowdeck.serving import protocol
 
 KEEP_ALIVE_SECONDS = 15
+# Of a machine whose limits are not known.
+MEMORY_MB = 300
+FILE_DESCRIPTORS = 4_096
 
 
-class CallerProtocol(httptools_impl.HttpToolsProtocol):
+class CallerProtocol(protocol.BoundedProtocol):
     """A connection that tells of requests that wait behind another."""
 
     def on_headers_complete(self) -> None:
@@ -27,13 +30,13 @@
         self.scope["extensions"] = typing.cast(typing.Any, extensions)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Count the requests that waited and get no answer."""
-        if self.pipeline:
-            counters.COUNTERS.add("relay.unbegun", len(self.pipeline))
+        """Count connections with later requests that get no answer."""
+        if self.has_waiting_requests:
+            counters.COUNTERS.add("relay.unbegun")
         super().connection_lost(exc)
 
     def _has_waiting_requests(self) -> bool:
-        return bool(self.pipeline)
+        return self.has_waiting_requests
 
 
 def build(
@@ -41,16 +44,24 @@
     host: str,
     port: int,
     keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+    intake: protocol.Intake | None = None,
 ) -> http_server.EmbeddedServer:
     """Return the HTTP server for callers, not yet started.
 
     :param keep_alive_seconds: time after which an idle connection is closed.
+    :param intake: what bounds callers, by default an account of their own.
     """
     return http_server.build(
         ingress.Ingress(server, callers),
         host,
         port,
-        http=CallerProtocol,
+        intake=intake or _default_intake(),
         timeout_keep_alive=keep_alive_seconds,
+        http=CallerProtocol,
         date_header=False,
     )
+
+
+def _default_intake() -> protocol.Intake:
+    account = accounts.Account(accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS))
+    return protocol.Intake(account.open_listener())
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -13,6 +13,7 @@
 import os
 import secrets
 import socket
+import typing
 
 import anyio
 import anyio.abc
@@ -38,6 +39,11 @@
 from crowdeck.settings import config as configs
 from crowdeck.state import leases
 
+if typing.TYPE_CHECKING:
+    # Loaded once the listeners are opened.
+    from crowdeck.serving import account as accounts
+    from crowdeck.serving import protocol
+
 PLACEMENT_LEASE = "placement"
 # Each request in progress uses one connection, as do reports and orders.
 # Keep it well below the process's limit of open files.
@@ -80,6 +86,7 @@
         self._relay: relays.Relay | None = None
         self._downloads = http.LargeDownloads()
         self._server: http_server.EmbeddedServer | None = None
+        self._account: accounts.Account | None = None
         self._server_ended = anyio.Event()
         self._lease: leases.Lease | None = None
         self._stopped = anyio.Event()
@@ -262,7 +269,12 @@
         if not peer_address:
             return
         address = instances.Address.parse(peer_address)
-        server = http_server.build(app, address.host, address.port)
+        server = http_server.build(
+            app,
+            address.host,
+            address.port,
+            intake=self._open_intake(),
+        )
         await tasks.start(_run_server, server)
 
     async def _sync_initially(
@@ -330,7 +342,10 @@
             relay, counters.COUNTERS, names.READINESS_PATH
         )
         status_server = http_server.build(
-            app, status_address.host, status_address.port
+            app,
+            status_address.host,
+            status_address.port,
+            intake=self._open_intake(),
         )
         await tasks.start(_run_server, status_server)
         # Loaded here, as uvicorn's own protocols are: meanwhile the store and
@@ -342,9 +357,31 @@
         with anyio.move_on_after(MAX_INITIAL_SYNC_SECONDS):
             await self._initially_synced.wait()
         address = instances.Address.parse(str(fleet["callers"]))
-        self._server = caller_server.build(relay, address.host, address.port)
+        self._server = caller_server.build(
+            relay,
+            address.host,
+            address.port,
+            intake=self._open_intake(),
+        )
         await tasks.start(self._serve_callers, self._server)
 
+    def _open_account(self) -> "accounts.Account":
+        """Return the account of all clients of this process."""
+        from crowdeck.serving import account as accounts
+
+        if self._account is None:
+            machine = self._config.machine
+            self._account = accounts.Account(
+                accounts.size_for(machine.memory_mb, machine.file_descriptors)
+            )
+        return self._account
+
+    def _open_intake(self) -> "protocol.Intake":
+        """Return what bounds the clients of another listener."""
+        from crowdeck.serving import protocol
+
+        return protocol.Intake(self._open_account().open_listener())
+
     async def _serve_callers(
         self,
         server: http_server.EmbeddedServer,
--- a/src/crowdeck/cmd/http_server.py
+++ b/src/crowdeck/cmd/http_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import socket
 import typing
@@ -17,6 +18,10 @@
 
 from crowdeck.observe import logs
 
+if typing.TYPE_CHECKING:
+    # Loaded when a server is built, after the start of the process.
+    from crowdeck.serving import protocol
+
 GRACEFUL_SHUTDOWN_SECONDS = 2
 START_POLL_SECONDS = 0.005
 # Interval at which a server checks whether to exit. Longer than uvicorn's, so
@@ -69,10 +74,23 @@
 
 
 def build(
-    app: typing.Any, host: str, port: int, **options: typing.Any
+    app: typing.Any,
+    host: str,
+    port: int,
+    *,
+    intake: "protocol.Intake | None" = None,
+    **options: typing.Any,
 ) -> EmbeddedServer:
-    """Return a server for an ASGI application, not yet started."""
+    """Return a server for an ASGI application, not yet started.
+
+    :param intake: what bounds its clients, if they are bounded.
+    """
     _forward_uvicorn_logs()
+    if intake is not None:
+        from crowdeck.serving import protocol
+
+        make_protocol = options.get("http", protocol.BoundedProtocol)
+        options["http"] = functools.partial(make_protocol, intake=intake)
     return EmbeddedServer(
         uvicorn.Config(
             app,
@@ -114,10 +132,12 @@
     *,
     certificate: str = "",
     key: str = "",
+    intake: "protocol.Intake | None" = None,
     task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application until cancelled.
 
+    :param intake: what bounds its clients, if they are bounded.
     :param task_status: reports the port.
     """
     server = build(
@@ -127,5 +147,6 @@
         timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_SECONDS,
         ssl_certfile=certificate or None,
         ssl_keyfile=key or None,
+        intake=intake,
     )
     await run(server, task_status=task_status)
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -24,6 +24,8 @@
 from crowdeck.observe import logs
 from crowdeck.observe import traces
 from crowdeck.platform import store as platform_store
+from crowdeck.serving import account as accounts
+from crowdeck.serving import protocol
 from crowdeck.settings import config as configs
 from crowdeck.sidecar import sidecar as sidecars
 from crowdeck import timers
@@ -62,6 +64,14 @@
         self._timers = timers.TimerService()
         self._stop = anyio.Event()
         self._running: RunningProcess | None = None
+        has_tls = bool(config.entry["tls_certificate"])
+        self._account = accounts.Account(
+            accounts.size_for(
+                config.machine.memory_mb,
+                config.machine.file_descriptors,
+                has_tls=has_tls,
+            )
+        )
 
     @property
     def is_running(self) -> bool:
@@ -259,6 +269,7 @@
             int(section["http_port"]),
             certificate=str(section["tls_certificate"]),
             key=str(section["tls_key"]),
+            intake=protocol.Intake(self._account.open_listener()),
             task_status=task_status,
         )
 
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -45,6 +45,20 @@
         options.Number(
             "stop_seconds", 30.0, "longest graceful shutdown", 0.0, 3600.0
         ),
+        options.Integer(
+            "memory_mb",
+            300,
+            "memory of the machine, of which clients may hold a part",
+            64,
+            1_048_576,
+        ),
+        options.Integer(
+            "file_descriptors",
+            4_096,
+            "descriptors of the process, of which clients may hold a part",
+            256,
+            1_048_576,
+        ),
     )
 )
 PLATFORM_OPTIONS = options.Options(
@@ -152,6 +166,14 @@
         return security.TlsContexts(server=server, client=client)
 
 
+@attrs.frozen
+class MachineLimits:
+    """What the machine gives a process."""
+
+    memory_mb: int
+    file_descriptors: int
+
+
 @attrs.frozen
 class Config:
     """Validated configuration of one process."""
@@ -162,6 +184,7 @@
     cluster: str
     address: instances.Address
     stop_seconds: float
+    machine: MachineLimits
     platform_url: str
     tls: TlsFiles
     entry: Section
@@ -265,6 +288,10 @@
         cluster=str(daemon["cluster"]),
         address=instances.Address(str(daemon["host"]), int(daemon["port"])),
         stop_seconds=float(daemon["stop_seconds"]),
+        machine=MachineLimits(
+            memory_mb=int(daemon["memory_mb"]),
+            file_descriptors=int(daemon["file_descriptors"]),
+        ),
         platform_url=str(values_by_section[PLATFORM]["url"]),
         tls=TlsFiles(
             str(tls["certificate"]), str(tls["key"]), str(tls["authority"])
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -48,6 +48,8 @@
     "ip_address": HOST,
     "internal_port_range.0": "7340",
     "limits.link_mbps": "100.0",
+    "limits.memory_mb": "300",
+    "limits.file_descriptors": "4100",
     "bounds.revocation_ms": "5000",
     "bounds.grace_period_s": "8",
     "bounds.retry_budget_ratio": "0.2",
