Count connections where they are accepted, and give them time limits

What callers saw: an entry without descriptors, which reaches neither engines nor the store. 700 clients that send nothing, half a head, half a body, or read no answer hold 713 to 890 descriptors of 600 at each listener of both shapes; 265 MB of 200 where they never begin their TLS handshake. A connection that the config lets rest for 20 s was closed after 15.

Cause: no connection was counted, and only one that had been answered before had a time limit; header_timeout_ms and idle_timeout_ms were decoded and not applied.

Change: sockets are counted as they are accepted, from memory_mb and file_descriptors of the machine, with a share for each listener. If a listener has its share, the connection whose client was answered longest ago, or never, is closed for the new one; one in service never is. Heads, rests and handshakes have the config's times, in force when they begin. New code TOO_SLOW (408), not run.

Why it works: an ordinary caller sends its head at once, so it is neither the oldest nor out of time; those that hold connections are.

Ruled out: refusing new connections, which leaves the machine to those that came first; a limit for each address, as all callers may come from the platform's.

Conclusion: connections are bounded for the process. One in a TLS handshake is not closed for another; it has the time of a head.

--- a/src/crowdeck/cmd/caller_server.py
+++ b/src/crowdeck/cmd/caller_server.py
@@ -11,10 +11,11 @@
 from crowdeck.observe import counters
 from crowdeck.platform import callers
 from crowdeck.relay import ingress
+from crowdeck import route as routes
 from crowdeck.serving import account as accounts
 from crowdeck.serving import protocol
 
-KEEP_ALIVE_SECONDS = 15
+KEEP_ALIVE_SECONDS = 15.0
 # Of a machine whose limits are not known.
 MEMORY_MB = 300
 FILE_DESCRIPTORS = 4_096
@@ -48,20 +49,26 @@
 ) -> http_server.EmbeddedServer:
     """Return the HTTP server for callers, not yet started.
 
-    :param keep_alive_seconds: time after which an idle connection is closed.
-    :param intake: what bounds callers, by default an account of their own.
+    :param keep_alive_seconds: time after which an idle connection is closed,
+        without an intake.
+    :param intake: what bounds callers, by default the limits of a config
+        that names none.
     """
     return http_server.build(
         ingress.Ingress(server, callers),
         host,
         port,
-        intake=intake or _default_intake(),
-        timeout_keep_alive=keep_alive_seconds,
+        intake=intake or _default_intake(keep_alive_seconds),
         http=CallerProtocol,
         date_header=False,
     )
 
 
-def _default_intake() -> protocol.Intake:
+def _default_intake(keep_alive_seconds: float) -> protocol.Intake:
+    defaults = routes.Limits()
+    limits = protocol.Limits(
+        header_seconds=defaults.header_seconds,
+        idle_seconds=keep_alive_seconds,
+    )
     account = accounts.Account(accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS))
-    return protocol.Intake(account.open_listener())
+    return protocol.Intake(account.open_listener("callers"), lambda: limits)
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -34,6 +34,7 @@
 from crowdeck.relay import stalls
 from crowdeck.relay import status as statuses
 from crowdeck.relay import survey as surveys
+from crowdeck import route as routes
 from crowdeck.routing import hops
 from crowdeck.routing import usage as usages
 from crowdeck.settings import config as configs
@@ -48,6 +49,14 @@
 # Each request in progress uses one connection, as do reports and orders.
 # Keep it well below the process's limit of open files.
 MAX_UPSTREAM_CONNECTIONS = 1_000
+# Parts of the connections for callers; for load balancers and collectors of
+# metrics; and for other entries, of which each has one for each kind of object
+# that it watches, and one for its load.
+CALLER_SHARE = 0.7
+STATUS_SHARE = 0.05
+PEER_SHARE = 0.25
+# Time for which their connections may be idle.
+INTERNAL_IDLE_SECONDS = 5.0
 # API keys are accepted for this fraction of the revocation time after the
 # config was last known to be current. Less than one, as a watch may miss a
 # change for some time before it reports that the history was lost. This takes
@@ -273,7 +282,7 @@
             app,
             address.host,
             address.port,
-            intake=self._open_intake(),
+            intake=self._internal_intake("peers", PEER_SHARE),
         )
         await tasks.start(_run_server, server)
 
@@ -345,7 +354,7 @@
             app,
             status_address.host,
             status_address.port,
-            intake=self._open_intake(),
+            intake=self._internal_intake("status", STATUS_SHARE),
         )
         await tasks.start(_run_server, status_server)
         # Loaded here, as uvicorn's own protocols are: meanwhile the store and
@@ -361,7 +370,7 @@
             relay,
             address.host,
             address.port,
-            intake=self._open_intake(),
+            intake=self._caller_intake(relay),
         )
         await tasks.start(self._serve_callers, self._server)
 
@@ -376,11 +385,30 @@
             )
         return self._account
 
-    def _open_intake(self) -> "protocol.Intake":
-        """Return what bounds the clients of another listener."""
+    def _internal_intake(self, name: str, share: float) -> "protocol.Intake":
+        """Return what bounds the clients of a listener without callers."""
         from crowdeck.serving import protocol
 
-        return protocol.Intake(self._open_account().open_listener())
+        defaults = routes.Limits()
+        limits = protocol.Limits(
+            header_seconds=defaults.header_seconds,
+            idle_seconds=INTERNAL_IDLE_SECONDS,
+        )
+        listener = self._open_account().open_listener(name, share)
+        return protocol.Intake(listener, lambda: limits)
+
+    def _caller_intake(self, relay: relays.Relay) -> "protocol.Intake":
+        from crowdeck.serving import protocol
+
+        def limits() -> protocol.Limits:
+            config_limits = relay.limits
+            return protocol.Limits(
+                header_seconds=config_limits.header_seconds,
+                idle_seconds=config_limits.idle_seconds,
+            )
+
+        listener = self._open_account().open_listener("callers", CALLER_SHARE)
+        return protocol.Intake(listener, limits)
 
     async def _serve_callers(
         self,
--- a/src/crowdeck/cmd/http_server.py
+++ b/src/crowdeck/cmd/http_server.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import functools
 import logging
 import socket
 import typing
@@ -22,6 +21,9 @@
     # Loaded when a server is built, after the start of the process.
     from crowdeck.serving import protocol
 
+# A connection that is given up for a new one is closed one round later, so
+# this many more may be open for a moment.
+ACCEPT_BATCH = 64
 GRACEFUL_SHUTDOWN_SECONDS = 2
 START_POLL_SECONDS = 0.005
 # Interval at which a server checks whether to exit. Longer than uvicorn's, so
@@ -56,7 +58,66 @@
 
 
 class EmbeddedServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the process."""
+    """A uvicorn server that leaves signals to the process.
+
+    :param intake: what bounds its clients, if they are bounded.
+    """
+
+    def __init__(
+        self, config: uvicorn.Config, intake: "protocol.Intake | None" = None
+    ) -> None:
+        super().__init__(config)
+        self._intake = intake
+
+    def open_listener(
+        self, listener: socket.socket | None = None
+    ) -> socket.socket | None:
+        """Return the socket to listen on, ``None`` for one of uvicorn's.
+
+        :param listener: a listening socket to use instead of a new one.
+        """
+        if self._intake is None:
+            return listener
+        from crowdeck.serving import listener as listeners
+
+        account = self._intake.listener
+        if listener is not None:
+            return listeners.counting(listener, account)
+        return listeners.listen(self.config.host, self.config.port, account)
+
+    async def startup(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Begin to listen."""
+        if self._intake is None or not sockets:
+            await super().startup(sockets)
+            return
+        (listener,) = sockets
+        loop = asyncio.get_running_loop()
+        limits = self._intake.limits()
+        server = await loop.create_server(
+            self._make_protocol,
+            sock=listener,
+            ssl=self.config.ssl,
+            ssl_handshake_timeout=(
+                limits.header_seconds if self.config.ssl else None
+            ),
+            # asyncio accepts as many connections at once.
+            backlog=ACCEPT_BATCH,
+        )
+        listener.listen(self.config.backlog)
+        self.servers = [server]
+        self.started = True
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        make_protocol: typing.Any = self.config.http_protocol_class
+        protocol: asyncio.Protocol = make_protocol(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+            intake=self._intake,
+        )
+        return protocol
 
     @contextlib.contextmanager
     def capture_signals(self) -> typing.Iterator[None]:
@@ -89,8 +150,7 @@
     if intake is not None:
         from crowdeck.serving import protocol
 
-        make_protocol = options.get("http", protocol.BoundedProtocol)
-        options["http"] = functools.partial(make_protocol, intake=intake)
+        options.setdefault("http", protocol.BoundedProtocol)
     return EmbeddedServer(
         uvicorn.Config(
             app,
@@ -102,7 +162,8 @@
             lifespan="off",
             server_header=False,
             **options,
-        )
+        ),
+        intake,
     )
 
 
@@ -117,7 +178,8 @@
     :param listener: a listening socket to use instead of a new one.
     :param task_status: reports the port.
     """
-    sockets = None if listener is None else [listener]
+    opened = server.open_listener(listener)
+    sockets = None if opened is None else [opened]
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve, sockets)
         while not server.started:
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -36,6 +36,11 @@
 from crowdeck.wire import rpc
 
 START_RETRY_SECONDS = 0.5
+# Part of the connections of an entry for callers; the rest is for links.
+CALLER_SHARE = 0.75
+# Limits on callers, whose settings name none.
+HEADER_SECONDS = 3.0
+IDLE_SECONDS = 15.0
 
 
 @attrs.frozen
@@ -269,10 +274,18 @@
             int(section["http_port"]),
             certificate=str(section["tls_certificate"]),
             key=str(section["tls_key"]),
-            intake=protocol.Intake(self._account.open_listener()),
+            intake=self._caller_intake(),
             task_status=task_status,
         )
 
+    def _caller_intake(self) -> protocol.Intake:
+        limits = protocol.Limits(
+            header_seconds=HEADER_SECONDS,
+            idle_seconds=IDLE_SECONDS,
+        )
+        listener = self._account.open_listener("callers", CALLER_SHARE)
+        return protocol.Intake(listener, lambda: limits)
+
 
 async def _start_when_ready(
     sidecar: sidecars.Sidecar, transport: link.Transport
--- a/src/crowdeck/cmd/start.py
+++ b/src/crowdeck/cmd/start.py
@@ -20,9 +20,8 @@
 import socket
 import sys
 
-# Same as uvicorn's default. If it overflows, connection attempts are dropped
-# and TCP retries them after a second.
-BACKLOG = 2048
+from crowdeck.serving import sockets
+
 _CONFIG_OPTION = "--config"
 _SECTION = "fleet"
 _CALLERS_OPTION = "callers"
@@ -73,7 +72,7 @@
             parser.read_file(file)
         address = parser.get(_SECTION, _CALLERS_OPTION)
         host, _, port = address.rpartition(":")
-        return _listen(host, int(port))
+        return sockets.listen(host, int(port))
     except (OSError, ValueError, configparser.Error):
         return None
 
@@ -83,16 +82,3 @@
     if position >= len(arguments):
         raise ValueError(f"{option} needs a value")
     return arguments[position]
-
-
-def _listen(host: str, port: int) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
-        listener.listen(BACKLOG)
-    except OSError:
-        listener.close()
-        raise
-    listener.setblocking(False)
-    return listener
--- a/src/crowdeck/errors.py
+++ b/src/crowdeck/errors.py
@@ -21,6 +21,7 @@
 
     BAD_REQUEST = "BAD_REQUEST"
     TOO_LARGE = "TOO_LARGE"
+    TOO_SLOW = "TOO_SLOW"
     UNAUTHORIZED = "UNAUTHORIZED"
     FORBIDDEN = "FORBIDDEN"
     NOT_FOUND = "NOT_FOUND"
@@ -61,6 +62,7 @@
 HTTP_STATUS: dict[Code, int] = {
     Code.BAD_REQUEST: 400,
     Code.TOO_LARGE: 413,
+    Code.TOO_SLOW: 408,
     Code.UNAUTHORIZED: 401,
     Code.FORBIDDEN: 403,
     Code.NOT_FOUND: 404,
--- a/src/crowdeck/relay/relay.py
+++ b/src/crowdeck/relay/relay.py
@@ -140,9 +140,13 @@
     @property
     def body_limit(self) -> int:
         """Maximum size of a request body in bytes."""
+        return self.limits.body_bytes
+
+    @property
+    def limits(self) -> routes.Limits:
+        """Limits on callers' requests."""
         table = self._holder.table
-        limits = table.config.limits if table else routes.Limits()
-        return limits.body_bytes
+        return table.config.limits if table else routes.Limits()
 
     @property
     def closes_connections(self) -> bool:
--- a/src/crowdeck/serving/account.py
+++ b/src/crowdeck/serving/account.py
@@ -3,13 +3,14 @@
 # Copyright the crowdeck maintainers and contributors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""The memory that clients of a process may hold.
+"""The memory and the connections that clients of a process may hold.
 
 One account bounds them for the whole process, whatever each request or
 connection may hold by itself. When the account is spent, what has cost the
 most and is least likely to be an ordinary client's is given up first.
 """
 
+import collections
 import typing
 
 import anyio
@@ -58,6 +59,10 @@
         """
         ...
 
+    def end(self) -> None:
+        """Close the connection, on which no request is being served."""
+        ...
+
 
 @attrs.frozen
 class AccountSize:
@@ -102,9 +107,17 @@
         """Bytes that clients hold."""
         return self._held_bytes
 
-    def open_listener(self) -> "ListenerAccount":
-        """Return the account of another listener."""
-        listener = ListenerAccount(self)
+    def open_listener(
+        self, name: str, share: float = 1.0
+    ) -> "ListenerAccount":
+        """Return the account of another listener.
+
+        :param name: part of the names of its counters.
+        :param share: its part of the connections of the process. Those of
+            other listeners are not closed for its own.
+        """
+        count = max(1, int(share * self._size.connection_count))
+        listener = ListenerAccount(self, name, count)
         self._listeners.append(listener)
         return listener
 
@@ -167,11 +180,24 @@
 
 
 class ListenerAccount:
-    """The connections of one listener."""
+    """The connections of one listener.
 
-    def __init__(self, account: Account) -> None:
+    Connections that are not being served are kept in the order in which
+    their clients were last answered, or connected. The first of them is
+    closed for a new one when there are too many.
+    """
+
+    def __init__(
+        self, account: Account, name: str, connection_count: int
+    ) -> None:
         self._account = account
+        self._name = name
+        self._connection_limit = connection_count
+        self._open_count = 0
         self._connections: set[Connection] = set()
+        self._unserved: collections.OrderedDict[Connection, None] = (
+            collections.OrderedDict()
+        )
 
     @property
     def account(self) -> Account:
@@ -183,13 +209,58 @@
         """All connections that were added."""
         return self._connections
 
+    @property
+    def open_count(self) -> int:
+        """Number of accepted sockets that are open."""
+        return self._open_count
+
+    def accept(self) -> bool:
+        """Count an accepted socket, if necessary in place of another.
+
+        :return: whether it may stay open.
+        """
+        if self._open_count >= self._connection_limit:
+            counters.COUNTERS.add(f"clients.{self._name}.full")
+            logs.change(
+                "connections_full",
+                listener=self._name,
+                limit=self._connection_limit,
+                unserved=len(self._unserved),
+            )
+            if not self._end_oldest():
+                return False
+        self._open_count += 1
+        return True
+
+    def release(self) -> None:
+        """Count the close of an accepted socket."""
+        self._open_count -= 1
+
     def add(self, connection: Connection) -> None:
-        """Add a connection."""
+        """Add a connection, on which no request is being served yet."""
         self._connections.add(connection)
+        self._unserved[connection] = None
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection that is closed."""
         self._connections.discard(connection)
+        self._unserved.pop(connection, None)
+
+    def begin_service(self, connection: Connection) -> None:
+        """Note that a whole request was read: it is not closed for others."""
+        self._unserved.pop(connection, None)
+
+    def end_service(self, connection: Connection) -> None:
+        """Note that its request was answered, or that it lingers."""
+        if connection in self._connections:
+            self._unserved.setdefault(connection)
+
+    def _end_oldest(self) -> bool:
+        if not self._unserved:
+            return False
+        connection, _ = self._unserved.popitem(last=False)
+        connection.end()
+        return True
 
 
 class Holding:
--- a/src/crowdeck/serving/protocol.py
+++ b/src/crowdeck/serving/protocol.py
@@ -40,11 +40,32 @@
 RETRY_SECONDS = 0.25
 
 
+@attrs.frozen
+class Limits:
+    """Limits on what one client may send, and how long it may take.
+
+    :ivar header_seconds: time from the first byte of a head to its end.
+    :ivar idle_seconds: time between an answer and the next request.
+    """
+
+    header_seconds: float
+    idle_seconds: float
+
+
+class LimitSource(typing.Protocol):
+    """Tells the limits in force."""
+
+    def __call__(self) -> Limits:
+        """Return them."""
+        ...
+
+
 @attrs.frozen
 class Intake:
     """What bounds the clients of one listener."""
 
     listener: accounts.ListenerAccount
+    limits: LimitSource
 
 
 class _Phase(enum.Enum):
@@ -106,6 +127,7 @@
         self._body_left: int | None = None
         self._has_head = False
         self._is_complete = False
+        self._timed_phase = _Phase.IDLE
         self._linger_bytes_left = MAX_LINGER_BYTES
         self._refusal: errors.CrowdeckError | None = None
         self._is_last = False
@@ -139,6 +161,17 @@
             return
         self._forget_waiting()
 
+    def end(self) -> None:
+        """Close the connection, on which no request is being served."""
+        counters.COUNTERS.add("clients.ended")
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            self._refuse(_spent_error(), lingers=False)
+        elif self._phase is _Phase.IDLE:
+            self._close_now()
+        else:
+            # It lingers.
+            self._real_transport.abort()
+
     # Connection.
 
     def connection_made(  # type: ignore[override]
@@ -154,6 +187,7 @@
         )
         self._began_at = anyio.current_time()
         self._intake.listener.add(self)
+        self._arm(self._intake.limits().idle_seconds, self._close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds."""
@@ -213,6 +247,9 @@
             return
         self._phase = _Phase.IDLE
         self._holding = accounts.Holding(self._account)
+        self._intake.listener.end_service(self)
+        idle_seconds = self._intake.limits().idle_seconds
+        self.timeout_keep_alive = idle_seconds  # type: ignore[assignment]
         super().on_response_complete()
         if self._is_closing():
             return
@@ -250,6 +287,18 @@
                 data = self._parse_head(data)
         if data and self._phase is _Phase.ANSWER:
             self._keep(data)
+        self._time_phase()
+
+    def _time_phase(self) -> None:
+        """Limit the time of a head that has not ended."""
+        if self._phase is self._timed_phase:
+            return
+        limits = self._intake.limits()
+        if self._phase is _Phase.HEAD:
+            self._arm(limits.header_seconds, self._time_out)
+        else:
+            return
+        self._timed_phase = self._phase
 
     def _parse_head(self, data: bytes) -> bytes:
         """Parse bytes of a head, and return those behind it."""
@@ -328,7 +377,8 @@
         self._disarm()
         self._last_bytes = b""
         self._has_head = False
-        self._phase = _Phase.ANSWER
+        self._timed_phase = self._phase = _Phase.ANSWER
+        self._intake.listener.begin_service(self)
 
     def _declared_bytes(self) -> int | None:
         """Return the size of a body by its head, ``None`` if in chunks."""
@@ -370,7 +420,12 @@
 
     # The end of a connection.
 
-    def _refuse(self, error: errors.CrowdeckError) -> None:
+    def _time_out(self) -> None:
+        self._refuse(_slow_error())
+
+    def _refuse(
+        self, error: errors.CrowdeckError, lingers: bool = True
+    ) -> None:
         """Answer with an error, unless an answer has begun, and close."""
         if self._phase is _Phase.CLOSING or self._is_closed:
             return
@@ -386,7 +441,10 @@
             self._phase = _Phase.CLOSING
             return
         self._real_transport.write(_response(error))
-        self._close()
+        if lingers:
+            self._close()
+        else:
+            self._close_now()
 
     def _is_closing(self) -> bool:
         return (
@@ -405,6 +463,7 @@
         self._phase = _Phase.CLOSING
         self.parser = None  # type: ignore[assignment]
         self._drop_waiting()
+        self._intake.listener.end_service(self)
         self.flow.resume_reading()
         if self._real_transport.can_write_eof():
             self._real_transport.write_eof()
@@ -443,6 +502,12 @@
     )
 
 
+def _slow_error() -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.TOO_SLOW, "the request did not arrive in time"
+    )
+
+
 def _log_refusal(
     error: errors.CrowdeckError, phase: str, held_bytes: int
 ) -> None:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -11,6 +11,7 @@
 import attrs
 from hypothesis import given
 from hypothesis import strategies
+import pytest
 
 from crowdeck.serving import account as accounts
 from tests import virtual
@@ -26,6 +27,7 @@
     began_at: float = 0.0
     holding: accounts.Holding | None = None
     was_shed: bool = False
+    has_ended: bool = False
 
     @property
     def spare_bytes(self) -> int:
@@ -36,6 +38,9 @@
         self.holding.release()
         self.was_shed = True
 
+    def end(self) -> None:
+        self.has_ended = True
+
 
 def make_account() -> accounts.Account:
     return accounts.Account(accounts.AccountSize(LIMIT_BYTES, CONNECTIONS))
@@ -72,7 +77,7 @@
     def test_request_that_cost_the_most_is_shed_first(self) -> None:
         async def body() -> None:
             account = make_account()
-            listener = account.open_listener()
+            listener = account.open_listener("callers")
             old, large, small = Client(), Client(), Client()
             for client, at, size in (
                 (old, 0.0, 300),
@@ -97,7 +102,7 @@
     def test_requests_in_service_are_not_shed(self) -> None:
         async def body() -> None:
             account = make_account()
-            account.open_listener()
+            account.open_listener("callers")
             served = accounts.Holding(account)
             assert served.grow(LIMIT_BYTES)
             assert not accounts.Holding(account).grow(1)
@@ -116,7 +121,7 @@
     def test_request_that_sheds_itself_holds_nothing(self) -> None:
         async def body() -> None:
             account = make_account()
-            listener = account.open_listener()
+            listener = account.open_listener("callers")
             client = Client(holding=accounts.Holding(account))
             listener.add(client)
             assert client.holding is not None
@@ -145,7 +150,7 @@
 
         async def body() -> None:
             account = make_account()
-            listener = account.open_listener()
+            listener = account.open_listener("callers")
             clients = [Client() for _ in range(6)]
             for client in clients:
                 client.holding = accounts.Holding(account)
@@ -162,3 +167,38 @@
                 assert account.held_bytes == held <= LIMIT_BYTES
 
         run(body)
+
+
+class TestConnections:
+    """Accepted sockets of one listener."""
+
+    def test_one_that_was_answered_last_is_kept_longest(self) -> None:
+        listener = make_account().open_listener("callers")
+        clients = [Client() for _ in range(CONNECTIONS)]
+        for client in clients:
+            assert listener.accept()
+            listener.add(client)
+        listener.begin_service(clients[0])
+        listener.end_service(clients[0])
+        assert listener.accept()
+        assert [client.has_ended for client in clients] == [False, True, False]
+
+    def test_one_in_service_is_never_ended(self) -> None:
+        listener = make_account().open_listener("callers")
+        clients = [Client() for _ in range(CONNECTIONS)]
+        for client in clients:
+            assert listener.accept()
+            listener.add(client)
+            listener.begin_service(client)
+        assert not listener.accept()
+        assert not any(client.has_ended for client in clients)
+        listener.release()
+        assert listener.accept()
+
+    @pytest.mark.parametrize("share", [0.0, 0.4, 1.0])
+    def test_listener_has_its_share(self, share: float) -> None:
+        listener = make_account().open_listener("status", share)
+        accepted = 0
+        while listener.accept():
+            accepted += 1
+        assert accepted == max(1, int(share * CONNECTIONS))
