Refuse heads over the limit of the config, and count those under it

Cause: max_header_bytes was decoded and not applied. The parser and the server keep a head until it ends, and a field of four bytes takes 37 times its size.

Change: the bytes of the target and of the fields are counted before they are parsed, and refused with 414 or 431, closing the connection, over the limit that is in force. What is under it counts in the account of the process, 200 bytes more for each field. Entries with sidecars and the inner listeners allow 16 KiB.

Why it works: nothing over the limit reaches the parser, and many heads under it are bounded together.

Ruled out: one limit for the target and the fields together, as the config does not say which of both it means: either may have the limit's bytes.

Conclusion: heads are bounded one by one and together.

--- a/src/crowdeck/cmd/caller_server.py
+++ b/src/crowdeck/cmd/caller_server.py
@@ -67,6 +67,7 @@
 def _default_intake(keep_alive_seconds: float) -> protocol.Intake:
     defaults = routes.Limits()
     limits = protocol.Limits(
+        header_bytes=defaults.header_bytes,
         header_seconds=defaults.header_seconds,
         idle_seconds=keep_alive_seconds,
     )
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -391,6 +391,7 @@
 
         defaults = routes.Limits()
         limits = protocol.Limits(
+            header_bytes=defaults.header_bytes,
             header_seconds=defaults.header_seconds,
             idle_seconds=INTERNAL_IDLE_SECONDS,
         )
@@ -403,6 +404,7 @@
         def limits() -> protocol.Limits:
             config_limits = relay.limits
             return protocol.Limits(
+                header_bytes=config_limits.header_bytes,
                 header_seconds=config_limits.header_seconds,
                 idle_seconds=config_limits.idle_seconds,
             )
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -39,6 +39,7 @@
 # Part of the connections of an entry for callers; the rest is for links.
 CALLER_SHARE = 0.75
 # Limits on callers, whose settings name none.
+HEADER_BYTES = 16 * 1024
 HEADER_SECONDS = 3.0
 IDLE_SECONDS = 15.0
 
@@ -280,6 +281,7 @@
 
     def _caller_intake(self) -> protocol.Intake:
         limits = protocol.Limits(
+            header_bytes=HEADER_BYTES,
             header_seconds=HEADER_SECONDS,
             idle_seconds=IDLE_SECONDS,
         )
--- a/src/crowdeck/errors.py
+++ b/src/crowdeck/errors.py
@@ -21,6 +21,8 @@
 
     BAD_REQUEST = "BAD_REQUEST"
     TOO_LARGE = "TOO_LARGE"
+    TARGET_TOO_LONG = "TARGET_TOO_LONG"
+    FIELDS_TOO_LARGE = "FIELDS_TOO_LARGE"
     TOO_SLOW = "TOO_SLOW"
     UNAUTHORIZED = "UNAUTHORIZED"
     FORBIDDEN = "FORBIDDEN"
@@ -62,6 +64,8 @@
 HTTP_STATUS: dict[Code, int] = {
     Code.BAD_REQUEST: 400,
     Code.TOO_LARGE: 413,
+    Code.TARGET_TOO_LONG: 414,
+    Code.FIELDS_TOO_LARGE: 431,
     Code.TOO_SLOW: 408,
     Code.UNAUTHORIZED: 401,
     Code.FORBIDDEN: 403,
--- a/src/crowdeck/serving/protocol.py
+++ b/src/crowdeck/serving/protocol.py
@@ -28,6 +28,10 @@
 
 # Ends each head and each chunked body.
 _END = b"\r\n\r\n"
+# A request line has a method and a version besides its target.
+LINE_SLACK_BYTES = 64
+# A field takes two texts, a tuple and its place in a list.
+FIELD_OVERHEAD_BYTES = 200
 # Bytes of later requests that are read while one is being answered. Beyond
 # it the connection is not read, so that its end is noticed only afterwards.
 MAX_WAITING_BYTES = 16 * 1024
@@ -44,10 +48,12 @@
 class Limits:
     """Limits on what one client may send, and how long it may take.
 
+    :ivar header_bytes: size of a request's target, and of its fields.
     :ivar header_seconds: time from the first byte of a head to its end.
     :ivar idle_seconds: time between an answer and the next request.
     """
 
+    header_bytes: int
     header_seconds: float
     idle_seconds: float
 
@@ -122,6 +128,9 @@
         self._waiting_holding = accounts.Holding(self._account)
         self._began_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._line_bytes = 0
+        self._field_bytes = 0
+        self._has_line = False
         self._has_begun = False
         self._last_bytes = b""
         self._body_left: int | None = None
@@ -310,10 +319,11 @@
             if not data:
                 return b""
         part, rest = self._cut(data)
-        if not self._feed(part):
+        if not self._count_head(part) or not self._feed(part):
             return b""
         if self._has_head:
-            self._has_begun = False
+            self._line_bytes = self._field_bytes = 0
+            self._has_line = self._has_begun = False
             self._phase = _Phase.BODY
             self._end_message()
         return rest
@@ -324,6 +334,26 @@
         self._has_begun = bool(rest)
         return rest
 
+    def _count_head(self, part: bytes) -> bool:
+        """Count a part of a head; refuse it if the head is too large."""
+        line_size = 0
+        if not self._has_line:
+            line_size = part.find(b"\n") + 1
+            self._has_line = line_size > 0
+            line_size = line_size or len(part)
+        self._line_bytes += line_size
+        self._field_bytes += len(part) - line_size
+        limit = self._intake.limits().header_bytes
+        if self._line_bytes > limit + LINE_SLACK_BYTES:
+            self._refuse(_target_error(limit))
+        elif self._field_bytes > limit + len(_END):
+            self._refuse(_fields_error(limit))
+        elif not self._holding.grow(
+            len(part) + part.count(b"\n") * FIELD_OVERHEAD_BYTES
+        ):
+            self._refuse(_spent_error())
+        return self._phase is _Phase.HEAD
+
     def _parse_body(self, data: bytes) -> bytes:
         if self._body_left is not None:
             part, rest = data[: self._body_left], data[self._body_left :]
@@ -502,6 +532,19 @@
     )
 
 
+def _target_error(limit: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.TARGET_TOO_LONG, f"the target is over {limit} bytes"
+    )
+
+
+def _fields_error(limit: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.FIELDS_TOO_LARGE,
+        f"the fields of the head are over {limit} bytes",
+    )
+
+
 def _slow_error() -> errors.CrowdeckError:
     return errors.CrowdeckError(
         errors.Code.TOO_SLOW, "the request did not arrive in time"
