Count the bytes of bodies in the account of the process

The tests, on a machine of 200 MB: 602 to 649 MB by length and in chunks, 281 MB for 60 in chunks of 64 bytes, 675 MB for 150 whole bodies that wait for a slow service; both shapes. The rest of a refused body was read for as long as it came. A body that is too large by its head was answered only with its end.

Cause: max_body_bytes bounds one body; nothing bounded their number, their time or what was read after a refusal.

Change: each byte of a body counts three times in the account, as it is copied to be sent on, until its request has ended, also if its caller has left. Bodies have body_seconds. A body too large by its head is refused at once; after a refusal 1 MiB, or 32 MiB of a body, is read for 2 s at most, then the connection closes, and such an answer says so.

Why it works: an ordinary request holds few bytes, or for a short time, and is served beside the crowd; what was refused has not been passed on.

Tests: test_misbehaving_clients.TestBodies (8) and test_caller_limits: declared body.

Conclusion: bodies are bounded together; whole ones that wait fill the account at most, and new bodies are then refused.

--- a/src/crowdeck/cmd/caller_server.py
+++ b/src/crowdeck/cmd/caller_server.py
@@ -19,6 +19,7 @@
 # Of a machine whose limits are not known.
 MEMORY_MB = 300
 FILE_DESCRIPTORS = 4_096
+BODY_SECONDS = 300.0
 
 
 class CallerProtocol(protocol.BoundedProtocol):
@@ -70,6 +71,7 @@
         header_bytes=defaults.header_bytes,
         header_seconds=defaults.header_seconds,
         idle_seconds=keep_alive_seconds,
+        body_seconds=BODY_SECONDS,
     )
     account = accounts.Account(accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS))
     return protocol.Intake(account.open_listener("callers"), lambda: limits)
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -389,11 +389,13 @@
         """Return what bounds the clients of a listener without callers."""
         from crowdeck.serving import protocol
 
+        machine = self._config.machine
         defaults = routes.Limits()
         limits = protocol.Limits(
             header_bytes=defaults.header_bytes,
             header_seconds=defaults.header_seconds,
             idle_seconds=INTERNAL_IDLE_SECONDS,
+            body_seconds=machine.body_seconds,
         )
         listener = self._open_account().open_listener(name, share)
         return protocol.Intake(listener, lambda: limits)
@@ -401,12 +403,15 @@
     def _caller_intake(self, relay: relays.Relay) -> "protocol.Intake":
         from crowdeck.serving import protocol
 
+        machine = self._config.machine
+
         def limits() -> protocol.Limits:
             config_limits = relay.limits
             return protocol.Limits(
                 header_bytes=config_limits.header_bytes,
                 header_seconds=config_limits.header_seconds,
                 idle_seconds=config_limits.idle_seconds,
+                body_seconds=machine.body_seconds,
             )
 
         listener = self._open_account().open_listener("callers", CALLER_SHARE)
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -280,10 +280,12 @@
         )
 
     def _caller_intake(self) -> protocol.Intake:
+        machine = self._config.machine
         limits = protocol.Limits(
             header_bytes=HEADER_BYTES,
             header_seconds=HEADER_SECONDS,
             idle_seconds=IDLE_SECONDS,
+            body_seconds=machine.body_seconds,
         )
         listener = self._account.open_listener("callers", CALLER_SHARE)
         return protocol.Intake(listener, lambda: limits)
--- a/src/crowdeck/entry/http.py
+++ b/src/crowdeck/entry/http.py
@@ -101,7 +101,10 @@
                     methods=SERVICE_METHODS,
                 ),
             ],
-            exception_handlers={errors.CrowdeckError: _handle_error},
+            exception_handlers={
+                errors.CrowdeckError: _handle_error,
+                requests.ClientDisconnect: _handle_disconnect,
+            },
         )
 
     async def _handle_health(
@@ -320,16 +323,22 @@
 
     async def _read_body(self, request: requests.Request) -> bytes:
         limit = self._limits.body_bytes
-        chunks = []
-        size = 0
+        # One buffer: pieces of few bytes would take many times their size.
+        body = bytearray()
+        declared = request.headers.get("content-length", "0")
+        if int(declared) > limit:
+            raise _too_large_error(limit)
         async for chunk in request.stream():
-            size += len(chunk)
-            if size > limit:
-                raise errors.CrowdeckError(
-                    errors.Code.TOO_LARGE, f"the body is over {limit} bytes"
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+            body += chunk
+            if len(body) > limit:
+                raise _too_large_error(limit)
+        return bytes(body)
+
+
+def _too_large_error(limit: int) -> errors.CrowdeckError:
+    return errors.CrowdeckError(
+        errors.Code.TOO_LARGE, f"the body is over {limit} bytes"
+    )
 
 
 @contextlib.contextmanager
@@ -361,3 +370,11 @@
 ) -> responses.Response:
     assert isinstance(error, errors.CrowdeckError)
     return replies.error_response(error)
+
+
+async def _handle_disconnect(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    """End a request whose caller left before its body was whole."""
+    counters.COUNTERS.add("entry.unread")
+    return responses.Response(status_code=400)
--- a/src/crowdeck/relay/ingress.py
+++ b/src/crowdeck/relay/ingress.py
@@ -27,8 +27,6 @@
 # Extension of a request's scope: a function that returns whether later
 # requests on its connection were read and wait for this one's answer.
 HAS_WAITING_REQUESTS = "crowdeck.has_waiting_requests"
-# Longest time for which the rest of a body that is refused is still read.
-MAX_DISCARD_SECONDS = 2.0
 _JSON_TYPE = (b"content-type", b"application/json")
 _CLOSE = (b"connection", b"close")
 
@@ -165,6 +163,7 @@
             extensions.get(HAS_WAITING_REQUESTS, _has_none),
         )
         try:
+            self._check_declared_size(scope)
             body = await self._read(receive)
             if not body.is_complete:
                 return
@@ -200,26 +199,37 @@
         elapsed = anyio.current_time() - request.arrived
         counters.COUNTERS.time("relay.answered", elapsed)
 
+    def _check_declared_size(self, scope: Scope) -> None:
+        """Refuse a body that is too large by its head.
+
+        :raises CrowdeckError: ``TOO_LARGE``.
+        """
+        for name, value in scope["headers"]:
+            if name == b"content-length" and int(value) > self._body_limit:
+                raise self._too_large_error()
+
+    @property
+    def _body_limit(self) -> int:
+        return self._server.body_limit
+
+    def _too_large_error(self) -> errors.CrowdeckError:
+        return errors.CrowdeckError(
+            errors.Code.TOO_LARGE,
+            f"the body is larger than {self._body_limit} bytes",
+        )
+
     async def _read(self, receive: Receive) -> _Body:
-        pieces = []
-        size = 0
+        # One buffer: pieces of few bytes would take many times their size.
+        content = bytearray()
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return _Body(b"", is_complete=False)
-            piece = message.get("body", b"")
-            size += len(piece)
-            body_limit = self._server.body_limit
-            if size > body_limit:
-                if message.get("more_body"):
-                    await _discard_rest(receive)
-                raise errors.CrowdeckError(
-                    errors.Code.TOO_LARGE,
-                    f"the body is larger than {body_limit} bytes",
-                )
-            pieces.append(piece)
+            content += message.get("body", b"")
+            if len(content) > self._body_limit:
+                raise self._too_large_error()
             if not message.get("more_body"):
-                return _Body(b"".join(pieces), is_complete=True)
+                return _Body(bytes(content), is_complete=True)
 
     def _decode(
         self, scope: Scope, body: bytes, arrived: float
@@ -278,19 +288,6 @@
         await sink.reply(status, headers, body)
 
 
-async def _discard_rest(receive: Receive) -> None:
-    """Read the rest of a body that is refused.
-
-    If a connection is closed while its caller still sends, the caller may get
-    a reset instead of the refusal.
-    """
-    with anyio.move_on_after(MAX_DISCARD_SECONDS):
-        while True:
-            message = await receive()
-            if not message.get("more_body"):
-                return
-
-
 def _has_none() -> bool:
     return False
 
--- a/src/crowdeck/serving/protocol.py
+++ b/src/crowdeck/serving/protocol.py
@@ -32,6 +32,8 @@
 LINE_SLACK_BYTES = 64
 # A field takes two texts, a tuple and its place in a list.
 FIELD_OVERHEAD_BYTES = 200
+# A body is held by the connection, by the request and by what is sent on.
+BODY_COPIES = 3
 # Bytes of later requests that are read while one is being answered. Beyond
 # it the connection is not read, so that its end is noticed only afterwards.
 MAX_WAITING_BYTES = 16 * 1024
@@ -39,6 +41,7 @@
 # while its client still sends, the client may get a reset instead.
 LINGER_SECONDS = 2.0
 MAX_LINGER_BYTES = 1024 * 1024
+MAX_LINGER_BODY_BYTES = 32 * 1024 * 1024
 # A caller that is refused for want of memory or of connections may return
 # after this time: other processes have room.
 RETRY_SECONDS = 0.25
@@ -53,11 +56,13 @@
         between.
     :ivar header_seconds: time from the first byte of a head to its end.
     :ivar idle_seconds: time between an answer and the next request.
+    :ivar body_seconds: time from the end of a head to the end of its body.
     """
 
     header_bytes: int
     header_seconds: float
     idle_seconds: float
+    body_seconds: float
 
 
 class LimitSource(typing.Protocol):
@@ -142,6 +147,7 @@
         self._timed_phase = _Phase.IDLE
         self._linger_bytes_left = MAX_LINGER_BYTES
         self._refusal: errors.CrowdeckError | None = None
+        self._keeps_alive = True
         self._is_last = False
         self._is_stopping = False
         self._is_closed = False
@@ -251,21 +257,33 @@
         self._has_head = True
         self._body_left = self._declared_bytes()
         super().on_headers_complete()
+        # An answer that begins before the end of the body closes.
+        self._keeps_alive = self.cycle.keep_alive
+        self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Take a part of a body."""
         self._gap_bytes = 0
+        if self._refusal is not None or self.cycle.response_complete:
+            return
+        if not self._holding.grow(len(body) * BODY_COPIES):
+            self._refusal = _spent_error()
+            return
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Note the end of a request."""
         self._is_complete = True
+        if not self.cycle.response_started:
+            self.cycle.keep_alive = self._keeps_alive and not self._is_stopping
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Go on with the next request, or wait for it."""
+        if self._phase is _Phase.BODY:
+            # The rest of this body is not wanted.
+            self._close()
         if self._phase is not _Phase.ANSWER:
-            super().on_response_complete()
             return
         self._phase = _Phase.IDLE
         self._holding = accounts.Holding(self._account)
@@ -312,12 +330,14 @@
         self._time_phase()
 
     def _time_phase(self) -> None:
-        """Limit the time of a head that has not ended."""
+        """Limit the time of a head or a body that has not ended."""
         if self._phase is self._timed_phase:
             return
         limits = self._intake.limits()
         if self._phase is _Phase.HEAD:
             self._arm(limits.header_seconds, self._time_out)
+        elif self._phase is _Phase.BODY:
+            self._arm(limits.body_seconds, self._time_out)
         else:
             return
         self._timed_phase = self._phase
@@ -513,6 +533,9 @@
         if not was_sending:
             self._close_now()
             return
+        has_content = self._phase is _Phase.BODY and not self._gap_bytes
+        if has_content:
+            self._linger_bytes_left = MAX_LINGER_BODY_BYTES
         self._phase = _Phase.CLOSING
         self.parser = None  # type: ignore[assignment]
         self._drop_waiting()
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -59,6 +59,13 @@
             256,
             1_048_576,
         ),
+        options.Number(
+            "body_seconds",
+            300.0,
+            "time from the head of a request to the end of its body",
+            1.0,
+            86_400.0,
+        ),
     )
 )
 PLATFORM_OPTIONS = options.Options(
@@ -168,10 +175,14 @@
 
 @attrs.frozen
 class MachineLimits:
-    """What the machine gives a process."""
+    """What the machine gives a process, and how long clients may take.
+
+    :ivar body_seconds: time from a request's head to the end of its body.
+    """
 
     memory_mb: int
     file_descriptors: int
+    body_seconds: float
 
 
 @attrs.frozen
@@ -291,6 +302,7 @@
         machine=MachineLimits(
             memory_mb=int(daemon["memory_mb"]),
             file_descriptors=int(daemon["file_descriptors"]),
+            body_seconds=float(daemon["body_seconds"]),
         ),
         platform_url=str(values_by_section[PLATFORM]["url"]),
         tls=TlsFiles(
