Give up answers that their clients do not read

Unsent bytes of answers were held without a limit in time or over all connections, also on connections that had been closed, and the kernel held megabytes for each.

Cause: an answer waits until it is read.

Change: once the source of an answer is paused, its unsent bytes count in the account and are given up with the others; after unread_seconds (60) the connection is cut, and meanwhile it can be closed for a new one. Send buffers are 128 KiB.

Why it works: what waits has a limit in time, in bytes and in connections.

Conclusion: unread answers are bounded for the process.

--- a/src/crowdeck/cmd/caller_server.py
+++ b/src/crowdeck/cmd/caller_server.py
@@ -20,6 +20,7 @@
 MEMORY_MB = 300
 FILE_DESCRIPTORS = 4_096
 BODY_SECONDS = 300.0
+UNREAD_SECONDS = 60.0
 
 
 class CallerProtocol(protocol.BoundedProtocol):
@@ -72,6 +73,7 @@
         header_seconds=defaults.header_seconds,
         idle_seconds=keep_alive_seconds,
         body_seconds=BODY_SECONDS,
+        unread_seconds=UNREAD_SECONDS,
     )
     account = accounts.Account(accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS))
     return protocol.Intake(account.open_listener("callers"), lambda: limits)
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -396,6 +396,7 @@
             header_seconds=defaults.header_seconds,
             idle_seconds=INTERNAL_IDLE_SECONDS,
             body_seconds=machine.body_seconds,
+            unread_seconds=machine.unread_seconds,
         )
         listener = self._open_account().open_listener(name, share)
         return protocol.Intake(listener, lambda: limits)
@@ -412,6 +413,7 @@
                 header_seconds=config_limits.header_seconds,
                 idle_seconds=config_limits.idle_seconds,
                 body_seconds=machine.body_seconds,
+                unread_seconds=machine.unread_seconds,
             )
 
         listener = self._open_account().open_listener("callers", CALLER_SHARE)
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -286,6 +286,7 @@
             header_seconds=HEADER_SECONDS,
             idle_seconds=IDLE_SECONDS,
             body_seconds=machine.body_seconds,
+            unread_seconds=machine.unread_seconds,
         )
         listener = self._account.open_listener("callers", CALLER_SHARE)
         return protocol.Intake(listener, lambda: limits)
--- a/src/crowdeck/serving/account.py
+++ b/src/crowdeck/serving/account.py
@@ -251,7 +251,7 @@
         self._unserved.pop(connection, None)
 
     def end_service(self, connection: Connection) -> None:
-        """Note that its request was answered, or that it lingers."""
+        """Note that its request was answered, or that it does not read."""
         if connection in self._connections:
             self._unserved.setdefault(connection)
 
--- a/src/crowdeck/serving/protocol.py
+++ b/src/crowdeck/serving/protocol.py
@@ -37,6 +37,8 @@
 # Bytes of later requests that are read while one is being answered. Beyond
 # it the connection is not read, so that its end is noticed only afterwards.
 MAX_WAITING_BYTES = 16 * 1024
+# Unsent bytes of an answer beyond which its source is paused.
+WRITE_BUFFER_BYTES = 64 * 1024
 # How long, and how much, is read after a refusal. If a connection is closed
 # while its client still sends, the client may get a reset instead.
 LINGER_SECONDS = 2.0
@@ -57,12 +59,14 @@
     :ivar header_seconds: time from the first byte of a head to its end.
     :ivar idle_seconds: time between an answer and the next request.
     :ivar body_seconds: time from the end of a head to the end of its body.
+    :ivar unread_seconds: time for which an answer may wait unread.
     """
 
     header_bytes: int
     header_seconds: float
     idle_seconds: float
     body_seconds: float
+    unread_seconds: float
 
 
 class LimitSource(typing.Protocol):
@@ -133,8 +137,10 @@
         self._holding = accounts.Holding(self._account)
         self._waiting = bytearray()
         self._waiting_holding = accounts.Holding(self._account)
+        self._write_holding = accounts.Holding(self._account)
         self._began_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
         self._line_bytes = 0
         self._field_bytes = 0
         self._has_line = False
@@ -158,6 +164,7 @@
     def spare_bytes(self) -> int:
         """Bytes that :meth:`shed` would release."""
         spare = self._waiting_holding.byte_count
+        spare += self._write_holding.byte_count
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             spare += self._holding.byte_count
         return spare
@@ -177,6 +184,9 @@
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             self._refuse(_spent_error())
             return
+        if self._write_holding.byte_count:
+            self._abort("unread")
+            return
         self._forget_waiting()
 
     def end(self) -> None:
@@ -187,7 +197,7 @@
         elif self._phase is _Phase.IDLE:
             self._close_now()
         else:
-            # It lingers.
+            # It lingers, or its client does not read.
             self._real_transport.abort()
 
     # Connection.
@@ -196,6 +206,7 @@
         self, transport: asyncio.Transport
     ) -> None:
         """Begin to wait for a request."""
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         super().connection_made(transport)
         self._flow = self.flow = _Flow(transport)
         self._real_transport = transport
@@ -212,7 +223,9 @@
         self._is_closed = True
         self._intake.listener.remove(self)
         self._disarm()
+        self._disarm_write()
         self._waiting_holding.release()
+        self._write_holding.release()
         if self._phase in (_Phase.HEAD, _Phase.CLOSING, _Phase.IDLE):
             self._holding.release()
         super().connection_lost(exc)
@@ -237,6 +250,30 @@
             return
         super().shutdown()
 
+    def pause_writing(self) -> None:
+        """Begin to wait until the client reads its answer."""
+        super().pause_writing()
+        size = self._real_transport.get_write_buffer_size()
+        self._write_holding = accounts.Holding(self._account)
+        self._began_at = anyio.current_time()
+        if not self._write_holding.grow(size):
+            self._abort("unread")
+            return
+        self._disarm_write()
+        self._write_timer = self.loop.call_later(
+            self._intake.limits().unread_seconds, self._abort, "unread"
+        )
+        if self._phase is _Phase.ANSWER:
+            self._intake.listener.end_service(self)
+
+    def resume_writing(self) -> None:
+        """Go on: the client has read."""
+        self._write_holding.release()
+        self._disarm_write()
+        if self._phase is _Phase.ANSWER:
+            self._intake.listener.begin_service(self)
+        super().resume_writing()
+
     # Requests.
 
     def on_message_begin(self) -> None:
@@ -519,6 +556,16 @@
         else:
             self._close_now()
 
+    def _abort(self, reason: str) -> None:
+        """Cut off a client that does not read its answer."""
+        counters.COUNTERS.add(f"clients.{reason}")
+        logs.change(
+            "client_cut",
+            reason=reason,
+            unsent_bytes=self._real_transport.get_write_buffer_size(),
+        )
+        self._real_transport.abort()
+
     def _is_closing(self) -> bool:
         return (
             self._phase is _Phase.CLOSING or self._real_transport.is_closing()
@@ -563,6 +610,11 @@
             self._timer.cancel()
             self._timer = None
 
+    def _disarm_write(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
 
 def _spent_error() -> errors.CrowdeckError:
     return errors.CrowdeckError(
--- a/src/crowdeck/serving/sockets.py
+++ b/src/crowdeck/serving/sockets.py
@@ -17,6 +17,8 @@
 # Accepted connections inherit it, and Linux doubles it. It bounds the bytes
 # that wait in the sockets whose clients are not being read.
 RECEIVE_BUFFER_BYTES = 16 * 1024
+# Likewise, for the bytes of answers that clients do not read.
+SEND_BUFFER_BYTES = 128 * 1024
 
 
 def listen(host: str, port: int) -> socket.socket:
@@ -34,6 +36,9 @@
         listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         listener.bind((host, port))
         listener.listen(BACKLOG)
     except OSError:
--- a/src/crowdeck/settings/config.py
+++ b/src/crowdeck/settings/config.py
@@ -66,6 +66,13 @@
             1.0,
             86_400.0,
         ),
+        options.Number(
+            "unread_seconds",
+            60.0,
+            "time for which a client may leave an answer unread",
+            1.0,
+            86_400.0,
+        ),
     )
 )
 PLATFORM_OPTIONS = options.Options(
@@ -178,11 +185,13 @@
     """What the machine gives a process, and how long clients may take.
 
     :ivar body_seconds: time from a request's head to the end of its body.
+    :ivar unread_seconds: time for which an answer may wait unread.
     """
 
     memory_mb: int
     file_descriptors: int
     body_seconds: float
+    unread_seconds: float
 
 
 @attrs.frozen
@@ -303,6 +312,7 @@
             memory_mb=int(daemon["memory_mb"]),
             file_descriptors=int(daemon["file_descriptors"]),
             body_seconds=float(daemon["body_seconds"]),
+            unread_seconds=float(daemon["unread_seconds"]),
         ),
         platform_url=str(values_by_section[PLATFORM]["url"]),
         tls=TlsFiles(
