Count what comes over a link before its remote end has greeted

Ten clients that announce a message of 33 MiB at the address for links take an entry or a sidecar to 376 MB, on a machine of 200 MB; 700 connections, with and without a greeting, hold 713 to 715 descriptors of 600.

Cause: Cap'n Proto reads messages of up to 64 MiB from anybody. The greeting has a time limit, but the bytes before it none, and links were not counted.

Change: a stream between asyncio and Cap'n Proto counts bytes until the greeting and closes over 16 KiB; links are counted where they are accepted, like callers' connections, and the oldest without a greeting is closed for a new one. In an entry links have a quarter of the connections.

Why it works: a stranger has 16 KiB and 2 s, and the greeting of a process takes some hundred bytes.

Ruled out: a lower limit on messages for all, as bodies of calls come over links; few links without a greeting at once, as all entries dial when a sidecar starts.

Conclusion: strangers are bounded. Who has greeted is trusted with 64 MiB.

--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -36,8 +36,9 @@
 from crowdeck.wire import rpc
 
 START_RETRY_SECONDS = 0.5
-# Part of the connections of an entry for callers; the rest is for links.
+# Parts of the connections of an entry for callers and for links.
 CALLER_SHARE = 0.75
+LINK_SHARE = 0.25
 # Limits on callers, whose settings name none.
 HEADER_BYTES = 16 * 1024
 HEADER_SECONDS = 3.0
@@ -185,10 +186,14 @@
         stack: contextlib.AsyncExitStack,
         tasks: anyio.abc.TaskGroup,
         handler: link.Handler,
+        link_share: float,
     ) -> tuple[rpc.RpcTransport, instances.Address]:
         transport = await stack.enter_async_context(
             rpc.RpcTransport(
-                self._greeting(), handler, self._config.tls.load()
+                self._greeting(),
+                handler,
+                self._config.tls.load(),
+                self._account.open_listener("links", link_share),
             )
         )
         address = await tasks.start(transport.serve, self._config.address)
@@ -212,7 +217,9 @@
             tasks=tasks,
             incarnation=self._incarnation,
         )
-        transport, address = await self._open_transport(stack, tasks, sidecar)
+        transport, address = await self._open_transport(
+            stack, tasks, sidecar, link_share=1.0
+        )
         await _start_when_ready(sidecar, transport)
         await directory.refresh()
         return RunningProcess(address, 0, sidecar)
@@ -242,7 +249,9 @@
     ) -> RunningProcess:
         answers = answers_module.AnswerInboxes()
         handler = entries.EntryLinkHandler(answers)
-        transport, address = await self._open_transport(stack, tasks, handler)
+        transport, address = await self._open_transport(
+            stack, tasks, handler, LINK_SHARE
+        )
         section = self._config.entry
         entry = entries.Entry(
             options=entries.EntryOptions(
--- a/src/crowdeck/wire/rpc.py
+++ b/src/crowdeck/wire/rpc.py
@@ -9,8 +9,10 @@
 a call is in flight are sent together in the next call.
 """
 
+import asyncio
 import collections
 import contextlib
+import functools
 import itertools
 import traceback
 import typing
@@ -23,15 +25,24 @@
 from crowdeck import instance as instances
 from crowdeck.observe import counters
 from crowdeck.observe import logs
+from crowdeck.serving import account as accounts
+from crowdeck.serving import listener as listeners
 from crowdeck import verdict as verdicts
 from crowdeck.wire import codec
 from crowdeck.wire import link
 from crowdeck.wire import messages
 from crowdeck.wire import questions
 from crowdeck.wire import security
+from crowdeck.wire import streams
 
 # Also limits the wait for the greeting of an accepted connection.
 DIAL_TIMEOUT_SECONDS = 2.0
+# A link that is given up for a new one is closed one round later, so this many
+# more may be open for a moment.
+ACCEPT_BATCH = 64
+# Of a machine whose limits are not known.
+MEMORY_MB = 300
+FILE_DESCRIPTORS = 4_096
 # Maximum number of records in one call. 512 decode records are about 64 KiB,
 # one TCP window; larger batches gained nothing in docs/decisions/0003.
 BATCH_LIMIT = 512
@@ -264,10 +275,12 @@
         greeting: messages.Greeting,
         handler: link.Handler,
         security: TlsContexts | None = None,
+        listener_account: accounts.ListenerAccount | None = None,
     ) -> None:
         self._greeting = greeting
         self._handler = handler
         self._security = security or TlsContexts()
+        self._listener_account = listener_account
         self._stack = contextlib.AsyncExitStack()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._accepted_scopes: dict[int, anyio.CancelScope] = {}
@@ -348,11 +361,18 @@
 
         Reports the bound address through ``task_status``.
         """
-        server = await capnp.AsyncIoStream.create_server(
-            self._accept,
-            address.host,
-            address.port,
+        loop = asyncio.get_running_loop()
+        listener_account = self._listener_account
+        if listener_account is None:
+            size = accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS)
+            listener_account = accounts.Account(size).open_listener("links")
+        server = await loop.create_server(
+            functools.partial(self._make_stream, listener_account),
+            sock=listeners.listen(
+                address.host, address.port, listener_account
+            ),
             ssl=self._security.server,
+            backlog=ACCEPT_BATCH,
         )
         try:
             port = server.sockets[0].getsockname()[1]
@@ -361,12 +381,24 @@
         finally:
             server.close()
 
-    async def _accept(self, stream: typing.Any) -> None:
+    def _make_stream(
+        self, listener_account: accounts.ListenerAccount
+    ) -> asyncio.BaseProtocol:
+        link_stream = streams.LinkStream(listener_account)
+        # Same as AsyncIoStream.create_server, which counts no bytes.
+        link_stream.inner = capnp.AsyncIoStream._connect(
+            functools.partial(self._accept, link_stream)
+        )
+        return link_stream
+
+    async def _accept(
+        self, link_stream: streams.LinkStream, stream: typing.Any
+    ) -> None:
         key = next(self._keys)
         with anyio.CancelScope() as scope:
             self._accepted_scopes[key] = scope
             try:
-                await self._run_accepted(stream)
+                await self._run_accepted(link_stream, stream)
             except capnp.KjException:
                 # The peer did not speak Cap'n Proto RPC. Other connections
                 # are not affected.
@@ -375,7 +407,9 @@
                 del self._accepted_scopes[key]
                 stream.close()
 
-    async def _run_accepted(self, stream: typing.Any) -> None:
+    async def _run_accepted(
+        self, link_stream: streams.LinkStream, stream: typing.Any
+    ) -> None:
         endpoint = _Endpoint(self._greeting, self._handler)
         server = capnp.TwoPartyServer(stream, bootstrap=endpoint)
         peer: RpcPeer | None = None
@@ -388,4 +422,5 @@
             # before the link closes.
             await anyio.sleep(0)
             return
+        link_stream.lift_limit()
         await peer.run(server.on_disconnect())
