Put limits and refusals of clients into modules of their own

Cause: serving/protocol had three jobs, and two constants stood twice.

Change: serving.limits and serving.refusals; the default size of an account and the accept batch stand once. No behaviour changes. Ruled out: a separate parser of heads and bodies, as their counts and the phase of a connection go together.

Tests of the connections, links and processes pass.

Conclusion: a module each for what bounds, what refuses and what reads.

--- a/src/crowdeck/cmd/caller_server.py
+++ b/src/crowdeck/cmd/caller_server.py
@@ -13,12 +13,11 @@
 from crowdeck.relay import ingress
 from crowdeck import route as routes
 from crowdeck.serving import account as accounts
+from crowdeck.serving import limits as client_limits
 from crowdeck.serving import protocol
 
 KEEP_ALIVE_SECONDS = 15.0
-# Of a machine whose limits are not known.
-MEMORY_MB = 300
-FILE_DESCRIPTORS = 4_096
+# Without the settings of a machine.
 BODY_SECONDS = 300.0
 UNREAD_SECONDS = 60.0
 
@@ -47,7 +46,7 @@
     host: str,
     port: int,
     keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
-    intake: protocol.Intake | None = None,
+    intake: client_limits.Intake | None = None,
 ) -> http_server.EmbeddedServer:
     """Return the HTTP server for callers, not yet started.
 
@@ -66,14 +65,16 @@
     )
 
 
-def _default_intake(keep_alive_seconds: float) -> protocol.Intake:
+def _default_intake(keep_alive_seconds: float) -> client_limits.Intake:
     defaults = routes.Limits()
-    limits = protocol.Limits(
+    limits = client_limits.Limits(
         header_bytes=defaults.header_bytes,
         header_seconds=defaults.header_seconds,
         idle_seconds=keep_alive_seconds,
         body_seconds=BODY_SECONDS,
         unread_seconds=UNREAD_SECONDS,
     )
-    account = accounts.Account(accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS))
-    return protocol.Intake(account.open_listener("callers"), lambda: limits)
+    account = accounts.Account(accounts.size_for())
+    return client_limits.Intake(
+        account.open_listener("callers"), lambda: limits
+    )
--- a/src/crowdeck/cmd/fleet_process.py
+++ b/src/crowdeck/cmd/fleet_process.py
@@ -43,7 +43,7 @@
 if typing.TYPE_CHECKING:
     # Loaded once the listeners are opened.
     from crowdeck.serving import account as accounts
-    from crowdeck.serving import protocol
+    from crowdeck.serving import limits as client_limits
 
 PLACEMENT_LEASE = "placement"
 # Each request in progress uses one connection, as do reports and orders.
@@ -385,13 +385,15 @@
             )
         return self._account
 
-    def _internal_intake(self, name: str, share: float) -> "protocol.Intake":
+    def _internal_intake(
+        self, name: str, share: float
+    ) -> "client_limits.Intake":
         """Return what bounds the clients of a listener without callers."""
-        from crowdeck.serving import protocol
+        from crowdeck.serving import limits as client_limits
 
         machine = self._config.machine
         defaults = routes.Limits()
-        limits = protocol.Limits(
+        limits = client_limits.Limits(
             header_bytes=defaults.header_bytes,
             header_seconds=defaults.header_seconds,
             idle_seconds=INTERNAL_IDLE_SECONDS,
@@ -399,16 +401,16 @@
             unread_seconds=machine.unread_seconds,
         )
         listener = self._open_account().open_listener(name, share)
-        return protocol.Intake(listener, lambda: limits)
+        return client_limits.Intake(listener, lambda: limits)
 
-    def _caller_intake(self, relay: relays.Relay) -> "protocol.Intake":
-        from crowdeck.serving import protocol
+    def _caller_intake(self, relay: relays.Relay) -> "client_limits.Intake":
+        from crowdeck.serving import limits as client_limits
 
         machine = self._config.machine
 
-        def limits() -> protocol.Limits:
+        def limits() -> client_limits.Limits:
             config_limits = relay.limits
-            return protocol.Limits(
+            return client_limits.Limits(
                 header_bytes=config_limits.header_bytes,
                 header_seconds=config_limits.header_seconds,
                 idle_seconds=config_limits.idle_seconds,
@@ -417,7 +419,7 @@
             )
 
         listener = self._open_account().open_listener("callers", CALLER_SHARE)
-        return protocol.Intake(listener, limits)
+        return client_limits.Intake(listener, limits)
 
     async def _serve_callers(
         self,
--- a/src/crowdeck/cmd/http_server.py
+++ b/src/crowdeck/cmd/http_server.py
@@ -19,11 +19,8 @@
 
 if typing.TYPE_CHECKING:
     # Loaded when a server is built, after the start of the process.
-    from crowdeck.serving import protocol
+    from crowdeck.serving import limits as client_limits
 
-# A connection that is given up for a new one is closed one round later, so
-# this many more may be open for a moment.
-ACCEPT_BATCH = 64
 GRACEFUL_SHUTDOWN_SECONDS = 2
 START_POLL_SECONDS = 0.005
 # Interval at which a server checks whether to exit. Longer than uvicorn's, so
@@ -64,7 +61,9 @@
     """
 
     def __init__(
-        self, config: uvicorn.Config, intake: "protocol.Intake | None" = None
+        self,
+        config: uvicorn.Config,
+        intake: "client_limits.Intake | None" = None,
     ) -> None:
         super().__init__(config)
         self._intake = intake
@@ -92,6 +91,8 @@
         if self._intake is None or not sockets:
             await super().startup(sockets)
             return
+        from crowdeck.serving import listener as listeners
+
         (listener,) = sockets
         loop = asyncio.get_running_loop()
         limits = self._intake.limits()
@@ -102,8 +103,7 @@
             ssl_handshake_timeout=(
                 limits.header_seconds if self.config.ssl else None
             ),
-            # asyncio accepts as many connections at once.
-            backlog=ACCEPT_BATCH,
+            backlog=listeners.ACCEPT_BATCH,
         )
         listener.listen(self.config.backlog)
         self.servers = [server]
@@ -139,7 +139,7 @@
     host: str,
     port: int,
     *,
-    intake: "protocol.Intake | None" = None,
+    intake: "client_limits.Intake | None" = None,
     **options: typing.Any,
 ) -> EmbeddedServer:
     """Return a server for an ASGI application, not yet started.
@@ -194,7 +194,7 @@
     *,
     certificate: str = "",
     key: str = "",
-    intake: "protocol.Intake | None" = None,
+    intake: "client_limits.Intake | None" = None,
     task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application until cancelled.
--- a/src/crowdeck/cmd/process.py
+++ b/src/crowdeck/cmd/process.py
@@ -25,7 +25,7 @@
 from crowdeck.observe import traces
 from crowdeck.platform import store as platform_store
 from crowdeck.serving import account as accounts
-from crowdeck.serving import protocol
+from crowdeck.serving import limits as client_limits
 from crowdeck.settings import config as configs
 from crowdeck.sidecar import sidecar as sidecars
 from crowdeck import timers
@@ -288,9 +288,9 @@
             task_status=task_status,
         )
 
-    def _caller_intake(self) -> protocol.Intake:
+    def _caller_intake(self) -> client_limits.Intake:
         machine = self._config.machine
-        limits = protocol.Limits(
+        limits = client_limits.Limits(
             header_bytes=HEADER_BYTES,
             header_seconds=HEADER_SECONDS,
             idle_seconds=IDLE_SECONDS,
@@ -298,7 +298,7 @@
             unread_seconds=machine.unread_seconds,
         )
         listener = self._account.open_listener("callers", CALLER_SHARE)
-        return protocol.Intake(listener, lambda: limits)
+        return client_limits.Intake(listener, lambda: limits)
 
 
 async def _start_when_ready(
--- a/src/crowdeck/serving/account.py
+++ b/src/crowdeck/serving/account.py
@@ -19,6 +19,9 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 
+# Of a machine whose limits are not known.
+MEMORY_MB = 300
+FILE_DESCRIPTORS = 4_096
 # Part of the machine's memory that clients may hold. The rest is for the
 # program, what it knows of the fleet, and the allocator's overhead.
 CLIENT_MEMORY_SHARE = 0.5
@@ -73,7 +76,10 @@
 
 
 def size_for(
-    memory_mb: float, file_descriptors: int, *, has_tls: bool = False
+    memory_mb: float = MEMORY_MB,
+    file_descriptors: int = FILE_DESCRIPTORS,
+    *,
+    has_tls: bool = False,
 ) -> AccountSize:
     """Return the size of an account from the limits of the machine."""
     total_bytes = int(CLIENT_MEMORY_SHARE * memory_mb * 2**20)
--- a/src/crowdeck/serving/listener.py
+++ b/src/crowdeck/serving/listener.py
@@ -12,6 +12,11 @@
 from crowdeck.serving import sockets
 
 
+# asyncio accepts as many connections at once. One that is given up for a new
+# one is closed a round later, so this many more may be open for a moment.
+ACCEPT_BATCH = 64
+
+
 class _CountedSocket(socket.socket):
     """An accepted socket, counted until it is closed."""
 
--- a/src/crowdeck/serving/protocol.py
+++ b/src/crowdeck/serving/protocol.py
@@ -15,9 +15,7 @@
 import typing
 
 import anyio
-import attrs
 import httptools
-import orjson
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
@@ -25,6 +23,8 @@
 from crowdeck.observe import counters
 from crowdeck.observe import logs
 from crowdeck.serving import account as accounts
+from crowdeck.serving import limits
+from crowdeck.serving import refusals
 
 # Ends each head and each chunked body.
 _END = b"\r\n\r\n"
@@ -44,45 +44,6 @@
 LINGER_SECONDS = 2.0
 MAX_LINGER_BYTES = 1024 * 1024
 MAX_LINGER_BODY_BYTES = 32 * 1024 * 1024
-# A caller that is refused for want of memory or of connections may return
-# after this time: other processes have room.
-RETRY_SECONDS = 0.25
-
-
-@attrs.frozen
-class Limits:
-    """Limits on what one client may send, and how long it may take.
-
-    :ivar header_bytes: size of a request's target, and of its fields; also
-        of bytes in a chunked body that are not content, without content in
-        between.
-    :ivar header_seconds: time from the first byte of a head to its end.
-    :ivar idle_seconds: time between an answer and the next request.
-    :ivar body_seconds: time from the end of a head to the end of its body.
-    :ivar unread_seconds: time for which an answer may wait unread.
-    """
-
-    header_bytes: int
-    header_seconds: float
-    idle_seconds: float
-    body_seconds: float
-    unread_seconds: float
-
-
-class LimitSource(typing.Protocol):
-    """Tells the limits in force."""
-
-    def __call__(self) -> Limits:
-        """Return them."""
-        ...
-
-
-@attrs.frozen
-class Intake:
-    """What bounds the clients of one listener."""
-
-    listener: accounts.ListenerAccount
-    limits: LimitSource
 
 
 class _Phase(enum.Enum):
@@ -128,7 +89,7 @@
     """One connection of a client."""
 
     def __init__(
-        self, *args: typing.Any, intake: Intake, **kwargs: typing.Any
+        self, *args: typing.Any, intake: limits.Intake, **kwargs: typing.Any
     ) -> None:
         super().__init__(*args, **kwargs)
         self._intake = intake
@@ -182,7 +143,7 @@
     def shed(self) -> None:
         """Release the bytes, and refuse the request that holds them."""
         if self._phase in (_Phase.HEAD, _Phase.BODY):
-            self._refuse(_spent_error())
+            self._refuse(refusals.spent_error())
             return
         if self._write_holding.byte_count:
             self._abort("unread")
@@ -193,7 +154,7 @@
         """Close the connection, on which no request is being served."""
         counters.COUNTERS.add("clients.ended")
         if self._phase in (_Phase.HEAD, _Phase.BODY):
-            self._refuse(_spent_error(), lingers=False)
+            self._refuse(refusals.spent_error(), lingers=False)
         elif self._phase is _Phase.IDLE:
             self._close_now()
         else:
@@ -304,7 +265,7 @@
         if self._refusal is not None or self.cycle.response_complete:
             return
         if not self._holding.grow(len(body) * BODY_COPIES):
-            self._refusal = _spent_error()
+            self._refusal = refusals.spent_error()
             return
         super().on_body(body)
 
@@ -370,11 +331,11 @@
         """Limit the time of a head or a body that has not ended."""
         if self._phase is self._timed_phase:
             return
-        limits = self._intake.limits()
+        in_force = self._intake.limits()
         if self._phase is _Phase.HEAD:
-            self._arm(limits.header_seconds, self._time_out)
+            self._arm(in_force.header_seconds, self._time_out)
         elif self._phase is _Phase.BODY:
-            self._arm(limits.body_seconds, self._time_out)
+            self._arm(in_force.body_seconds, self._time_out)
         else:
             return
         self._timed_phase = self._phase
@@ -403,7 +364,7 @@
         rest = data.lstrip(b"\r\n")
         self._line_bytes += len(data) - len(rest)
         if self._line_bytes > self._intake.limits().header_bytes:
-            self._refuse(_malformed_error("too many empty lines"))
+            self._refuse(refusals.malformed_error("too many empty lines"))
             return b""
         self._has_begun = bool(rest)
         return rest
@@ -419,13 +380,13 @@
         self._field_bytes += len(part) - line_size
         limit = self._intake.limits().header_bytes
         if self._line_bytes > limit + LINE_SLACK_BYTES:
-            self._refuse(_target_error(limit))
+            self._refuse(refusals.target_error(limit))
         elif self._field_bytes > limit + len(_END):
-            self._refuse(_fields_error(limit))
+            self._refuse(refusals.fields_error(limit))
         elif not self._holding.grow(
             len(part) + part.count(b"\n") * FIELD_OVERHEAD_BYTES
         ):
-            self._refuse(_spent_error())
+            self._refuse(refusals.spent_error())
         return self._phase is _Phase.HEAD
 
     def _parse_body(self, data: bytes) -> bytes:
@@ -439,7 +400,7 @@
             return b""
         limit = self._intake.limits().header_bytes
         if self._gap_bytes > limit:
-            self._refuse(_fields_error(limit))
+            self._refuse(refusals.fields_error(limit))
             return b""
         self._end_message()
         return rest
@@ -462,7 +423,7 @@
         except httptools.HttpParserUpgrade:
             self._ignore_upgrade()
         except httptools.HttpParserError as error:
-            self._refuse(_malformed_error(type(error).__name__))
+            self._refuse(refusals.malformed_error(type(error).__name__))
             return False
         if self._refusal is not None:
             self._refuse(self._refusal)
@@ -477,7 +438,7 @@
         self.cycle.keep_alive = False
         self._is_last = True
         if self._body_left != 0:
-            self._refusal = _malformed_error("an upgrade with a body")
+            self._refusal = refusals.malformed_error("an upgrade with a body")
 
     def _end_message(self) -> None:
         """Wait for the answer once a request is whole."""
@@ -531,7 +492,7 @@
     # The end of a connection.
 
     def _time_out(self) -> None:
-        self._refuse(_slow_error())
+        self._refuse(refusals.slow_error())
 
     def _refuse(
         self, error: errors.CrowdeckError, lingers: bool = True
@@ -539,7 +500,7 @@
         """Answer with an error, unless an answer has begun, and close."""
         if self._phase is _Phase.CLOSING or self._is_closed:
             return
-        _log_refusal(error, self._phase.name, self._holding.byte_count)
+        refusals.log(error, self._phase.name, self._holding.byte_count)
         has_begun = False
         if self._has_head:
             has_begun = self.cycle.response_started
@@ -550,7 +511,7 @@
             self._real_transport.abort()
             self._phase = _Phase.CLOSING
             return
-        self._real_transport.write(_response(error))
+        self._real_transport.write(refusals.encode(error))
         if lingers:
             self._close()
         else:
@@ -614,64 +575,3 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
-
-
-def _spent_error() -> errors.CrowdeckError:
-    return errors.CrowdeckError(
-        errors.Code.OVERLOADED,
-        "clients hold as much as this process can bear",
-        retry_after=RETRY_SECONDS,
-    )
-
-
-def _malformed_error(reason: str) -> errors.CrowdeckError:
-    return errors.CrowdeckError(
-        errors.Code.BAD_REQUEST, f"this is no HTTP/1.1 request ({reason})"
-    )
-
-
-def _target_error(limit: int) -> errors.CrowdeckError:
-    return errors.CrowdeckError(
-        errors.Code.TARGET_TOO_LONG, f"the target is over {limit} bytes"
-    )
-
-
-def _fields_error(limit: int) -> errors.CrowdeckError:
-    return errors.CrowdeckError(
-        errors.Code.FIELDS_TOO_LARGE,
-        f"the fields of a head, or the trailers or extensions of a body, are "
-        f"over {limit} bytes",
-    )
-
-
-def _slow_error() -> errors.CrowdeckError:
-    return errors.CrowdeckError(
-        errors.Code.TOO_SLOW, "the request did not arrive in time"
-    )
-
-
-def _log_refusal(
-    error: errors.CrowdeckError, phase: str, held_bytes: int
-) -> None:
-    counters.COUNTERS.add(f"clients.refused.{error.code.lower()}")
-    logs.change(
-        "client_refused",
-        code=str(error.code),
-        reason=error.message,
-        phase=phase.lower(),
-        held_bytes=held_bytes,
-    )
-
-
-def _response(error: errors.CrowdeckError) -> bytes:
-    """Return a whole answer with an error."""
-    body = orjson.dumps(attrs.asdict(errors.ErrorReport.of(error)))
-    lines = [
-        httptools_impl.STATUS_LINE[error.http_status],
-        b"content-type: application/json\r\n",
-        b"content-length: %d\r\n" % len(body),
-        b"connection: close\r\n",
-    ]
-    if error.retry_after:
-        lines.append(b"retry-after: %.3f\r\n" % error.retry_after)
-    return b"".join((*lines, b"\r\n", body))
--- a/src/crowdeck/wire/rpc.py
+++ b/src/crowdeck/wire/rpc.py
@@ -37,12 +37,6 @@
 
 # Also limits the wait for the greeting of an accepted connection.
 DIAL_TIMEOUT_SECONDS = 2.0
-# A link that is given up for a new one is closed one round later, so this many
-# more may be open for a moment.
-ACCEPT_BATCH = 64
-# Of a machine whose limits are not known.
-MEMORY_MB = 300
-FILE_DESCRIPTORS = 4_096
 # Maximum number of records in one call. 512 decode records are about 64 KiB,
 # one TCP window; larger batches gained nothing in docs/decisions/0003.
 BATCH_LIMIT = 512
@@ -364,15 +358,15 @@
         loop = asyncio.get_running_loop()
         listener_account = self._listener_account
         if listener_account is None:
-            size = accounts.size_for(MEMORY_MB, FILE_DESCRIPTORS)
-            listener_account = accounts.Account(size).open_listener("links")
+            account = accounts.Account(accounts.size_for())
+            listener_account = account.open_listener("links")
         server = await loop.create_server(
             functools.partial(self._make_stream, listener_account),
             sock=listeners.listen(
                 address.host, address.port, listener_account
             ),
             ssl=self._security.server,
-            backlog=ACCEPT_BATCH,
+            backlog=listeners.ACCEPT_BATCH,
         )
         try:
             port = server.sockets[0].getsockname()[1]
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -14,7 +14,7 @@
 from crowdeck.cmd import http_server
 from crowdeck.relay import request as requests
 from crowdeck.serving import account as accounts
-from crowdeck.serving import protocol
+from crowdeck.serving import limits as client_limits
 from tests import test_caller_connections
 
 HOST = test_caller_connections.HOST
@@ -50,7 +50,7 @@
 
 
 def run(scenario: Scenario, connections: int, unread_seconds: float) -> None:
-    limits = protocol.Limits(
+    limits = client_limits.Limits(
         header_bytes=16_384,
         header_seconds=LONG_SECONDS,
         idle_seconds=LONG_SECONDS,
@@ -67,7 +67,7 @@
         await http_server.run(server, task_status=task_status)
 
     async def body() -> None:
-        intake = protocol.Intake(
+        intake = client_limits.Intake(
             account.open_listener("callers"), lambda: limits
         )
         server = caller_server.build(LargeServer(), HOST, 0, intake=intake)
