--- a/tests/test_cut_requests.py
+++ b/tests/test_cut_requests.py
@@ -14,9 +14,18 @@
 from crowdeck.cmd import caller_server
 from crowdeck.cmd import http_server
 from crowdeck.relay import request as requests
+from crowdeck.serving import account as accounts
+from crowdeck.serving import limits as client_limits
 from tests import test_caller_connections
 
 HOST = test_caller_connections.HOST
+LIMITS = client_limits.Limits(
+    header_bytes=16_384,
+    header_seconds=60.0,
+    idle_seconds=60.0,
+    body_seconds=60.0,
+    unread_seconds=60.0,
+)
 
 
 @pytest.mark.parametrize("piece_bytes", [1, 7, 64, 100_000])
@@ -54,7 +63,11 @@
                 await sink.reply(200, [], f"answer-{request.id}".encode())
 
         async def body() -> None:
-            http = caller_server.build(EchoServer(), HOST, 0)
+            account = accounts.Account(accounts.size_for())
+            intake = client_limits.Intake(
+                account.open_listener("callers"), lambda: LIMITS
+            )
+            http = caller_server.build(EchoServer(), HOST, 0, intake=intake)
             async with anyio.create_task_group() as tasks:
 
                 async def serve(
@@ -71,6 +84,8 @@
                     answers = await test_caller_connections.read_until(
                         stream, b"answer-r5"
                     )
+                    while account.held_bytes:
+                        await anyio.sleep(0.01)
                 tasks.cancel_scope.cancel()
             positions = [
                 answers.index(f"answer-{name}".encode())
