Serve a request that takes more than the account if others hold little

What callers saw: nothing yet; found by reading. With a limit on bodies above a third of the account, as a config may have, the only request of an entry would have been refused with 503 once its body, counted three times, was over the account.

Cause: a client counted as alone only while nothing was held, its own bytes included.

Change: what the asking client holds itself is left out; beside others that hold less than an eighth of the account it is served whatever it holds. A listening socket is closed with its server also if that is cancelled.

Why it works: a second such request finds the first holding more than an eighth, so that at most one is over the account at a time.

Ruled out: a smaller count of copies, which would be wrong for many bodies.

The property of the account now says when it may be overdrawn.

Conclusion: a single request within the config is served.

--- a/src/crowdeck/cmd/http_server.py
+++ b/src/crowdeck/cmd/http_server.py
@@ -180,7 +180,11 @@
     """
     opened = server.open_listener(listener)
     sockets = None if opened is None else [opened]
-    async with anyio.create_task_group() as tasks:
+    async with contextlib.AsyncExitStack() as stack:
+        if opened is not None:
+            # Closed after the server's task, which may be closing it.
+            stack.callback(opened.close)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
         tasks.start_soon(server.serve, sockets)
         while not server.started:
             await anyio.sleep(START_POLL_SECONDS)
--- a/src/crowdeck/serving/account.py
+++ b/src/crowdeck/serving/account.py
@@ -127,26 +127,30 @@
         self._listeners.append(listener)
         return listener
 
-    def take(self, byte_count: int) -> bool:
+    def take(self, byte_count: int, own_bytes: int = 0) -> bool:
         """Hold more bytes, if necessary in place of other clients' bytes.
 
-        The client that asks may be one of those that are refused for it.
+        The client that asks may be one of those that are refused for it,
+        unless the others hold little: the largest request that the config
+        allows may take more than the account has.
 
+        :param own_bytes: bytes that the client that asks holds already.
         :return: whether they are held.
         """
-        if self._held_bytes + byte_count > self._size.byte_count:
+        others_bytes = self._held_bytes - own_bytes
+        has_room = self._has_room_for(byte_count)
+        if not has_room and others_bytes > ROOM_SHARE * self._size.byte_count:
             self._make_room(byte_count)
-        # The only client that holds bytes is always served.
-        is_alone = self._held_bytes == 0
-        if (
-            self._held_bytes + byte_count > self._size.byte_count
-            and not is_alone
-        ):
-            counters.COUNTERS.add("clients.bytes_spent")
-            return False
+            has_room = self._has_room_for(byte_count)
+            if not has_room:
+                counters.COUNTERS.add("clients.bytes_spent")
+                return False
         self._held_bytes += byte_count
         return True
 
+    def _has_room_for(self, byte_count: int) -> bool:
+        return self._held_bytes + byte_count <= self._size.byte_count
+
     def give_back(self, byte_count: int) -> None:
         """Release bytes."""
         self._held_bytes -= byte_count
@@ -287,7 +291,7 @@
 
         :return: whether they are held; if not, the request is refused.
         """
-        if not self._account.take(byte_count):
+        if not self._account.take(byte_count, self._byte_count):
             return False
         if self._is_released:
             # Taking them made this request shed what it held.
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -20,6 +20,7 @@
 # Callers take up connections that have rested for this part of the idle time.
 REST_SHARE = 0.8
 SMALL_CHUNK_BYTES = 512
+LARGE_BODY_BYTES = 32 * 1024 * 1024
 CHUNKED = "Transfer-Encoding: chunked"
 
 
@@ -105,6 +106,21 @@
 
         run(scenario, tmp_path)
 
+    def test_body_is_served_that_takes_more_than_its_share(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A config may allow bodies that the machine can just bear."""
+        body = b"b" * LARGE_BODY_BYTES
+        line = f"Content-Length: {LARGE_BODY_BYTES}"
+        first = client_system.head("/a/b/x", "ordinary", line) + b"\r\n"
+
+        async def scenario(system: System) -> None:
+            answer = await send_alone(system, first, body)
+            assert answer.startswith(b"HTTP/1.1 200")
+            await system.check(client_system.Crowd())
+
+        run(scenario, tmp_path, max_body_bytes=LARGE_BODY_BYTES)
+
     @pytest.mark.parametrize("idle_ms", [2_000, 20_000])
     def test_rested_connection_is_taken_up(
         self, idle_ms: int, tmp_path: pathlib.Path
